--- /dev/null
+++ b/cli/main.go
@@ -0,0 +1,12 @@
+// Command cli is a part of chervilusher; see the README.
+package main
+
+import (
+	"os"
+
+	"chervilusher.dev/cli/pkg/app"
+)
+
+func main() {
+	os.Exit(app.Main(os.Args[1:]))
+}
--- /dev/null
+++ b/lib/jsontime/doc.go
@@ -0,0 +1,2 @@
+// Package jsontime writes durations into JSON as text with a unit, such as "250ms".
+package jsontime
--- /dev/null
+++ b/lib/platform/doc.go
@@ -0,0 +1,2 @@
+// Package platform holds the wire types of the platform's services: the log, the host list, minions and workers.
+package platform
--- /dev/null
+++ b/standin/pkg/app/doc.go
@@ -0,0 +1,2 @@
+// Package app builds the program from its parts and runs it.
+package app
