Add the blackboard and the dispatch engine's thin decisions

The engine is pure over the board and a time, so that the policies behind its small interfaces can be written and tested apart. Nothing is measured: no process runs yet.

--- /dev/null
+++ b/entry/pkg/admission/doc.go
@@ -0,0 +1,2 @@
+// Package admission refuses work whose predicted wait passes its deadline.
+package admission
--- /dev/null
+++ b/entry/pkg/admission/none.go
@@ -0,0 +1,21 @@
+package admission
+
+import (
+	"time"
+
+	"chervilusher.dev/entry/pkg/blackboard"
+	"chervilusher.dev/entry/pkg/dispatch"
+)
+
+// None admits everything; it is the baseline.
+type None struct{}
+
+// NewNone returns the policy.
+func NewNone() *None {
+	return &None{}
+}
+
+// Admit returns nil.
+func (n *None) Admit(*blackboard.Job, map[string]*blackboard.Group, time.Time) *dispatch.Refusal {
+	return nil
+}
--- /dev/null
+++ b/entry/pkg/blackboard/backend.go
@@ -0,0 +1,95 @@
+package blackboard
+
+import (
+	"math"
+	"time"
+
+	"chervilusher.dev/lib/api"
+	"chervilusher.dev/lib/platform"
+)
+
+// Group is a set of equal minions or workers and the queue of work that waits for them.
+type Group struct {
+	Name     string
+	Role     platform.Role
+	Backends map[string]*Backend
+	Queue    Queue
+}
+
+// Queue holds the waiting tasks of a group in the order in which they are to start.
+type Queue interface {
+	// Push adds a task.
+	Push(task *Task)
+	// Pop removes and returns the next task that fits, or nil.
+	Pop(fits func(task *Task) bool) *Task
+	// Remove takes a task out, and reports whether it was in the queue.
+	Remove(task *Task) bool
+	// Len returns how many tasks wait.
+	Len() int
+}
+
+// Backend is one minion or worker as this host sees it.
+type Backend struct {
+	Name         string
+	Address      string // host:port
+	Place        string
+	Rack         string
+	Group        string
+	Role         platform.Role
+	Leaving      bool // it gets no new work
+	Slots        int  // tasks that it runs at once, for all hosts together
+	Connections  int
+	Cores        float64
+	Memory       int64 // bytes
+	Accelerators int
+
+	Granted int       // slots that this host may use now
+	Until   time.Time // when the grant lapses; zero means that it does not
+	Busy    int       // slots that this host's tasks hold
+	Fence   int64     // fencing token of the worker's lease; zero for minions
+
+	Ejected  bool // it gets no work but probes
+	Probing  bool // one probe is under way
+	Slowness float64
+}
+
+// Free returns how many more slots this host may use at the back end at the given time.
+func (b *Backend) Free(now time.Time) int {
+	if b.Leaving || b.Lapsed(now) {
+		return 0
+	}
+	return max(0, b.Granted-b.Busy)
+}
+
+// Lapsed reports whether the grant has run out.
+func (b *Backend) Lapsed(now time.Time) bool {
+	return !b.Until.IsZero() && !now.Before(b.Until)
+}
+
+// Width returns how many slots a task takes at the back end; it is larger than Slots when the task can never run there.
+func (b *Backend) Width(need api.Need) int {
+	if b.Role == platform.RoleMinion {
+		return 1
+	}
+	width := 1.0
+	width = math.Max(width, share(need.Cores, b.Cores)*float64(b.Slots))
+	width = math.Max(width, share(float64(need.Memory), float64(b.Memory))*float64(b.Slots))
+	width = math.Max(width, share(float64(need.Accelerators), float64(b.Accelerators))*float64(b.Slots))
+	return int(math.Ceil(width - roundingSlack))
+}
+
+// roundingSlack keeps floating-point noise from widening a task by a slot.
+const roundingSlack = 1e-9
+
+// impossibleShare stands for a need that the back end has nothing of.
+const impossibleShare = 1e6
+
+func share(need, have float64) float64 {
+	if need <= 0 {
+		return 0
+	}
+	if have <= 0 {
+		return impossibleShare
+	}
+	return need / have
+}
--- /dev/null
+++ b/entry/pkg/blackboard/configuration.go
@@ -0,0 +1,70 @@
+package blackboard
+
+import (
+	"sync/atomic"
+
+	"chervilusher.dev/lib/configuration"
+
+	"chervilusher.dev/entry/pkg/invariant"
+)
+
+// Configuration holds the accepted configuration; it only ever moves to a higher version.
+type Configuration struct {
+	current atomic.Pointer[Directory]
+}
+
+// Directory is one accepted configuration with the look-ups that requests need.
+type Directory struct {
+	State  *configuration.State
+	Tokens map[string]Bearer // by the token's hash
+}
+
+// Bearer is who holds a token.
+type Bearer struct {
+	Owner string
+	Name  string
+	Role  configuration.TokenRole
+}
+
+// NewDirectory returns the look-ups of a configuration state.
+func NewDirectory(state *configuration.State) *Directory {
+	directory := &Directory{State: state, Tokens: map[string]Bearer{}}
+	for name, accepted := range state.Owners {
+		for _, token := range accepted.Document.Tokens {
+			directory.Tokens[token.Hash] = Bearer{Owner: name, Name: token.Name, Role: token.Role}
+		}
+	}
+	return directory
+}
+
+// Document returns the owner's document in force, or nil.
+func (d *Directory) Document(owner string) *configuration.Document {
+	accepted, ok := d.State.Owners[owner]
+	if !ok {
+		return nil
+	}
+	return &accepted.Document
+}
+
+// Load returns the configuration in force, never nil.
+func (c *Configuration) Load() *Directory {
+	return c.current.Load()
+}
+
+// Store puts a configuration in force; an older one than that in force is a breach and is dropped.
+func (c *Configuration) Store(directory *Directory) {
+	for {
+		current := c.current.Load()
+		if current != nil && directory.State.Next < current.State.Next {
+			invariant.Check(false, "configuration_never_reverts", "offset %d after %d", directory.State.Next, current.State.Next)
+			return
+		}
+		if c.current.CompareAndSwap(current, directory) {
+			return
+		}
+	}
+}
+
+func newEmptyConfiguration() *Directory {
+	return NewDirectory(configuration.NewState())
+}
--- /dev/null
+++ b/entry/pkg/blackboard/doc.go
@@ -0,0 +1,2 @@
+// Package blackboard holds the state that controllers read and write, as plain structs.
+package blackboard
--- /dev/null
+++ b/entry/pkg/dispatch/refuse.go
@@ -0,0 +1,60 @@
+package dispatch
+
+import (
+	"fmt"
+	"time"
+
+	"chervilusher.dev/lib/api"
+	"chervilusher.dev/lib/platform"
+
+	"chervilusher.dev/entry/pkg/blackboard"
+)
+
+// retryWithoutBackends is when to come back to a group that has no back end now.
+const retryWithoutBackends = time.Second
+
+// retryOverQuota is when to come back after the quota was used up.
+const retryOverQuota = 500 * time.Millisecond
+
+func (e *Engine) refuse(job *blackboard.Job, now time.Time) *Refusal {
+	owner := e.board.Owners[job.Owner]
+	if owner.Queued+len(job.Tasks) > owner.MaxWait {
+		return &Refusal{
+			Code:       api.CodeQuota,
+			Reason:     fmt.Sprintf("%d tasks wait, and the quota is %d", owner.Queued, owner.MaxWait),
+			RetryAfter: retryOverQuota,
+		}
+	}
+	for _, task := range job.Tasks {
+		if refusal := e.refuseTask(task); refusal != nil {
+			return refusal
+		}
+	}
+	return e.policies.Admission.Admit(job, e.board.Groups, now)
+}
+
+// refuseTask refuses work that no back end of its group could ever run, or that has no back end now.
+func (e *Engine) refuseTask(task *blackboard.Task) *Refusal {
+	group := e.Group(task.Target.Group)
+	known := 0
+	for _, backend := range group.Backends {
+		if !task.Target.Allows(backend) {
+			continue
+		}
+		known++
+		if backend.Role == platform.RoleMinion || backend.Width(task.Need) <= backend.Slots {
+			return nil
+		}
+	}
+	if known == 0 {
+		return &Refusal{
+			Code:       api.CodeUnavailable,
+			Reason:     fmt.Sprintf("group %q has no back ends now", group.Name),
+			RetryAfter: retryWithoutBackends,
+		}
+	}
+	return &Refusal{
+		Code:   api.CodeImpossible,
+		Reason: fmt.Sprintf("task %d is larger than any worker of group %q", task.Index, group.Name),
+	}
+}
--- /dev/null
+++ b/entry/pkg/health/doc.go
@@ -0,0 +1,2 @@
+// Package health ejects back ends that fail and keeps the retry budget.
+package health
--- /dev/null
+++ b/entry/pkg/invariant/doc.go
@@ -0,0 +1,2 @@
+// Package invariant asserts what must always hold inside the program.
+package invariant
--- /dev/null
+++ b/entry/pkg/queue/doc.go
@@ -0,0 +1,2 @@
+// Package queue orders the waiting tasks of a group.
+package queue
--- /dev/null
+++ b/entry/pkg/queue/single.go
@@ -0,0 +1,53 @@
+package queue
+
+import (
+	"container/list"
+
+	"chervilusher.dev/entry/pkg/blackboard"
+)
+
+// Single is one first-in, first-out queue for all owners and classes; it is the baseline.
+type Single struct {
+	waiting  *list.List
+	elements map[*blackboard.Task]*list.Element
+}
+
+// NewSingle returns an empty queue.
+func NewSingle() *Single {
+	return &Single{waiting: list.New(), elements: map[*blackboard.Task]*list.Element{}}
+}
+
+// Push adds a task at the end.
+func (s *Single) Push(task *blackboard.Task) {
+	s.elements[task] = s.waiting.PushBack(task)
+}
+
+// Pop removes and returns the first task if it fits, or nil.
+func (s *Single) Pop(fits func(task *blackboard.Task) bool) *blackboard.Task {
+	front := s.waiting.Front()
+	if front == nil {
+		return nil
+	}
+	task := front.Value.(*blackboard.Task)
+	if !fits(task) {
+		return nil
+	}
+	s.Remove(task)
+	return task
+}
+
+// Remove takes a task out, and reports whether it was in the queue.
+func (s *Single) Remove(task *blackboard.Task) bool {
+	element, ok := s.elements[task]
+	if !ok {
+		return false
+	}
+	s.waiting.Remove(element)
+	delete(s.elements, task)
+	return true
+}
+
+// Len returns how many tasks wait.
+func (s *Single) Len() int {
+	return len(s.elements)
+}
--- /dev/null
+++ b/entry/pkg/settings/doc.go
@@ -0,0 +1,2 @@
+// Package settings holds the entry daemon's user-facing settings, their defaults and their checks.
+package settings
--- /dev/null
+++ b/entry/pkg/settings/settings.go
@@ -0,0 +1,132 @@
+package settings
+
+import (
+	"time"
+
+	"chervilusher.dev/lib/jsontime"
+	"chervilusher.dev/lib/settings"
+)
+
+// Settings is everything that an operator may set for one entry daemon.
+type Settings struct {
+	// Name is the host's unique name, as it stands in the host list.
+	Name string `json:"name"`
+	// Place is the failure domain that the host stands in, as the host list names it.
+	Place string `json:"place"`
+	// Size is the host's capacity relative to other entry hosts.
+	Size int `json:"size"`
+	// Caller is the address that callers connect to.
+	Caller Listener `json:"caller"`
+	// Operator is the address that operators and probes connect to.
+	Operator Operator `json:"operator"`
+	// Peer is the address that other entry hosts connect to.
+	Peer Listener `json:"peer"`
+	// Platform tells where the platform's services are.
+	Platform Platform `json:"platform"`
+	// Ticket bounds window tokens and kept answers.
+	Ticket Ticket `json:"ticket"`
+	// Policy selects and tunes the dispatch decisions.
+	Policy Policy `json:"policy"`
+	// Lease bounds the leases of workers and the loans of slots.
+	Lease Lease `json:"lease"`
+	// Log selects what is logged.
+	Log Log `json:"log"`
+}
+
+// Listener is an address to listen on.
+type Listener struct {
+	Listen string `json:"listen"` // host:port
+}
+
+// Operator is the operators' address and the host's own operator token.
+type Operator struct {
+	Listen string `json:"listen"` // host:port
+	Hash   string `json:"hash"`   // SHA-256 of the token for host-wide calls, in hexadecimal; empty refuses them
+}
+
+// Platform holds the base URLs of the platform's services.
+type Platform struct {
+	Log   string `json:"log"`
+	Hosts string `json:"hosts"`
+}
+
+// Ticket bounds window tokens and kept answers.
+type Ticket struct {
+	Key    string            `json:"key"`    // secret shared by all entry hosts, at least 16 characters
+	Window jsontime.Duration `json:"window"` // length of one window
+	Keep   jsontime.Duration `json:"keep"`   // how long a window is kept after it ended
+	Bytes  int64             `json:"bytes"`  // most bytes of kept answers
+}
+
+// Policy selects and tunes the dispatch decisions.
+type Policy struct {
+	Lending   string            `json:"lending"`   // how hosts divide slots: loans, fixed or shared
+	Placement string            `json:"placement"` // fastest, random, robin or least
+	Admission string            `json:"admission"` // predict or none
+	Queue     string            `json:"queue"`     // fair or single
+	Deadline  jsontime.Duration `json:"deadline"`  // for submissions and services that name none
+	Timeout   jsontime.Duration `json:"timeout"`   // longest run of one task where the configuration names none
+	Queued    int               `json:"queued"`    // most waiting tasks of one owner where its quota names none
+	Retries   float64           `json:"retries"`   // share of starts that may be retries
+	Long      jsontime.Duration `json:"long"`      // run time from which a task counts as long
+	Share     float64           `json:"share"`     // most of a place's slots that long work may hold
+	Eject     float64           `json:"eject"`     // most of a group that may be ejected
+}
+
+// Lease bounds the leases of workers and the loans of slots.
+type Lease struct {
+	Length    jsontime.Duration `json:"length"`    // of a worker's lease
+	Margin    jsontime.Duration `json:"margin"`    // no start when less than this is left
+	Loan      jsontime.Duration `json:"loan"`      // of slots lent to another host
+	Heartbeat jsontime.Duration `json:"heartbeat"` // between the hosts of a place
+}
+
+// Log selects what is logged.
+type Log struct {
+	Level  string `json:"level"`  // debug, info, warn or error
+	Format string `json:"format"` // text or json
+}
+
+// Default returns the settings that hold where a file says nothing.
+func Default() *Settings {
+	return &Settings{
+		Size: 1,
+		Ticket: Ticket{
+			Window: jsontime.Duration(time.Minute),
+			Keep:   jsontime.Duration(10 * time.Minute),
+			Bytes:  64 << 20,
+		},
+		Policy: Policy{
+			Lending:   "fixed",
+			Placement: "fastest",
+			Admission: "predict",
+			Queue:     "fair",
+			Deadline:  jsontime.Duration(30 * time.Second),
+			Timeout:   jsontime.Duration(2 * time.Minute),
+			Queued:    100_000,
+			Retries:   0.1,
+			Long:      jsontime.Duration(2 * time.Second),
+			Share:     0.7,
+			Eject:     0.5,
+		},
+		Lease: Lease{
+			Length:    jsontime.Duration(3 * time.Second),
+			Margin:    jsontime.Duration(500 * time.Millisecond),
+			Loan:      jsontime.Duration(time.Second),
+			Heartbeat: jsontime.Duration(200 * time.Millisecond),
+		},
+		Log: Log{Level: "info", Format: "text"},
+	}
+}
+
+// Load reads the settings file at path over the defaults and checks the outcome.
+func Load(path string) (*Settings, error) {
+	loaded := Default()
+	if err := settings.Load(path, loaded); err != nil {
+		return nil, err
+	}
+	if err := loaded.Check(); err != nil {
+		return nil, err
+	}
+	return loaded, nil
+}
