--- /dev/null
+++ b/entry/pkg/admission/predict.go
@@ -0,0 +1,108 @@
+package admission
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"chervilusher.dev/lib/api"
+
+	"chervilusher.dev/entry/pkg/blackboard"
+	"chervilusher.dev/entry/pkg/dispatch"
+)
+
+// Predict refuses work whose predicted wait and run pass its deadline, or that would keep up a standing queue.
+type Predict struct {
+	random *rand.Rand
+	queues map[queueKey]*standing
+}
+
+// queueKey names the part of a group's queue that one kind of submission waits in.
+type queueKey struct {
+	group  string
+	owner  string
+	urgent bool
+	long   bool
+}
+
+// standing tells since when the predicted wait has been above standingWait without a break.
+type standing struct {
+	since time.Time
+}
+
+// Bounds of a standing queue. A queue that drains takes in a burst; one that has stood for standingTime adds nothing to what is served, and only makes everybody wait.
+const (
+	standingWait = 250 * time.Millisecond
+	standingTime = time.Second
+)
+
+// Bounds of the time after which a refused caller should come back.
+const (
+	minRetryAfter = 50 * time.Millisecond
+	maxRetryAfter = 30 * time.Second
+	retryJitter   = 0.5 // share of the time that is added at random
+)
+
+// spreads is how many mean distances from the mean a run is expected to take at most.
+const spreads = 2
+
+// NewPredict returns the policy; random spreads the times at which refused callers come back.
+func NewPredict(random *rand.Rand) *Predict {
+	return &Predict{random: random, queues: map[queueKey]*standing{}}
+}
+
+// Admit refuses the job when one of its groups cannot serve it in time.
+func (p *Predict) Admit(job *blackboard.Job, groups map[string]*blackboard.Group, now time.Time) *dispatch.Refusal {
+	for name, demand := range demands(job) {
+		group, ok := groups[name]
+		if !ok || group.Capacity.Rate <= 0 {
+			continue
+		}
+		if refusal := p.admit(job, group, demand, now); refusal != nil {
+			return refusal
+		}
+	}
+	return nil
+}
+
+func (p *Predict) admit(job *blackboard.Job, group *blackboard.Group, demand demand, now time.Time) *dispatch.Refusal {
+	wait := predictWait(job, group, demand)
+	allowed := job.Deadline.Sub(now) - demand.run
+	key := queueKey{group: group.Name, owner: job.Owner, urgent: job.Urgent, long: demand.long}
+	if p.stands(key, wait, now) {
+		allowed = min(allowed, standingWait)
+	}
+	if wait <= max(allowed, negligibleWait) {
+		return nil
+	}
+	return &dispatch.Refusal{
+		Code:       api.CodeOverload,
+		Reason:     fmt.Sprintf("the predicted wait is %s, and %s is allowed", wait.Round(time.Millisecond), max(0, allowed).Round(time.Millisecond)),
+		RetryAfter: p.retryAfter(wait - max(0, min(allowed, standingWait))),
+	}
+}
+
+// negligibleWait is never a reason to refuse.
+const negligibleWait = 10 * time.Millisecond
+
+// stands takes in the predicted wait, and reports whether the queue has been standing for too long.
+func (p *Predict) stands(key queueKey, wait time.Duration, now time.Time) bool {
+	found, ok := p.queues[key]
+	if wait <= standingWait {
+		if ok {
+			delete(p.queues, key)
+		}
+		return false
+	}
+	if !ok {
+		p.queues[key] = &standing{since: now}
+		return false
+	}
+	return now.Sub(found.since) >= standingTime
+}
+
+// retryAfter returns the given time with jitter, within bounds.
+func (p *Predict) retryAfter(drained time.Duration) time.Duration {
+	jitter := 1 + retryJitter*p.random.Float64()
+	return min(max(time.Duration(float64(drained)*jitter), minRetryAfter), maxRetryAfter)
+}
--- a/entry/pkg/blackboard/backend.go
+++ b/entry/pkg/blackboard/backend.go
@@ -14,6 +14,16 @@
 	Role     platform.Role
 	Backends map[string]*Backend
 	Queue    Queue
+	Capacity Capacity            // summed from Backends at intervals
+	Synced   time.Time           // when the placement last took in every back end
+	Busy     int                 // slots that this host's tasks hold
+	Long     map[string]int      // slots that long work holds, by place
+	Backlogs map[string]*Backlog // waiting work, by owner
+}
+
+// LongRoom returns how many more slots long work may take in the place.
+func (g *Group) LongRoom(place string) int {
+	return g.Capacity.Long[place] - g.Long[place]
 }
 
 // Queue holds the waiting tasks of a group in the order in which they are to start.
@@ -48,17 +58,27 @@
 	Busy    int       // slots that this host's tasks hold
 	Fence   int64     // fencing token of the worker's lease; zero for minions
 
-	Ejected  bool // it gets no work but probes
-	Probing  bool // one probe is under way
-	Slowness float64
+	Ejected  bool      // it gets no work but probes
+	Probe    time.Time // when the next probe may start, while ejected
+	Probing  bool      // one probe is under way
+	Limit    int       // most slots used while it comes back after an ejection; zero means no bound
+	Paused   time.Time // it gets no work before this time
+	Reserved *Task     // the wide task that its free slots are kept for
+	Slowness float64   // learnt run time against the usual; zero means unknown
+	Learnt   int       // runs that Slowness was learnt from
+	Failing  float64   // share of recent starts that failed, 0 to 1
 }
 
 // Free returns how many more slots this host may use at the back end at the given time.
 func (b *Backend) Free(now time.Time) int {
-	if b.Leaving || b.Lapsed(now) {
+	if b.Leaving || b.Lapsed(now) || now.Before(b.Paused) {
 		return 0
 	}
-	return max(0, b.Granted-b.Busy)
+	granted := b.Granted
+	if b.Limit > 0 {
+		granted = min(granted, b.Limit)
+	}
+	return max(0, granted-b.Busy)
 }
 
 // Lapsed reports whether the grant has run out.
--- a/entry/pkg/blackboard/job.go
+++ b/entry/pkg/blackboard/job.go
@@ -51,16 +51,21 @@
 	Payload  json.RawMessage
 	Declared time.Duration
 
-	State   TaskState
-	Attempt int // counts starts that may have reached a back end
-	Tries   int // counts starts, those that reached none among them
-	Backend *Backend
-	Width   int // slots held while started
-	Queued  time.Time
-	Started time.Time
-	Long    bool     // it counts as long work
-	Avoid   *Backend // where the last attempt failed
-	Value   json.RawMessage
+	State    TaskState
+	Attempt  int // counts starts that may have reached a back end
+	Tries    int // counts starts, those that reached none among them
+	Backend  *Backend
+	Width    int // slots held while started
+	Queued   time.Time
+	Started  time.Time
+	Long     bool          // it counts as long work
+	Avoid    *Backend      // where the last attempt failed
+	Shun     time.Time     // until when Avoid is left out; later it is as good as any
+	Expected time.Duration // run time at a back end of slowness 1, as learnt or declared
+	Cost     time.Duration // expected slot time: Expected for each slot that it takes
+	Spread   time.Duration // mean distance of run times from Expected
+	Node     any           // the queue's own record while the task waits
+	Value    json.RawMessage
 }
 
 // Job is one submission in the hands of its home; the dispatch lock guards it, but for Done.
--- a/entry/pkg/dispatch/engine.go
+++ b/entry/pkg/dispatch/engine.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"encoding/json"
 	"time"
 
 	"chervilusher.dev/lib/api"
@@ -10,107 +9,35 @@
 	"chervilusher.dev/entry/pkg/invariant"
 )
 
-// Verdict is how one start ended.
-type Verdict int
-
-// Verdicts of a start.
-const (
-	VerdictDone    Verdict = iota // the back end answered
-	VerdictFailed                 // it ran and ended with an error
-	VerdictNotRun                 // it is certain that nothing was started
-	VerdictUnknown                // it may have run
-)
-
-// Outcome is what became of one start.
-type Outcome struct {
-	Verdict Verdict
-	Value   json.RawMessage // the answer, when done
-	Error   string
-	Busy    bool // nothing was started because the back end had no room
-}
-
-// Start is an order to start one task at one back end.
-type Start struct {
-	Task    *blackboard.Task
-	Attempt int
-	ID      string // unique for each start
-	Backend blackboard.Backend
-	Payload json.RawMessage
-	Owner   string
-}
-
-// Stop is an order to stop a task that was started.
-type Stop struct {
-	ID      string
-	Backend blackboard.Backend
-}
-
-// Effects is what a decision asks of the back ends.
-type Effects struct {
-	Starts []Start
-	Stops  []Stop
-}
-
-// Placement chooses the back end for a task among those that have a free slot, or nil.
-type Placement interface {
-	Pick(group *blackboard.Group, task *blackboard.Task, now time.Time) *blackboard.Backend
-}
-
-// Admission refuses work that is not worth queueing; it returns nil to admit.
-type Admission interface {
-	Admit(job *blackboard.Job, groups map[string]*blackboard.Group, now time.Time) *Refusal
-}
-
-// Estimator learns how long work takes.
-type Estimator interface {
-	// Classify sets whether the task counts as long.
-	Classify(task *blackboard.Task)
-	// Observe takes in how long a task ran at a back end.
-	Observe(task *blackboard.Task, backend *blackboard.Backend, took time.Duration)
-}
-
-// Health ejects back ends that fail and decides on retries.
-type Health interface {
-	// Observe takes in how a start ended.
-	Observe(group *blackboard.Group, backend *blackboard.Backend, verdict Verdict, now time.Time)
-	// Started counts a start against the retry budget.
-	Started(group *blackboard.Group, retry bool)
-	// MayRetry reports whether the retry budget allows one more start.
-	MayRetry(group *blackboard.Group) bool
-	// Tick lets delays run out.
-	Tick(group *blackboard.Group, now time.Time)
-}
-
-// Refusal is why a submission was not taken; nothing of it was started.
-type Refusal struct {
-	Code       api.Code
-	Reason     string
-	RetryAfter time.Duration
-}
-
-// Policies are the exchangeable decisions.
-type Policies struct {
-	Placement Placement
-	Admission Admission
-	Estimator Estimator
-	Health    Health
-	NewQueue  func(owners map[string]*blackboard.Owner) blackboard.Queue
-}
-
 // Engine is the dispatcher's decisions over the board's dispatch state.
 type Engine struct {
 	board     *blackboard.Dispatch
 	policies  Policies
+	limits    Limits
 	maxTries  int
 	deadlines deadlineHeap
+	running   startQueue
+	reserved  map[*blackboard.Task]*blackboard.Backend
+}
+
+// Limits bound what long work may take.
+type Limits struct {
+	Long  time.Duration // a task that has run for this long counts as long
+	Share float64       // most of a place's slots that long work may hold
 }
 
 // maxTries bounds how often a task that reaches no back end is tried.
 const maxTries = 12
 
 // New returns an engine over the board with the given policies.
-func New(board *blackboard.Dispatch, policies Policies) *Engine {
-	return &Engine{board: board, policies: policies, maxTries: maxTries}
+func New(board *blackboard.Dispatch, policies Policies, limits Limits) *Engine {
+	return &Engine{
+		board:    board,
+		policies: policies,
+		limits:   limits,
+		maxTries: maxTries,
+		reserved: map[*blackboard.Task]*blackboard.Backend{},
+	}
 }
 
 // Group returns the group of that name and makes it when it is new.
@@ -121,6 +48,8 @@
 			Name:     name,
 			Backends: map[string]*blackboard.Backend{},
 			Queue:    e.policies.NewQueue(e.board.Owners),
+			Long:     map[string]int{},
+			Backlogs: map[string]*blackboard.Backlog{},
 		}
 		e.board.Groups[name] = group
 	}
@@ -129,15 +58,17 @@
 
 // Submit queues the job's tasks and starts what it can, or refuses the whole job.
 func (e *Engine) Submit(job *blackboard.Job, now time.Time) (Effects, *Refusal) {
+	for _, task := range job.Tasks {
+		group := e.Group(task.Target.Group)
+		e.refresh(group, now)
+		e.classify(group, task)
+	}
 	if refusal := e.refuse(job, now); refusal != nil {
 		return Effects{}, refusal
 	}
-	owner := e.board.Owners[job.Owner]
 	for _, task := range job.Tasks {
 		task.Queued = now
-		e.policies.Estimator.Classify(task)
-		e.Group(task.Target.Group).Queue.Push(task)
-		owner.Queued++
+		e.enqueue(e.Group(task.Target.Group), task)
 	}
 	e.deadlines.add(job)
 	return e.assignGroups(job, now), nil
@@ -150,18 +81,21 @@
 	}
 	group := e.Group(task.Target.Group)
 	backend := task.Backend
-	e.release(task)
+	e.release(group, task)
 	if outcome.Verdict == VerdictDone {
 		e.policies.Estimator.Observe(task, backend, now.Sub(task.Started))
+	} else if task.Job.Decided() {
+		outcome.Stopped = true
 	}
-	e.policies.Health.Observe(group, backend, outcome.Verdict, now)
+	e.policies.Health.Observe(group, backend, outcome, now)
+	e.policies.Placement.Update(group, backend)
 	switch {
 	case task.Job.Decided():
 		task.State = blackboard.TaskEnded
 	case outcome.Verdict == VerdictDone:
 		e.complete(task, outcome.Value)
 	case e.mayStartAgain(group, task, outcome):
-		e.requeue(group, task, outcome)
+		e.requeue(group, task, outcome, now)
 	default:
 		effects.Stops = e.fail(task, outcome)
 	}
@@ -190,7 +124,7 @@
 func (e *Engine) Tick(now time.Time) Effects {
 	var effects Effects
 	for _, job := range e.deadlines.expired(now) {
-		if job.Decided() || !hasQueued(job) {
+		if !hasQueued(job) {
 			continue
 		}
 		effects.Stops = append(effects.Stops, e.end(job, &api.Answer{
@@ -199,8 +133,13 @@
 			Reason: "the deadline passed before every task could start",
 		})...)
 	}
+	e.countOverruns(now)
+	e.expireReservations(now)
 	for _, group := range e.board.Groups {
-		e.policies.Health.Tick(group, now)
+		e.refresh(group, now)
+		for _, backend := range e.policies.Health.Tick(group, now) {
+			e.policies.Placement.Update(group, backend)
+		}
 		more := e.Assign(group, now)
 		effects.Starts = append(effects.Starts, more.Starts...)
 		effects.Stops = append(effects.Stops, more.Stops...)
@@ -208,16 +147,18 @@
 	return effects
 }
 
+// Changed takes in that the grant, the state or the presence of a back end has changed.
+func (e *Engine) Changed(group *blackboard.Group, backend *blackboard.Backend) {
+	e.policies.Placement.Update(group, backend)
+}
+
 // Assign starts waiting tasks of the group while there are free slots for them.
 func (e *Engine) Assign(group *blackboard.Group, now time.Time) Effects {
 	var effects Effects
-	for group.Queue.Len() > 0 {
+	for group.Queue.Len() > 0 && e.policies.Placement.HasRoom(group) {
 		var backend *blackboard.Backend
 		task := group.Queue.Pop(func(task *blackboard.Task) bool {
-			if !e.ownerMayRun(task.Job.Owner) {
-				return false
-			}
-			backend = e.policies.Placement.Pick(group, task, now)
+			backend = e.fit(group, task, now)
 			return backend != nil
 		})
 		if task == nil {
@@ -228,6 +169,24 @@
 	return effects
 }
 
+// fit returns where the task may start now, or nil.
+func (e *Engine) fit(group *blackboard.Group, task *blackboard.Task, now time.Time) *blackboard.Backend {
+	if !e.ownerMayRun(task.Job.Owner) {
+		return nil
+	}
+	if e.reclassify(group, task) {
+		return nil
+	}
+	if backend := e.fitReserved(task, now); backend != nil {
+		return backend
+	}
+	backend := e.policies.Placement.Pick(group, task, now)
+	if backend == nil {
+		e.reserve(group, task, now)
+	}
+	return backend
+}
+
 func (e *Engine) assignGroups(job *blackboard.Job, now time.Time) Effects {
 	var effects Effects
 	seen := map[string]bool{}
@@ -252,18 +211,19 @@
 	invariant.Check(task.State == blackboard.TaskQueued, "task_starts_once", "job %s task %d starts in state %d", task.Job.ID, task.Index, task.State)
 	invariant.Check(task.Attempt == 0 || task.Job.Idempotent, "task_starts_once", "job %s task %d starts again", task.Job.ID, task.Index)
 	invariant.Check(!backend.Leaving, "leaving_gets_no_work", "back end %s", backend.Name)
-	owner := e.board.Owners[task.Job.Owner]
-	owner.Queued--
-	owner.Running++
-	e.policies.Health.Started(group, task.Attempt > 0)
+	e.dequeued(group, task)
+	e.board.Owners[task.Job.Owner].Running++
+	if task.Tries == 0 {
+		e.policies.Health.Started(group)
+	}
 	task.State = blackboard.TaskStarted
 	task.Attempt++
 	task.Tries++
 	task.Backend = backend
 	task.Width = backend.Width(task.Need)
 	task.Started = now
-	backend.Busy += task.Width
 	task.Job.Started = true
+	e.hold(group, task)
 	return Start{
 		Task:    task,
 		Attempt: task.Attempt,
@@ -274,8 +234,33 @@
 	}
 }
 
-func (e *Engine) release(task *blackboard.Task) {
-	task.Backend.Busy -= task.Width
-	invariant.Check(task.Backend.Busy >= 0, "slots_balance", "back end %s has %d busy slots", task.Backend.Name, task.Backend.Busy)
+// hold takes the task's slots.
+func (e *Engine) hold(group *blackboard.Group, task *blackboard.Task) {
+	backend := task.Backend
+	backend.Busy += task.Width
+	group.Busy += task.Width
+	if backend.Ejected {
+		invariant.Check(!backend.Probing, "one_probe", "back end %s", backend.Name)
+		backend.Probing = true
+	}
+	if task.Long {
+		group.Long[backend.Place] += task.Width
+	} else {
+		e.running.push(task)
+	}
+	e.policies.Placement.Update(group, backend)
+}
+
+// release gives the task's slots back.
+func (e *Engine) release(group *blackboard.Group, task *blackboard.Task) {
+	backend := task.Backend
+	backend.Busy -= task.Width
+	group.Busy -= task.Width
+	invariant.Check(backend.Busy >= 0, "slots_balance", "back end %s has %d busy slots", backend.Name, backend.Busy)
 	e.board.Owners[task.Job.Owner].Running--
+	if !task.Long {
+		return
+	}
+	group.Long[backend.Place] -= task.Width
+	invariant.Check(group.Long[backend.Place] >= 0, "long_slots_balance", "place %s", backend.Place)
 }
--- /dev/null
+++ b/entry/pkg/dispatch/long.go
@@ -0,0 +1,64 @@
+package dispatch
+
+import (
+	"time"
+
+	"chervilusher.dev/entry/pkg/blackboard"
+)
+
+// startRecord is one start of a task that did not count as long.
+type startRecord struct {
+	task  *blackboard.Task
+	tries int
+	at    time.Time
+}
+
+// startQueue holds starts in their order, the oldest first.
+type startQueue struct {
+	records []startRecord
+	head    int
+}
+
+func (q *startQueue) push(task *blackboard.Task) {
+	q.records = append(q.records, startRecord{task: task, tries: task.Tries, at: task.Started})
+}
+
+// pop removes and returns the oldest start if it is at least that old.
+func (q *startQueue) pop(before time.Time) (startRecord, bool) {
+	if q.head == len(q.records) || q.records[q.head].at.After(before) {
+		return startRecord{}, false
+	}
+	record := q.records[q.head]
+	q.records[q.head] = startRecord{}
+	q.head++
+	q.compact()
+	return record, true
+}
+
+// compact gives the room of popped records back once they are half of all.
+func (q *startQueue) compact() {
+	if q.head*2 < len(q.records) {
+		return
+	}
+	kept := copy(q.records, q.records[q.head:])
+	clear(q.records[kept:])
+	q.records = q.records[:kept]
+	q.head = 0
+}
+
+// countOverruns counts tasks as long that have run for longer than short work may.
+func (e *Engine) countOverruns(now time.Time) {
+	for {
+		record, ok := e.running.pop(now.Add(-e.limits.Long))
+		if !ok {
+			return
+		}
+		task := record.task
+		if task.State != blackboard.TaskStarted || task.Tries != record.tries || task.Long {
+			continue
+		}
+		task.Long = true
+		e.Group(task.Target.Group).Long[task.Backend.Place] += task.Width
+		e.policies.Estimator.Overran(task, now.Sub(task.Started))
+	}
+}
--- a/entry/pkg/dispatch/outcome.go
+++ b/entry/pkg/dispatch/outcome.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	"chervilusher.dev/lib/api"
 
@@ -32,12 +33,18 @@
 		return false
 	}
 	if outcome.Verdict == VerdictNotRun {
-		return outcome.Busy || e.policies.Health.MayRetry(group)
+		return outcome.Busy || e.policies.Health.TakeRetry(group)
 	}
-	return task.Job.Idempotent && e.policies.Health.MayRetry(group)
+	return task.Job.Idempotent && e.policies.Health.TakeRetry(group)
 }
 
-func (e *Engine) requeue(group *blackboard.Group, task *blackboard.Task, outcome Outcome) {
+// Times for which a task shuns the back end of its last attempt while another may take it.
+const (
+	shunBusy   = 100 * time.Millisecond
+	shunFailed = time.Second
+)
+
+func (e *Engine) requeue(group *blackboard.Group, task *blackboard.Task, outcome Outcome, now time.Time) {
 	if outcome.Verdict == VerdictNotRun {
 		task.Attempt--
 	}
@@ -46,9 +53,13 @@
 	}
 	task.State = blackboard.TaskQueued
 	task.Avoid = task.Backend
+	task.Shun = now.Add(shunFailed)
+	if outcome.Busy {
+		task.Shun = now.Add(shunBusy)
+	}
 	task.Backend = nil
-	group.Queue.Push(task)
-	e.board.Owners[task.Job.Owner].Queued++
+	e.classify(group, task)
+	e.enqueue(group, task)
 }
 
 func (e *Engine) fail(task *blackboard.Task, outcome Outcome) []Stop {
@@ -97,10 +108,11 @@
 }
 
 func (e *Engine) drop(task *blackboard.Task) {
-	removed := e.Group(task.Target.Group).Queue.Remove(task)
+	group := e.Group(task.Target.Group)
+	removed := group.Queue.Remove(task)
 	invariant.Check(removed, "queue_holds_waiting", "job %s task %d waits but is in no queue", task.Job.ID, task.Index)
 	task.State = blackboard.TaskDropped
-	e.board.Owners[task.Job.Owner].Queued--
+	e.dequeued(group, task)
 }
 
 func (e *Engine) decide(job *blackboard.Job, answer *api.Answer) {
@@ -108,6 +120,7 @@
 	answer.Key = job.Key
 	answer.Tasks = len(job.Tasks)
 	job.Answer = answer
+	e.deadlines.leave()
 	close(job.Done)
 }
 
--- a/entry/pkg/dispatch/refuse.go
+++ b/entry/pkg/dispatch/refuse.go
@@ -36,15 +36,9 @@
 // refuseTask refuses work that no back end of its group could ever run, or that has no back end now.
 func (e *Engine) refuseTask(task *blackboard.Task) *Refusal {
 	group := e.Group(task.Target.Group)
-	known := 0
-	for _, backend := range group.Backends {
-		if !task.Target.Allows(backend) {
-			continue
-		}
-		known++
-		if backend.Role == platform.RoleMinion || backend.Width(task.Need) <= backend.Slots {
-			return nil
-		}
+	known, possible := countShapes(group, task)
+	if possible > 0 {
+		return nil
 	}
 	if known == 0 {
 		return &Refusal{
@@ -58,3 +52,17 @@
 		Reason: fmt.Sprintf("task %d is larger than any worker of group %q", task.Index, group.Name),
 	}
 }
+
+// countShapes returns how many shapes the task's target allows, and how many of them could ever run it.
+func countShapes(group *blackboard.Group, task *blackboard.Task) (known, possible int) {
+	for _, shape := range group.Capacity.Shapes {
+		if !task.Target.Allows(shape) {
+			continue
+		}
+		known++
+		if shape.Role == platform.RoleMinion || shape.Width(task.Need) <= shape.Slots {
+			possible++
+		}
+	}
+	return known, possible
+}
--- a/entry/pkg/estimate/estimator.go
+++ b/entry/pkg/estimate/estimator.go
@@ -1,60 +1,125 @@
 package estimate
 
 import (
+	"math"
 	"time"
 
 	"chervilusher.dev/entry/pkg/blackboard"
 )
 
-// kindGain and backendGain are the weights of a new observation in the moving averages.
+// Weights of a new observation in the moving averages, and how far one observation counts.
 const (
 	kindGain    = 0.05
-	backendGain = 0.1
+	backendGain = 0.05
+	maxRatio    = 4
 )
 
+// maxKinds bounds how many kinds of work are remembered.
+const maxKinds = 100_000
+
 type kindKey struct {
 	owner string
 	group string
 	kind  string
 }
 
-// Estimator holds the mean run time of each kind of work and the relative slowness of each back end.
+// kind is what was learnt of one kind of work.
+type kind struct {
+	mean      float64 // seconds at a back end of slowness 1
+	deviation float64 // mean distance from the mean, in seconds
+	runs      int
+	long      bool
+}
+
+// Estimator holds the run time of each kind of work and the relative slowness of each back end.
 type Estimator struct {
-	long  time.Duration
-	kinds map[kindKey]float64 // seconds at a back end of slowness 1
+	limits Limits
+	kinds  map[kindKey]*kind
+}
+
+// Limits are the mean run times between which a kind of work keeps its class.
+type Limits struct {
+	Long  time.Duration // from here on a kind becomes long
+	Short time.Duration // below here a kind becomes short again
 }
 
 // New returns an estimator for which work is long from the given run time on.
 func New(long time.Duration) *Estimator {
-	return &Estimator{long: long, kinds: map[kindKey]float64{}}
+	return NewWithLimits(Limits{Long: long, Short: long})
 }
 
-// Classify sets whether the task counts as long, by what was learnt or else by what was declared.
-func (e *Estimator) Classify(task *blackboard.Task) {
-	task.Long = e.Expect(task) >= e.long
+// NewWithLimits returns an estimator whose kinds keep their class between the limits.
+func NewWithLimits(limits Limits) *Estimator {
+	return &Estimator{limits: limits, kinds: map[kindKey]*kind{}}
 }
 
-// Expect returns the expected run time at a back end of slowness 1; zero when nothing is known.
-func (e *Estimator) Expect(task *blackboard.Task) time.Duration {
-	mean, ok := e.kinds[keyOf(task)]
+// Classify sets the task's expected run time and whether it counts as long, by what was learnt or else by what was declared.
+func (e *Estimator) Classify(task *blackboard.Task) {
+	learnt, ok := e.kinds[keyOf(task)]
 	if !ok {
-		return task.Declared
+		task.Expected = task.Declared
+		task.Long = task.Declared >= e.limits.Long
+		return
 	}
-	return time.Duration(mean * float64(time.Second))
+	task.Expected = seconds(learnt.mean)
+	task.Spread = seconds(learnt.deviation)
+	task.Long = learnt.long
 }
 
 // Observe takes in how long a task ran at a back end.
 func (e *Estimator) Observe(task *blackboard.Task, backend *blackboard.Backend, took time.Duration) {
-	key := keyOf(task)
-	seconds := took.Seconds()
-	mean, ok := e.kinds[key]
-	if !ok || mean <= 0 {
-		e.kinds[key] = seconds / slowness(backend)
+	ran := math.Max(took.Seconds(), minSeconds)
+	learnt, ok := e.kinds[keyOf(task)]
+	if !ok {
+		learnt = e.learn(task, ran/slowness(backend))
+		learnt.runs = 1
+		learnt.long = seconds(learnt.mean) >= e.limits.Long
+		backend.Learnt++
+		backend.Slowness = slowness(backend)
 		return
 	}
-	ratio := seconds / mean
-	backend.Slowness = slowness(backend) + backendGain*(ratio-slowness(backend))
-	e.kinds[key] = mean + kindGain*(seconds/slowness(backend)-mean)
+	backend.Learnt++
+	ratio := math.Min(ran/learnt.mean, maxRatio)
+	backend.Slowness = slowness(backend) + gain(backendGain, backend.Learnt)*(ratio-slowness(backend))
+	e.average(learnt, ran/slowness(backend))
+}
+
+// minSeconds keeps means and ratios above zero.
+const minSeconds = 1e-6
+
+// Overran takes in that a task has run for at least the given time and goes on.
+func (e *Estimator) Overran(task *blackboard.Task, took time.Duration) {
+	if _, ok := e.kinds[keyOf(task)]; !ok {
+		learnt := e.learn(task, took.Seconds())
+		learnt.long = took >= e.limits.Long
+	}
+}
+
+func (e *Estimator) learn(task *blackboard.Task, mean float64) *kind {
+	if len(e.kinds) >= maxKinds {
+		clear(e.kinds)
+	}
+	learnt := &kind{mean: mean, deviation: mean / 2}
+	e.kinds[keyOf(task)] = learnt
+	return learnt
+}
+
+func (e *Estimator) average(learnt *kind, ran float64) {
+	learnt.runs++
+	weight := gain(kindGain, learnt.runs)
+	learnt.deviation += weight * (math.Abs(ran-learnt.mean) - learnt.deviation)
+	learnt.mean += weight * (ran - learnt.mean)
+	switch mean := seconds(learnt.mean); {
+	case mean >= e.limits.Long:
+		learnt.long = true
+	case mean < e.limits.Short:
+		learnt.long = false
+	}
+}
+
+// gain lets the first observations count evenly and later ones by the given weight.
+func gain(weight float64, observations int) float64 {
+	return math.Max(weight, 1/float64(observations+1))
 }
 
 func slowness(backend *blackboard.Backend) float64 {
@@ -64,6 +129,10 @@
 	return backend.Slowness
 }
 
+func seconds(value float64) time.Duration {
+	return time.Duration(value * float64(time.Second))
+}
+
 func keyOf(task *blackboard.Task) kindKey {
 	return kindKey{owner: task.Job.Owner, group: task.Target.Group, kind: task.Kind}
 }
