--- /dev/null
+++ b/lib/examples/hokkaido/doc.go
@@ -0,0 +1,2 @@
+// Command hokkaido prints the configuration of the Hokkaido office's order desk.
+package main
--- /dev/null
+++ b/lib/examples/kerlouan/doc.go
@@ -0,0 +1,2 @@
+// Command kerlouan prints the configuration of Kerlouan Imaging Recovery's returns desk.
+package main
