--- a/cli/main.go
+++ b/cli/main.go
@@ -1,4 +1,4 @@
-// Command cli is a part of chervilusher; see the README.
+// Command chervilusher is the command line of callers and operators.
 package main
 
 import (
--- /dev/null
+++ b/cli/pkg/app/operators.go
@@ -0,0 +1,121 @@
+package app
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"chervilusher.dev/cli/pkg/files"
+	"chervilusher.dev/cli/pkg/operator"
+	"chervilusher.dev/cli/pkg/output"
+	"chervilusher.dev/lib/api"
+)
+
+// progressInterval is how often a terminal is shown how far a job is.
+const progressInterval = time.Second
+
+// pageMode is the permission of a written report.
+const pageMode = 0o644
+
+func (a *app) operator(flags operatorFlags) (*operator.Client, error) {
+	token, err := files.Token(flags.Token, flags.TokenFile)
+	if err != nil {
+		return nil, usage(err)
+	}
+	if flags.Entry == "" {
+		return nil, usage(errors.New("no entry host is given; set CHERVILUSHER_OPERATORS or --entry to its operators' address"))
+	}
+	host, err := operator.New(flags.Entry, token, a.http)
+	return host, usage(err)
+}
+
+func (a *app) status(ctx context.Context, arguments *statusArguments) error {
+	view, ok := views[arguments.What]
+	if !ok {
+		return usage(errors.Errorf("%q cannot be shown; give hosts, minions, workers, queues or owners", arguments.What))
+	}
+	host, err := a.operator(arguments.operatorFlags)
+	if err != nil {
+		return err
+	}
+	status, err := host.Status(ctx)
+	if err != nil {
+		return err
+	}
+	value, table := view(status)
+	return a.printer.Print(value, table)
+}
+
+func (a *app) drain(ctx context.Context, flags *operatorFlags) error {
+	host, err := a.operator(*flags)
+	if err != nil {
+		return err
+	}
+	drained, err := host.Drain(ctx)
+	if err != nil {
+		return err
+	}
+	return a.printer.Text(drained, fmt.Sprintf("draining: %d submissions are still finished", drained.Running))
+}
+
+func (a *app) burn(ctx context.Context, arguments *burnArguments) error {
+	host, err := a.operator(arguments.operatorFlags)
+	if err != nil {
+		return err
+	}
+	if arguments.Page != "" {
+		return a.burnPage(ctx, host, arguments.Page)
+	}
+	report, err := host.Burn(ctx)
+	if err != nil {
+		return err
+	}
+	return a.printer.Print(report, burnTable(report))
+}
+
+func (a *app) burnPage(ctx context.Context, host *operator.Client, path string) error {
+	page, err := host.BurnPage(ctx)
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(path, page, pageMode); err != nil {
+		return errors.WithStack(err)
+	}
+	return a.printer.Text(path, "written to "+path)
+}
+
+func burnTable(report *api.BurnReport) output.Table {
+	table := output.Table{Heading: []string{"OWNER", "OBJECTIVE", "TARGET", "WINDOW", "RATE", "RECENT", "LIMIT", "COVERED", "ALARM", "SINCE"}}
+	for _, objective := range report.Objectives {
+		for _, window := range objective.Windows {
+			table.Rows = append(table.Rows, []string{
+				objective.Owner, objective.Name, fmt.Sprintf("%g%%", objective.Target*100), window.Long.String(),
+				formatRate(window.Rate), formatRate(window.Recent), formatRate(window.Limit),
+				window.Covered.Std().Truncate(time.Second).String(), yesOrNo(window.Alarm), formatTime(objective.Since),
+			})
+		}
+	}
+	return table
+}
+
+func formatRate(rate float64) string {
+	return strconv.FormatFloat(rate, 'f', 2, 64)
+}
+
+func formatTime(at time.Time) string {
+	if at.IsZero() {
+		return "-"
+	}
+	return at.UTC().Format(time.RFC3339)
+}
+
+func yesOrNo(value bool) string {
+	if value {
+		return "yes"
+	}
+	return "no"
+}
