--- a/standin/main.go
+++ b/standin/main.go
@@ -1,4 +1,4 @@
-// Command standin is a part of chervilusher; see the README.
+// Command standin runs small stand-ins for the platform, its minions and its workers.
 package main
 
 import (
--- a/standin/pkg/app/doc.go
+++ b/standin/pkg/app/doc.go
@@ -1,2 +1,2 @@
-// Package app builds the program from its parts and runs it.
+// Package app reads the command line and runs an office of stand-ins until a signal ends it.
 package app
--- /dev/null
+++ b/standin/pkg/relay/doc.go
@@ -0,0 +1,2 @@
+// Package relay forwards TCP connections to a target and can cut, delay and freeze them.
+package relay
--- /dev/null
+++ b/standin/pkg/task/doc.go
@@ -0,0 +1,2 @@
+// Package task runs the pretended work of minions and workers and remembers what became of it.
+package task
