--- /dev/null
+++ b/entry/pkg/app/daemon.go
@@ -0,0 +1,219 @@
+package app
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/json"
+	"github.com/apex/log/handlers/text"
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"chervilusher.dev/lib/logservice"
+
+	"chervilusher.dev/entry/pkg/blackboard"
+	"chervilusher.dev/entry/pkg/caller"
+	"chervilusher.dev/entry/pkg/common"
+	"chervilusher.dev/entry/pkg/controllers"
+	"chervilusher.dev/entry/pkg/dispatch"
+	"chervilusher.dev/entry/pkg/hostlist"
+	"chervilusher.dev/entry/pkg/ledger"
+	"chervilusher.dev/entry/pkg/minion"
+	"chervilusher.dev/entry/pkg/operator"
+	"chervilusher.dev/entry/pkg/peer"
+	"chervilusher.dev/entry/pkg/settings"
+	"chervilusher.dev/entry/pkg/ticket"
+	"chervilusher.dev/entry/pkg/worker"
+)
+
+const (
+	// incarnationLength is how many hexadecimal digits tell processes apart.
+	incarnationLength = 16
+	// readHeaderTimeout bounds how long a caller may take to send its headers.
+	readHeaderTimeout = 10 * time.Second
+	// platformTimeout bounds one call to the platform, long polls included.
+	platformTimeout = 15 * time.Second
+	// idleConnections bounds the unused connections to one back end.
+	idleConnections = 64
+	// drainTimeout bounds how long a planned stop waits for work in progress.
+	drainTimeout = 2 * time.Minute
+	// idleConnectionTimeout is how long an unused connection to a back end is kept.
+	idleConnectionTimeout = 90 * time.Second
+)
+
+// Daemon is one entry host's process.
+type Daemon struct {
+	common     *common.Common
+	board      *blackboard.Board
+	listeners  listeners
+	callers    *http.Server
+	operators  *http.Server
+	peers      *peer.Server
+	peerClient *peer.Client
+	dispatcher *controllers.DispatchController
+	leases     *controllers.LeaseController
+	services   []service
+}
+
+// service is a part that runs until the context ends.
+type service interface {
+	Serve(ctx context.Context)
+}
+
+type listeners struct {
+	caller   net.Listener
+	operator net.Listener
+	peer     net.Listener
+}
+
+// Listen builds the daemon and opens its addresses; it does not serve yet.
+func Listen(loaded *settings.Settings, logTo io.Writer) (*Daemon, error) {
+	opened, err := listen(loaded)
+	if err != nil {
+		return nil, err
+	}
+	c := newCommon(loaded, logTo)
+	return build(c, opened), nil
+}
+
+func newCommon(loaded *settings.Settings, logTo io.Writer) *common.Common {
+	var handler log.Handler = text.New(logTo)
+	if loaded.Log.Format == "json" {
+		handler = json.New(logTo)
+	}
+	logger := &log.Logger{Handler: common.NewPrefixHandler(handler), Level: log.MustParseLevel(loaded.Log.Level)}
+	incarnation := strings.ReplaceAll(uuid.NewString(), "-", "")[:incarnationLength]
+	return &common.Common{
+		Log:         logger.WithField("host", loaded.Name),
+		Settings:    loaded,
+		Clock:       clockwork.NewRealClock(),
+		Incarnation: incarnation,
+	}
+}
+
+func build(c *common.Common, opened listeners) *Daemon {
+	board := blackboard.New()
+	engine := dispatch.New(&board.Dispatch, newPolicies(&c.Settings.Policy))
+	entries := ledger.New(c.Settings.Ticket.Window.Std(), c.Settings.Ticket.Keep.Std(), c.Settings.Ticket.Bytes)
+	tickets := ticket.New(c.Settings.Ticket.Key, c.Settings.Name, c.Settings.Place, c.Incarnation, c.Settings.Ticket.Window.Std(), c.Clock)
+
+	backendClient := newBackendClient()
+	platformClient := &http.Client{Timeout: platformTimeout}
+	workers := worker.New(backendClient)
+	peerClient := peer.NewClient()
+	peerServer := peer.NewServer()
+
+	dispatcher := controllers.NewDispatchController(c, board, engine, minion.New(backendClient), workers)
+	submissions := controllers.NewSubmissionController(c, board, engine, entries, dispatcher)
+	routing := controllers.NewRoutingController(c, board, tickets, submissions, peerClient, peerServer)
+	leases := controllers.NewLeaseController(c, board, workers, dispatcher)
+	members := controllers.NewMembersController(c, board)
+	lender := controllers.NewFixedLender(c, board)
+	backends := controllers.NewBackendsController(c, board, engine, lender, dispatcher)
+	hosts := controllers.NewHostsController(c, board, hostlist.New(c.Settings.Platform.Hosts, platformClient), members, backends)
+	configurations := controllers.NewConfigurationController(c, board, logservice.New(c.Settings.Platform.Log, platformClient))
+
+	return &Daemon{
+		common:     c.Prefixed("app"),
+		board:      board,
+		listeners:  opened,
+		callers:    newHTTPServer(caller.New(c, board, tickets, routing).Handler()),
+		operators:  newHTTPServer(operator.New(c, board).Handler()),
+		peers:      peerServer,
+		peerClient: peerClient,
+		dispatcher: dispatcher,
+		leases:     leases,
+		services:   []service{dispatcher, submissions, leases, hosts, configurations},
+	}
+}
+
+// Run serves until the context ends, and then stops gracefully.
+func (d *Daemon) Run(ctx context.Context) error {
+	serving, stopServing := context.WithCancel(context.Background())
+	defer stopServing()
+	var running errgroup.Group
+	for _, part := range d.services {
+		running.Go(func() error {
+			part.Serve(serving)
+			return nil
+		})
+	}
+	running.Go(func() error { return d.peers.Serve(serving, d.listeners.peer) })
+	running.Go(func() error { return serveHTTP(d.operators, d.listeners.operator) })
+	running.Go(func() error { return serveHTTP(d.callers, d.listeners.caller) })
+	d.common.Log.WithField("incarnation", d.common.Incarnation).Info("serving")
+	<-ctx.Done()
+	d.drain()
+	stopServing()
+	return running.Wait()
+}
+
+// drain refuses new work, finishes what is in progress and gives the leases back.
+func (d *Daemon) drain() {
+	d.common.Log.Info("draining")
+	d.board.Draining.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
+	defer cancel()
+	if err := d.callers.Shutdown(ctx); err != nil {
+		d.common.Log.WithError(err).Error("some callers were cut off")
+	}
+	d.dispatcher.Wait()
+	d.leases.GiveBackAll(ctx)
+	if err := d.operators.Shutdown(ctx); err != nil {
+		d.common.Log.WithError(err).Warn("some operators were cut off")
+	}
+	if err := d.peerClient.Close(); err != nil {
+		d.common.Log.WithError(err).Debug("closing connections to peers")
+	}
+	d.common.Log.Info("stopped")
+}
+
+func listen(loaded *settings.Settings) (listeners, error) {
+	var opened listeners
+	for _, wanted := range []struct {
+		key     string
+		address string
+		into    *net.Listener
+	}{
+		{"caller.listen", loaded.Caller.Listen, &opened.caller},
+		{"operator.listen", loaded.Operator.Listen, &opened.operator},
+		{"peer.listen", loaded.Peer.Listen, &opened.peer},
+	} {
+		listener, err := net.Listen("tcp", wanted.address)
+		if err != nil {
+			return listeners{}, errors.Errorf("%s: %s", wanted.key, err)
+		}
+		*wanted.into = listener
+	}
+	return opened, nil
+}
+
+func newBackendClient() *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			MaxIdleConnsPerHost: idleConnections,
+			IdleConnTimeout:     idleConnectionTimeout,
+			DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+			DisableCompression:  true,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+func newHTTPServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+}
+
+func serveHTTP(server *http.Server, listener net.Listener) error {
+	if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		return errors.WithStack(err)
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/pkg/caller/doc.go
@@ -0,0 +1,2 @@
+// Package caller serves the HTTP API of callers.
+package caller
--- /dev/null
+++ b/entry/pkg/controllers/backends_controller.go
@@ -0,0 +1,98 @@
+package controllers
+
+import (
+	"chervilusher.dev/lib/platform"
+
+	"chervilusher.dev/entry/pkg/blackboard"
+	"chervilusher.dev/entry/pkg/common"
+	"chervilusher.dev/entry/pkg/dispatch"
+)
+
+// Lender decides which slots of which back ends this host may use.
+type Lender interface {
+	// BackendsChanged is called with the dispatch lock held after back ends came, went or changed.
+	BackendsChanged()
+}
+
+// Assigner starts waiting work after grants have changed.
+type Assigner interface {
+	AssignAll()
+}
+
+// BackendsController keeps the groups' back ends as the host list shows them.
+type BackendsController struct {
+	common   *common.Common
+	board    *blackboard.Board
+	engine   *dispatch.Engine
+	lender   Lender
+	assigner Assigner
+}
+
+// NewBackendsController returns the controller.
+func NewBackendsController(
+	c *common.Common,
+	board *blackboard.Board,
+	engine *dispatch.Engine,
+	lender Lender,
+	assigner Assigner,
+) *BackendsController {
+	return &BackendsController{common: c.Prefixed("backends"), board: board, engine: engine, lender: lender, assigner: assigner}
+}
+
+// HostsChanged takes minions and workers over from the host list.
+func (b *BackendsController) HostsChanged() {
+	hosts := b.board.Hosts.Load()
+	b.board.Dispatch.Lock()
+	for _, host := range hosts.ByName {
+		if host.Role == platform.RoleMinion || host.Role == platform.RoleWorker {
+			b.take(&host)
+		}
+	}
+	b.removeMissing(hosts)
+	b.lender.BackendsChanged()
+	b.board.Dispatch.Unlock()
+	b.assigner.AssignAll()
+}
+
+func (b *BackendsController) take(host *platform.Host) {
+	group := b.engine.Group(host.Group)
+	group.Role = host.Role
+	backend, ok := group.Backends[host.Name]
+	if !ok {
+		backend = &blackboard.Backend{Name: host.Name, Group: host.Group, Role: host.Role}
+		group.Backends[host.Name] = backend
+	}
+	if host.State == platform.HostLeaving && !backend.Leaving {
+		b.common.Log.WithField("backend", host.Name).Info("back end is leaving; it gets no new work")
+	}
+	backend.Address = host.Address
+	backend.Place = host.Place
+	backend.Rack = host.Rack
+	backend.Leaving = host.State == platform.HostLeaving
+	backend.Slots = slotsOf(host)
+	backend.Connections = host.Connections
+	backend.Cores = host.Cores
+	backend.Memory = host.Memory
+	backend.Accelerators = host.Accelerators
+}
+
+// removeMissing forgets back ends that have left the list; tasks that still run there keep their own pointer.
+func (b *BackendsController) removeMissing(hosts *blackboard.HostTable) {
+	for _, group := range b.board.Dispatch.Groups {
+		for name, backend := range group.Backends {
+			if _, ok := hosts.ByName[name]; ok {
+				continue
+			}
+			backend.Leaving = true
+			delete(group.Backends, name)
+		}
+	}
+}
+
+// slotsOf returns a minion's slots, or one slot for each core of a worker.
+func slotsOf(host *platform.Host) int {
+	if host.Role == platform.RoleWorker && host.Slots == 0 {
+		return max(1, int(host.Cores))
+	}
+	return max(1, host.Slots)
+}
--- /dev/null
+++ b/entry/pkg/controllers/dispatch_controller.go
@@ -0,0 +1,174 @@
+package controllers
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"chervilusher.dev/lib/platform"
+
+	"chervilusher.dev/entry/pkg/blackboard"
+	"chervilusher.dev/entry/pkg/common"
+	"chervilusher.dev/entry/pkg/dispatch"
+)
+
+const (
+	// tickInterval is how often deadlines and delays are looked at.
+	tickInterval = 20 * time.Millisecond
+	// stopTimeout bounds one call that stops a task or asks for its outcome.
+	stopTimeout = 5 * time.Second
+)
+
+var (
+	startsTotal  = metrics.NewCounter(`chervilusher_starts_total`)
+	staleAnswers = metrics.NewCounter(`chervilusher_answers_dropped_total{why="stale"}`)
+	stopsTotal   = metrics.NewCounter(`chervilusher_stops_total`)
+)
+
+// Starter starts and stops tasks at one kind of back end.
+type Starter interface {
+	Start(ctx context.Context, start *dispatch.Start) dispatch.Outcome
+	Stop(ctx context.Context, stop *dispatch.Stop) (*platform.TaskStatus, error)
+}
+
+// DispatchController carries out the engine's decisions and reports their outcomes back to it.
+type DispatchController struct {
+	common  *common.Common
+	board   *blackboard.Board
+	engine  *dispatch.Engine
+	minions Starter
+	workers Starter
+	running sync.WaitGroup
+}
+
+// NewDispatchController returns the controller; the board's dispatch lock guards the engine.
+func NewDispatchController(
+	c *common.Common,
+	board *blackboard.Board,
+	engine *dispatch.Engine,
+	minions, workers Starter,
+) *DispatchController {
+	return &DispatchController{
+		common:  c.Prefixed("dispatch"),
+		board:   board,
+		engine:  engine,
+		minions: minions,
+		workers: workers,
+	}
+}
+
+// Serve lets deadlines and delays run out until the context ends.
+func (d *DispatchController) Serve(ctx context.Context) {
+	ticker := d.common.Clock.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+			d.board.Dispatch.Lock()
+			effects := d.engine.Tick(d.common.Clock.Now())
+			d.board.Dispatch.Unlock()
+			d.Run(effects)
+		}
+	}
+}
+
+// AssignAll starts waiting work after grants have changed.
+func (d *DispatchController) AssignAll() {
+	d.board.Dispatch.Lock()
+	var effects dispatch.Effects
+	for _, group := range d.board.Dispatch.Groups {
+		effects.Append(d.engine.Assign(group, d.common.Clock.Now()))
+	}
+	d.board.Dispatch.Unlock()
+	d.Run(effects)
+}
+
+// Run starts and stops tasks without waiting for their outcomes.
+func (d *DispatchController) Run(effects dispatch.Effects) {
+	for i := range effects.Starts {
+		start := &effects.Starts[i]
+		d.running.Go(func() { d.start(start) })
+	}
+	for i := range effects.Stops {
+		stop := &effects.Stops[i]
+		d.running.Go(func() { d.stop(stop) })
+	}
+}
+
+// Wait returns when no task is being started, run or stopped.
+func (d *DispatchController) Wait() {
+	d.running.Wait()
+}
+
+func (d *DispatchController) start(start *dispatch.Start) {
+	startsTotal.Inc()
+	ctx, cancel := context.WithTimeout(context.Background(), start.Task.Target.Timeout)
+	outcome := d.attempt(ctx, start)
+	cancel()
+	if outcome.Verdict == dispatch.VerdictUnknown && start.Task.Target.Tombstones {
+		outcome = d.settle(start, outcome)
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf(`chervilusher_outcomes_total{verdict=%q}`, outcome.Verdict)).Inc()
+	d.common.Log.WithField("start", start.ID).WithField("backend", start.Backend.Name).Debugf("start ended: %s", outcome.Verdict)
+	d.board.Dispatch.Lock()
+	effects, stale := d.engine.Finish(start.Task, start.Attempt, outcome, d.common.Clock.Now())
+	d.board.Dispatch.Unlock()
+	if stale {
+		staleAnswers.Inc()
+	}
+	d.Run(effects)
+}
+
+func (d *DispatchController) attempt(ctx context.Context, start *dispatch.Start) dispatch.Outcome {
+	// A holder that was paused finds here that its lease has lapsed; what slips past is refused by the fencing token.
+	if start.Backend.Lapsed(d.common.Clock.Now()) {
+		return dispatch.Outcome{Verdict: dispatch.VerdictNotRun, Error: "the lease lapsed before the start", Busy: true}
+	}
+	return d.starter(start.Backend.Role).Start(ctx, start)
+}
+
+// settle leaves a tombstone for a start whose answer is lost, and learns from it whether the start took effect.
+func (d *DispatchController) settle(start *dispatch.Start, lost dispatch.Outcome) dispatch.Outcome {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	status, err := d.starter(start.Backend.Role).Stop(ctx, &dispatch.Stop{ID: start.ID, Backend: start.Backend})
+	if err != nil || status.Task != start.ID {
+		return lost
+	}
+	switch status.State {
+	case platform.TaskAbsent:
+		return dispatch.Outcome{Verdict: dispatch.VerdictNotRun, Error: lost.Error}
+	case platform.TaskDone:
+		return dispatch.Outcome{Verdict: dispatch.VerdictDone, Value: status.Value}
+	case platform.TaskFailed:
+		return dispatch.Outcome{Verdict: dispatch.VerdictFailed, Error: status.Error}
+	case platform.TaskRunning, platform.TaskStopped:
+		return lost
+	default:
+		return lost
+	}
+}
+
+func (d *DispatchController) stop(stop *dispatch.Stop) {
+	if !stop.Supported {
+		return
+	}
+	stopsTotal.Inc()
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	if _, err := d.starter(stop.Backend.Role).Stop(ctx, stop); err != nil {
+		d.common.Log.WithField("start", stop.ID).WithError(err).Warn("cannot stop a task")
+	}
+}
+
+func (d *DispatchController) starter(role platform.Role) Starter {
+	if role == platform.RoleWorker {
+		return d.workers
+	}
+	return d.minions
+}
--- /dev/null
+++ b/entry/pkg/controllers/fixed_lender.go
@@ -0,0 +1,65 @@
+package controllers
+
+import (
+	"cmp"
+	"slices"
+
+	"chervilusher.dev/lib/platform"
+
+	"chervilusher.dev/entry/pkg/blackboard"
+	"chervilusher.dev/entry/pkg/common"
+)
+
+// FixedLender gives each host of a place a fixed share of the place's minions, in proportion to its size.
+type FixedLender struct {
+	common *common.Common
+	board  *blackboard.Board
+}
+
+// NewFixedLender returns the lender.
+func NewFixedLender(c *common.Common, board *blackboard.Board) *FixedLender {
+	return &FixedLender{common: c, board: board}
+}
+
+// BackendsChanged divides the slots anew; the dispatch lock is held.
+func (f *FixedLender) BackendsChanged() {
+	peers := f.placePeers()
+	for _, group := range f.board.Dispatch.Groups {
+		for _, backend := range group.Backends {
+			if backend.Role == platform.RoleMinion {
+				backend.Granted = f.shareOf(backend, peers)
+			}
+		}
+	}
+}
+
+func (f *FixedLender) placePeers() []blackboard.Member {
+	var peers []blackboard.Member
+	for _, member := range f.board.Members.Load().ByName {
+		if member.Place == f.common.Settings.Place && member.Alive && !member.Leaving {
+			peers = append(peers, member)
+		}
+	}
+	slices.SortFunc(peers, func(a, b blackboard.Member) int { return cmp.Compare(a.Name, b.Name) })
+	return peers
+}
+
+// shareOf cuts the back end's slots along the running total of sizes, so that the shares add up to all slots.
+func (f *FixedLender) shareOf(backend *blackboard.Backend, peers []blackboard.Member) int {
+	if backend.Place != f.common.Settings.Place {
+		return 0
+	}
+	total := 0
+	for _, peer := range peers {
+		total += peer.Size
+	}
+	before := 0
+	for _, peer := range peers {
+		after := before + peer.Size
+		if peer.Name == f.common.Settings.Name {
+			return backend.Slots*after/total - backend.Slots*before/total
+		}
+		before = after
+	}
+	return 0
+}
--- /dev/null
+++ b/entry/pkg/controllers/lease_controller.go
@@ -0,0 +1,145 @@
+package controllers
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"chervilusher.dev/lib/jsontime"
+	"chervilusher.dev/lib/platform"
+
+	"chervilusher.dev/entry/pkg/blackboard"
+	"chervilusher.dev/entry/pkg/common"
+	"chervilusher.dev/entry/pkg/keeper"
+)
+
+const (
+	// renewalsPerLease is how often a lease is renewed before it would lapse.
+	renewalsPerLease = 3
+	// leaseCalls bounds how many leases are renewed at once.
+	leaseCalls = 32
+)
+
+// Leaser takes, renews and gives back leases of workers.
+type Leaser interface {
+	Lease(ctx context.Context, address string, request platform.LeaseRequest) (lease *platform.Lease, held bool, err error)
+	GiveBack(ctx context.Context, address string, fence int64) error
+}
+
+// LeaseController holds the leases of the workers whose keeper this host is.
+type LeaseController struct {
+	common   *common.Common
+	board    *blackboard.Board
+	leaser   Leaser
+	assigner Assigner
+}
+
+// NewLeaseController returns the controller.
+func NewLeaseController(c *common.Common, board *blackboard.Board, leaser Leaser, assigner Assigner) *LeaseController {
+	return &LeaseController{common: c.Prefixed("lease"), board: board, leaser: leaser, assigner: assigner}
+}
+
+// Serve renews the leases until the context ends, and then gives them back.
+func (l *LeaseController) Serve(ctx context.Context) {
+	ticker := l.common.Clock.NewTicker(l.common.Settings.Lease.Length.Std() / renewalsPerLease)
+	defer ticker.Stop()
+	for {
+		l.renewAll(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+		}
+	}
+}
+
+// GiveBackAll ends the leases of this host, so that another host need not wait for them to lapse.
+func (l *LeaseController) GiveBackAll(ctx context.Context) {
+	var calls errgroup.Group
+	calls.SetLimit(leaseCalls)
+	for _, backend := range l.workers() {
+		if backend.Fence == 0 {
+			continue
+		}
+		calls.Go(func() error {
+			if err := l.leaser.GiveBack(ctx, backend.Address, backend.Fence); err != nil {
+				l.common.Log.WithError(err).WithField("worker", backend.Name).Warn("cannot give back a lease; it lapses by itself")
+			}
+			return nil
+		})
+	}
+	_ = calls.Wait()
+}
+
+func (l *LeaseController) renewAll(ctx context.Context) {
+	members := l.board.Members.Load()
+	var calls errgroup.Group
+	calls.SetLimit(leaseCalls)
+	for _, backend := range l.workers() {
+		if keeper.Of(backend.Name, backend.Place, members) != l.common.Settings.Name {
+			continue
+		}
+		calls.Go(func() error {
+			l.renew(ctx, &backend)
+			return nil
+		})
+	}
+	_ = calls.Wait()
+	l.assigner.AssignAll()
+}
+
+// renew counts the lease from before the call left, so that this host never believes in it longer than the worker does.
+func (l *LeaseController) renew(ctx context.Context, worker *blackboard.Backend) {
+	length := l.common.Settings.Lease.Length.Std()
+	asked := l.common.Clock.Now()
+	request := platform.LeaseRequest{
+		Holder: l.common.Settings.Name + "/" + l.common.Incarnation,
+		Fence:  worker.Fence,
+		Length: jsontime.Duration(length),
+	}
+	ctx, cancel := context.WithTimeout(ctx, length/renewalsPerLease)
+	defer cancel()
+	lease, held, err := l.leaser.Lease(ctx, worker.Address, request)
+	if err != nil {
+		l.common.Log.WithError(err).WithField("worker", worker.Name).Debug("cannot renew a lease")
+		return
+	}
+	until := asked.Add(length - l.common.Settings.Lease.Margin.Std())
+	l.board.Dispatch.Lock()
+	defer l.board.Dispatch.Unlock()
+	group, ok := l.board.Dispatch.Groups[worker.Group]
+	if !ok || group.Backends[worker.Name] == nil {
+		return
+	}
+	l.apply(group.Backends[worker.Name], lease, held, until)
+}
+
+func (l *LeaseController) apply(worker *blackboard.Backend, lease *platform.Lease, held bool, until time.Time) {
+	if held {
+		worker.Granted = 0
+		worker.Fence = 0
+		return
+	}
+	worker.Fence = lease.Fence
+	worker.Granted = worker.Slots
+	worker.Until = until
+}
+
+// workers returns copies of the workers of this place.
+func (l *LeaseController) workers() []blackboard.Backend {
+	l.board.Dispatch.Lock()
+	defer l.board.Dispatch.Unlock()
+	var workers []blackboard.Backend
+	for _, group := range l.board.Dispatch.Groups {
+		if group.Role != platform.RoleWorker {
+			continue
+		}
+		for _, backend := range group.Backends {
+			if backend.Place == l.common.Settings.Place {
+				workers = append(workers, *backend)
+			}
+		}
+	}
+	return workers
+}
--- a/entry/pkg/dispatch/engine.go
+++ b/entry/pkg/dispatch/engine.go
@@ -21,6 +21,22 @@
 	VerdictUnknown                // it may have run
 )
 
+// String returns the verdict's name.
+func (v Verdict) String() string {
+	switch v {
+	case VerdictDone:
+		return "done"
+	case VerdictFailed:
+		return "failed"
+	case VerdictNotRun:
+		return "not run"
+	case VerdictUnknown:
+		return "unknown"
+	default:
+		return "invalid"
+	}
+}
+
 // Outcome is what became of one start.
 type Outcome struct {
 	Verdict Verdict
@@ -41,8 +57,9 @@
 
 // Stop is an order to stop a task that was started.
 type Stop struct {
-	ID      string
-	Backend blackboard.Backend
+	ID        string
+	Backend   blackboard.Backend
+	Supported bool // the back end can stop tasks
 }
 
 // Effects is what a decision asks of the back ends.
@@ -51,6 +68,12 @@
 	Stops  []Stop
 }
 
+// Append adds the effects of another decision.
+func (e *Effects) Append(more Effects) {
+	e.Starts = append(e.Starts, more.Starts...)
+	e.Stops = append(e.Stops, more.Stops...)
+}
+
 // Placement chooses the back end for a task among those that have a free slot, or nil.
 type Placement interface {
 	Pick(group *blackboard.Group, task *blackboard.Task, now time.Time) *blackboard.Backend
@@ -165,9 +188,7 @@
 	default:
 		effects.Stops = e.fail(task, outcome)
 	}
-	more := e.Assign(group, now)
-	effects.Starts = append(effects.Starts, more.Starts...)
-	effects.Stops = append(effects.Stops, more.Stops...)
+	effects.Append(e.Assign(group, now))
 	return effects, false
 }
 
@@ -201,9 +222,7 @@
 	}
 	for _, group := range e.board.Groups {
 		e.policies.Health.Tick(group, now)
-		more := e.Assign(group, now)
-		effects.Starts = append(effects.Starts, more.Starts...)
-		effects.Stops = append(effects.Stops, more.Stops...)
+		effects.Append(e.Assign(group, now))
 	}
 	return effects
 }
@@ -237,8 +256,7 @@
 			continue
 		}
 		seen[name] = true
-		more := e.Assign(e.Group(name), now)
-		effects.Starts = append(effects.Starts, more.Starts...)
+		effects.Append(e.Assign(e.Group(name), now))
 	}
 	return effects
 }
--- a/entry/pkg/dispatch/outcome.go
+++ b/entry/pkg/dispatch/outcome.go
@@ -81,7 +81,7 @@
 		case blackboard.TaskQueued:
 			e.drop(task)
 		case blackboard.TaskStarted:
-			stops = append(stops, Stop{ID: startID(task), Backend: *task.Backend})
+			stops = append(stops, Stop{ID: startID(task), Backend: *task.Backend, Supported: task.Target.Tombstones})
 		case blackboard.TaskEnded, blackboard.TaskDropped:
 		}
 		if task.Attempt > 0 {
--- /dev/null
+++ b/entry/pkg/ledger/doc.go
@@ -0,0 +1,2 @@
+// Package ledger remembers which submissions this home has taken, so that each is started at most once.
+package ledger
--- /dev/null
+++ b/entry/pkg/minion/client.go
@@ -0,0 +1,123 @@
+package minion
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"chervilusher.dev/lib/platform"
+
+	"chervilusher.dev/entry/pkg/dispatch"
+)
+
+// maxAnswerBytes bounds one minion's answer.
+const maxAnswerBytes = 1 << 20
+
+var crossedAnswers = metrics.NewCounter(`chervilusher_answers_dropped_total{why="crossed"}`)
+
+// Client starts tasks at minions.
+type Client struct {
+	http *http.Client
+}
+
+// New returns a client that uses the given HTTP client; that client must follow no redirects.
+func New(client *http.Client) *Client {
+	return &Client{http: client}
+}
+
+// Start sends the task and waits for its answer; the context's end leaves the outcome unknown once the request may have left.
+func (c *Client) Start(ctx context.Context, start *dispatch.Start) dispatch.Outcome {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	}
+	ctx = httptrace.WithClientTrace(ctx, trace)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, taskURL(start.Backend.Address, start.ID), bytes.NewReader(start.Payload))
+	if err != nil {
+		return dispatch.Outcome{Verdict: dispatch.VerdictNotRun, Error: err.Error()}
+	}
+	// No idempotency key is sent: with one, net/http would repeat the request by itself after a lost connection.
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set(platform.HeaderTask, start.ID)
+	request.Header.Set(platform.HeaderOwner, start.Owner)
+	request.Header.Set(platform.HeaderKind, start.Task.Kind)
+	response, err := c.http.Do(request)
+	if err != nil {
+		if connected.Load() {
+			return dispatch.Outcome{Verdict: dispatch.VerdictUnknown, Error: err.Error()}
+		}
+		return dispatch.Outcome{Verdict: dispatch.VerdictNotRun, Error: err.Error()}
+	}
+	defer func() { _ = response.Body.Close() }()
+	return read(response, start.ID)
+}
+
+// Query asks a minion what it knows of a start.
+func (c *Client) Query(ctx context.Context, stop *dispatch.Stop) (*platform.TaskStatus, error) {
+	return c.status(ctx, http.MethodGet, stop)
+}
+
+// Stop stops a start, or leaves a tombstone so that it never begins.
+func (c *Client) Stop(ctx context.Context, stop *dispatch.Stop) (*platform.TaskStatus, error) {
+	return c.status(ctx, http.MethodDelete, stop)
+}
+
+func (c *Client) status(ctx context.Context, method string, stop *dispatch.Stop) (*platform.TaskStatus, error) {
+	request, err := http.NewRequestWithContext(ctx, method, taskURL(stop.Backend.Address, stop.ID), nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("minion %s: status %d", stop.Backend.Name, response.StatusCode)
+	}
+	var status platform.TaskStatus
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes)).Decode(&status); err != nil {
+		return nil, err
+	}
+	return &status, nil
+}
+
+func read(response *http.Response, id string) dispatch.Outcome {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	if err != nil {
+		return dispatch.Outcome{Verdict: dispatch.VerdictUnknown, Error: "the answer broke off: " + err.Error()}
+	}
+	if response.Header.Get(platform.HeaderTask) != id {
+		crossedAnswers.Inc()
+		return dispatch.Outcome{Verdict: dispatch.VerdictUnknown, Error: "the answer belongs to another task"}
+	}
+	if response.Header.Get(platform.HeaderRan) == "no" {
+		return dispatch.Outcome{
+			Verdict: dispatch.VerdictNotRun,
+			Error:   "status " + strconv.Itoa(response.StatusCode),
+			Busy:    response.StatusCode == http.StatusServiceUnavailable,
+		}
+	}
+	if response.StatusCode != http.StatusOK {
+		return dispatch.Outcome{Verdict: dispatch.VerdictFailed, Error: "status " + strconv.Itoa(response.StatusCode)}
+	}
+	if len(body) > maxAnswerBytes {
+		return dispatch.Outcome{Verdict: dispatch.VerdictFailed, Error: "the answer is larger than 1 MiB"}
+	}
+	if !json.Valid(body) {
+		return dispatch.Outcome{Verdict: dispatch.VerdictFailed, Error: "the answer is not JSON"}
+	}
+	return dispatch.Outcome{Verdict: dispatch.VerdictDone, Value: body}
+}
+
+func taskURL(address, id string) string {
+	return "http://" + address + "/v1/tasks/" + id
+}
--- /dev/null
+++ b/entry/pkg/operator/doc.go
@@ -0,0 +1,2 @@
+// Package operator serves probes, metrics and the operators' API over HTTP.
+package operator
--- /dev/null
+++ b/entry/pkg/operator/status.go
@@ -0,0 +1,128 @@
+package operator
+
+import (
+	"cmp"
+	"net/http"
+	"slices"
+
+	"github.com/labstack/echo/v4"
+
+	"chervilusher.dev/lib/api"
+	"chervilusher.dev/lib/platform"
+
+	"chervilusher.dev/entry/pkg/blackboard"
+	"chervilusher.dev/entry/pkg/keeper"
+)
+
+func (s *Server) status(c echo.Context) error {
+	status := &api.Status{Time: s.common.Clock.Now()}
+	s.addHosts(status)
+	directory := s.board.Configuration.Load()
+	status.Configuration = api.ConfigurationStatus{Next: directory.State.Next}
+	s.board.Dispatch.Lock()
+	s.addBackends(status)
+	s.addOwners(status, directory)
+	s.board.Dispatch.Unlock()
+	sortStatus(status)
+	return c.JSON(http.StatusOK, status)
+}
+
+func (s *Server) addHosts(status *api.Status) {
+	for _, member := range s.board.Members.Load().ByName {
+		host := api.HostStatus{
+			Name:        member.Name,
+			Place:       member.Place,
+			Address:     member.Address,
+			Size:        member.Size,
+			Incarnation: member.Incarnation,
+			Ready:       readyOf(member.Alive, member.Leaving),
+		}
+		status.Hosts = append(status.Hosts, host)
+	}
+	status.Host = api.HostStatus{
+		Name:        s.common.Settings.Name,
+		Place:       s.common.Settings.Place,
+		Address:     s.common.Settings.Peer.Listen,
+		Size:        s.common.Settings.Size,
+		Incarnation: s.common.Incarnation,
+		Ready:       readyOf(true, s.board.Draining.Load()),
+	}
+}
+
+func (s *Server) addBackends(status *api.Status) {
+	members := s.board.Members.Load()
+	for _, group := range s.board.Dispatch.Groups {
+		for _, backend := range group.Backends {
+			if backend.Role == platform.RoleWorker {
+				status.Workers = append(status.Workers, workerStatus(backend, members))
+				continue
+			}
+			status.Minions = append(status.Minions, minionStatus(backend, members))
+		}
+	}
+}
+
+func (s *Server) addOwners(status *api.Status, directory *blackboard.Directory) {
+	for name, owner := range s.board.Dispatch.Owners {
+		status.Owners = append(status.Owners, api.OwnerStatus{
+			Owner:   name,
+			Version: directory.State.Version(name),
+			Weight:  owner.Weight,
+			Queued:  owner.Queued,
+			Running: owner.Running,
+		})
+	}
+}
+
+func minionStatus(backend *blackboard.Backend, members *blackboard.MemberTable) api.MinionStatus {
+	return api.MinionStatus{
+		Name:   backend.Name,
+		Place:  backend.Place,
+		Group:  backend.Group,
+		Keeper: keeper.Of(backend.Name, backend.Place, members),
+		Ready:  backendReady(backend),
+		Slots:  backend.Slots,
+		Used:   backend.Busy,
+	}
+}
+
+func workerStatus(backend *blackboard.Backend, members *blackboard.MemberTable) api.WorkerStatus {
+	return api.WorkerStatus{
+		Name:         backend.Name,
+		Place:        backend.Place,
+		Rack:         backend.Rack,
+		Group:        backend.Group,
+		Keeper:       keeper.Of(backend.Name, backend.Place, members),
+		Fence:        backend.Fence,
+		Ready:        backendReady(backend),
+		Cores:        backend.Cores,
+		Memory:       backend.Memory,
+		Accelerators: backend.Accelerators,
+		Running:      backend.Busy,
+	}
+}
+
+func backendReady(backend *blackboard.Backend) api.Ready {
+	if backend.Ejected {
+		return api.ReadyEjected
+	}
+	return readyOf(true, backend.Leaving)
+}
+
+func readyOf(alive, leaving bool) api.Ready {
+	switch {
+	case leaving:
+		return api.ReadyDraining
+	case alive:
+		return api.ReadyYes
+	default:
+		return api.ReadyNo
+	}
+}
+
+func sortStatus(status *api.Status) {
+	slices.SortFunc(status.Hosts, func(a, b api.HostStatus) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(status.Minions, func(a, b api.MinionStatus) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(status.Workers, func(a, b api.WorkerStatus) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(status.Owners, func(a, b api.OwnerStatus) int { return cmp.Compare(a.Owner, b.Owner) })
+}
--- /dev/null
+++ b/entry/pkg/ticket/doc.go
@@ -0,0 +1,2 @@
+// Package ticket issues and verifies the window tokens under which callers mint identifiers.
+package ticket
