--- a/entry/pkg/admission/predict.go
+++ b/entry/pkg/admission/predict.go
@@ -5,10 +5,9 @@
 	"math/rand/v2"
 	"time"
 
-	"chervilusher.dev/lib/api"
-
 	"chervilusher.dev/entry/pkg/blackboard"
 	"chervilusher.dev/entry/pkg/dispatch"
+	"chervilusher.dev/lib/api"
 )
 
 // Predict refuses work whose predicted wait and run pass its deadline, or that would keep up a standing queue.
@@ -25,14 +24,15 @@
 	long   bool
 }
 
-// standing tells since when the predicted wait has been above standingWait without a break.
+// standing tells since when the predicted wait has been above standingWait, but for breaks shorter than standingTime.
 type standing struct {
 	since time.Time
+	short time.Time // since when the wait has been short again; zero while it is not
 }
 
 // Bounds of a standing queue. A queue that drains takes in a burst; one that has stood for standingTime adds nothing to what is served, and only makes everybody wait.
 const (
-	standingWait = 250 * time.Millisecond
+	standingWait = 100 * time.Millisecond
 	standingTime = time.Second
 )
 
@@ -44,7 +44,7 @@
 )
 
 // spreads is how many mean distances from the mean a run is expected to take at most.
-const spreads = 2
+const spreads = 2.5
 
 // NewPredict returns the policy; random spreads the times at which refused callers come back.
 func NewPredict(random *rand.Rand) *Predict {
@@ -67,21 +67,30 @@
 
 func (p *Predict) admit(job *blackboard.Job, group *blackboard.Group, demand demand, now time.Time) *dispatch.Refusal {
 	wait := predictWait(job, group, demand)
-	allowed := job.Deadline.Sub(now) - demand.run
-	key := queueKey{group: group.Name, owner: job.Owner, urgent: job.Urgent, long: demand.long}
-	if p.stands(key, wait, now) {
-		allowed = min(allowed, standingWait)
+	run := time.Duration(float64(demand.run) * max(1, group.Capacity.Slow))
+	allowed := job.Deadline.Sub(now) - run
+	if time.Duration(waitMargin*float64(wait.last)) > max(allowed, negligibleWait) {
+		return p.refuse("the last task would start in %s, and has %s", wait.last, allowed)
 	}
-	if wait <= max(allowed, negligibleWait) {
-		return nil
+	key := queueKey{group: group.Name, owner: job.Owner, urgent: job.Urgent, long: demand.long}
+	if p.stands(key, wait.first, now) {
+		return p.refuse("the queue has been standing; the first task would start in %s, and has %s", wait.first, standingWait)
 	}
+	return nil
+}
+
+func (p *Predict) refuse(format string, wait, allowed time.Duration) *dispatch.Refusal {
+	allowed = max(0, allowed)
 	return &dispatch.Refusal{
 		Code:       api.CodeOverload,
-		Reason:     fmt.Sprintf("the predicted wait is %s, and %s is allowed", wait.Round(time.Millisecond), max(0, allowed).Round(time.Millisecond)),
-		RetryAfter: p.retryAfter(wait - max(0, min(allowed, standingWait))),
+		Reason:     fmt.Sprintf(format, wait.Round(time.Millisecond), allowed.Round(time.Millisecond)),
+		RetryAfter: p.retryAfter(wait - min(allowed, standingWait)),
 	}
 }
 
+// waitMargin makes up for waits that turn out longer than predicted.
+const waitMargin = 1.15
+
 // negligibleWait is never a reason to refuse.
 const negligibleWait = 10 * time.Millisecond
 
@@ -90,7 +99,7 @@
 	found, ok := p.queues[key]
 	if wait <= standingWait {
 		if ok {
-			delete(p.queues, key)
+			p.shorten(key, found, now)
 		}
 		return false
 	}
@@ -98,9 +107,20 @@
 		p.queues[key] = &standing{since: now}
 		return false
 	}
+	found.short = time.Time{}
 	return now.Sub(found.since) >= standingTime
 }
 
+// shorten forgets a standing queue once its wait has been short for long enough.
+func (p *Predict) shorten(key queueKey, found *standing, now time.Time) {
+	if found.short.IsZero() {
+		found.short = now
+	}
+	if now.Sub(found.short) >= standingTime {
+		delete(p.queues, key)
+	}
+}
+
 // retryAfter returns the given time with jitter, within bounds.
 func (p *Predict) retryAfter(drained time.Duration) time.Duration {
 	jitter := 1 + retryJitter*p.random.Float64()
--- a/entry/pkg/admission/wait.go
+++ b/entry/pkg/admission/wait.go
@@ -20,51 +20,67 @@
 		sum, ok := found[task.Target.Group]
 		sum.tasks++
 		sum.work += task.Cost
-		sum.run = max(sum.run, task.Expected+spreads*task.Spread)
+		sum.run = max(sum.run, task.Expected+time.Duration(spreads*float64(task.Spread)))
 		sum.long = task.Long && (sum.long || !ok)
 		found[task.Target.Group] = sum
 	}
 	return found
 }
 
-// predictWait returns when the job's last task is expected to start, if the owners go on sharing by weight.
-func predictWait(job *blackboard.Job, group *blackboard.Group, demand demand) time.Duration {
+// waits are the predicted times until the first and the last task of a job start.
+type waits struct {
+	first time.Duration
+	last  time.Duration
+}
+
+// predictWait returns when the job's tasks are expected to start, if the owners go on sharing by weight.
+func predictWait(job *blackboard.Job, group *blackboard.Group, demand demand) waits {
 	own := group.Backlogs[job.Owner]
 	if own == nil {
 		own = &blackboard.Backlog{Weight: 1}
 	}
-	ahead := ahead(job, own, demand)
-	total := ahead
-	waiting := own.Tasks
-	for name, other := range group.Backlogs {
-		if name == job.Owner {
-			continue
-		}
-		waiting += other.Tasks
-		fair := time.Duration(float64(ahead) * float64(max(1, other.Weight)) / float64(max(1, own.Weight)))
-		total += min(classWork(other, demand.long), fair)
+	rate := group.Capacity.Rate * classShare(group, demand.long)
+	if len(group.Backlogs) == 0 {
+		return waits{last: timeFor(unplaced(group, demand), rate)}
 	}
-	if waiting == 0 {
-		total = unplaced(group, demand)
+	first := ahead(job, own, demand.long)
+	last := first + demand.work - demand.work/time.Duration(demand.tasks)
+	found := waits{
+		first: timeFor(first+others(group, job.Owner, own, first, demand.long), rate),
+		last:  timeFor(last+others(group, job.Owner, own, last, demand.long), rate),
 	}
-	rate := group.Capacity.Rate * classShare(group, demand.long)
-	wait := time.Duration(float64(total) / rate)
 	if own.MaxRun > 0 {
-		wait = max(wait, ahead/time.Duration(own.MaxRun))
+		found.last = max(found.last, last/time.Duration(own.MaxRun))
+	}
+	return found
+}
+
+func timeFor(work time.Duration, rate float64) time.Duration {
+	return time.Duration(float64(work) / rate)
+}
+
+// others returns how much work of the other owners starts while the given work of one owner does, by weight.
+func others(group *blackboard.Group, name string, own *blackboard.Backlog, work time.Duration, long bool) time.Duration {
+	total := time.Duration(0)
+	for owner, other := range group.Backlogs {
+		if owner == name {
+			continue
+		}
+		fair := time.Duration(float64(work) * float64(max(1, other.Weight)) / float64(max(1, own.Weight)))
+		total += min(classWork(other, long), fair)
 	}
-	return wait
+	return total
 }
 
-// ahead returns the slot time of the owner's work up to the start of the job's last task.
-func ahead(job *blackboard.Job, own *blackboard.Backlog, demand demand) time.Duration {
-	before := demand.work - demand.work/time.Duration(demand.tasks)
+// ahead returns the slot time of the owner's waiting work that starts before the job.
+func ahead(job *blackboard.Job, own *blackboard.Backlog, long bool) time.Duration {
 	switch {
-	case demand.long:
-		return before + own.Long
+	case long:
+		return own.Long
 	case job.Urgent:
-		return before + own.Urgent
+		return own.Urgent
 	default:
-		return before + own.Urgent + own.Short
+		return own.Urgent + own.Short
 	}
 }
 
@@ -84,19 +100,19 @@
 	return demand.work / time.Duration(demand.tasks) * time.Duration(left)
 }
 
-// classShare returns the share of the slots that the class may count on.
+// classShare returns the share of the group's rate that the class may count on.
 func classShare(group *blackboard.Group, long bool) float64 {
-	slots := float64(max(1, group.Capacity.Slots))
 	held, most := 0.0, 0.0
 	for place, limit := range group.Capacity.Long {
-		held += float64(group.Long[place])
-		most += float64(limit)
+		held += group.Long[place]
+		most += limit
 	}
+	rate := group.Capacity.Rate
 	if long {
-		return most / slots
+		return max(most/rate, minClassShare)
 	}
-	return max(1-held/slots, 1-most/slots, minShortShare)
+	return max(1-held/rate, 1-most/rate, minClassShare)
 }
 
-// minShortShare keeps the prediction finite where long work may hold every slot.
-const minShortShare = 0.05
+// minClassShare keeps the prediction finite where one class may take everything.
+const minClassShare = 0.05
--- a/entry/pkg/blackboard/backend.go
+++ b/entry/pkg/blackboard/backend.go
@@ -17,13 +17,13 @@
 	Capacity Capacity            // summed from Backends at intervals
 	Synced   time.Time           // when the placement last took in every back end
 	Busy     int                 // slots that this host's tasks hold
-	Long     map[string]int      // slots that long work holds, by place
+	Long     map[string]float64  // run time that running long work does in a second, in seconds at a back end of slowness 1, by place
 	Backlogs map[string]*Backlog // waiting work, by owner
 }
 
-// LongRoom returns how many more slots long work may take in the place.
-func (g *Group) LongRoom(place string) int {
-	return g.Capacity.Long[place] - g.Long[place]
+// LongRoom reports whether more long work may start in the place.
+func (g *Group) LongRoom(place string) bool {
+	return g.Long[place] < g.Capacity.Long[place]
 }
 
 // Queue holds the waiting tasks of a group in the order in which they are to start.
@@ -65,6 +65,7 @@
 	Paused   time.Time // it gets no work before this time
 	Reserved *Task     // the wide task that its free slots are kept for
 	Slowness float64   // learnt run time against the usual; zero means unknown
+	Recent   float64   // Slowness of the last few runs
 	Learnt   int       // runs that Slowness was learnt from
 	Failing  float64   // share of recent starts that failed, 0 to 1
 }
--- a/entry/pkg/blackboard/capacity.go
+++ b/entry/pkg/blackboard/capacity.go
@@ -5,11 +5,12 @@
 // Capacity is what a group's back ends can do for this host, summed at intervals.
 type Capacity struct {
 	Summed   time.Time
-	Backends int            // that it was summed from
-	Slots    int            // that this host may use now
-	Rate     float64        // expected run time done in a second, in seconds, with every slot busy
-	Long     map[string]int // most slots that long work may hold, by place
-	Shapes   []*Backend     // one of each size in each place; it stands for all that equal it
+	Backends int                // that it was summed from
+	Slots    int                // that this host may use now
+	Rate     float64            // expected run time done in a second, in seconds, with every slot busy
+	Slow     float64            // slowness that nearly all starts stay below when every slot is busy
+	Long     map[string]float64 // most of Rate that long work may take, by place
+	Shapes   []*Backend         // one of each size in each place; it stands for all that equal it
 }
 
 // Backlog is the expected slot time of one owner's waiting work in one group.
--- a/entry/pkg/blackboard/job.go
+++ b/entry/pkg/blackboard/job.go
@@ -64,6 +64,7 @@
 	Expected time.Duration // run time at a back end of slowness 1, as learnt or declared
 	Cost     time.Duration // expected slot time: Expected for each slot that it takes
 	Spread   time.Duration // mean distance of run times from Expected
+	Held     float64       // what it counts in the group's Long while it runs
 	Node     any           // the queue's own record while the task waits
 	Value    json.RawMessage
 }
--- a/entry/pkg/dispatch/engine.go
+++ b/entry/pkg/dispatch/engine.go
@@ -3,10 +3,9 @@
 import (
 	"time"
 
-	"chervilusher.dev/lib/api"
-
 	"chervilusher.dev/entry/pkg/blackboard"
 	"chervilusher.dev/entry/pkg/invariant"
+	"chervilusher.dev/lib/api"
 )
 
 // Engine is the dispatcher's decisions over the board's dispatch state.
@@ -48,7 +47,7 @@
 			Name:     name,
 			Backends: map[string]*blackboard.Backend{},
 			Queue:    e.policies.NewQueue(e.board.Owners),
-			Long:     map[string]int{},
+			Long:     map[string]float64{},
 			Backlogs: map[string]*blackboard.Backlog{},
 		}
 		e.board.Groups[name] = group
@@ -99,9 +98,7 @@
 	default:
 		effects.Stops = e.fail(task, outcome)
 	}
-	more := e.Assign(group, now)
-	effects.Starts = append(effects.Starts, more.Starts...)
-	effects.Stops = append(effects.Stops, more.Stops...)
+	effects.Append(e.Assign(group, now))
 	return effects, false
 }
 
@@ -122,6 +119,21 @@
 
 // Tick ends jobs whose deadline passed before all their tasks were started, and lets delays run out.
 func (e *Engine) Tick(now time.Time) Effects {
+	effects := e.expire(now)
+	e.countOverruns(now)
+	e.expireReservations(now)
+	for _, group := range e.board.Groups {
+		e.refresh(group, now)
+		for _, backend := range e.policies.Health.Tick(group, now) {
+			e.policies.Placement.Update(group, backend)
+		}
+		effects.Append(e.Assign(group, now))
+	}
+	return effects
+}
+
+// expire ends the jobs whose deadline passed before all their tasks were started.
+func (e *Engine) expire(now time.Time) Effects {
 	var effects Effects
 	for _, job := range e.deadlines.expired(now) {
 		if !hasQueued(job) {
@@ -133,17 +145,6 @@
 			Reason: "the deadline passed before every task could start",
 		})...)
 	}
-	e.countOverruns(now)
-	e.expireReservations(now)
-	for _, group := range e.board.Groups {
-		e.refresh(group, now)
-		for _, backend := range e.policies.Health.Tick(group, now) {
-			e.policies.Placement.Update(group, backend)
-		}
-		more := e.Assign(group, now)
-		effects.Starts = append(effects.Starts, more.Starts...)
-		effects.Stops = append(effects.Stops, more.Stops...)
-	}
 	return effects
 }
 
@@ -152,10 +153,18 @@
 	e.policies.Placement.Update(group, backend)
 }
 
+// Sync takes in that any back ends may have changed; it looks at all of them.
+func (e *Engine) Sync() {
+	for _, group := range e.board.Groups {
+		e.policies.Placement.Sync(group)
+		group.Capacity.Summed = time.Time{}
+	}
+}
+
 // Assign starts waiting tasks of the group while there are free slots for them.
 func (e *Engine) Assign(group *blackboard.Group, now time.Time) Effects {
-	var effects Effects
-	for group.Queue.Len() > 0 && e.policies.Placement.HasRoom(group) {
+	effects := e.expire(now)
+	for group.Queue.Len() > 0 && e.hasRoom(group) {
 		var backend *blackboard.Backend
 		task := group.Queue.Pop(func(task *blackboard.Task) bool {
 			backend = e.fit(group, task, now)
@@ -169,6 +178,11 @@
 	return effects
 }
 
+// hasRoom reports whether some back end may have room; false is certain.
+func (e *Engine) hasRoom(group *blackboard.Group) bool {
+	return len(e.reserved) > 0 || e.policies.Placement.HasRoom(group)
+}
+
 // fit returns where the task may start now, or nil.
 func (e *Engine) fit(group *blackboard.Group, task *blackboard.Task, now time.Time) *blackboard.Backend {
 	if !e.ownerMayRun(task.Job.Owner) {
@@ -196,8 +210,7 @@
 			continue
 		}
 		seen[name] = true
-		more := e.Assign(e.Group(name), now)
-		effects.Starts = append(effects.Starts, more.Starts...)
+		effects.Append(e.Assign(e.Group(name), now))
 	}
 	return effects
 }
@@ -244,7 +257,7 @@
 		backend.Probing = true
 	}
 	if task.Long {
-		group.Long[backend.Place] += task.Width
+		holdLong(group, task)
 	} else {
 		e.running.push(task)
 	}
@@ -258,9 +271,5 @@
 	group.Busy -= task.Width
 	invariant.Check(backend.Busy >= 0, "slots_balance", "back end %s has %d busy slots", backend.Name, backend.Busy)
 	e.board.Owners[task.Job.Owner].Running--
-	if !task.Long {
-		return
-	}
-	group.Long[backend.Place] -= task.Width
-	invariant.Check(group.Long[backend.Place] >= 0, "long_slots_balance", "place %s", backend.Place)
+	releaseLong(group, task)
 }
--- a/entry/pkg/dispatch/long.go
+++ b/entry/pkg/dispatch/long.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"chervilusher.dev/entry/pkg/blackboard"
+	"chervilusher.dev/entry/pkg/invariant"
 )
 
 // startRecord is one start of a task that did not count as long.
@@ -58,7 +59,26 @@
 			continue
 		}
 		task.Long = true
-		e.Group(task.Target.Group).Long[task.Backend.Place] += task.Width
+		holdLong(e.Group(task.Target.Group), task)
 		e.policies.Estimator.Overran(task, now.Sub(task.Started))
 	}
 }
+
+// holdLong counts a running task as long, by what its slots do in a second.
+func holdLong(group *blackboard.Group, task *blackboard.Task) {
+	task.Held = float64(task.Width) / slowness(task.Backend)
+	group.Long[task.Backend.Place] += task.Held
+}
+
+func releaseLong(group *blackboard.Group, task *blackboard.Task) {
+	if task.Held == 0 {
+		return
+	}
+	left := group.Long[task.Backend.Place] - task.Held
+	invariant.Check(left > -roundingSlack, "long_share_balances", "place %s", task.Backend.Place)
+	group.Long[task.Backend.Place] = max(0, left)
+	task.Held = 0
+}
+
+// roundingSlack is what sums of floating-point shares may be off.
+const roundingSlack = 1e-6
--- a/entry/pkg/dispatch/policies.go
+++ b/entry/pkg/dispatch/policies.go
@@ -4,9 +4,8 @@
 	"encoding/json"
 	"time"
 
-	"chervilusher.dev/lib/api"
-
 	"chervilusher.dev/entry/pkg/blackboard"
+	"chervilusher.dev/lib/api"
 )
 
 // Verdict is how one start ended.
@@ -20,6 +19,22 @@
 	VerdictUnknown                // it may have run
 )
 
+// String returns the verdict's name.
+func (v Verdict) String() string {
+	switch v {
+	case VerdictDone:
+		return "done"
+	case VerdictFailed:
+		return "failed"
+	case VerdictNotRun:
+		return "not run"
+	case VerdictUnknown:
+		return "unknown"
+	default:
+		return "invalid"
+	}
+}
+
 // Outcome is what became of one start.
 type Outcome struct {
 	Verdict Verdict
@@ -41,8 +56,9 @@
 
 // Stop is an order to stop a task that was started.
 type Stop struct {
-	ID      string
-	Backend blackboard.Backend
+	ID        string
+	Backend   blackboard.Backend
+	Supported bool // the back end can stop tasks
 }
 
 // Effects is what a decision asks of the back ends.
@@ -51,6 +67,12 @@
 	Stops  []Stop
 }
 
+// Append adds the effects of another decision.
+func (e *Effects) Append(more Effects) {
+	e.Starts = append(e.Starts, more.Starts...)
+	e.Stops = append(e.Stops, more.Stops...)
+}
+
 // Placement chooses the back end for a task.
 type Placement interface {
 	// Pick returns a back end with room for the task, or nil.
@@ -76,6 +98,8 @@
 	Observe(task *blackboard.Task, backend *blackboard.Backend, took time.Duration)
 	// Overran takes in that a task has run for at least the given time and goes on.
 	Overran(task *blackboard.Task, took time.Duration)
+	// Rescale makes a back end of slowness 1 the typical one; speed is the present mean over the group's slots.
+	Rescale(group *blackboard.Group, speed float64)
 }
 
 // Health ejects back ends that fail and decides on retries.
--- a/entry/pkg/dispatch/reserve.go
+++ b/entry/pkg/dispatch/reserve.go
@@ -3,9 +3,8 @@
 import (
 	"time"
 
-	"chervilusher.dev/lib/platform"
-
 	"chervilusher.dev/entry/pkg/blackboard"
+	"chervilusher.dev/lib/platform"
 )
 
 // reservePatience is how long a wide task waits before a back end is kept free for it.
--- a/entry/pkg/dispatch/waiting.go
+++ b/entry/pkg/dispatch/waiting.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"math"
 	"time"
 
 	"chervilusher.dev/entry/pkg/blackboard"
@@ -64,70 +63,3 @@
 	}
 	return task.Expected
 }
-
-// summedAge is how old a group's summed capacity may grow.
-const summedAge = 100 * time.Millisecond
-
-// syncAge is how long the placement may rely on being told of changes.
-const syncAge = time.Second
-
-// refresh sums the group's capacity when the last sum is old.
-func (e *Engine) refresh(group *blackboard.Group, now time.Time) {
-	if now.Sub(group.Capacity.Summed) < summedAge && group.Capacity.Backends == len(group.Backends) {
-		return
-	}
-	if now.Sub(group.Synced) >= syncAge || group.Capacity.Backends != len(group.Backends) {
-		e.policies.Placement.Sync(group)
-		group.Synced = now
-	}
-	group.Capacity = e.sum(group, now)
-}
-
-func (e *Engine) sum(group *blackboard.Group, now time.Time) blackboard.Capacity {
-	capacity := blackboard.Capacity{Summed: now, Backends: len(group.Backends), Long: map[string]int{}}
-	shapes := map[shape]bool{}
-	for _, backend := range group.Backends {
-		if backend.Leaving {
-			continue
-		}
-		if key := shapeOf(backend); !shapes[key] {
-			shapes[key] = true
-			capacity.Shapes = append(capacity.Shapes, backend)
-		}
-		if backend.Ejected || backend.Lapsed(now) {
-			continue
-		}
-		capacity.Slots += backend.Granted
-		capacity.Long[backend.Place] += backend.Granted
-		capacity.Rate += float64(backend.Granted) / slowness(backend)
-	}
-	for place, slots := range capacity.Long {
-		capacity.Long[place] = max(1, int(math.Floor(float64(slots)*e.limits.Share)))
-	}
-	return capacity
-}
-
-func slowness(backend *blackboard.Backend) float64 {
-	if backend.Slowness <= 0 {
-		return 1
-	}
-	return backend.Slowness
-}
-
-type shape struct {
-	place        string
-	slots        int
-	cores        float64
-	memory       int64
-	accelerators int
-}
-
-func shapeOf(backend *blackboard.Backend) shape {
-	return shape{
-		place:        backend.Place,
-		slots:        backend.Slots,
-		cores:        backend.Cores,
-		memory:       backend.Memory,
-		accelerators: backend.Accelerators,
-	}
-}
--- a/entry/pkg/estimate/estimator.go
+++ b/entry/pkg/estimate/estimator.go
@@ -9,17 +9,24 @@
 
 // Weights of a new observation in the moving averages, and how far one observation counts.
 const (
-	kindGain    = 0.05
-	backendGain = 0.05
+	kindGain    = 0.02
+	backendGain = 0.02
+	recentGain  = 0.2
 	maxRatio    = 4
 )
 
-// maxKinds bounds how many kinds of work are remembered.
+// Bounds for a back end whose speed has changed at once: its recent runs are that far from what was learnt.
+const (
+	changeRatio   = 2
+	changeLearnt  = 5 // runs that the new slowness counts as learnt from
+	usualVariance = 0.25
+)
+
+// maxKinds bounds how many kinds of work are remembered for one group.
 const maxKinds = 100_000
 
 type kindKey struct {
 	owner string
-	group string
 	kind  string
 }
 
@@ -31,10 +38,10 @@
 	long      bool
 }
 
-// Estimator holds the run time of each kind of work and the relative slowness of each back end.
+// Estimator learns the run time of each kind of work and the relative slowness of each back end.
 type Estimator struct {
 	limits Limits
-	kinds  map[kindKey]*kind
+	groups map[string]map[kindKey]*kind
 }
 
 // Limits are the mean run times between which a kind of work keeps its class.
@@ -50,12 +57,12 @@
 
 // NewWithLimits returns an estimator whose kinds keep their class between the limits.
 func NewWithLimits(limits Limits) *Estimator {
-	return &Estimator{limits: limits, kinds: map[kindKey]*kind{}}
+	return &Estimator{limits: limits, groups: map[string]map[kindKey]*kind{}}
 }
 
 // Classify sets the task's expected run time and whether it counts as long, by what was learnt or else by what was declared.
 func (e *Estimator) Classify(task *blackboard.Task) {
-	learnt, ok := e.kinds[keyOf(task)]
+	learnt, ok := e.groups[task.Target.Group][keyOf(task)]
 	if !ok {
 		task.Expected = task.Declared
 		task.Long = task.Declared >= e.limits.Long
@@ -69,7 +76,7 @@
 // Observe takes in how long a task ran at a back end.
 func (e *Estimator) Observe(task *blackboard.Task, backend *blackboard.Backend, took time.Duration) {
 	ran := math.Max(took.Seconds(), minSeconds)
-	learnt, ok := e.kinds[keyOf(task)]
+	learnt, ok := e.groups[task.Target.Group][keyOf(task)]
 	if !ok {
 		learnt = e.learn(task, ran/slowness(backend))
 		learnt.runs = 1
@@ -78,37 +85,79 @@
 		backend.Slowness = slowness(backend)
 		return
 	}
-	backend.Learnt++
-	ratio := math.Min(ran/learnt.mean, maxRatio)
-	backend.Slowness = slowness(backend) + gain(backendGain, backend.Learnt)*(ratio-slowness(backend))
+	observeBackend(backend, math.Min(ran/learnt.mean, maxRatio), learnt.trust())
 	e.average(learnt, ran/slowness(backend))
 }
 
+// observeBackend takes in one run time against the usual; a kind of work whose run times vary much counts for less.
+func observeBackend(backend *blackboard.Backend, ratio, trust float64) {
+	before := slowness(backend)
+	backend.Learnt++
+	backend.Slowness = before + trust*gain(backendGain, backend.Learnt)*(ratio-before)
+	if backend.Recent <= 0 {
+		backend.Recent = before
+	}
+	backend.Recent += trust * recentGain * (ratio - backend.Recent)
+	if backend.Learnt < changeLearnt {
+		return
+	}
+	if backend.Recent > changeRatio*backend.Slowness || backend.Recent*changeRatio < backend.Slowness {
+		backend.Slowness = backend.Recent
+		backend.Learnt = changeLearnt
+	}
+}
+
+// trust returns how much one run tells of a back end's speed, from 0 to 1.
+func (k *kind) trust() float64 {
+	variation := k.deviation / k.mean
+	return math.Min(1, usualVariance/(variation*variation))
+}
+
 // minSeconds keeps means and ratios above zero.
 const minSeconds = 1e-6
 
 // Overran takes in that a task has run for at least the given time and goes on.
 func (e *Estimator) Overran(task *blackboard.Task, took time.Duration) {
-	if _, ok := e.kinds[keyOf(task)]; !ok {
+	if _, ok := e.groups[task.Target.Group][keyOf(task)]; !ok {
 		learnt := e.learn(task, took.Seconds())
 		learnt.long = took >= e.limits.Long
 	}
 }
 
 func (e *Estimator) learn(task *blackboard.Task, mean float64) *kind {
-	if len(e.kinds) >= maxKinds {
-		clear(e.kinds)
+	kinds, ok := e.groups[task.Target.Group]
+	if !ok || len(kinds) >= maxKinds {
+		kinds = map[kindKey]*kind{}
+		e.groups[task.Target.Group] = kinds
 	}
 	learnt := &kind{mean: mean, deviation: mean / 2}
-	e.kinds[keyOf(task)] = learnt
+	kinds[keyOf(task)] = learnt
 	return learnt
 }
 
+// Rescale makes a back end of slowness 1 the typical one; speed is the present mean over the group's slots.
+func (e *Estimator) Rescale(group *blackboard.Group, speed float64) {
+	for _, backend := range group.Backends {
+		backend.Slowness *= speed
+		backend.Recent *= speed
+	}
+	for _, learnt := range e.groups[group.Name] {
+		learnt.mean /= speed
+		learnt.deviation /= speed
+		e.class(learnt)
+	}
+}
+
 func (e *Estimator) average(learnt *kind, ran float64) {
 	learnt.runs++
 	weight := gain(kindGain, learnt.runs)
 	learnt.deviation += weight * (math.Abs(ran-learnt.mean) - learnt.deviation)
 	learnt.mean += weight * (ran - learnt.mean)
+	e.class(learnt)
+}
+
+// class lets the kind change its class when its mean has left the limits of its present one.
+func (e *Estimator) class(learnt *kind) {
 	switch mean := seconds(learnt.mean); {
 	case mean >= e.limits.Long:
 		learnt.long = true
@@ -134,5 +183,5 @@
 }
 
 func keyOf(task *blackboard.Task) kindKey {
-	return kindKey{owner: task.Job.Owner, group: task.Target.Group, kind: task.Kind}
+	return kindKey{owner: task.Job.Owner, kind: task.Kind}
 }
--- a/entry/pkg/health/health.go
+++ b/entry/pkg/health/health.go
@@ -192,7 +192,10 @@
 // Tick returns the back ends whose pause has ended.
 func (h *Health) Tick(group *blackboard.Group, now time.Time) []*blackboard.Backend {
 	state := h.state(group)
-	var changed []*blackboard.Backend
+	if len(state.paused) == 0 {
+		return nil
+	}
+	changed := make([]*blackboard.Backend, 0, len(state.paused))
 	for backend := range state.paused {
 		if now.Before(backend.Paused) {
 			continue
--- a/entry/pkg/placement/fastest.go
+++ b/entry/pkg/placement/fastest.go
@@ -4,26 +4,24 @@
 	"container/list"
 	"time"
 
-	"chervilusher.dev/lib/platform"
-
 	"chervilusher.dev/entry/pkg/blackboard"
+	"chervilusher.dev/lib/platform"
 )
 
 // Fastest takes the back end with the lowest expected completion time among those with room.
 type Fastest struct {
-	explore bool
-	groups  map[*blackboard.Group]*index
+	groups map[*blackboard.Group]*index
 }
 
 // exploreEvery is how many picks go by before one goes to the back end that was used longest ago.
-const exploreEvery = 512
+const exploreEvery = 1024
 
 // exploreAge is how long a back end stays unused before it is worth an exploring start.
 const exploreAge = 10 * time.Second
 
 // NewFastest returns the policy.
 func NewFastest() *Fastest {
-	return &Fastest{explore: true, groups: map[*blackboard.Group]*index{}}
+	return &Fastest{groups: map[*blackboard.Group]*index{}}
 }
 
 // index holds a group's back ends in order of expected completion time.
--- a/entry/pkg/placement/partition.go
+++ b/entry/pkg/placement/partition.go
@@ -3,9 +3,8 @@
 import (
 	"github.com/tidwall/btree"
 
-	"chervilusher.dev/lib/platform"
-
 	"chervilusher.dev/entry/pkg/blackboard"
+	"chervilusher.dev/lib/platform"
 )
 
 // shape is the place and the size of a back end.
@@ -92,11 +91,10 @@
 	if p.free.Len() == 0 || !task.Target.Allows(&p.sample) {
 		return false
 	}
-	width := p.width(task)
-	if width > p.sample.Slots {
+	if p.width(task) > p.sample.Slots {
 		return false
 	}
-	return !task.Long || group.LongRoom(p.sample.Place) >= min(width, group.Capacity.Long[p.sample.Place])
+	return !task.Long || group.LongRoom(p.sample.Place)
 }
 
 func (p *partition) width(task *blackboard.Task) int {
--- a/entry/pkg/queue/class.go
+++ b/entry/pkg/queue/class.go
@@ -5,9 +5,8 @@
 	"strings"
 	"time"
 
-	"chervilusher.dev/lib/api"
-
 	"chervilusher.dev/entry/pkg/blackboard"
+	"chervilusher.dev/lib/api"
 )
 
 // The classes of an owner's work.
