Test the decisions against a fake reference fleet

A driver with a clock of its own runs one engine over fake minions (48 of 8 slots, or one host's sixth).

--- /dev/null
+++ b/entry/pkg/dispatch/classes_test.go
@@ -0,0 +1,118 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"chervilusher.dev/entry/pkg/estimate"
+)
+
+const (
+	meanShort = 0.525
+	meanLong  = 0.003/0.1*30 + 0.097/0.1*4
+)
+
+// shortStream submits short work that takes the given share of the fleet.
+func (d *driver) shortStream(load float64, owner string, urgent bool) {
+	d.stream(steady(load*d.capacity()/meanShort), func() work {
+		amount := between(d.random, 50*time.Millisecond, time.Second)
+		return work{owner: owner, kind: "short", urgent: urgent, deadline: time.Minute, declared: time.Second, tasks: []time.Duration{amount}}
+	})
+}
+
+// shortP99 returns the response of short work against ideal, with or without long work at the same load.
+func shortP99(seed uint64, chosen policies, load float64, long bool) float64 {
+	d := newDriver(seed, referenceFleet, chosen)
+	d.addOwner("hokkaido", 1)
+	if long {
+		d.referenceStream(load, "hokkaido", 5*time.Minute)
+	} else {
+		d.shortStream(load, "hokkaido", false)
+	}
+	d.runUntil(settled)
+	return percentile(d.ratios(warmUp, measured, func(r *result) bool { return r.kind == "short" }), 0.99)
+}
+
+func TestLongWorkHoldsUpShortWorkLittle(t *testing.T) {
+	for _, load := range []float64{0.7, 0.9} {
+		for _, seed := range seeds {
+			with := shortP99(seed, policies{}, load, true)
+			without := shortP99(seed, policies{}, load, false)
+			single := shortP99(seed, withPlacement(""), load, true)
+			t.Logf("load %.1f seed %d: short p99 %.2f with long work, %.2f without; %.2f in one queue", load, seed, with, without, single)
+			require.LessOrEqual(t, with, 1.25*without, "load %v seed %d", load, seed)
+		}
+	}
+}
+
+// flood is short work with a burst of long tasks that alone would fill every slot.
+func flood(seed uint64, chosen policies) (p99 float64, longDone int) {
+	d := newDriver(seed, referenceFleet, chosen)
+	d.addOwner("hokkaido", 1)
+	d.shortStream(0.2, "hokkaido", false)
+	d.after(25*time.Second, func() {
+		for range 1500 {
+			d.submit(work{
+				owner: "hokkaido", kind: "long", deadline: 5 * time.Minute, declared: 4 * time.Second,
+				tasks: []time.Duration{between(d.random, 2*time.Second, 6*time.Second)},
+			})
+		}
+	})
+	d.runUntil(settled)
+	for i := range d.results {
+		if d.results[i].kind == "long" {
+			longDone++
+		}
+	}
+	p99 = percentile(d.ratios(25*time.Second, 40*time.Second, func(r *result) bool { return r.kind == "short" }), 0.99)
+	return p99, longDone
+}
+
+func TestBurstOfLongWorkLeavesSlotsToShortWork(t *testing.T) {
+	for _, seed := range seeds {
+		p99, done := flood(seed, policies{})
+		single, _ := flood(seed, withPlacement(""))
+		t.Logf("seed %d: short p99 %.2f under a burst of long work, %.2f in one queue without a share", seed, p99, single)
+		require.Equal(t, 1500, done)
+		require.LessOrEqual(t, p99, 2*1.25)
+	}
+}
+
+func TestClassThresholdAgainstHysteresis(t *testing.T) {
+	table := []struct {
+		name   string
+		limits estimate.Limits
+	}{
+		{"plain threshold", estimate.Limits{Long: longFrom, Short: longFrom}},
+		{"hysteresis", estimate.Limits{Long: longFrom * 5 / 4, Short: longFrom * 3 / 4}},
+	}
+	for _, row := range table {
+		for _, seed := range seeds {
+			p99, done := borderline(seed, policies{limits: row.limits})
+			t.Logf("%s seed %d: short p99 %.2f, %d borderline jobs done", row.name, seed, p99, done)
+			require.Positive(t, done)
+		}
+	}
+}
+
+// borderline mixes short work with a kind whose mean run time lies at the threshold.
+func borderline(seed uint64, chosen policies) (p99 float64, done int) {
+	d := newDriver(seed, referenceFleet, chosen)
+	d.addOwner("hokkaido", 1)
+	d.shortStream(0.2, "hokkaido", false)
+	d.stream(steady(1.2*d.capacity()/2), func() work {
+		return work{
+			owner: "hokkaido", kind: "border", deadline: 20 * time.Second, declared: time.Second,
+			tasks: []time.Duration{between(d.random, time.Second, 3*time.Second)},
+		}
+	})
+	d.runUntil(measured)
+	for i := range d.results {
+		if d.results[i].kind == "border" {
+			done++
+		}
+	}
+	return percentile(d.ratios(warmUp, measured, func(r *result) bool { return r.kind == "short" }), 0.99), done
+}
--- /dev/null
+++ b/entry/pkg/dispatch/crest_test.go
@@ -0,0 +1,121 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	crestFrom  = 20 * time.Second
+	crestUntil = 25 * time.Second
+)
+
+// crestFigures are what became of the work around a crest of demand.
+type crestFigures struct {
+	goodput  float64       // work done inside the deadline in the crest, against capacity
+	late     int           // complete, but after the deadline
+	latest   time.Duration // response of the latest answer
+	expired  int           // admitted, but given up
+	refused  int
+	before   float64       // worst p99 against ideal of half a second ahead of the crest
+	normal   time.Duration // until p99 is as before
+	spurious int           // refused ahead of the crest
+}
+
+func crest(seed uint64, chosen policies, jobSize int, deadline time.Duration) crestFigures {
+	d := newDriver(seed, referenceFleet, chosen)
+	d.addOwner("kerlouan", 1)
+	rate := d.capacity() / meanShort / float64(jobSize)
+	d.stream(func(at time.Duration) float64 {
+		if at >= crestFrom && at < crestUntil {
+			return 3 * rate
+		}
+		return 0.7 * rate
+	}, func() work {
+		tasks := make([]time.Duration, jobSize)
+		for i := range tasks {
+			tasks[i] = between(d.random, 50*time.Millisecond, time.Second)
+		}
+		return work{owner: "kerlouan", kind: "short", deadline: deadline, declared: time.Second, tasks: tasks}
+	})
+	d.runUntil(45 * time.Second)
+	return d.crestFigures()
+}
+
+func (d *driver) crestFigures() crestFigures {
+	var figures crestFigures
+	for i := range d.results {
+		r := &d.results[i]
+		switch {
+		case !r.complete:
+			figures.expired++
+		case !r.inside:
+			figures.late++
+			figures.latest = max(figures.latest, r.took)
+		}
+	}
+	done := 0.0
+	for _, end := range d.ends {
+		if d.inside[end.job] {
+			done += end.workIn(crestFrom, crestUntil)
+		}
+	}
+	figures.goodput = done / (d.capacity() * (crestUntil - crestFrom).Seconds())
+	for _, r := range d.refused {
+		if r.arrived < crestFrom {
+			figures.spurious++
+		} else {
+			figures.refused++
+		}
+	}
+	figures.before = d.worstWindow(crestFrom-10*time.Second, crestFrom)
+	figures.normal = d.untilNormal(figures.before)
+	return figures
+}
+
+// window is the time over which a p99 is taken.
+const window = 500 * time.Millisecond
+
+func (d *driver) worstWindow(from, until time.Duration) float64 {
+	worst := 0.0
+	for ; from < until; from += window {
+		worst = max(worst, percentile(d.ratios(from, from+window, nil), 0.99))
+	}
+	return worst
+}
+
+// untilNormal returns how long after the crest the p99 of a window stays above the worst one before it.
+func (d *driver) untilNormal(before float64) time.Duration {
+	from := crestUntil
+	for from < crestUntil+15*time.Second && percentile(d.ratios(from, from+window, nil), 0.99) > before {
+		from += window
+	}
+	return from - crestUntil
+}
+
+func TestCrestOfThreeTimesCapacity(t *testing.T) {
+	for _, deadline := range []time.Duration{3 * time.Second, 10 * time.Second} {
+		for _, seed := range seeds {
+			f := crest(seed, policies{}, 1, deadline)
+			none := crest(seed, baseline, 1, deadline)
+			t.Logf("deadline %s seed %d: %+v", deadline, seed, f)
+			t.Logf("deadline %s seed %d without admission control: %+v", deadline, seed, none)
+			require.GreaterOrEqual(t, f.goodput, 0.95)
+			require.Zero(t, f.late)
+			require.Zero(t, f.expired)
+			require.Zero(t, f.spurious)
+			require.LessOrEqual(t, f.normal, 2*time.Second)
+		}
+	}
+}
+
+func TestCrestOfParallelJobs(t *testing.T) {
+	for _, seed := range seeds {
+		f := crest(seed, policies{}, 40, 5*time.Second)
+		t.Logf("jobs of 40 tasks, seed %d: %+v", seed, f)
+		require.GreaterOrEqual(t, f.goodput, 0.95)
+		require.Zero(t, f.spurious)
+	}
+}
--- /dev/null
+++ b/entry/pkg/dispatch/drive_test.go
@@ -0,0 +1,380 @@
+package dispatch_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"chervilusher.dev/entry/pkg/admission"
+	"chervilusher.dev/entry/pkg/blackboard"
+	"chervilusher.dev/entry/pkg/dispatch"
+	"chervilusher.dev/entry/pkg/estimate"
+	"chervilusher.dev/entry/pkg/health"
+	"chervilusher.dev/entry/pkg/placement"
+	"chervilusher.dev/entry/pkg/queue"
+	"chervilusher.dev/lib/api"
+	"chervilusher.dev/lib/platform"
+)
+
+const (
+	groupName  = "desk"
+	longFrom   = 2 * time.Second
+	longShare  = 0.7
+	retryShare = 0.1
+	ejectShare = 0.5
+	tickEvery  = 20 * time.Millisecond
+)
+
+var (
+	epoch           = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	referenceSpeeds = []float64{0.5, 0.7, 1, 1, 1.4, 2}
+)
+
+// minion is a fake back end.
+type minion struct {
+	speed  float64
+	broken bool // fails everything at once
+}
+
+// driver runs one engine against fake back ends on a clock of its own.
+type driver struct {
+	engine  *dispatch.Engine
+	board   *blackboard.Dispatch
+	now     time.Time
+	events  eventHeap
+	serial  int
+	random  *rand.Rand
+	minions map[string]*minion
+	works   map[*blackboard.Task]time.Duration // true work of each task at speed 1
+	starts  map[string]int
+	results []result
+	refused []refusal
+	ends    []taskEnd
+	inside  map[*blackboard.Job]bool // complete before the deadline
+}
+
+// taskEnd is one task that ran to its end.
+type taskEnd struct {
+	job  *blackboard.Job
+	from time.Duration // since the epoch
+	at   time.Duration
+	work time.Duration
+}
+
+// workIn returns how much of the task's work was done in the given time, in seconds at speed 1.
+func (e *taskEnd) workIn(from, until time.Duration) float64 {
+	overlap := min(e.at, until) - max(e.from, from)
+	if overlap <= 0 {
+		return 0
+	}
+	return e.work.Seconds() * float64(overlap) / float64(e.at-e.from)
+}
+
+// result is one job that ended.
+type result struct {
+	owner    string
+	kind     string
+	urgent   bool
+	arrived  time.Duration // since the epoch
+	took     time.Duration
+	ratio    float64 // response against ideal, of the longest task
+	work     time.Duration
+	complete bool
+	inside   bool // the deadline
+}
+
+type refusal struct {
+	arrived time.Duration
+	retry   time.Duration
+}
+
+type event struct {
+	at   time.Time
+	rank int
+	run  func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	if !h[i].at.Equal(h[j].at) {
+		return h[i].at.Before(h[j].at)
+	}
+	return h[i].rank < h[j].rank
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+// fleet describes the back ends of a driver.
+type fleet struct {
+	minions int
+	slots   int
+	broken  int // how many of them fail everything at once
+}
+
+// referenceFleet is the whole fleet behind one queue, and hostFleet one entry host's fixed share of it.
+var (
+	referenceFleet = fleet{minions: 48, slots: 8}
+	hostFleet      = fleet{minions: 16, slots: 4}
+)
+
+// policies names the decisions of a driver; empty means the daemon's own.
+type policies struct {
+	placement string
+	admission string
+	queue     string
+	share     float64
+	limits    estimate.Limits
+}
+
+func newDriver(seed uint64, fleet fleet, chosen policies) *driver {
+	board := &blackboard.Dispatch{
+		Groups: map[string]*blackboard.Group{},
+		Owners: map[string]*blackboard.Owner{},
+	}
+	random := rand.New(rand.NewPCG(seed, 1))
+	d := &driver{
+		board:   board,
+		now:     epoch,
+		random:  random,
+		minions: map[string]*minion{},
+		works:   map[*blackboard.Task]time.Duration{},
+		starts:  map[string]int{},
+		inside:  map[*blackboard.Job]bool{},
+	}
+	limits := dispatch.Limits{Long: longFrom, Share: longShare}
+	if chosen.share > 0 {
+		limits.Share = chosen.share
+	}
+	d.engine = dispatch.New(board, build(chosen, random), limits)
+	group := d.engine.Group(groupName)
+	for i := range fleet.minions {
+		name := fmt.Sprintf("minion-%04d", i)
+		d.minions[name] = &minion{speed: referenceSpeeds[i%len(referenceSpeeds)], broken: i < fleet.broken}
+		group.Backends[name] = &blackboard.Backend{
+			Name: name, Place: fmt.Sprintf("place-%d", i%3), Role: platform.RoleMinion,
+			Slots: fleet.slots, Granted: fleet.slots,
+		}
+	}
+	d.after(tickEvery, d.tick)
+	return d
+}
+
+func build(chosen policies, random *rand.Rand) dispatch.Policies {
+	built := dispatch.Policies{
+		Placement: placement.NewFastest(),
+		Admission: admission.NewPredict(random),
+		Estimator: estimate.New(longFrom),
+		Health:    health.New(retryShare, ejectShare),
+		NewQueue: func(owners map[string]*blackboard.Owner) blackboard.Queue {
+			if chosen.queue == "single" {
+				return queue.NewSingle()
+			}
+			return queue.NewFair(owners)
+		},
+	}
+	switch chosen.placement {
+	case "random":
+		built.Placement = placement.NewRandom(random)
+	case "robin":
+		built.Placement = placement.NewRobin()
+	case "least":
+		built.Placement = placement.NewLeast()
+	}
+	if chosen.admission == "none" {
+		built.Admission = admission.NewNone()
+	}
+	if chosen.limits.Long > 0 {
+		built.Estimator = estimate.NewWithLimits(chosen.limits)
+	}
+	return built
+}
+
+func (d *driver) addOwner(name string, weight int) {
+	d.board.Owners[name] = &blackboard.Owner{Name: name, Weight: weight, MaxWait: 1 << 30}
+}
+
+func (d *driver) after(delay time.Duration, run func()) {
+	d.serial++
+	heap.Push(&d.events, event{at: d.now.Add(delay), rank: d.serial, run: run})
+}
+
+// runUntil lets events happen up to that time since the epoch.
+func (d *driver) runUntil(end time.Duration) {
+	for len(d.events) > 0 && !d.events[0].at.After(epoch.Add(end)) {
+		next := heap.Pop(&d.events).(event)
+		d.now = next.at
+		next.run()
+	}
+	d.now = epoch.Add(end)
+}
+
+func (d *driver) tick() {
+	d.carryOut(d.engine.Tick(d.now))
+	d.after(tickEvery, d.tick)
+}
+
+// work is one job to submit.
+type work struct {
+	owner      string
+	kind       string
+	urgent     bool
+	idempotent bool
+	deadline   time.Duration
+	declared   time.Duration
+	tasks      []time.Duration // true work at speed 1
+}
+
+func (d *driver) submit(w work) *blackboard.Job {
+	d.serial++
+	job := &blackboard.Job{
+		ID: fmt.Sprintf("job-%d", d.serial), Owner: w.owner, Urgent: w.urgent, Idempotent: w.idempotent,
+		Accepted: d.now, Deadline: d.now.Add(w.deadline), Left: len(w.tasks), Done: make(chan struct{}),
+	}
+	target := &blackboard.Target{Group: groupName, Role: platform.RoleMinion, Timeout: time.Minute}
+	for i, amount := range w.tasks {
+		task := &blackboard.Task{Job: job, Index: i, Kind: w.kind, Target: target, Declared: w.declared}
+		job.Tasks = append(job.Tasks, task)
+		d.works[task] = amount
+	}
+	effects, refused := d.engine.Submit(job, d.now)
+	if refused != nil {
+		d.refused = append(d.refused, refusal{arrived: d.now.Sub(epoch), retry: refused.RetryAfter})
+		return nil
+	}
+	d.carryOut(effects)
+	return job
+}
+
+func (d *driver) carryOut(effects dispatch.Effects) {
+	for _, start := range effects.Starts {
+		d.starts[start.Backend.Name]++
+		fake := d.minions[start.Backend.Name]
+		took := time.Duration(float64(d.works[start.Task]) / fake.speed)
+		outcome := dispatch.Outcome{Verdict: dispatch.VerdictDone}
+		if fake.broken {
+			took, outcome.Verdict = time.Millisecond, dispatch.VerdictFailed
+		}
+		d.after(took, func() { d.finish(start, outcome) })
+	}
+}
+
+func (d *driver) finish(start dispatch.Start, outcome dispatch.Outcome) {
+	job := start.Task.Job
+	decided := job.Decided()
+	if outcome.Verdict == dispatch.VerdictDone {
+		d.ends = append(d.ends, taskEnd{job: job, from: start.Task.Started.Sub(epoch), at: d.now.Sub(epoch), work: d.works[start.Task]})
+	}
+	effects, _ := d.engine.Finish(start.Task, start.Attempt, outcome, d.now)
+	if !decided && job.Decided() {
+		d.record(job)
+	}
+	d.carryOut(effects)
+}
+
+func (d *driver) record(job *blackboard.Job) {
+	longest := time.Duration(0)
+	total := time.Duration(0)
+	for _, task := range job.Tasks {
+		longest = max(longest, d.works[task])
+		total += d.works[task]
+	}
+	for _, task := range job.Tasks {
+		delete(d.works, task)
+	}
+	took := d.now.Sub(job.Accepted)
+	d.inside[job] = job.Answer.State == api.StateComplete && !d.now.After(job.Deadline)
+	d.results = append(d.results, result{
+		owner: job.Owner, kind: job.Tasks[0].Kind, urgent: job.Urgent, arrived: job.Accepted.Sub(epoch), took: took,
+		ratio: float64(took) / float64(longest), work: total,
+		complete: job.Answer.State == api.StateComplete, inside: !d.now.After(job.Deadline),
+	})
+}
+
+// stream submits jobs with exponential gaps at a rate that may change with time.
+func (d *driver) stream(perSecond func(at time.Duration) float64, next func() work) {
+	rate := perSecond(d.now.Sub(epoch))
+	gap := time.Duration(d.random.ExpFloat64() / rate * float64(time.Second))
+	d.after(gap, func() {
+		d.submit(next())
+		d.stream(perSecond, next)
+	})
+}
+
+func steady(perSecond float64) func(time.Duration) float64 {
+	return func(time.Duration) float64 { return perSecond }
+}
+
+// capacity returns how much work the fleet does in a second, in seconds at speed 1.
+func (d *driver) capacity() float64 {
+	sum := 0.0
+	for name, fake := range d.minions {
+		if !fake.broken {
+			sum += fake.speed * float64(d.engine.Group(groupName).Backends[name].Slots)
+		}
+	}
+	return sum
+}
+
+func (d *driver) started() int {
+	sum := 0
+	for _, count := range d.starts {
+		sum += count
+	}
+	return sum
+}
+
+func between(random *rand.Rand, low, high time.Duration) time.Duration {
+	return low + time.Duration(random.Int64N(int64(high-low)))
+}
+
+// meanWork is the mean of referenceWork, in seconds.
+const meanWork = 0.003*30 + 0.097*4 + 0.9*0.525
+
+// referenceWork draws from the reference mix: a kind and a run time at speed 1.
+func referenceWork(random *rand.Rand) (kind string, amount time.Duration) {
+	switch draw := random.Float64(); {
+	case draw < 0.003:
+		return "straggler", between(random, 20*time.Second, 40*time.Second)
+	case draw < 0.1:
+		return "long", between(random, 2*time.Second, 6*time.Second)
+	default:
+		return "short", between(random, 50*time.Millisecond, time.Second)
+	}
+}
+
+func (d *driver) referenceStream(load float64, owner string, deadline time.Duration) {
+	d.stream(steady(load*d.capacity()/meanWork), func() work {
+		kind, amount := referenceWork(d.random)
+		return work{owner: owner, kind: kind, deadline: deadline, declared: time.Second, tasks: []time.Duration{amount}}
+	})
+}
+
+// percentile returns the value below which the given share of values lies.
+func percentile(values []float64, share float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[min(len(values)-1, int(share*float64(len(values))))]
+}
+
+// ratios returns response against ideal of the jobs that arrived in the given time and that the filter keeps.
+func (d *driver) ratios(from, until time.Duration, keep func(r *result) bool) []float64 {
+	var values []float64
+	for i := range d.results {
+		r := &d.results[i]
+		if r.arrived >= from && r.arrived < until && (keep == nil || keep(r)) {
+			values = append(values, r.ratio)
+		}
+	}
+	return values
+}
