--- a/entry/pkg/app/app.go
+++ b/entry/pkg/app/app.go
@@ -8,6 +8,7 @@
 	"syscall"
 
 	"github.com/alexflint/go-arg"
+	"github.com/pkg/errors"
 
 	"chervilusher.dev/entry/pkg/settings"
 )
@@ -36,7 +37,7 @@
 		return complain(err)
 	}
 	if err := parser.Parse(args); err != nil {
-		if err == arg.ErrHelp {
+		if errors.Is(err, arg.ErrHelp) {
 			parser.WriteHelp(os.Stdout)
 			return exitOK
 		}
--- a/entry/pkg/app/daemon.go
+++ b/entry/pkg/app/daemon.go
@@ -16,8 +16,6 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
-	"chervilusher.dev/lib/logservice"
-
 	"chervilusher.dev/entry/pkg/blackboard"
 	"chervilusher.dev/entry/pkg/caller"
 	"chervilusher.dev/entry/pkg/common"
@@ -31,6 +29,7 @@
 	"chervilusher.dev/entry/pkg/settings"
 	"chervilusher.dev/entry/pkg/ticket"
 	"chervilusher.dev/entry/pkg/worker"
+	"chervilusher.dev/lib/logservice"
 )
 
 const (
@@ -176,6 +175,7 @@
 }
 
 func listen(loaded *settings.Settings) (listeners, error) {
+	var config net.ListenConfig
 	var opened listeners
 	for _, wanted := range []struct {
 		key     string
@@ -186,7 +186,7 @@
 		{"operator.listen", loaded.Operator.Listen, &opened.operator},
 		{"peer.listen", loaded.Peer.Listen, &opened.peer},
 	} {
-		listener, err := net.Listen("tcp", wanted.address)
+		listener, err := config.Listen(context.Background(), "tcp", wanted.address)
 		if err != nil {
 			return listeners{}, errors.Errorf("%s: %s", wanted.key, err)
 		}
--- a/entry/pkg/blackboard/configuration.go
+++ b/entry/pkg/blackboard/configuration.go
@@ -3,9 +3,8 @@
 import (
 	"sync/atomic"
 
-	"chervilusher.dev/lib/configuration"
-
 	"chervilusher.dev/entry/pkg/invariant"
+	"chervilusher.dev/lib/configuration"
 )
 
 // Configuration holds the accepted configuration; it only ever moves to a higher version.
--- a/entry/pkg/caller/input.go
+++ b/entry/pkg/caller/input.go
@@ -16,12 +16,11 @@
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
 
+	"chervilusher.dev/entry/pkg/blackboard"
+	"chervilusher.dev/entry/pkg/ticket"
 	"chervilusher.dev/lib/api"
 	"chervilusher.dev/lib/configuration"
 	"chervilusher.dev/lib/jsontime"
-
-	"chervilusher.dev/entry/pkg/blackboard"
-	"chervilusher.dev/entry/pkg/ticket"
 )
 
 // inputError is a request that is turned away before anything was started.
--- a/entry/pkg/caller/server.go
+++ b/entry/pkg/caller/server.go
@@ -8,12 +8,11 @@
 	"github.com/labstack/echo/v4"
 	"github.com/labstack/echo/v4/middleware"
 
-	"chervilusher.dev/lib/api"
-
 	"chervilusher.dev/entry/pkg/blackboard"
 	"chervilusher.dev/entry/pkg/common"
 	"chervilusher.dev/entry/pkg/peer"
 	"chervilusher.dev/entry/pkg/ticket"
+	"chervilusher.dev/lib/api"
 )
 
 // maxWait bounds one long poll.
--- a/entry/pkg/controllers/backends_controller.go
+++ b/entry/pkg/controllers/backends_controller.go
@@ -1,11 +1,10 @@
 package controllers
 
 import (
-	"chervilusher.dev/lib/platform"
-
 	"chervilusher.dev/entry/pkg/blackboard"
 	"chervilusher.dev/entry/pkg/common"
 	"chervilusher.dev/entry/pkg/dispatch"
+	"chervilusher.dev/lib/platform"
 )
 
 // Lender decides which slots of which back ends this host may use.
--- a/entry/pkg/controllers/configuration_controller.go
+++ b/entry/pkg/controllers/configuration_controller.go
@@ -5,11 +5,10 @@
 	"math/rand/v2"
 	"time"
 
-	"chervilusher.dev/lib/configuration"
-	"chervilusher.dev/lib/platform"
-
 	"chervilusher.dev/entry/pkg/blackboard"
 	"chervilusher.dev/entry/pkg/common"
+	"chervilusher.dev/lib/configuration"
+	"chervilusher.dev/lib/platform"
 )
 
 const (
--- a/entry/pkg/controllers/dispatch_controller.go
+++ b/entry/pkg/controllers/dispatch_controller.go
@@ -8,11 +8,10 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"chervilusher.dev/lib/platform"
-
 	"chervilusher.dev/entry/pkg/blackboard"
 	"chervilusher.dev/entry/pkg/common"
 	"chervilusher.dev/entry/pkg/dispatch"
+	"chervilusher.dev/lib/platform"
 )
 
 const (
--- a/entry/pkg/controllers/fixed_lender.go
+++ b/entry/pkg/controllers/fixed_lender.go
@@ -4,10 +4,9 @@
 	"cmp"
 	"slices"
 
-	"chervilusher.dev/lib/platform"
-
 	"chervilusher.dev/entry/pkg/blackboard"
 	"chervilusher.dev/entry/pkg/common"
+	"chervilusher.dev/lib/platform"
 )
 
 // FixedLender gives each host of a place a fixed share of the place's minions, in proportion to its size.
--- a/entry/pkg/controllers/hosts_controller.go
+++ b/entry/pkg/controllers/hosts_controller.go
@@ -5,10 +5,9 @@
 	"maps"
 	"time"
 
-	"chervilusher.dev/lib/platform"
-
 	"chervilusher.dev/entry/pkg/blackboard"
 	"chervilusher.dev/entry/pkg/common"
+	"chervilusher.dev/lib/platform"
 )
 
 // HostReader reads the platform's host list.
--- a/entry/pkg/controllers/lease_controller.go
+++ b/entry/pkg/controllers/lease_controller.go
@@ -6,12 +6,11 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"chervilusher.dev/lib/jsontime"
-	"chervilusher.dev/lib/platform"
-
 	"chervilusher.dev/entry/pkg/blackboard"
 	"chervilusher.dev/entry/pkg/common"
 	"chervilusher.dev/entry/pkg/keeper"
+	"chervilusher.dev/lib/jsontime"
+	"chervilusher.dev/lib/platform"
 )
 
 const (
--- a/entry/pkg/controllers/members_controller.go
+++ b/entry/pkg/controllers/members_controller.go
@@ -1,10 +1,9 @@
 package controllers
 
 import (
-	"chervilusher.dev/lib/platform"
-
 	"chervilusher.dev/entry/pkg/blackboard"
 	"chervilusher.dev/entry/pkg/common"
+	"chervilusher.dev/lib/platform"
 )
 
 // MembersController keeps the view of the entry hosts up to date.
--- a/entry/pkg/controllers/routing_controller.go
+++ b/entry/pkg/controllers/routing_controller.go
@@ -4,13 +4,12 @@
 	"context"
 	"time"
 
-	"chervilusher.dev/lib/api"
-	"chervilusher.dev/lib/jsontime"
-
 	"chervilusher.dev/entry/pkg/blackboard"
 	"chervilusher.dev/entry/pkg/common"
 	"chervilusher.dev/entry/pkg/peer"
 	"chervilusher.dev/entry/pkg/ticket"
+	"chervilusher.dev/lib/api"
+	"chervilusher.dev/lib/jsontime"
 )
 
 const (
--- a/entry/pkg/controllers/submission_controller.go
+++ b/entry/pkg/controllers/submission_controller.go
@@ -7,14 +7,13 @@
 	"sync/atomic"
 	"time"
 
-	"chervilusher.dev/lib/api"
-	"chervilusher.dev/lib/jsontime"
-
 	"chervilusher.dev/entry/pkg/blackboard"
 	"chervilusher.dev/entry/pkg/common"
 	"chervilusher.dev/entry/pkg/dispatch"
 	"chervilusher.dev/entry/pkg/ledger"
 	"chervilusher.dev/entry/pkg/peer"
+	"chervilusher.dev/lib/api"
+	"chervilusher.dev/lib/jsontime"
 )
 
 // retryWhileDraining is when to come back to a service whose host is stopping; another host can take the work at once.
--- a/entry/pkg/controllers/target_resolver.go
+++ b/entry/pkg/controllers/target_resolver.go
@@ -4,12 +4,11 @@
 	"fmt"
 	"time"
 
+	"chervilusher.dev/entry/pkg/blackboard"
+	"chervilusher.dev/entry/pkg/settings"
 	"chervilusher.dev/lib/api"
 	"chervilusher.dev/lib/configuration"
 	"chervilusher.dev/lib/platform"
-
-	"chervilusher.dev/entry/pkg/blackboard"
-	"chervilusher.dev/entry/pkg/settings"
 )
 
 // targetResolver turns the owner's names into targets, one for each service or pool of a job.
--- a/entry/pkg/dispatch/engine.go
+++ b/entry/pkg/dispatch/engine.go
@@ -4,10 +4,9 @@
 	"encoding/json"
 	"time"
 
-	"chervilusher.dev/lib/api"
-
 	"chervilusher.dev/entry/pkg/blackboard"
 	"chervilusher.dev/entry/pkg/invariant"
+	"chervilusher.dev/lib/api"
 )
 
 // Verdict is how one start ended.
--- a/entry/pkg/dispatch/outcome.go
+++ b/entry/pkg/dispatch/outcome.go
@@ -3,10 +3,9 @@
 import (
 	"strconv"
 
-	"chervilusher.dev/lib/api"
-
 	"chervilusher.dev/entry/pkg/blackboard"
 	"chervilusher.dev/entry/pkg/invariant"
+	"chervilusher.dev/lib/api"
 )
 
 func (e *Engine) complete(task *blackboard.Task, value []byte) {
--- a/entry/pkg/dispatch/refuse.go
+++ b/entry/pkg/dispatch/refuse.go
@@ -4,10 +4,9 @@
 	"fmt"
 	"time"
 
+	"chervilusher.dev/entry/pkg/blackboard"
 	"chervilusher.dev/lib/api"
 	"chervilusher.dev/lib/platform"
-
-	"chervilusher.dev/entry/pkg/blackboard"
 )
 
 // retryWithoutBackends is when to come back to a group that has no back end now.
--- a/entry/pkg/ledger/ledger.go
+++ b/entry/pkg/ledger/ledger.go
@@ -3,10 +3,9 @@
 import (
 	"time"
 
-	"chervilusher.dev/lib/api"
-
 	"chervilusher.dev/entry/pkg/blackboard"
 	"chervilusher.dev/entry/pkg/invariant"
+	"chervilusher.dev/lib/api"
 )
 
 // Claim tells what a submission's identifier means to this home.
--- a/entry/pkg/minion/client.go
+++ b/entry/pkg/minion/client.go
@@ -13,9 +13,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"chervilusher.dev/lib/platform"
-
 	"chervilusher.dev/entry/pkg/dispatch"
+	"chervilusher.dev/lib/platform"
 )
 
 // maxAnswerBytes bounds one minion's answer.
--- a/entry/pkg/operator/status.go
+++ b/entry/pkg/operator/status.go
@@ -7,11 +7,10 @@
 
 	"github.com/labstack/echo/v4"
 
-	"chervilusher.dev/lib/api"
-	"chervilusher.dev/lib/platform"
-
 	"chervilusher.dev/entry/pkg/blackboard"
 	"chervilusher.dev/entry/pkg/keeper"
+	"chervilusher.dev/lib/api"
+	"chervilusher.dev/lib/platform"
 )
 
 func (s *Server) status(c echo.Context) error {
--- a/entry/pkg/worker/client.go
+++ b/entry/pkg/worker/client.go
@@ -13,9 +13,8 @@
 
 	"github.com/pkg/errors"
 
-	"chervilusher.dev/lib/platform"
-
 	"chervilusher.dev/entry/pkg/dispatch"
+	"chervilusher.dev/lib/platform"
 )
 
 const (
--- a/lib/configuration/fold.go
+++ b/lib/configuration/fold.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"slices"
 
 	"chervilusher.dev/lib/platform"
 )
@@ -84,5 +85,5 @@
 	if len(kept) >= maxRejections {
 		kept = kept[len(kept)-maxRejections+1:]
 	}
-	s.Rejections = append(kept[:len(kept):len(kept)], rejection)
+	s.Rejections = slices.Concat(kept, []Rejection{rejection})
 }
