Remember each submission by windows that a clock step cannot reopen

Cause: the ledger took windows from before its process and from the future, followed the wall clock, forgot running jobs with their window, took a refused identifier back so that a delayed copy could start after the answer 'not run', and had no bound on entries. A lone 401 or 503 of a host without configuration said 'not run' for a submission that had a ticket of another home. Net/http's Shutdown did not wait for the calls of other hosts, and queued jobs were not waited for.

Change: windows start at the process's start plus the time since then, and never move back. A window that is full closes for good, so that its refusals stay true without a record of each. Running jobs of a forgotten window stay joinable. Refusals and cancellations of identifiers that have not arrived are kept. Answers are bounded in bytes, identifiers in number. The drain waits for every submission and every call, hands the kept answers to another host, and gives the leases back for good. A lost answer of a start is followed to the task's end before a tombstone is left. Crossed answers of workers are dropped and counted.

--- a/entry/pkg/app/daemon.go
+++ b/entry/pkg/app/daemon.go
@@ -41,24 +41,24 @@
 	platformTimeout = 15 * time.Second
 	// idleConnections bounds the unused connections to one back end.
 	idleConnections = 64
-	// drainTimeout bounds how long a planned stop waits for work in progress.
-	drainTimeout = 2 * time.Minute
 	// idleConnectionTimeout is how long an unused connection to a back end is kept.
 	idleConnectionTimeout = 90 * time.Second
 )
 
 // Daemon is one entry host's process.
 type Daemon struct {
-	common     *common.Common
-	board      *blackboard.Board
-	listeners  listeners
-	callers    *http.Server
-	operators  *http.Server
-	peers      *peer.Server
-	peerClient *peer.Client
-	dispatcher *controllers.DispatchController
-	leases     *controllers.LeaseController
-	services   []service
+	common      *common.Common
+	board       *blackboard.Board
+	listeners   listeners
+	callers     *http.Server
+	operators   *http.Server
+	peers       *peer.Server
+	peerClient  *peer.Client
+	dispatcher  *controllers.DispatchController
+	leases      *controllers.LeaseController
+	submissions *controllers.SubmissionController
+	legacies    *controllers.LegacyController
+	services    []service
 }
 
 // service is a part that runs until the context ends.
@@ -100,7 +100,12 @@
 func build(c *common.Common, opened listeners) *Daemon {
 	board := blackboard.New()
 	engine := dispatch.New(&board.Dispatch, newPolicies(&c.Settings.Policy))
-	entries := ledger.New(c.Settings.Ticket.Window.Std(), c.Settings.Ticket.Keep.Std(), c.Settings.Ticket.Bytes)
+	entries := ledger.New(ledger.Limits{
+		Window:  c.Settings.Ticket.Window.Std(),
+		Keep:    c.Settings.Ticket.Keep.Std(),
+		Entries: c.Settings.Ticket.Entries,
+		Bytes:   c.Settings.Ticket.Bytes,
+	}, c.Clock.Now())
 	tickets := ticket.New(c.Settings.Ticket.Key, c.Settings.Name, c.Settings.Place, c.Incarnation, c.Settings.Ticket.Window.Std(), c.Clock)
 
 	backendClient := newBackendClient()
@@ -110,8 +115,9 @@
 	peerServer := peer.NewServer()
 
 	dispatcher := controllers.NewDispatchController(c, board, engine, minion.New(backendClient), workers)
-	submissions := controllers.NewSubmissionController(c, board, engine, entries, dispatcher)
-	routing := controllers.NewRoutingController(c, board, tickets, submissions, peerClient, peerServer)
+	submissions := controllers.NewSubmissionController(c, board, engine, entries, tickets, dispatcher)
+	legacies := controllers.NewLegacyController(c, board, peerClient, peerServer)
+	routing := controllers.NewRoutingController(c, board, tickets, submissions, peerClient, legacies, peerServer)
 	leases := controllers.NewLeaseController(c, board, workers, dispatcher)
 	members := controllers.NewMembersController(c, board)
 	lender := controllers.NewFixedLender(c, board)
@@ -120,16 +126,18 @@
 	configurations := controllers.NewConfigurationController(c, board, logservice.New(c.Settings.Platform.Log, platformClient))
 
 	return &Daemon{
-		common:     c.Prefixed("app"),
-		board:      board,
-		listeners:  opened,
-		callers:    newHTTPServer(caller.New(c, board, tickets, routing).Handler()),
-		operators:  newHTTPServer(operator.New(c, board).Handler()),
-		peers:      peerServer,
-		peerClient: peerClient,
-		dispatcher: dispatcher,
-		leases:     leases,
-		services:   []service{dispatcher, submissions, leases, hosts, configurations},
+		common:      c.Prefixed("app"),
+		board:       board,
+		listeners:   opened,
+		callers:     newHTTPServer(caller.New(c, board, tickets, routing).Handler()),
+		operators:   newHTTPServer(operator.New(c, board).Handler()),
+		peers:       peerServer,
+		peerClient:  peerClient,
+		dispatcher:  dispatcher,
+		leases:      leases,
+		submissions: submissions,
+		legacies:    legacies,
+		services:    []service{dispatcher, submissions, legacies, leases, hosts, configurations},
 	}
 }
 
@@ -154,26 +162,6 @@
 	return running.Wait()
 }
 
-// drain refuses new work, finishes what is in progress and gives the leases back.
-func (d *Daemon) drain() {
-	d.common.Log.Info("draining")
-	d.board.Draining.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
-	defer cancel()
-	if err := d.callers.Shutdown(ctx); err != nil {
-		d.common.Log.WithError(err).Error("some callers were cut off")
-	}
-	d.dispatcher.Wait()
-	d.leases.GiveBackAll(ctx)
-	if err := d.operators.Shutdown(ctx); err != nil {
-		d.common.Log.WithError(err).Warn("some operators were cut off")
-	}
-	if err := d.peerClient.Close(); err != nil {
-		d.common.Log.WithError(err).Debug("closing connections to peers")
-	}
-	d.common.Log.Info("stopped")
-}
-
 func listen(loaded *settings.Settings) (listeners, error) {
 	var config net.ListenConfig
 	var opened listeners
--- /dev/null
+++ b/entry/pkg/app/drain.go
@@ -0,0 +1,64 @@
+package app
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// drainTimeout bounds how long a planned stop waits for work in progress.
+	drainTimeout = 2 * time.Minute
+	// drainPoll is how often a planned stop looks whether the work has ended.
+	drainPoll = 10 * time.Millisecond
+	// goodbyeTimeout bounds what a planned stop does after the work has ended.
+	goodbyeTimeout = 10 * time.Second
+)
+
+// drain refuses new work, finishes what is in progress, hands the kept answers on and gives the leases back.
+func (d *Daemon) drain() {
+	d.common.Log.Info("draining")
+	d.board.Draining.Store(true)
+	d.callers.SetKeepAlivesEnabled(false)
+	d.finishWork()
+	ctx, cancel := context.WithTimeout(context.Background(), goodbyeTimeout)
+	defer cancel()
+	d.legacies.HandOver(ctx, d.submissions.Export())
+	d.leases.GiveBackAll(ctx)
+	if err := d.callers.Shutdown(ctx); err != nil {
+		d.common.Log.WithError(err).Error("some callers were cut off")
+	}
+	if !waitUntil(ctx, func() bool { return d.peers.Running() == 0 }) {
+		d.common.Log.Error("some calls of other hosts were cut off")
+	}
+	if err := d.operators.Shutdown(ctx); err != nil {
+		d.common.Log.WithError(err).Warn("some operators were cut off")
+	}
+	if err := d.peerClient.Close(); err != nil {
+		d.common.Log.WithError(err).Debug("closing connections to peers")
+	}
+	d.common.Log.Info("stopped")
+}
+
+// finishWork waits until every submission has its answer and every start has ended.
+func (d *Daemon) finishWork() {
+	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
+	defer cancel()
+	idle := func() bool { return d.submissions.Open() == 0 && d.dispatcher.Running() == 0 }
+	if !waitUntil(ctx, idle) {
+		d.common.Log.WithField("submissions", d.submissions.Open()).Error("work was cut off")
+	}
+}
+
+// waitUntil polls the condition and reports false when the context ends first.
+func waitUntil(ctx context.Context, condition func() bool) bool {
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for !condition() {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-ticker.C:
+		}
+	}
+	return true
+}
--- a/entry/pkg/blackboard/job.go
+++ b/entry/pkg/blackboard/job.go
@@ -77,7 +77,8 @@
 	Started    bool
 	Unsure     bool // a start's outcome is unknown
 	Answer     *api.Answer
-	Done       chan struct{} // closed when Answer is set
+	Keep       func(answer *api.Answer) // called once with the answer, under the dispatch lock; may be nil
+	Done       chan struct{}            // closed when Answer is set
 }
 
 // Decided reports whether the job has its final answer.
--- a/entry/pkg/caller/input.go
+++ b/entry/pkg/caller/input.go
@@ -44,7 +44,11 @@
 	if !ok {
 		return blackboard.Bearer{}, &inputError{code: api.CodeUnauthorized, reason: "give the owner's token as Authorization: Bearer TOKEN"}
 	}
-	bearer, ok := s.board.Configuration.Load().Tokens[configuration.HashToken(token)]
+	directory := s.board.Configuration.Load()
+	bearer, ok := directory.Tokens[configuration.HashToken(token)]
+	if !ok && len(directory.State.Owners) == 0 {
+		return blackboard.Bearer{}, &inputError{code: api.CodeUnavailable, reason: "the host has no configuration yet"}
+	}
 	if !ok {
 		return blackboard.Bearer{}, &inputError{code: api.CodeUnauthorized, reason: "no owner has this token"}
 	}
@@ -166,7 +170,10 @@
 	return c.JSON(answer.Status(), answer)
 }
 
-// answerError turns an error into an answer: whatever fails here has started nothing.
+// retryNotReady is when to come back to a host that has just started or is stopping.
+const retryNotReady = 500 * time.Millisecond
+
+// answerError turns an error into an answer: this request has started nothing.
 func answerError(err error, c echo.Context) {
 	if c.Response().Committed {
 		return
@@ -185,5 +192,22 @@
 		answer.Code = api.CodeNotFound
 		answer.Reason = fmt.Sprint(framework.Message)
 	}
+	if answer.Code == api.CodeUnavailable || answer.Code == api.CodeDraining {
+		answer.RetryAfter = jsontime.Duration(retryNotReady)
+	}
+	if c.Request().Header.Get(api.HeaderTicket) != "" && leavesOutcomeOpen(answer.Code) {
+		answer.State = api.StateUnknown
+		answer.Ran = api.RanUnknown
+	}
 	_ = send(c, answer)
 }
+
+// leavesOutcomeOpen reports whether an earlier try of the same submission may have been taken elsewhere, which this host cannot tell.
+func leavesOutcomeOpen(code api.Code) bool {
+	switch code {
+	case api.CodeBadRequest, api.CodeTooLarge:
+		return false
+	default:
+		return true
+	}
+}
--- a/entry/pkg/caller/server.go
+++ b/entry/pkg/caller/server.go
@@ -56,6 +56,9 @@
 	if err != nil {
 		return err
 	}
+	if s.board.Draining.Load() {
+		return &inputError{code: api.CodeDraining, reason: "the host is stopping"}
+	}
 	token, left, err := s.tickets.Issue(bearer.Owner)
 	if err != nil {
 		return err
@@ -152,11 +155,9 @@
 
 // reply sends the answer with the caller's own identifier, and the current ticket for its next submission.
 func (s *Server) reply(c echo.Context, bearer blackboard.Bearer, token, key string, answer *api.Answer) error {
-	current, _, err := s.tickets.Issue(bearer.Owner)
-	if err != nil {
-		return err
+	if current, _, err := s.tickets.Issue(bearer.Owner); err == nil && !s.board.Draining.Load() {
+		c.Response().Header().Set(api.HeaderTicket, current)
 	}
-	c.Response().Header().Set(api.HeaderTicket, current)
 	addressed := *answer
 	addressed.Key = key
 	addressed.Ticket = token
@@ -164,5 +165,5 @@
 }
 
 func identityOf(claims *ticket.Claims, key string) peer.Identity {
-	return peer.Identity{Owner: claims.Owner, Incarnation: claims.Incarnation, Window: claims.Window, Key: key}
+	return peer.Identity{Owner: claims.Owner, Host: claims.Host, Incarnation: claims.Incarnation, Window: claims.Window, Key: key}
 }
--- a/entry/pkg/controllers/dispatch_controller.go
+++ b/entry/pkg/controllers/dispatch_controller.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -19,17 +19,25 @@
 	tickInterval = 20 * time.Millisecond
 	// stopTimeout bounds one call that stops a task or asks for its outcome.
 	stopTimeout = 5 * time.Second
+	// stopInterval is the delay after a stop whose answer was lost.
+	stopInterval = 100 * time.Millisecond
+	// settleInterval is the delay between questions for the end of a task whose answer is lost.
+	settleInterval = 50 * time.Millisecond
 )
 
 var (
 	startsTotal  = metrics.NewCounter(`chervilusher_starts_total`)
 	staleAnswers = metrics.NewCounter(`chervilusher_answers_dropped_total{why="stale"}`)
+	settledTotal = metrics.NewCounter(`chervilusher_starts_settled_total`)
 	stopsTotal   = metrics.NewCounter(`chervilusher_stops_total`)
 )
 
 // Starter starts and stops tasks at one kind of back end.
 type Starter interface {
 	Start(ctx context.Context, start *dispatch.Start) dispatch.Outcome
+	// Query asks what the back end knows of a start.
+	Query(ctx context.Context, stop *dispatch.Stop) (*platform.TaskStatus, error)
+	// Stop stops a start, or leaves a tombstone so that it never begins.
 	Stop(ctx context.Context, stop *dispatch.Stop) (*platform.TaskStatus, error)
 }
 
@@ -40,7 +48,7 @@
 	engine  *dispatch.Engine
 	minions Starter
 	workers Starter
-	running sync.WaitGroup
+	running atomic.Int64 // calls to back ends in progress
 }
 
 // NewDispatchController returns the controller; the board's dispatch lock guards the engine.
@@ -91,27 +99,35 @@
 func (d *DispatchController) Run(effects dispatch.Effects) {
 	for i := range effects.Starts {
 		start := &effects.Starts[i]
-		d.running.Go(func() { d.start(start) })
+		d.spawn(func() { d.start(start) })
 	}
 	for i := range effects.Stops {
 		stop := &effects.Stops[i]
-		d.running.Go(func() { d.stop(stop) })
+		d.spawn(func() { d.stop(stop) })
 	}
 }
 
-// Wait returns when no task is being started, run or stopped.
-func (d *DispatchController) Wait() {
-	d.running.Wait()
+func (d *DispatchController) spawn(call func()) {
+	d.running.Add(1)
+	go func() {
+		defer d.running.Add(-1)
+		call()
+	}()
+}
+
+// Running returns how many tasks are being started, run or stopped.
+func (d *DispatchController) Running() int64 {
+	return d.running.Load()
 }
 
 func (d *DispatchController) start(start *dispatch.Start) {
 	startsTotal.Inc()
 	ctx, cancel := context.WithTimeout(context.Background(), start.Task.Target.Timeout)
 	outcome := d.attempt(ctx, start)
-	cancel()
 	if outcome.Verdict == dispatch.VerdictUnknown && start.Task.Target.Tombstones {
-		outcome = d.settle(start, outcome)
+		outcome = d.settle(ctx, start, outcome)
 	}
+	cancel()
 	metrics.GetOrCreateCounter(fmt.Sprintf(`chervilusher_outcomes_total{verdict=%q}`, outcome.Verdict)).Inc()
 	d.common.Log.WithField("start", start.ID).WithField("backend", start.Backend.Name).Debugf("start ended: %s", outcome.Verdict)
 	d.board.Dispatch.Lock()
@@ -131,14 +147,46 @@
 	return d.starter(start.Backend.Role).Start(ctx, start)
 }
 
-// settle leaves a tombstone for a start whose answer is lost, and learns from it whether the start took effect.
-func (d *DispatchController) settle(start *dispatch.Start, lost dispatch.Outcome) dispatch.Outcome {
+// settle learns what became of a start whose answer is lost: it follows the task to its end, or makes sure that it never begins.
+func (d *DispatchController) settle(ctx context.Context, start *dispatch.Start, lost dispatch.Outcome) dispatch.Outcome {
+	settledTotal.Inc()
+	stop := &dispatch.Stop{ID: start.ID, Backend: start.Backend, Supported: true}
+	for ctx.Err() == nil {
+		status, err := d.starter(start.Backend.Role).Query(ctx, stop)
+		if err == nil && status.Task == start.ID && status.State != platform.TaskRunning {
+			break
+		}
+		select {
+		case <-ctx.Done():
+		case <-d.common.Clock.After(settleInterval):
+		}
+	}
+	status := d.bury(stop)
+	if status == nil {
+		return lost
+	}
+	return settledOutcome(status, lost)
+}
+
+// bury stops a start or leaves a tombstone, and returns what the back end says of it, or nil when it does not answer.
+func (d *DispatchController) bury(stop *dispatch.Stop) *platform.TaskStatus {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
-	status, err := d.starter(start.Backend.Role).Stop(ctx, &dispatch.Stop{ID: start.ID, Backend: start.Backend})
-	if err != nil || status.Task != start.ID {
-		return lost
+	for ctx.Err() == nil {
+		status, err := d.starter(stop.Backend.Role).Stop(ctx, stop)
+		if err == nil && status.Task == stop.ID {
+			return status
+		}
+		select {
+		case <-ctx.Done():
+		case <-d.common.Clock.After(stopInterval):
+		}
 	}
+	return nil
+}
+
+// settledOutcome reads the state in which a tombstone was met; only an absent task has not run.
+func settledOutcome(status *platform.TaskStatus, lost dispatch.Outcome) dispatch.Outcome {
 	switch status.State {
 	case platform.TaskAbsent:
 		return dispatch.Outcome{Verdict: dispatch.VerdictNotRun, Error: lost.Error}
@@ -146,7 +194,9 @@
 		return dispatch.Outcome{Verdict: dispatch.VerdictDone, Value: status.Value}
 	case platform.TaskFailed:
 		return dispatch.Outcome{Verdict: dispatch.VerdictFailed, Error: status.Error}
-	case platform.TaskRunning, platform.TaskStopped:
+	case platform.TaskStopped:
+		return dispatch.Outcome{Verdict: dispatch.VerdictFailed, Error: "the task was stopped: " + lost.Error}
+	case platform.TaskRunning:
 		return lost
 	default:
 		return lost
@@ -158,10 +208,8 @@
 		return
 	}
 	stopsTotal.Inc()
-	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
-	defer cancel()
-	if _, err := d.starter(stop.Backend.Role).Stop(ctx, stop); err != nil {
-		d.common.Log.WithField("start", stop.ID).WithError(err).Warn("cannot stop a task")
+	if d.bury(stop) == nil {
+		d.common.Log.WithField("start", stop.ID).Warn("cannot stop a task")
 	}
 }
 
--- a/entry/pkg/controllers/lease_controller.go
+++ b/entry/pkg/controllers/lease_controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -32,6 +33,8 @@
 	board    *blackboard.Board
 	leaser   Leaser
 	assigner Assigner
+	calls    sync.Mutex // held while leases are renewed or given back
+	ended    bool
 }
 
 // NewLeaseController returns the controller.
@@ -55,6 +58,9 @@
 
 // GiveBackAll ends the leases of this host, so that another host need not wait for them to lapse.
 func (l *LeaseController) GiveBackAll(ctx context.Context) {
+	l.calls.Lock()
+	defer l.calls.Unlock()
+	l.ended = true
 	var calls errgroup.Group
 	calls.SetLimit(leaseCalls)
 	for _, backend := range l.workers() {
@@ -72,6 +78,18 @@
 }
 
 func (l *LeaseController) renewAll(ctx context.Context) {
+	if l.renewOwn(ctx) {
+		l.assigner.AssignAll()
+	}
+}
+
+// renewOwn renews the leases of the workers that this host keeps, unless they were given back for good.
+func (l *LeaseController) renewOwn(ctx context.Context) bool {
+	l.calls.Lock()
+	defer l.calls.Unlock()
+	if l.ended {
+		return false
+	}
 	members := l.board.Members.Load()
 	var calls errgroup.Group
 	calls.SetLimit(leaseCalls)
@@ -85,7 +103,7 @@
 		})
 	}
 	_ = calls.Wait()
-	l.assigner.AssignAll()
+	return true
 }
 
 // renew counts the lease from before the call left, so that this host never believes in it longer than the worker does.
--- a/entry/pkg/controllers/routing_controller.go
+++ b/entry/pkg/controllers/routing_controller.go
@@ -28,11 +28,12 @@
 
 // RoutingController takes each submission to its home: this process or another host.
 type RoutingController struct {
-	common  *common.Common
-	board   *blackboard.Board
-	tickets *ticket.Issuer
-	home    Home
-	client  *peer.Client
+	common   *common.Common
+	board    *blackboard.Board
+	tickets  *ticket.Issuer
+	home     Home
+	client   *peer.Client
+	legacies *LegacyController
 }
 
 // NewRoutingController returns the controller and adds the home's methods to the server of peers.
@@ -42,9 +43,10 @@
 	tickets *ticket.Issuer,
 	home Home,
 	client *peer.Client,
+	legacies *LegacyController,
 	server *peer.Server,
 ) *RoutingController {
-	routing := &RoutingController{common: c.Prefixed("routing"), board: board, tickets: tickets, home: home, client: client}
+	routing := &RoutingController{common: c.Prefixed("routing"), board: board, tickets: tickets, home: home, client: client, legacies: legacies}
 	peer.Handle(server, peer.MethodSubmit, answering(c.Incarnation, home.Submit))
 	peer.Handle(server, peer.MethodWait, answering(c.Incarnation, home.Wait))
 	peer.Handle(server, peer.MethodCancel, answering(c.Incarnation, home.Cancel))
@@ -56,7 +58,8 @@
 	if r.tickets.Own(claims) {
 		return r.home.Submit(ctx, request)
 	}
-	return forward(ctx, r, claims, peer.MethodSubmit, request, request.Wait)
+	answer := forward(ctx, r, claims, peer.MethodSubmit, request, request.Wait)
+	return r.orLegacy(ctx, answer, &peer.LegacyRequest{Identity: request.Identity, Digest: request.Digest})
 }
 
 // Wait asks a submission's home for its answer.
@@ -64,7 +67,8 @@
 	if r.tickets.Own(claims) {
 		return r.home.Wait(ctx, request)
 	}
-	return forward(ctx, r, claims, peer.MethodWait, request, request.Wait)
+	answer := forward(ctx, r, claims, peer.MethodWait, request, request.Wait)
+	return r.orLegacy(ctx, answer, &peer.LegacyRequest{Identity: request.Identity})
 }
 
 // Cancel tells a submission's home to cancel it.
@@ -72,10 +76,23 @@
 	if r.tickets.Own(claims) {
 		return r.home.Cancel(ctx, request)
 	}
-	return forward(ctx, r, claims, peer.MethodCancel, request, 0)
+	answer := forward(ctx, r, claims, peer.MethodCancel, request, 0)
+	return r.orLegacy(ctx, answer, &peer.LegacyRequest{Identity: request.Identity})
 }
 
-// answering wraps a method of the home for peers; a call meant for an earlier process gets that process's end as its answer.
+// orLegacy asks the hosts that a leaving home hands its record to, when the home itself does not answer.
+func (r *RoutingController) orLegacy(ctx context.Context, answer *api.Answer, request *peer.LegacyRequest) *api.Answer {
+	silent := answer.Code == api.CodeUnavailable && answer.Ran == api.RanUnknown
+	if !silent && answer.Code != api.CodeHomeLost {
+		return answer
+	}
+	if kept := r.legacies.Ask(ctx, request); kept != nil {
+		return kept
+	}
+	return answer
+}
+
+// answering wraps a method of the home for peers.
 func answering[Request any](incarnation string, serve func(ctx context.Context, request *Request) *api.Answer) func(context.Context, *Request) (*peer.AnswerResponse, error) {
 	return func(ctx context.Context, request *Request) (*peer.AnswerResponse, error) {
 		return &peer.AnswerResponse{Incarnation: incarnation, Answer: *serve(ctx, request)}, nil
--- a/entry/pkg/controllers/submission_controller.go
+++ b/entry/pkg/controllers/submission_controller.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"chervilusher.dev/entry/pkg/blackboard"
 	"chervilusher.dev/entry/pkg/common"
 	"chervilusher.dev/entry/pkg/dispatch"
@@ -19,22 +21,36 @@
 // retryWhileDraining is when to come back to a service whose host is stopping; another host can take the work at once.
 const retryWhileDraining = 100 * time.Millisecond
 
+// retryClosedWindow is when to come back with a ticket of the next window.
+const retryClosedWindow = 100 * time.Millisecond
+
 // forgetInterval is how often old windows are looked for.
 const forgetInterval = time.Second
 
+var (
+	ledgerEntries = metrics.NewGauge(`chervilusher_ledger_entries`, nil)
+	ledgerBytes   = metrics.NewGauge(`chervilusher_ledger_bytes`, nil)
+)
+
 // EffectRunner carries out what the engine decided.
 type EffectRunner interface {
 	Run(effects dispatch.Effects)
 }
 
+// WindowCloser ends a window of tickets early.
+type WindowCloser interface {
+	Close(window int64)
+}
+
 // SubmissionController is the home of the submissions made under this process's tickets.
 type SubmissionController struct {
-	common *common.Common
-	board  *blackboard.Board
-	engine *dispatch.Engine
-	ledger *ledger.Ledger
-	runner EffectRunner
-	serial atomic.Uint64
+	common  *common.Common
+	board   *blackboard.Board
+	engine  *dispatch.Engine
+	ledger  *ledger.Ledger
+	windows WindowCloser
+	runner  EffectRunner
+	serial  atomic.Uint64
 }
 
 // NewSubmissionController returns the controller; the board's dispatch lock guards engine and ledger.
@@ -43,14 +59,16 @@
 	board *blackboard.Board,
 	engine *dispatch.Engine,
 	entries *ledger.Ledger,
+	windows WindowCloser,
 	runner EffectRunner,
 ) *SubmissionController {
 	return &SubmissionController{
-		common: c.Prefixed("submission"),
-		board:  board,
-		engine: engine,
-		ledger: entries,
-		runner: runner,
+		common:  c.Prefixed("submission"),
+		board:   board,
+		engine:  engine,
+		ledger:  entries,
+		windows: windows,
+		runner:  runner,
 	}
 }
 
@@ -65,15 +83,18 @@
 		case <-ticker.Chan():
 			s.board.Dispatch.Lock()
 			s.ledger.Expire(s.common.Clock.Now())
+			entries, bytes := s.ledger.Size()
 			s.board.Dispatch.Unlock()
+			ledgerEntries.Set(float64(entries))
+			ledgerBytes.Set(float64(bytes))
 		}
 	}
 }
 
 // Submit takes a submission, joins it to the one of the same identifier, or refuses it; it then waits for the answer.
 func (s *SubmissionController) Submit(ctx context.Context, request *peer.SubmitRequest) *api.Answer {
-	if request.Identity.Incarnation != s.common.Incarnation {
-		return homeLost()
+	if answer := s.refuseForeign(&request.Identity); answer != nil {
+		return answer
 	}
 	job, answer := s.take(request)
 	if answer != nil {
@@ -91,72 +112,128 @@
 	return s.await(ctx, job, request.Wait)
 }
 
-// Cancel ends a submission and answers at once.
-func (s *SubmissionController) Cancel(ctx context.Context, request *peer.CancelRequest) *api.Answer {
-	job, answer := s.find(&request.Identity)
-	if answer != nil {
+// Cancel ends a submission and answers at once; one that has not arrived yet is refused when it does.
+func (s *SubmissionController) Cancel(_ context.Context, request *peer.CancelRequest) *api.Answer {
+	if answer := s.refuseForeign(&request.Identity); answer != nil {
 		return answer
 	}
+	now := s.common.Clock.Now()
 	s.board.Dispatch.Lock()
-	effects := s.engine.Cancel(job, s.common.Clock.Now())
+	entry, claim := s.ledger.Bury(ledgerID(&request.Identity), now, cancelledBefore())
+	var effects dispatch.Effects
+	if entry != nil && entry.Job != nil {
+		effects = s.engine.Cancel(entry.Job, now)
+	}
+	answer := answerOf(entry, claim)
 	s.board.Dispatch.Unlock()
 	s.runner.Run(effects)
-	return s.await(ctx, job, 0)
+	return answer
+}
+
+// answerOf returns the answer of an ended submission.
+func answerOf(entry *ledger.Entry, claim ledger.Claim) *api.Answer {
+	switch {
+	case claim == ledger.ClaimClosed:
+		return closedWindow()
+	case entry == nil || entry.Answer == nil:
+		return forgotten()
+	default:
+		return entry.Answer
+	}
 }
 
 // take returns the submission's job, or the final answer when there is none.
 func (s *SubmissionController) take(request *peer.SubmitRequest) (*blackboard.Job, *api.Answer) {
 	now := s.common.Clock.Now()
+	id := ledgerID(&request.Identity)
 	job, refusal := s.build(request, now)
 	s.board.Dispatch.Lock()
 	defer s.board.Dispatch.Unlock()
-	entry, claim := s.ledger.Claim(ledgerID(&request.Identity), request.Digest, func() *blackboard.Job { return job })
+	if known, kept := s.ledger.Find(id, now); known == nil && kept && s.board.Draining.Load() {
+		return nil, refused(&dispatch.Refusal{Code: api.CodeDraining, Reason: "the host is stopping", RetryAfter: retryWhileDraining})
+	}
+	entry, claim := s.ledger.Claim(id, request.Digest, now, func() *blackboard.Job { return job })
+	if s.ledger.Closed(id.Window) {
+		s.windows.Close(id.Window)
+	}
 	switch claim {
 	case ledger.ClaimKnown:
-		return entry.Job, nil
+		if entry.Job != nil {
+			return entry.Job, nil
+		}
+		return nil, answerOf(entry, claim)
 	case ledger.ClaimMismatch:
 		return nil, mismatch()
-	case ledger.ClaimForgotten:
-		return nil, forgotten()
+	case ledger.ClaimForgotten, ledger.ClaimClosed:
+		return nil, answerOf(nil, claim)
 	case ledger.ClaimNew:
 	}
-	if refusal == nil && s.board.Draining.Load() {
-		refusal = &dispatch.Refusal{Code: api.CodeDraining, Reason: "the host is stopping", RetryAfter: retryWhileDraining}
-	}
+	return s.begin(entry, job, refusal, now)
+}
+
+// begin hands a new submission to the engine; a refusal is kept too, so that a delayed copy of the submission never starts after it.
+func (s *SubmissionController) begin(
+	entry *ledger.Entry,
+	job *blackboard.Job,
+	refusal *dispatch.Refusal,
+	now time.Time,
+) (*blackboard.Job, *api.Answer) {
 	var effects dispatch.Effects
 	if refusal == nil {
+		job.Keep = func(answer *api.Answer) { s.ledger.Keep(entry, answer, s.common.Clock.Now()) }
 		effects, refusal = s.engine.Submit(job, now)
 	}
 	if refusal != nil {
-		s.ledger.Drop(entry)
-		return nil, refused(refusal)
+		answer := refused(refusal)
+		s.ledger.Keep(entry, answer, now)
+		return nil, answer
 	}
 	s.runner.Run(effects)
-	go s.keepWhenDecided(entry)
 	return job, nil
 }
 
-func (s *SubmissionController) keepWhenDecided(entry *ledger.Entry) {
-	<-entry.Job.Done
+// refuseForeign answers calls that are meant for another process.
+func (s *SubmissionController) refuseForeign(identity *peer.Identity) *api.Answer {
+	if identity.Host != s.common.Settings.Name {
+		return unreachable("another host answers at the home's address")
+	}
+	if identity.Incarnation != s.common.Incarnation {
+		return homeLost()
+	}
+	return nil
+}
+
+// Open returns how many submissions have no answer yet.
+func (s *SubmissionController) Open() int {
+	s.board.Dispatch.Lock()
+	defer s.board.Dispatch.Unlock()
+	return s.ledger.Open()
+}
+
+// Export returns what this home knows of ended submissions.
+func (s *SubmissionController) Export() ledger.Record {
 	s.board.Dispatch.Lock()
 	defer s.board.Dispatch.Unlock()
-	s.ledger.Keep(entry)
+	return s.ledger.Export()
 }
 
 func (s *SubmissionController) find(identity *peer.Identity) (*blackboard.Job, *api.Answer) {
-	if identity.Incarnation != s.common.Incarnation {
-		return nil, homeLost()
+	if answer := s.refuseForeign(identity); answer != nil {
+		return nil, answer
 	}
 	s.board.Dispatch.Lock()
 	defer s.board.Dispatch.Unlock()
-	entry, kept := s.ledger.Find(ledgerID(identity))
-	if !kept {
+	entry, kept := s.ledger.Find(ledgerID(identity), s.common.Clock.Now())
+	switch {
+	case !kept:
 		return nil, forgotten()
+	case entry == nil:
+		return nil, notArrived()
+	case entry.Job == nil:
+		return nil, answerOf(entry, ledger.ClaimKnown)
+	default:
+		return entry.Job, nil
 	}
-	if entry == nil {
-		return nil, &api.Answer{State: api.StateRefused, Ran: api.RanNo, Code: api.CodeNotFound, Reason: "no submission has this key"}
-	}
-	return entry.Job, nil
 }
 
 // await returns the job's answer, or how far it is when the wait is over.
@@ -225,9 +302,10 @@
 	return job, nil
 }
 
+// ranSoFar cannot say yes: a start that is under way may not have arrived.
 func ranSoFar(job *blackboard.Job) api.Ran {
 	if job.Started {
-		return api.RanYes
+		return api.RanUnknown
 	}
 	return api.RanNo
 }
@@ -254,6 +332,19 @@
 	return &api.Answer{State: api.StateUnknown, Ran: api.RanUnknown, Code: api.CodeForgotten, Reason: "the answer is no longer kept; it is not run again"}
 }
 
+// notArrived leaves the outcome open: the submission may still be on its way.
+func notArrived() *api.Answer {
+	return &api.Answer{State: api.StateUnknown, Ran: api.RanUnknown, Code: api.CodeNotFound, Reason: "no submission with this key has arrived"}
+}
+
+func cancelledBefore() *api.Answer {
+	return &api.Answer{State: api.StateCancelled, Ran: api.RanNo, Code: api.CodeCancelled, Reason: "the caller cancelled the job before it arrived"}
+}
+
+func closedWindow() *api.Answer {
+	return refused(&dispatch.Refusal{Code: api.CodeOverload, Reason: "the ticket takes no more submissions", RetryAfter: retryClosedWindow})
+}
+
 func mismatch() *api.Answer {
 	return &api.Answer{State: api.StateRefused, Ran: api.RanNo, Code: api.CodeMismatch, Reason: "the key was used for another submission; this one was not run"}
 }
--- a/entry/pkg/dispatch/engine.go
+++ b/entry/pkg/dispatch/engine.go
@@ -41,7 +41,8 @@
 	Verdict Verdict
 	Value   json.RawMessage // the answer, when done
 	Error   string
-	Busy    bool // nothing was started because the back end had no room
+	Busy    bool  // nothing was started because the back end had no room
+	Fence   int64 // the fencing token that a worker refused, or zero
 }
 
 // Start is an order to start one task at one back end.
--- a/entry/pkg/dispatch/outcome.go
+++ b/entry/pkg/dispatch/outcome.go
@@ -107,6 +107,9 @@
 	answer.Key = job.Key
 	answer.Tasks = len(job.Tasks)
 	job.Answer = answer
+	if job.Keep != nil {
+		job.Keep(answer)
+	}
 	close(job.Done)
 }
 
--- a/entry/pkg/minion/client.go
+++ b/entry/pkg/minion/client.go
@@ -20,7 +20,7 @@
 // maxAnswerBytes bounds one minion's answer.
 const maxAnswerBytes = 1 << 20
 
-var crossedAnswers = metrics.NewCounter(`chervilusher_answers_dropped_total{why="crossed"}`)
+var crossedAnswers = metrics.GetOrCreateCounter(`chervilusher_answers_dropped_total{why="crossed"}`)
 
 // Client starts tasks at minions.
 type Client struct {
--- a/entry/pkg/peer/client.go
+++ b/entry/pkg/peer/client.go
@@ -7,7 +7,9 @@
 
 	"github.com/pkg/errors"
 	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcpool"
+	"storj.io/drpc/drpcwire"
 )
 
 const (
@@ -17,6 +19,8 @@
 	idleExpiration = time.Minute
 	// idlePerHost bounds the unused connections to one host.
 	idlePerHost = 64
+	// maxMessageBytes bounds one message, such as the answer to a job of many tasks.
+	maxMessageBytes = 64 << 20
 )
 
 // Client calls other entry hosts and keeps unused connections for the next call.
@@ -54,5 +58,9 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	return drpcconn.New(transport), nil
+	return drpcconn.NewWithOptions(transport, drpcconn.Options{Manager: managerOptions()}), nil
+}
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes}}
 }
--- a/entry/pkg/peer/messages.go
+++ b/entry/pkg/peer/messages.go
@@ -11,11 +11,15 @@
 	MethodSubmit = "submit"
 	MethodWait   = "wait"
 	MethodCancel = "cancel"
+
+	MethodHandover = "handover"
+	MethodLegacy   = "legacy"
 )
 
 // Identity names a submission at its home.
 type Identity struct {
 	Owner       string `json:"owner"`
+	Host        string `json:"host"`
 	Incarnation string `json:"inc"`
 	Window      int64  `json:"win"`
 	Key         string `json:"key"`
@@ -46,3 +50,37 @@
 	Incarnation string     `json:"inc"`
 	Answer      api.Answer `json:"ans"`
 }
+
+// HandedEntry is one ended submission of a home that leaves; without an answer it is only known to have been taken.
+type HandedEntry struct {
+	Owner  string      `json:"owner"`
+	Window int64       `json:"win"`
+	Key    string      `json:"key"`
+	Digest uint64      `json:"sum"`
+	Answer *api.Answer `json:"ans"`
+}
+
+// HandoverRequest is one part of a leaving home's record.
+type HandoverRequest struct {
+	Incarnation string        `json:"inc"`
+	Floor       int64         `json:"floor"` // earlier windows are forgotten
+	Entries     []HandedEntry `json:"ents"`
+	Last        bool          `json:"last"` // the record is whole with this part
+}
+
+// HandoverResponse tells that the part is kept.
+type HandoverResponse struct {
+	Kept bool `json:"kept"`
+}
+
+// LegacyRequest asks for a submission of a home that may have left.
+type LegacyRequest struct {
+	Identity Identity `json:"id"`
+	Digest   uint64   `json:"sum"` // of a submission that is sent again; zero otherwise
+}
+
+// LegacyResponse carries the answer, if the host has that home's record.
+type LegacyResponse struct {
+	Known  bool       `json:"known"`
+	Answer api.Answer `json:"ans"`
+}
--- a/entry/pkg/peer/server.go
+++ b/entry/pkg/peer/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 	"storj.io/drpc"
@@ -15,6 +16,7 @@
 // Server answers the calls of other entry hosts.
 type Server struct {
 	handlers map[string]handler
+	running  atomic.Int64 // calls in progress
 }
 
 // NewServer returns a server without methods.
@@ -43,10 +45,18 @@
 	if !ok {
 		return errors.Errorf("no method %q", method)
 	}
+	s.running.Add(1)
+	defer s.running.Add(-1)
 	return serve(stream)
 }
 
+// Running returns how many calls are in progress.
+func (s *Server) Running() int64 {
+	return s.running.Load()
+}
+
 // Serve answers calls on the listener until the context ends.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
-	return errors.WithStack(drpcserver.New(s).Serve(ctx, listener))
+	options := drpcserver.Options{Manager: managerOptions()}
+	return errors.WithStack(drpcserver.NewWithOptions(s, options).Serve(ctx, listener))
 }
--- a/entry/pkg/settings/check.go
+++ b/entry/pkg/settings/check.go
@@ -69,6 +69,9 @@
 	if s.Ticket.Bytes < 1 {
 		return errors.Errorf("ticket.bytes is %d; give 1 or more", s.Ticket.Bytes)
 	}
+	if s.Ticket.Entries < 1 {
+		return errors.Errorf("ticket.entries is %d; give 1 or more", s.Ticket.Entries)
+	}
 	return checkPositive([]namedDuration{
 		{"ticket.window", s.Ticket.Window},
 		{"ticket.keep", s.Ticket.Keep},
--- a/entry/pkg/settings/settings.go
+++ b/entry/pkg/settings/settings.go
@@ -52,10 +52,11 @@
 
 // Ticket bounds window tokens and kept answers.
 type Ticket struct {
-	Key    string            `json:"key"`    // secret shared by all entry hosts, at least 16 characters
-	Window jsontime.Duration `json:"window"` // length of one window
-	Keep   jsontime.Duration `json:"keep"`   // how long a window is kept after it ended
-	Bytes  int64             `json:"bytes"`  // most bytes of kept answers
+	Key     string            `json:"key"`     // secret shared by all entry hosts, at least 16 characters
+	Window  jsontime.Duration `json:"window"`  // length of one window
+	Keep    jsontime.Duration `json:"keep"`    // how long a window is kept after it ended
+	Bytes   int64             `json:"bytes"`   // most bytes of kept answers; beyond it the oldest are dropped
+	Entries int               `json:"entries"` // most identifiers remembered; beyond it the oldest windows are forgotten, then new work is refused
 }
 
 // Policy selects and tunes the dispatch decisions.
@@ -92,9 +93,10 @@
 	return &Settings{
 		Size: 1,
 		Ticket: Ticket{
-			Window: jsontime.Duration(time.Minute),
-			Keep:   jsontime.Duration(10 * time.Minute),
-			Bytes:  64 << 20,
+			Window:  jsontime.Duration(time.Minute),
+			Keep:    jsontime.Duration(10 * time.Minute),
+			Bytes:   64 << 20,
+			Entries: 200_000,
 		},
 		Policy: Policy{
 			Lending:   "fixed",
--- a/entry/pkg/ticket/ticket.go
+++ b/entry/pkg/ticket/ticket.go
@@ -15,7 +15,7 @@
 	Place       string `json:"plc"`
 	Host        string `json:"hst"`
 	Incarnation string `json:"inc"`
-	Window      int64  `json:"win"` // start of the window, Unix seconds by the home's clock
+	Window      int64  `json:"win"` // start of the window, Unix milliseconds by the home's clock
 }
 
 // GetExpirationTime implements jwt.Claims; the home alone decides when a window is forgotten.
@@ -45,53 +45,72 @@
 	window      time.Duration
 	clock       clockwork.Clock
 
-	mu     sync.Mutex
-	issued map[string]issuedTicket // by owner; one ticket serves an owner for a whole window
-}
-
-type issuedTicket struct {
-	window int64
-	token  string
+	mu      sync.Mutex
+	started time.Time
+	current int64             // start of the current window, Unix milliseconds
+	ends    time.Time         // of the current window
+	issued  map[string]string // tokens by owner; one serves an owner for a whole window
 }
 
 // New returns an issuer that signs with the key that all hosts share.
 func New(key, host, place, incarnation string, window time.Duration, clock clockwork.Clock) *Issuer {
-	return &Issuer{
+	issuer := &Issuer{
 		key:         []byte(key),
 		host:        host,
 		place:       place,
 		incarnation: incarnation,
 		window:      window,
 		clock:       clock,
-		issued:      map[string]issuedTicket{},
+		started:     clock.Now(),
 	}
+	issuer.open(issuer.started)
+	return issuer
 }
 
 // Issue returns the owner's ticket for the current window and how long the window still runs.
 func (i *Issuer) Issue(owner string) (string, time.Duration, error) {
 	now := i.clock.Now()
-	start := now.Truncate(i.window)
-	left := start.Add(i.window).Sub(now)
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if cached, ok := i.issued[owner]; ok && cached.window == start.Unix() {
-		return cached.token, left, nil
+	if !now.Before(i.ends) {
+		i.open(now)
+	}
+	left := min(i.ends.Sub(now), i.window)
+	if token, ok := i.issued[owner]; ok {
+		return token, left, nil
 	}
 	claims := &Claims{
 		Owner:       owner,
 		Place:       i.place,
 		Host:        i.host,
 		Incarnation: i.incarnation,
-		Window:      start.Unix(),
+		Window:      i.current,
 	}
 	token, err := jwt.NewWithClaims(jwt.SigningMethodHS256, claims).SignedString(i.key)
 	if err != nil {
 		return "", 0, errors.WithStack(err)
 	}
-	i.issued[owner] = issuedTicket{window: claims.Window, token: token}
+	i.issued[owner] = token
 	return token, left, nil
 }
 
+// Close ends the window early when it is the current one, so that the next ticket opens a new one.
+func (i *Issuer) Close(window int64) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.current == window {
+		i.open(i.clock.Now())
+	}
+}
+
+// open starts the next window; a step of the wall clock never leads back to an earlier one.
+func (i *Issuer) open(now time.Time) {
+	steady := i.started.Add(now.Sub(i.started))
+	i.current = max(steady.UnixMilli(), i.current+1)
+	i.ends = now.Add(i.window)
+	i.issued = map[string]string{}
+}
+
 // Verify returns what a ticket of any host says, or an error for one that is forged or unreadable.
 func (i *Issuer) Verify(token string) (*Claims, error) {
 	var claims Claims
--- a/entry/pkg/worker/client.go
+++ b/entry/pkg/worker/client.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
 
 	"chervilusher.dev/entry/pkg/dispatch"
@@ -26,6 +27,8 @@
 	statusRetry = 100 * time.Millisecond
 )
 
+var crossedAnswers = metrics.GetOrCreateCounter(`chervilusher_answers_dropped_total{why="crossed"}`)
+
 // Client leases workers and runs tasks on them.
 type Client struct {
 	http *http.Client
@@ -86,18 +89,15 @@
 	if err != nil && !connected.Load() {
 		return dispatch.Outcome{Verdict: dispatch.VerdictNotRun, Error: err.Error()}
 	}
-	if err != nil {
+	if err == nil && header.Get(platform.HeaderTask) != start.ID {
+		crossedAnswers.Inc()
 		return c.await(ctx, start)
 	}
-	if header.Get(platform.HeaderRan) == "no" {
-		return dispatch.Outcome{
-			Verdict: dispatch.VerdictNotRun,
-			Error:   fmt.Sprintf("status %d", code),
-			Busy:    code == http.StatusServiceUnavailable,
-		}
+	if err == nil && header.Get(platform.HeaderRan) == "no" {
+		return refused(code, start)
 	}
-	if code >= http.StatusBadRequest {
-		return dispatch.Outcome{Verdict: dispatch.VerdictFailed, Error: fmt.Sprintf("status %d", code)}
+	if err != nil || code >= http.StatusBadRequest {
+		return c.await(ctx, start)
 	}
 	if outcome, ended := outcomeOf(&status, start.ID); ended {
 		return outcome
@@ -105,6 +105,33 @@
 	return c.await(ctx, start)
 }
 
+// refused reads a refusal that started nothing; a worker that does not know the fencing token gets no more starts under it.
+func refused(code int, start *dispatch.Start) dispatch.Outcome {
+	outcome := dispatch.Outcome{
+		Verdict: dispatch.VerdictNotRun,
+		Error:   fmt.Sprintf("status %d", code),
+		Busy:    code == http.StatusServiceUnavailable,
+	}
+	if code == http.StatusConflict {
+		outcome.Busy = true
+		outcome.Fence = start.Backend.Fence
+	}
+	return outcome
+}
+
+// Query asks a worker what it knows of a start.
+func (c *Client) Query(ctx context.Context, stop *dispatch.Stop) (*platform.TaskStatus, error) {
+	var status platform.TaskStatus
+	code, _, err := c.call(ctx, http.MethodGet, taskURL(stop.Backend.Address, stop.ID)+"?wait="+statusWait.String(), nil, &status)
+	if err != nil {
+		return nil, err
+	}
+	if code != http.StatusOK {
+		return nil, errors.Errorf("query: status %d", code)
+	}
+	return &status, nil
+}
+
 // Stop stops a start, or leaves a tombstone so that it never begins.
 func (c *Client) Stop(ctx context.Context, stop *dispatch.Stop) (*platform.TaskStatus, error) {
 	var status platform.TaskStatus
@@ -118,47 +145,35 @@
 	return &status, nil
 }
 
-// await asks for the task's end by its identifier until the context ends.
+// await asks for the task's end by its identifier until the context ends or the worker does not know the task.
 func (c *Client) await(ctx context.Context, start *dispatch.Start) dispatch.Outcome {
-	url := taskURL(start.Backend.Address, start.ID) + "?wait=" + statusWait.String()
-	for {
-		var status platform.TaskStatus
-		code, _, err := c.call(ctx, http.MethodGet, url, nil, &status)
-		if err == nil && code == http.StatusOK {
-			if outcome, ended := outcomeOf(&status, start.ID); ended {
+	lost := dispatch.Outcome{Verdict: dispatch.VerdictUnknown, Error: "the worker's answer is lost"}
+	for ctx.Err() == nil {
+		status, err := c.Query(ctx, &dispatch.Stop{ID: start.ID, Backend: start.Backend})
+		if err == nil && status.Task == start.ID {
+			if outcome, ended := outcomeOf(status, start.ID); ended {
 				return outcome
 			}
 			if status.State == platform.TaskAbsent {
-				return c.bury(ctx, start)
+				return lost
 			}
 			continue
 		}
+		if err == nil {
+			crossedAnswers.Inc()
+		}
 		select {
 		case <-ctx.Done():
-			return dispatch.Outcome{Verdict: dispatch.VerdictUnknown, Error: "the worker's answer is lost"}
 		case <-time.After(statusRetry):
 		}
 	}
-}
-
-// bury leaves a tombstone for a start that has not arrived; only then it is certain that it never will run.
-func (c *Client) bury(ctx context.Context, start *dispatch.Start) dispatch.Outcome {
-	status, err := c.Stop(ctx, &dispatch.Stop{ID: start.ID, Backend: start.Backend})
-	if err != nil {
-		return dispatch.Outcome{Verdict: dispatch.VerdictUnknown, Error: err.Error()}
-	}
-	if status.State == platform.TaskAbsent {
-		return dispatch.Outcome{Verdict: dispatch.VerdictNotRun, Error: "the start was lost on its way"}
-	}
-	if outcome, ended := outcomeOf(status, start.ID); ended {
-		return outcome
-	}
-	return dispatch.Outcome{Verdict: dispatch.VerdictUnknown, Error: "the task was stopped while its answer was lost"}
+	return lost
 }
 
 func outcomeOf(status *platform.TaskStatus, id string) (outcome dispatch.Outcome, ended bool) {
 	if status.Task != id {
-		return dispatch.Outcome{Verdict: dispatch.VerdictUnknown, Error: "the answer belongs to another task"}, true
+		crossedAnswers.Inc()
+		return dispatch.Outcome{}, false
 	}
 	switch status.State {
 	case platform.TaskDone:
