--- a/entry/pkg/ledger/ledger.go
+++ b/entry/pkg/ledger/ledger.go
@@ -167,13 +167,7 @@
 		}
 	}
 	l.floor = max(l.floor, floor)
-	for id, entry := range l.late {
-		if entry.Job == nil && now.Sub(entry.Decided) > l.limits.Keep {
-			l.dropAnswer(entry)
-			delete(l.late, id)
-			l.entries--
-		}
-	}
+	l.dropLate(func(entry *Entry) bool { return now.Sub(entry.Decided) > l.limits.Keep })
 }
 
 // Size returns how many submissions are remembered and the bytes of their answers.
@@ -211,16 +205,30 @@
 	return l.started.Add(now.Sub(l.started))
 }
 
-// makeRoom forgets older windows while the bound on entries is reached, and reports whether one more fits.
+// makeRoom forgets ended submissions of older windows while the bound on entries is reached, and reports whether one more fits.
 func (l *Ledger) makeRoom(start int64) bool {
 	for l.entries >= l.limits.Entries {
 		oldest, ok := l.oldest()
 		if !ok || oldest >= start {
-			return false
+			break
 		}
 		l.forget(oldest)
 	}
-	return true
+	if l.entries >= l.limits.Entries {
+		l.dropLate(func(*Entry) bool { return true })
+	}
+	return l.entries < l.limits.Entries
+}
+
+// dropLate forgets the ended submissions of forgotten windows that the filter names.
+func (l *Ledger) dropLate(drop func(entry *Entry) bool) {
+	for id, entry := range l.late {
+		if entry.Job == nil && drop(entry) {
+			l.dropAnswer(entry)
+			delete(l.late, id)
+			l.entries--
+		}
+	}
 }
 
 func (l *Ledger) window(start int64) *window {
