Bound the connections that one host opens to a minion

Cause: under 14,800 starts a second to 48 minions of 64 slots and 64 connections, 18 of 1,480 jobs of 100 tasks failed with task_unknown, EOF. A finished exchange gives its connection back a moment after the slot is free; the next start dialled a 65th connection, which the minion cut off. Change: the entry hosts share a minion's connections evenly, and the HTTP transport waits for one instead of dialling past the bound. Also adds pprof to the operators' address, with which the CPU was looked at.

--- a/entry/pkg/app/daemon.go
+++ b/entry/pkg/app/daemon.go
@@ -103,13 +103,12 @@
 	entries := ledger.New(c.Settings.Ticket.Window.Std(), c.Settings.Ticket.Keep.Std(), c.Settings.Ticket.Bytes)
 	tickets := ticket.New(c.Settings.Ticket.Key, c.Settings.Name, c.Settings.Place, c.Incarnation, c.Settings.Ticket.Window.Std(), c.Clock)
 
-	backendClient := newBackendClient()
 	platformClient := &http.Client{Timeout: platformTimeout}
-	workers := worker.New(backendClient)
+	workers := worker.New(newBackendClient(0))
 	peerClient := peer.NewClient()
 	peerServer := peer.NewServer()
 
-	dispatcher := controllers.NewDispatchController(c, board, engine, minion.New(backendClient), workers)
+	dispatcher := controllers.NewDispatchController(c, board, engine, minion.New(newBackendClient), workers)
 	submissions := controllers.NewSubmissionController(c, board, engine, entries, dispatcher)
 	routing := controllers.NewRoutingController(c, board, tickets, submissions, peerClient, peerServer)
 	leases := controllers.NewLeaseController(c, board, workers, dispatcher)
@@ -195,10 +194,12 @@
 	return opened, nil
 }
 
-func newBackendClient() *http.Client {
+// newBackendClient makes a client that opens at most so many connections to one back end; zero means no bound.
+func newBackendClient(connections int) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
 			MaxIdleConnsPerHost: idleConnections,
+			MaxConnsPerHost:     connections,
 			IdleConnTimeout:     idleConnectionTimeout,
 			DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
 			DisableCompression:  true,
--- a/entry/pkg/blackboard/backend.go
+++ b/entry/pkg/blackboard/backend.go
@@ -38,7 +38,7 @@
 	Role         platform.Role
 	Leaving      bool // it gets no new work
 	Slots        int  // tasks that it runs at once, for all hosts together
-	Connections  int
+	Connections  int  // that this host may open to it; zero means no bound
 	Cores        float64
 	Memory       int64 // bytes
 	Accelerators int
--- a/entry/pkg/controllers/backends_controller.go
+++ b/entry/pkg/controllers/backends_controller.go
@@ -41,10 +41,11 @@
 // HostsChanged takes minions and workers over from the host list.
 func (b *BackendsController) HostsChanged() {
 	hosts := b.board.Hosts.Load()
+	sharing := len(b.board.Members.Load().ByName)
 	b.board.Dispatch.Lock()
 	for _, host := range hosts.ByName {
 		if host.Role == platform.RoleMinion || host.Role == platform.RoleWorker {
-			b.take(&host)
+			b.take(&host, sharing)
 		}
 	}
 	b.removeMissing(hosts)
@@ -53,7 +54,7 @@
 	b.assigner.AssignAll()
 }
 
-func (b *BackendsController) take(host *platform.Host) {
+func (b *BackendsController) take(host *platform.Host, sharing int) {
 	group := b.engine.Group(host.Group)
 	group.Role = host.Role
 	backend, ok := group.Backends[host.Name]
@@ -69,7 +70,7 @@
 	backend.Rack = host.Rack
 	backend.Leaving = host.State == platform.HostLeaving
 	backend.Slots = slotsOf(host)
-	backend.Connections = host.Connections
+	backend.Connections = connectionsOf(host, sharing)
 	backend.Cores = host.Cores
 	backend.Memory = host.Memory
 	backend.Accelerators = host.Accelerators
@@ -95,3 +96,11 @@
 	}
 	return max(1, host.Slots)
 }
+
+// connectionsOf divides a back end's connections among the entry hosts, so that together they stay below what it accepts.
+func connectionsOf(host *platform.Host, sharing int) int {
+	if host.Connections == 0 {
+		return 0
+	}
+	return max(1, host.Connections/max(1, sharing))
+}
--- a/entry/pkg/minion/client.go
+++ b/entry/pkg/minion/client.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
+	"sync"
 	"sync/atomic"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -22,14 +23,34 @@
 
 var crossedAnswers = metrics.NewCounter(`chervilusher_answers_dropped_total{why="crossed"}`)
 
-// Client starts tasks at minions.
+// Client starts tasks at minions and keeps to the connections that each may get from this host.
 type Client struct {
-	http *http.Client
+	newClient func(connections int) *http.Client
+
+	mu      sync.RWMutex
+	clients map[int]*http.Client // by the bound on connections to one minion
+}
+
+// New returns a client; newClient makes an HTTP client that opens at most so many connections to one minion, where zero means no bound, and that follows no redirects.
+func New(newClient func(connections int) *http.Client) *Client {
+	return &Client{newClient: newClient, clients: map[int]*http.Client{}}
 }
 
-// New returns a client that uses the given HTTP client; that client must follow no redirects.
-func New(client *http.Client) *Client {
-	return &Client{http: client}
+func (c *Client) clientFor(connections int) *http.Client {
+	c.mu.RLock()
+	client, ok := c.clients[connections]
+	c.mu.RUnlock()
+	if ok {
+		return client
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if client, ok := c.clients[connections]; ok {
+		return client
+	}
+	client = c.newClient(connections)
+	c.clients[connections] = client
+	return client
 }
 
 // Start sends the task and waits for its answer; the context's end leaves the outcome unknown once the request may have left.
@@ -48,7 +69,7 @@
 	request.Header.Set(platform.HeaderTask, start.ID)
 	request.Header.Set(platform.HeaderOwner, start.Owner)
 	request.Header.Set(platform.HeaderKind, start.Task.Kind)
-	response, err := c.http.Do(request)
+	response, err := c.clientFor(start.Backend.Connections).Do(request)
 	if err != nil {
 		if connected.Load() {
 			return dispatch.Outcome{Verdict: dispatch.VerdictUnknown, Error: err.Error()}
@@ -74,7 +95,7 @@
 	if err != nil {
 		return nil, err
 	}
-	response, err := c.http.Do(request)
+	response, err := c.clientFor(stop.Backend.Connections).Do(request)
 	if err != nil {
 		return nil, err
 	}
--- a/entry/pkg/operator/server.go
+++ b/entry/pkg/operator/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/http/pprof"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/labstack/echo/v4"
@@ -28,6 +29,8 @@
 	router.GET("/ready", s.ready)
 	router.GET("/metrics", s.metrics)
 	router.GET("/v1/status", s.status)
+	router.GET("/debug/pprof/profile", echo.WrapHandler(http.HandlerFunc(pprof.Profile)))
+	router.GET("/debug/pprof/*", echo.WrapHandler(http.HandlerFunc(pprof.Index)))
 	return router
 }
 
