Collect garbage less often in the entry daemon

Cause: at 14,800 starts a second a profile of 7 s showed 26 % of the CPU time in allocation, the collector's assists among it, over a live heap of a few megabytes. Ruled out: the engine itself (under 5 %). Change: the heap may grow to five times its live part (GOGC 400).

--- a/entry/pkg/app/app.go
+++ b/entry/pkg/app/app.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/alexflint/go-arg"
@@ -20,6 +21,9 @@
 	exitSettings = 2 // the command line, the settings or an address is wrong
 )
 
+// collectorPercent lets the heap grow to five times its live part between collections, since the live part is small.
+const collectorPercent = 400
+
 type arguments struct {
 	Settings string `arg:"--settings,required" placeholder:"FILE" help:"settings, JSON with comments"`
 }
@@ -47,6 +51,9 @@
 	if err != nil {
 		return complain(err)
 	}
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(collectorPercent)
+	}
 	daemon, err := Listen(loaded, os.Stderr)
 	if err != nil {
 		return complain(err)
