--- a/entry/pkg/app/daemon.go
+++ b/entry/pkg/app/daemon.go
@@ -16,8 +16,6 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
-	"chervilusher.dev/lib/logservice"
-
 	"chervilusher.dev/entry/pkg/blackboard"
 	"chervilusher.dev/entry/pkg/caller"
 	"chervilusher.dev/entry/pkg/common"
@@ -31,6 +29,7 @@
 	"chervilusher.dev/entry/pkg/settings"
 	"chervilusher.dev/entry/pkg/ticket"
 	"chervilusher.dev/entry/pkg/worker"
+	"chervilusher.dev/lib/logservice"
 )
 
 const (
@@ -104,13 +103,12 @@
 	entries := ledger.New(c.Settings.Ticket.Window.Std(), c.Settings.Ticket.Keep.Std(), c.Settings.Ticket.Bytes)
 	tickets := ticket.New(c.Settings.Ticket.Key, c.Settings.Name, c.Settings.Place, c.Incarnation, c.Settings.Ticket.Window.Std(), c.Clock)
 
-	backendClient := newBackendClient()
 	platformClient := &http.Client{Timeout: platformTimeout}
-	workers := worker.New(backendClient)
+	workers := worker.New(newBackendClient(0))
 	peerClient := peer.NewClient()
 	peerServer := peer.NewServer()
 
-	dispatcher := controllers.NewDispatchController(c, board, engine, minion.New(backendClient), workers)
+	dispatcher := controllers.NewDispatchController(c, board, engine, minion.New(newBackendClient), workers)
 	submissions := controllers.NewSubmissionController(c, board, engine, entries, dispatcher)
 	routing := controllers.NewRoutingController(c, board, tickets, submissions, peerClient, peerServer)
 	leases := controllers.NewLeaseController(c, board, workers, dispatcher)
@@ -176,6 +174,7 @@
 }
 
 func listen(loaded *settings.Settings) (listeners, error) {
+	var config net.ListenConfig
 	var opened listeners
 	for _, wanted := range []struct {
 		key     string
@@ -186,7 +185,7 @@
 		{"operator.listen", loaded.Operator.Listen, &opened.operator},
 		{"peer.listen", loaded.Peer.Listen, &opened.peer},
 	} {
-		listener, err := net.Listen("tcp", wanted.address)
+		listener, err := config.Listen(context.Background(), "tcp", wanted.address)
 		if err != nil {
 			return listeners{}, errors.Errorf("%s: %s", wanted.key, err)
 		}
@@ -195,10 +194,12 @@
 	return opened, nil
 }
 
-func newBackendClient() *http.Client {
+// newBackendClient makes a client that opens at most so many connections to one back end; zero means no bound.
+func newBackendClient(connections int) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
 			MaxIdleConnsPerHost: idleConnections,
+			MaxConnsPerHost:     connections,
 			IdleConnTimeout:     idleConnectionTimeout,
 			DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
 			DisableCompression:  true,
