--- a/entry/pkg/minion/client_test.go
+++ b/entry/pkg/minion/client_test.go
@@ -13,10 +13,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"chervilusher.dev/lib/platform"
-
 	"chervilusher.dev/entry/pkg/blackboard"
 	"chervilusher.dev/entry/pkg/dispatch"
+	"chervilusher.dev/lib/platform"
 )
 
 func newBoundedClient(connections int) *http.Client {
