Count starts by the payload's mark in the stand-ins

Cause: a start's identifier differs from try to try, so the count of duplicates by identifier cannot show that one task was started twice. Change: a payload may carry a mark; minions and workers count starts by it.

--- a/standin/pkg/minion/minion.go
+++ b/standin/pkg/minion/minion.go
@@ -78,6 +78,11 @@
 	return counters
 }
 
+// Marks returns how often each payload's mark was started.
+func (m *Minion) Marks() map[string]int64 {
+	return m.ledger.Marks()
+}
+
 // Close ends the minion and stops its tasks.
 func (m *Minion) Close() {
 	m.server.Down()
@@ -139,6 +144,7 @@
 		Length: payload.RunTime(speed),
 		Fail:   payload.Fail,
 		Hang:   faults.Hang,
+		Mark:   payload.Mark,
 		Free:   func() { m.busy.Add(-1) },
 	}
 	if faults.Fail {
--- a/standin/pkg/office/office.go
+++ b/standin/pkg/office/office.go
@@ -22,6 +22,7 @@
 	Faults() *control.Switch[minion.Faults]
 	Server() *listen.Server
 	Counters() task.Counters
+	Marks() map[string]int64
 	Close()
 }
 
@@ -75,6 +76,17 @@
 	return sum
 }
 
+// Marks returns how often each payload's mark was started, over all back ends.
+func (o *Office) Marks() map[string]int64 {
+	sum := map[string]int64{}
+	for _, member := range o.Members {
+		for mark, starts := range member.Marks() {
+			sum[mark] += starts
+		}
+	}
+	return sum
+}
+
 // Control returns the address of the control interface, or an empty string.
 func (o *Office) Control() string {
 	if o.control == nil {
--- a/standin/pkg/task/ledger.go
+++ b/standin/pkg/task/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -45,6 +46,7 @@
 	Fail   string
 	Hang   bool   // never ends by itself
 	Free   func() // called once when the run ends
+	Mark   string // starts are counted by it, unless it is empty
 }
 
 // Ledger remembers the latest tasks of one minion or worker, and those that must never start.
@@ -56,6 +58,7 @@
 	known  map[string]*Run // nil for a tombstone
 	order  []string        // a ring of the known identifiers, oldest at next
 	next   int
+	marks  map[string]int64
 	starts atomic.Int64
 	twice  atomic.Int64
 	ended  atomic.Int64
@@ -67,7 +70,7 @@
 	if size <= 0 {
 		size = DefaultLedgerSize
 	}
-	return &Ledger{clock: clock, size: size, known: map[string]*Run{}}
+	return &Ledger{clock: clock, size: size, known: map[string]*Run{}, marks: map[string]int64{}}
 }
 
 // Start runs a task by the plan; false means that a tombstone forbids it.
@@ -89,7 +92,7 @@
 		}
 		plan.Free()
 	}
-	if !l.record(id, run) {
+	if !l.record(id, run, plan.Mark) {
 		return nil, false
 	}
 	run.mu.Lock()
@@ -101,7 +104,7 @@
 }
 
 // record remembers the run and counts it, unless a tombstone stands.
-func (l *Ledger) record(id string, run *Run) bool {
+func (l *Ledger) record(id string, run *Run, mark string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	earlier, known := l.known[id]
@@ -109,6 +112,9 @@
 		return false
 	}
 	l.starts.Add(1)
+	if mark != "" {
+		l.marks[mark]++
+	}
 	if known {
 		l.twice.Add(1)
 	}
@@ -161,6 +167,13 @@
 	}
 }
 
+// Marks returns how often each mark was started.
+func (l *Ledger) Marks() map[string]int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return maps.Clone(l.marks)
+}
+
 // Counters returns the starts, duplicates, stops and running tasks; the other fields are its user's.
 func (l *Ledger) Counters() Counters {
 	starts := l.starts.Load()
--- a/standin/pkg/task/ledger_test.go
+++ b/standin/pkg/task/ledger_test.go
@@ -63,3 +63,15 @@
 	require.NotNil(t, ledger.Find("b"))
 	require.NotNil(t, ledger.Find("c"))
 }
+
+func TestStartsAreCountedByMark(t *testing.T) {
+	ledger := New(clockwork.NewFakeClock(), 0)
+	for _, id := range []string{"first", "second"} {
+		_, ok := ledger.Start(id, Plan{Hang: true, Free: func() {}, Mark: "m"})
+		require.True(t, ok)
+	}
+	ledger.Bury("third")
+	_, ok := ledger.Start("third", Plan{Hang: true, Free: func() {}, Mark: "m"})
+	require.False(t, ok)
+	require.Equal(t, map[string]int64{"m": 2}, ledger.Marks())
+}
--- a/standin/pkg/task/payload.go
+++ b/standin/pkg/task/payload.go
@@ -14,6 +14,7 @@
 	Work jsontime.Duration `json:"work,omitempty"` // run time at speed 1
 	Fail string            `json:"fail,omitempty"` // ends the task with this error
 	Echo json.RawMessage   `json:"echo,omitempty"` // comes back in the value
+	Mark string            `json:"mark,omitempty"` // starts are counted by it
 }
 
 // Value is what a task that ended well returns.
--- a/standin/pkg/worker/handlers.go
+++ b/standin/pkg/worker/handlers.go
@@ -88,6 +88,7 @@
 		Length: payload.RunTime(speed),
 		Fail:   payload.Fail,
 		Hang:   faults.Hang,
+		Mark:   payload.Mark,
 		Free:   func() { w.room.free(start) },
 	}
 	if faults.Fail {
--- a/standin/pkg/worker/worker.go
+++ b/standin/pkg/worker/worker.go
@@ -75,6 +75,11 @@
 	return counters
 }
 
+// Marks returns how often each payload's mark was started.
+func (w *Worker) Marks() map[string]int64 {
+	return w.ledger.Marks()
+}
+
 // Close ends the worker and stops its tasks.
 func (w *Worker) Close() {
 	w.server.Down()
