Say that a lone unknown start may have run, and prove the first promises with processes

Cause: a failed job said 'ran: yes' as soon as a start had been sent. A start that reached nothing used up the retry budget, so that one dead minion failed jobs that others could have run; a task put back after its deadline could still start; a start was told from the next by a number that goes back; a submission for an owner whose configuration was not yet in force stopped the handler.

Change: yes needs an outcome that shows a run, no needs that no start may still arrive. Starts that reached nothing are tried elsewhere up to a bound, and to the deadline when there was no room. A back end that is silent for 3 s counts as lost.

--- a/entry/pkg/blackboard/job.go
+++ b/entry/pkg/blackboard/job.go
@@ -75,6 +75,7 @@
 	Tasks      []*Task
 	Left       int // tasks without a result
 	Started    bool
+	Ran        bool // an outcome showed that a task ran
 	Unsure     bool // a start's outcome is unknown
 	Answer     *api.Answer
 	Keep       func(answer *api.Answer) // called once with the answer, under the dispatch lock; may be nil
--- a/entry/pkg/controllers/dispatch_controller.go
+++ b/entry/pkg/controllers/dispatch_controller.go
@@ -18,7 +18,9 @@
 	// tickInterval is how often deadlines and delays are looked at.
 	tickInterval = 20 * time.Millisecond
 	// stopTimeout bounds one call that stops a task or asks for its outcome.
-	stopTimeout = 5 * time.Second
+	stopTimeout = 3 * time.Second
+	// silenceTimeout is how long a back end may be silent until a start there counts as lost.
+	silenceTimeout = 3 * time.Second
 	// stopInterval is the delay after a stop whose answer was lost.
 	stopInterval = 100 * time.Millisecond
 	// settleInterval is the delay between questions for the end of a task whose answer is lost.
@@ -151,10 +153,14 @@
 func (d *DispatchController) settle(ctx context.Context, start *dispatch.Start, lost dispatch.Outcome) dispatch.Outcome {
 	settledTotal.Inc()
 	stop := &dispatch.Stop{ID: start.ID, Backend: start.Backend, Supported: true}
-	for ctx.Err() == nil {
+	heard := d.common.Clock.Now()
+	for ctx.Err() == nil && d.common.Clock.Since(heard) < silenceTimeout {
 		status, err := d.starter(start.Backend.Role).Query(ctx, stop)
-		if err == nil && status.Task == start.ID && status.State != platform.TaskRunning {
-			break
+		if err == nil && status.Task == start.ID {
+			heard = d.common.Clock.Now()
+			if status.State != platform.TaskRunning {
+				break
+			}
 		}
 		select {
 		case <-ctx.Done():
--- a/entry/pkg/dispatch/engine.go
+++ b/entry/pkg/dispatch/engine.go
@@ -48,7 +48,7 @@
 // Start is an order to start one task at one back end.
 type Start struct {
 	Task    *blackboard.Task
-	Attempt int
+	Attempt int    // tells the starts of one task apart
 	ID      string // unique for each start
 	Backend blackboard.Backend
 	Payload json.RawMessage
@@ -168,12 +168,13 @@
 
 // Finish takes in how a start ended; an outcome of an earlier attempt is dropped and reported as stale.
 func (e *Engine) Finish(task *blackboard.Task, attempt int, outcome Outcome, now time.Time) (effects Effects, stale bool) {
-	if task.Attempt != attempt || task.State != blackboard.TaskStarted {
+	if task.Tries != attempt || task.State != blackboard.TaskStarted {
 		return Effects{}, true
 	}
 	group := e.Group(task.Target.Group)
 	backend := task.Backend
 	e.release(task)
+	e.learn(task, backend, outcome, now)
 	if outcome.Verdict == VerdictDone {
 		e.policies.Estimator.Observe(task, backend, now.Sub(task.Started))
 	}
@@ -184,7 +185,7 @@
 	case outcome.Verdict == VerdictDone:
 		e.complete(task, outcome.Value)
 	case e.mayStartAgain(group, task, outcome):
-		e.requeue(group, task, outcome)
+		effects.Stops = e.startAgain(group, task, outcome, now)
 	default:
 		effects.Stops = e.fail(task, outcome)
 	}
@@ -214,11 +215,7 @@
 		if job.Decided() || !hasQueued(job) {
 			continue
 		}
-		effects.Stops = append(effects.Stops, e.end(job, &api.Answer{
-			State:  api.StateFailed,
-			Code:   api.CodeExpired,
-			Reason: "the deadline passed before every task could start",
-		})...)
+		effects.Stops = append(effects.Stops, e.end(job, expired())...)
 	}
 	for _, group := range e.board.Groups {
 		e.policies.Health.Tick(group, now)
@@ -284,7 +281,7 @@
 	task.Job.Started = true
 	return Start{
 		Task:    task,
-		Attempt: task.Attempt,
+		Attempt: task.Tries,
 		ID:      startID(task),
 		Backend: *backend,
 		Payload: task.Payload,
--- a/entry/pkg/dispatch/outcome.go
+++ b/entry/pkg/dispatch/outcome.go
@@ -27,12 +27,12 @@
 
 // mayStartAgain allows another start when the last one reached no back end, or when the request is idempotent and the retry budget holds.
 func (e *Engine) mayStartAgain(group *blackboard.Group, task *blackboard.Task, outcome Outcome) bool {
+	if outcome.Verdict == VerdictNotRun {
+		return outcome.Busy || task.Tries < e.maxTries
+	}
 	if task.Tries >= e.maxTries {
 		return false
 	}
-	if outcome.Verdict == VerdictNotRun {
-		return outcome.Busy || e.policies.Health.MayRetry(group)
-	}
 	return task.Job.Idempotent && e.policies.Health.MayRetry(group)
 }
 
@@ -40,9 +40,6 @@
 	if outcome.Verdict == VerdictNotRun {
 		task.Attempt--
 	}
-	if outcome.Verdict == VerdictUnknown {
-		task.Job.Unsure = true
-	}
 	task.State = blackboard.TaskQueued
 	task.Avoid = task.Backend
 	task.Backend = nil
@@ -61,7 +58,6 @@
 		answer.Code = api.CodeUnavailable
 		answer.Reason = place + " reached no back end: " + outcome.Error
 	case VerdictUnknown:
-		task.Job.Unsure = true
 		answer.Code = api.CodeTaskUnknown
 		answer.Reason = place + " may have run, and its answer is lost: " + outcome.Error
 	default:
@@ -74,7 +70,7 @@
 // end decides the job, drops its waiting tasks and returns stops for those that run.
 func (e *Engine) end(job *blackboard.Job, answer *api.Answer) []Stop {
 	var stops []Stop
-	ran := api.RanNo
+	answer.Ran = ranOf(job)
 	for _, task := range job.Tasks {
 		switch task.State {
 		case blackboard.TaskQueued:
@@ -83,14 +79,7 @@
 			stops = append(stops, Stop{ID: startID(task), Backend: *task.Backend, Supported: task.Target.Tombstones})
 		case blackboard.TaskEnded, blackboard.TaskDropped:
 		}
-		if task.Attempt > 0 {
-			ran = api.RanYes
-		}
-	}
-	if job.Unsure && ran == api.RanNo {
-		ran = api.RanUnknown
 	}
-	answer.Ran = ran
 	e.decide(job, answer)
 	return stops
 }
--- a/entry/pkg/dispatch/refuse.go
+++ b/entry/pkg/dispatch/refuse.go
@@ -16,7 +16,10 @@
 const retryOverQuota = 500 * time.Millisecond
 
 func (e *Engine) refuse(job *blackboard.Job, now time.Time) *Refusal {
-	owner := e.board.Owners[job.Owner]
+	owner, ok := e.board.Owners[job.Owner]
+	if !ok {
+		return &Refusal{Code: api.CodeUnavailable, Reason: "the owner's configuration is not in force yet", RetryAfter: retryWithoutBackends}
+	}
 	if owner.Queued+len(job.Tasks) > owner.MaxWait {
 		return &Refusal{
 			Code:       api.CodeQuota,
--- a/entry/pkg/worker/client.go
+++ b/entry/pkg/worker/client.go
@@ -23,6 +23,8 @@
 	maxAnswerBytes = 1 << 20
 	// statusWait is how long one question for a task's end waits.
 	statusWait = 10 * time.Second
+	// silenceTimeout is how long a worker may be silent until a start there counts as lost.
+	silenceTimeout = 3 * time.Second
 	// statusRetry is the delay after a question for a task's end failed.
 	statusRetry = 100 * time.Millisecond
 )
@@ -148,9 +150,11 @@
 // await asks for the task's end by its identifier until the context ends or the worker does not know the task.
 func (c *Client) await(ctx context.Context, start *dispatch.Start) dispatch.Outcome {
 	lost := dispatch.Outcome{Verdict: dispatch.VerdictUnknown, Error: "the worker's answer is lost"}
-	for ctx.Err() == nil {
+	heard := time.Now()
+	for ctx.Err() == nil && time.Since(heard) < silenceTimeout {
 		status, err := c.Query(ctx, &dispatch.Stop{ID: start.ID, Backend: start.Backend})
 		if err == nil && status.Task == start.ID {
+			heard = time.Now()
 			if outcome, ended := outcomeOf(status, start.ID); ended {
 				return outcome
 			}
--- /dev/null
+++ b/integration/fleet_test.go
@@ -0,0 +1,385 @@
+package integration
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"chervilusher.dev/lib/api"
+	"chervilusher.dev/lib/client"
+	"chervilusher.dev/lib/configuration"
+	"chervilusher.dev/lib/jsontime"
+	"chervilusher.dev/lib/logservice"
+	"chervilusher.dev/lib/platform"
+	"chervilusher.dev/standin/pkg/hostlist"
+	standinlog "chervilusher.dev/standin/pkg/logservice"
+	"chervilusher.dev/standin/pkg/office"
+	"chervilusher.dev/standin/pkg/relay"
+)
+
+const (
+	ownerToken = "the token of the tests' owner"
+	patience   = 20 * time.Second
+	pollEvery  = 20 * time.Millisecond
+)
+
+var entryBinary string
+
+func TestMain(m *testing.M) {
+	os.Exit(runWithBinary(m))
+}
+
+// runWithBinary builds the daemon once for all tests.
+func runWithBinary(m *testing.M) int {
+	directory, err := os.MkdirTemp("", "integration")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(directory) }()
+	entryBinary = filepath.Join(directory, "entry")
+	build := exec.Command("go", "build", "-o", entryBinary, "chervilusher.dev/entry")
+	if output, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "cannot build the daemon: %s\n%s", err, output)
+		return 1
+	}
+	return m.Run()
+}
+
+// plan describes a fleet.
+type plan struct {
+	places  []string // one for each entry host
+	minions int
+	slots   int
+	workers int
+	cores   float64
+	speeds  []float64
+	lag     time.Duration // of the host list
+	keep    time.Duration // of kept answers
+	timeout time.Duration // of the service and the pool
+}
+
+// fleet is running daemons and the stand-ins around them.
+type fleet struct {
+	t       *testing.T
+	office  *office.Office
+	entries []*entry
+}
+
+// entry is one daemon's process; peers, and the platform's services, are reached through relays of its own.
+type entry struct {
+	t        *testing.T
+	name     string
+	place    string
+	caller   string
+	operator string
+	peer     string
+	inward   *relay.Relay // other hosts to this one
+	log      *relay.Relay
+	hosts    *relay.Relay
+	settings string
+	command  *exec.Cmd
+	exited   chan error
+}
+
+func newFleet(t *testing.T, wanted plan) *fleet {
+	t.Helper()
+	f := &fleet{t: t}
+	settings := office.Settings{
+		Log:   standinlog.Settings{Listen: "127.0.0.1:0"},
+		Hosts: hostlist.Settings{Listen: "127.0.0.1:0", Lag: jsontime.Duration(wanted.lag)},
+	}
+	places := uniquePlaces(wanted.places)
+	if wanted.minions > 0 {
+		settings.Groups = append(settings.Groups, office.Group{
+			Name: "desk", Role: platform.RoleMinion, Places: places, Count: wanted.minions,
+			Address: "127.0.0.1", Slots: wanted.slots, Speeds: wanted.speeds,
+		})
+	}
+	if wanted.workers > 0 {
+		settings.Groups = append(settings.Groups, office.Group{
+			Name: "pool", Role: platform.RoleWorker, Places: places, Count: wanted.workers,
+			Address: "127.0.0.1", Cores: wanted.cores,
+		})
+	}
+	for i, place := range wanted.places {
+		f.entries = append(f.entries, newEntry(t, i, place))
+		last := f.entries[i]
+		settings.Entries = append(settings.Entries, office.Entry{Name: last.name, Address: last.inward.Address(), Place: place})
+	}
+	var err error
+	f.office, err = office.New(clockwork.NewRealClock(), settings)
+	require.NoError(t, err)
+	t.Cleanup(f.office.Close)
+	f.publish(wanted)
+	for _, daemon := range f.entries {
+		daemon.log = newRelay(t, f.office.Log.Address())
+		daemon.hosts = newRelay(t, f.office.Hosts.Address())
+		daemon.writeSettings(wanted)
+		daemon.start()
+	}
+	for _, daemon := range f.entries {
+		daemon.waitReady()
+	}
+	f.waitForBackends(wanted)
+	return f
+}
+
+func uniquePlaces(places []string) []string {
+	var unique []string
+	seen := map[string]bool{}
+	for _, place := range places {
+		if !seen[place] {
+			unique = append(unique, place)
+		}
+		seen[place] = true
+	}
+	return unique
+}
+
+func newRelay(t *testing.T, target string) *relay.Relay {
+	t.Helper()
+	made, err := relay.New(clockwork.NewRealClock(), relay.Settings{Name: target, Listen: "127.0.0.1:0", Target: target})
+	require.NoError(t, err)
+	t.Cleanup(made.Close)
+	return made
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	var config net.ListenConfig
+	listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	return address
+}
+
+func newEntry(t *testing.T, index int, place string) *entry {
+	t.Helper()
+	made := &entry{
+		t:        t,
+		name:     fmt.Sprintf("entry-%d", index),
+		place:    place,
+		caller:   freeAddress(t),
+		operator: freeAddress(t),
+		peer:     freeAddress(t),
+	}
+	made.inward = newRelay(t, made.peer)
+	return made
+}
+
+func (e *entry) writeSettings(wanted plan) {
+	keep := wanted.keep
+	if keep == 0 {
+		keep = time.Minute
+	}
+	text := fmt.Sprintf(`{
+		"name": %q, "place": %q,
+		"caller": {"listen": %q}, "operator": {"listen": %q}, "peer": {"listen": %q},
+		"platform": {"log": "http://%s", "hosts": "http://%s"},
+		"ticket": {"key": "a key for the tests alone", "keep": %q},
+		"lease": {"length": "1s", "margin": "300ms"},
+	}`, e.name, e.place, e.caller, e.operator, e.peer, e.log.Address(), e.hosts.Address(), keep)
+	e.settings = filepath.Join(e.t.TempDir(), e.name+".json")
+	require.NoError(e.t, os.WriteFile(e.settings, []byte(text), 0o600))
+}
+
+func (e *entry) start() {
+	e.t.Helper()
+	e.command = exec.Command(entryBinary, "--settings", e.settings)
+	output, err := os.OpenFile(e.settings+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	require.NoError(e.t, err)
+	e.command.Stdout = output
+	e.command.Stderr = output
+	require.NoError(e.t, e.command.Start())
+	exited := make(chan error, 1)
+	e.exited = exited
+	command := e.command
+	go func() { exited <- command.Wait() }()
+	e.t.Cleanup(func() {
+		_ = command.Process.Signal(syscall.SIGCONT)
+		_ = command.Process.Kill()
+		if e.t.Failed() {
+			e.showLog()
+		}
+	})
+}
+
+func (e *entry) showLog() {
+	const tailBytes = 6000
+	raw, err := os.ReadFile(e.settings + ".log")
+	if err != nil {
+		return
+	}
+	e.t.Logf("%s wrote:\n%s", e.name, raw[max(0, len(raw)-tailBytes):])
+}
+
+func (e *entry) signal(signal syscall.Signal) {
+	e.t.Helper()
+	require.NoError(e.t, e.command.Process.Signal(signal))
+}
+
+func (e *entry) kill() {
+	e.t.Helper()
+	e.signal(syscall.SIGKILL)
+	<-e.exited
+}
+
+func (e *entry) url() string { return "http://" + e.caller }
+
+func (e *entry) ready() bool {
+	status, err := get("http://" + e.operator + "/ready")
+	return err == nil && status == http.StatusOK
+}
+
+func (e *entry) waitReady() {
+	e.t.Helper()
+	require.Eventually(e.t, e.ready, patience, pollEvery, e.name)
+}
+
+func get(address string) (int, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
+	if err != nil {
+		return 0, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	_ = response.Body.Close()
+	return response.StatusCode, nil
+}
+
+func (f *fleet) publish(wanted plan) {
+	f.t.Helper()
+	builder := configuration.NewBuilder("desk-owner")
+	builder.Token("tests", configuration.RoleCaller, ownerToken)
+	timeout := wanted.timeout
+	if timeout == 0 {
+		timeout = 10 * time.Second
+	}
+	builder.Service("desk", "desk", configuration.ServiceOptions{Deadline: time.Minute, Timeout: timeout, Tombstones: true})
+	builder.Service("plain", "desk", configuration.ServiceOptions{Deadline: time.Minute, Timeout: timeout})
+	builder.Pool("pool", "pool", configuration.PoolOptions{Deadline: time.Minute, Timeout: timeout})
+	document, err := builder.Build()
+	require.NoError(f.t, err)
+	record := configuration.Record{Type: configuration.RecordPublish, Publish: "first", Author: "tests", Document: document}
+	log := logservice.New("http://"+f.office.Log.Address(), http.DefaultClient)
+	_, err = log.Append(f.t.Context(), configuration.Stream, record)
+	require.NoError(f.t, err)
+}
+
+// waitForBackends runs tasks through every host until all of them know the back ends and the leases.
+func (f *fleet) waitForBackends(wanted plan) {
+	f.t.Helper()
+	for _, daemon := range f.entries {
+		caller := f.client(daemon)
+		for _, task := range probes(wanted) {
+			require.Eventually(f.t, func() bool {
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				defer cancel()
+				answer, err := caller.Run(ctx, api.Submission{Tasks: []api.Task{task}, Deadline: jsontime.Duration(500 * time.Millisecond)})
+				return err == nil && answer.State == api.StateComplete
+			}, patience, pollEvery, daemon.name)
+		}
+	}
+}
+
+func probes(wanted plan) []api.Task {
+	var tasks []api.Task
+	if wanted.minions > 0 {
+		tasks = append(tasks, api.Task{Service: "desk", Kind: "probe"})
+	}
+	return tasks
+}
+
+// client returns a caller that sends to these hosts, the first one first.
+func (f *fleet) client(to ...*entry) *client.Client {
+	f.t.Helper()
+	options := client.Options{Token: ownerToken, Poll: 5 * time.Second, Attempts: 8}
+	for _, daemon := range to {
+		options.Entries = append(options.Entries, daemon.url())
+	}
+	transport := &http.Transport{MaxIdleConnsPerHost: 64}
+	f.t.Cleanup(transport.CloseIdleConnections)
+	made, err := client.New(options, &http.Client{Transport: transport}, clockwork.NewRealClock())
+	require.NoError(f.t, err)
+	return made
+}
+
+// task returns a task of the service that works for that long and is counted by its mark.
+func task(service, mark string, work time.Duration) api.Task {
+	return api.Task{Service: service, Kind: "test", Payload: payload(mark, work, "")}
+}
+
+func poolTask(mark string, work time.Duration) api.Task {
+	return api.Task{Pool: "pool", Kind: "test", Payload: payload(mark, work, ""), Need: api.Need{Cores: 1}}
+}
+
+func payload(mark string, work time.Duration, fail string) json.RawMessage {
+	raw, err := json.Marshal(map[string]any{"mark": mark, "echo": mark, "work": work.String(), "fail": fail})
+	if err != nil {
+		panic(err)
+	}
+	return raw
+}
+
+func job(tasks ...api.Task) api.Submission {
+	return api.Submission{Tasks: tasks}
+}
+
+// echoOf returns what a task sent back.
+func echoOf(t *testing.T, result api.Result) string {
+	t.Helper()
+	var value struct {
+		Echo string `json:"echo"`
+	}
+	require.NoError(t, json.Unmarshal(result.Value, &value))
+	return value.Echo
+}
+
+// requireAtMostOnce checks that no back end was asked twice for the same work.
+func (f *fleet) requireAtMostOnce() {
+	f.t.Helper()
+	for mark, starts := range f.office.Marks() {
+		require.LessOrEqual(f.t, starts, int64(1), mark)
+	}
+}
+
+// metric returns the value of one of the daemon's own counters.
+func (e *entry) metric(name string) float64 {
+	e.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.operator+"/metrics", nil)
+	require.NoError(e.t, err)
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(e.t, err)
+	defer func() { _ = response.Body.Close() }()
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		if text, ok := strings.CutPrefix(lines.Text(), name+" "); ok {
+			value, err := strconv.ParseFloat(text, 64)
+			require.NoError(e.t, err)
+			return value
+		}
+	}
+	return 0
+}
