--- a/lib/configuration/fold.go
+++ b/lib/configuration/fold.go
@@ -11,6 +11,15 @@
 // maxRejections bounds the rejections that a state remembers.
 const maxRejections = 32
 
+// Decision tells what became of one record of the stream.
+type Decision struct {
+	Offset  int64
+	Publish string
+	Owner   string
+	Version int64  // that the record brought into force; zero when it did not
+	Reason  string // why it was rejected; empty when it was not
+}
+
 // NewState returns the state before the first record.
 func NewState() *State {
 	return &State{Owners: map[string]*Accepted{}}
@@ -18,35 +27,44 @@
 
 // Apply returns the state after one more record and leaves the old one as it was; records below Next change nothing.
 func (s *State) Apply(record platform.Record) *State {
+	next, _ := s.Step(record)
+	return next
+}
+
+// Step returns the state after one more record, and what became of the record; the old state stays as it was.
+func (s *State) Step(record platform.Record) (*State, Decision) {
+	decision := Decision{Offset: record.Offset}
 	if record.Offset < s.Next {
-		return s
+		return s, decision
 	}
-	next := s.clone()
-	next.Next = record.Offset + 1
+	next := &State{Next: record.Offset + 1, Owners: s.Owners, Rejections: s.Rejections}
 	var parsed Record
 	if err := json.Unmarshal(record.Data, &parsed); err != nil {
-		next.reject(Rejection{Offset: record.Offset, Reason: "the record is not valid JSON: " + err.Error()})
-		return next
+		decision.Reason = "the record is not valid JSON: " + err.Error()
+		next.reject(decision, "")
+		return next, decision
 	}
 	if parsed.Type == RecordSnapshot {
-		return next
+		return next, decision
+	}
+	decision.Publish = parsed.Publish
+	if parsed.Document != nil {
+		decision.Owner = parsed.Document.Owner
 	}
-	if reason := next.refusal(&parsed); reason != "" {
-		rejection := Rejection{Offset: record.Offset, Publish: parsed.Publish, Author: parsed.Author, Reason: reason}
-		if parsed.Document != nil {
-			rejection.Owner = parsed.Document.Owner
-		}
-		next.reject(rejection)
-		return next
+	if decision.Reason = s.refusal(&parsed); decision.Reason != "" {
+		next.reject(decision, parsed.Author)
+		return next, decision
 	}
-	next.Owners[parsed.Document.Owner] = &Accepted{
-		Version:  parsed.Base + 1,
+	decision.Version = parsed.Base + 1
+	next.Owners = maps.Clone(s.Owners)
+	next.Owners[decision.Owner] = &Accepted{
+		Version:  decision.Version,
 		Offset:   record.Offset,
 		Publish:  parsed.Publish,
 		Author:   parsed.Author,
 		Document: *parsed.Document,
 	}
-	return next
+	return next, decision
 }
 
 // Version returns the owner's accepted version, or zero.
@@ -75,14 +93,18 @@
 	return ""
 }
 
-func (s *State) clone() *State {
-	return &State{Next: s.Next, Owners: maps.Clone(s.Owners), Rejections: s.Rejections}
+func (s *State) reject(decision Decision, author string) {
+	s.Rejections = append(lastRejections(s.Rejections, maxRejections-1), Rejection{
+		Offset:  decision.Offset,
+		Publish: decision.Publish,
+		Owner:   decision.Owner,
+		Author:  author,
+		Reason:  decision.Reason,
+	})
 }
 
-func (s *State) reject(rejection Rejection) {
-	kept := s.Rejections
-	if len(kept) >= maxRejections {
-		kept = kept[len(kept)-maxRejections+1:]
-	}
-	s.Rejections = append(kept[:len(kept):len(kept)], rejection)
+// lastRejections returns the latest of the rejections with no room to grow, so that an append copies them.
+func lastRejections(rejections []Rejection, most int) []Rejection {
+	kept := rejections[max(0, len(rejections)-most):]
+	return kept[:len(kept):len(kept)]
 }
