--- a/entry/pkg/dispatch/outcome.go
+++ b/entry/pkg/dispatch/outcome.go
@@ -3,10 +3,9 @@
 import (
 	"strconv"
 
-	"chervilusher.dev/lib/api"
-
 	"chervilusher.dev/entry/pkg/blackboard"
 	"chervilusher.dev/entry/pkg/invariant"
+	"chervilusher.dev/lib/api"
 )
 
 func (e *Engine) complete(task *blackboard.Task, value []byte) {
@@ -81,7 +80,7 @@
 		case blackboard.TaskQueued:
 			e.drop(task)
 		case blackboard.TaskStarted:
-			stops = append(stops, Stop{ID: startID(task), Backend: *task.Backend})
+			stops = append(stops, Stop{ID: startID(task), Backend: *task.Backend, Supported: task.Target.Tombstones})
 		case blackboard.TaskEnded, blackboard.TaskDropped:
 		}
 		if task.Attempt > 0 {
--- a/lib/configuration/fold.go
+++ b/lib/configuration/fold.go
@@ -18,6 +18,8 @@
 	Owner   string
 	Version int64  // that the record brought into force; zero when it did not
 	Reason  string // why it was rejected; empty when it was not
+
+	Document *Document // that was accepted; nil when none was
 }
 
 // NewState returns the state before the first record.
@@ -56,6 +58,7 @@
 		return next, decision
 	}
 	decision.Version = parsed.Base + 1
+	decision.Document = parsed.Document
 	next.Owners = maps.Clone(s.Owners)
 	next.Owners[decision.Owner] = &Accepted{
 		Version:  decision.Version,
--- a/lib/configuration/reader_test.go
+++ b/lib/configuration/reader_test.go
@@ -9,7 +9,6 @@
 	"testing"
 	"time"
 
-	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -149,40 +148,6 @@
 	require.False(t, behind.Merge(ahead.State().Since(0)), "the same state brings nothing")
 }
 
-func TestPublisherFindsRecordAfterLostAnswer(t *testing.T) {
-	log := &fakeLog{lose: func() bool { return true }}
-	publisher := NewPublisher(log, clockwork.NewRealClock(), NewState())
-	decision, err := publisher.Publish(context.Background(), publish("a", "p0", 0))
-	require.NoError(t, err)
-	require.EqualValues(t, 1, decision.Version)
-	require.Len(t, log.records, 1)
-}
-
-func TestPublisherTellsWhyARecordWasRejected(t *testing.T) {
-	log := &fakeLog{}
-	publisher := NewPublisher(log, clockwork.NewRealClock(), NewState())
-	_, err := publisher.Publish(context.Background(), publish("a", "p0", 0))
-	require.NoError(t, err)
-	decision, err := publisher.Publish(context.Background(), publish("a", "p1", 0))
-	require.NoError(t, err)
-	require.Zero(t, decision.Version)
-	require.Contains(t, decision.Reason, "made from version 0, but version 1 is in force")
-}
-
-func TestPublisherDoesNotGuessWhenItsRecordWasDropped(t *testing.T) {
-	log := &fakeLog{}
-	appendRecord(t, log, publish("a", "p0", 0))
-	log.lose = func() bool {
-		log.lose = nil
-		appendRecord(t, log, publish("a", "p2", 2))
-		log.retain(1)
-		return true
-	}
-	publisher := NewPublisher(log, clockwork.NewRealClock(), NewState())
-	_, err := publisher.Publish(context.Background(), publish("a", "p1", 1))
-	require.ErrorIs(t, err, ErrOutcomeLost)
-}
-
 // TestThousandRacingPublishes runs the same race for a thousand publishes on fixed seeds.
 func TestThousandRacingPublishes(t *testing.T) {
 	for seed := range int64(4) {
@@ -209,47 +174,6 @@
 	require.Less(t, unknowable.Load(), max(1, races/20), "the races prove little when the state is lost to all")
 }
 
-// TestRacingPublishers lets publishers race from the same bases through lost answers and outages: each learns its own record's true outcome.
-func TestRacingPublishers(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		race := newRace(rapid.Int64().Draw(t, "seed"))
-		publishers := make([]*Publisher, 3)
-		pending := make([]*publication, len(publishers))
-		for i := range publishers {
-			publishers[i] = NewPublisher(race.log, clockwork.NewFakeClock(), NewState())
-		}
-		for race.published < 300 || race.log.down {
-			if race.random.Intn(20) == 0 {
-				race.log.down = !race.log.down
-			}
-			i := race.random.Intn(len(publishers))
-			if pending[i] == nil {
-				race.published++
-				id := fmt.Sprint("p", race.published)
-				pending[i] = &publication{record: publish("a", id, publishers[i].State().Version("a"))}
-			}
-			err := publishers[i].attempt(context.Background(), pending[i])
-			race.observe(t)
-			if errors.Is(err, ErrOutcomeLost) {
-				pending[i] = nil
-				continue
-			}
-			if found := pending[i].found; found != nil {
-				accepted := race.accepted[fmt.Sprint("a", pending[i].record.Base+1)] == found.Publish
-				require.Equal(t, accepted, found.Version > 0)
-				pending[i] = nil
-			}
-		}
-		appends := map[string]int{}
-		for _, record := range race.log.records {
-			var parsed Record
-			require.NoError(t, json.Unmarshal(record.Data, &parsed))
-			appends[parsed.Publish]++
-			require.Equal(t, 1, appends[parsed.Publish], "a record was appended again though it stood in the log")
-		}
-	})
-}
-
 // unknowable counts the races in which no reader could know the state any more.
 var unknowable atomic.Int64
 
