--- a/load/main.go
+++ b/load/main.go
@@ -1,4 +1,4 @@
-// Command load is a part of chervilusher; see the README.
+// Command load runs experiments against entry hosts and reports what it measured.
 package main
 
 import (
--- a/load/pkg/app/doc.go
+++ b/load/pkg/app/doc.go
@@ -1,2 +1,2 @@
-// Package app builds the program from its parts and runs it.
+// Package app reads the command line, runs experiments and compares their results.
 package app
--- /dev/null
+++ b/load/pkg/fleet/doc.go
@@ -0,0 +1,2 @@
+// Package fleet starts the stand-ins and the entry hosts of an experiment and publishes the owners' configuration.
+package fleet
