--- a/entry/pkg/dispatch/outcome.go
+++ b/entry/pkg/dispatch/outcome.go
@@ -3,10 +3,9 @@
 import (
 	"strconv"
 
-	"chervilusher.dev/lib/api"
-
 	"chervilusher.dev/entry/pkg/blackboard"
 	"chervilusher.dev/entry/pkg/invariant"
+	"chervilusher.dev/lib/api"
 )
 
 func (e *Engine) complete(task *blackboard.Task, value []byte) {
@@ -108,6 +107,9 @@
 	answer.Key = job.Key
 	answer.Tasks = len(job.Tasks)
 	job.Answer = answer
+	if job.Keep != nil {
+		job.Keep(answer)
+	}
 	close(job.Done)
 }
 
--- /dev/null
+++ b/lib/publish/publisher.go
@@ -0,0 +1,124 @@
+package publish
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+
+	"chervilusher.dev/lib/configuration"
+	"chervilusher.dev/lib/platform"
+)
+
+const (
+	// readLimit is how many records one read asks for.
+	readLimit = 256
+	// attempts is how often a publisher turns to the log while it fails or its answers are lost.
+	attempts = 5
+	// firstDelay is the delay before the second attempt; it doubles each time.
+	firstDelay = 100 * time.Millisecond
+)
+
+// ErrOutcomeLost means that the log dropped records, the published one perhaps among them, before they could be read.
+var ErrOutcomeLost = errors.New("the log dropped records before the outcome could be read; the state shows what is in force")
+
+// Log is the part of the log service that a publisher needs.
+type Log interface {
+	Append(ctx context.Context, stream string, data any) (int64, error)
+	Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (*platform.Batch, error)
+}
+
+// Publisher publishes documents and reads the accepted state from the log.
+type Publisher struct {
+	log   Log
+	clock clockwork.Clock
+}
+
+// Outcome is what became of one publish record; exactly one of its fields is set.
+type Outcome struct {
+	Accepted *configuration.Accepted  `json:"accepted,omitempty"`
+	Rejected *configuration.Rejection `json:"rejected,omitempty"`
+}
+
+// Change is one record of an owner's history.
+type Change struct {
+	Offset  int64     `json:"offset"`
+	Time    time.Time `json:"time"`
+	Version int64     `json:"version,omitempty"` // zero if the record was rejected
+	Base    int64     `json:"base"`
+	Publish string    `json:"publish"`
+	Author  string    `json:"author"`
+	Reason  string    `json:"reason,omitempty"` // why it was rejected
+}
+
+// New returns a publisher that writes to and reads from the log.
+func New(log Log, clock clockwork.Clock) *Publisher {
+	return &Publisher{log: log, clock: clock}
+}
+
+// State returns the configuration that the log's records add up to.
+func (p *Publisher) State(ctx context.Context) (*configuration.State, error) {
+	follower := newFollower(p.log, "")
+	if err := follower.catchUp(ctx); err != nil {
+		return nil, err
+	}
+	if follower.reader.Searching() {
+		return nil, errors.New("the log no longer keeps its first records and holds no snapshot yet; ask an entry host for the state")
+	}
+	return follower.reader.State(), nil
+}
+
+// History returns the owner's records that the log still keeps, oldest first.
+func (p *Publisher) History(ctx context.Context, owner string) ([]Change, error) {
+	changes := []Change{}
+	follower := newFollower(p.log, "")
+	follower.visit = func(raw platform.Record, decision configuration.Decision) {
+		if decision.Owner == owner && decision.Publish != "" {
+			changes = append(changes, describe(raw, decision))
+		}
+	}
+	return changes, follower.catchUp(ctx)
+}
+
+// Publish appends the record and returns what became of it; when an answer is lost it looks for the record in the log before it appends again.
+func (p *Publisher) Publish(ctx context.Context, record configuration.Record) (*Outcome, error) {
+	if record.Publish == "" || record.Document == nil {
+		return nil, errors.New("the record needs a publish identifier and a document")
+	}
+	record.Type = configuration.RecordPublish
+	follower := newFollower(p.log, record.Publish)
+	var last error
+	for attempt := range attempts {
+		last = follower.attempt(ctx, &record)
+		if follower.outcome != nil {
+			return follower.outcome, nil
+		}
+		if errors.Is(last, ErrOutcomeLost) {
+			return nil, last
+		}
+		if !p.pause(ctx, firstDelay<<attempt) {
+			return nil, errors.WithStack(ctx.Err())
+		}
+	}
+	return nil, errors.Wrapf(last, "publish %s may or may not be in the log; look for it in the history", record.Publish)
+}
+
+func (p *Publisher) pause(ctx context.Context, length time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-p.clock.After(length):
+		return true
+	}
+}
+
+func describe(raw platform.Record, decision configuration.Decision) Change {
+	var record configuration.Record
+	_ = json.Unmarshal(raw.Data, &record) // the fold has parsed it before
+	return Change{
+		Offset: raw.Offset, Time: raw.Time, Base: record.Base, Publish: record.Publish, Author: record.Author,
+		Version: decision.Version, Reason: decision.Reason,
+	}
+}
