Serve the operators' API with tokens scoped to an owner

Status, burn, configuration, history and publish take an operator's token and show or change that owner's part alone; drain takes the host's own token. A publish starts from the state in force at the host instead of reading the whole stream; a sent record without a known outcome has an error of its own, and the command line exits 5 on it. Burn figures are counted where a home decides a submission.

--- a/cli/pkg/app/exit.go
+++ b/cli/pkg/app/exit.go
@@ -8,6 +8,7 @@
 	"chervilusher.dev/cli/pkg/operator"
 	"chervilusher.dev/lib/api"
 	"chervilusher.dev/lib/client"
+	"chervilusher.dev/lib/publish"
 )
 
 // Exit codes, which docs/CLI.md explains.
@@ -65,6 +66,8 @@
 		return exitUsage
 	case errors.As(err, &rejected):
 		return exitRejected
+	case errors.Is(err, publish.ErrOutcomeUnknown) || errors.Is(err, publish.ErrOutcomeLost):
+		return exitUnknown
 	case errors.As(err, &answered):
 		return exitOfAnswer(&answered.Answer)
 	case errors.As(err, &lost) && lost.Sent:
--- a/entry/pkg/app/daemon.go
+++ b/entry/pkg/app/daemon.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"chervilusher.dev/entry/pkg/blackboard"
+	"chervilusher.dev/entry/pkg/burn"
 	"chervilusher.dev/entry/pkg/caller"
 	"chervilusher.dev/entry/pkg/common"
 	"chervilusher.dev/entry/pkg/controllers"
@@ -29,7 +30,9 @@
 	"chervilusher.dev/entry/pkg/settings"
 	"chervilusher.dev/entry/pkg/ticket"
 	"chervilusher.dev/entry/pkg/worker"
+	"chervilusher.dev/lib/configuration"
 	"chervilusher.dev/lib/logservice"
+	"chervilusher.dev/lib/publish"
 )
 
 const (
@@ -58,6 +61,7 @@
 	leases      *controllers.LeaseController
 	submissions *controllers.SubmissionController
 	legacies    *controllers.LegacyController
+	drains      *drainRequest
 	services    []service
 }
 
@@ -114,7 +118,9 @@
 	peerServer := peer.NewServer()
 
 	dispatcher := controllers.NewDispatchController(c, board, engine, minion.New(newBackendClient), workers)
-	submissions := controllers.NewSubmissionController(c, board, engine, entries, tickets, dispatcher)
+	inForce := func() *configuration.State { return board.Configuration.Load().State }
+	recorder := burn.New(c.Settings.Name, c.Clock, inForce)
+	submissions := controllers.NewSubmissionController(c, board, engine, entries, tickets, dispatcher, recorder)
 	legacies := controllers.NewLegacyController(c, board, peerClient, peerServer)
 	routing := controllers.NewRoutingController(c, board, tickets, submissions, peerClient, legacies, peerServer)
 	leases := controllers.NewLeaseController(c, board, workers, dispatcher)
@@ -122,20 +128,23 @@
 	lender := controllers.NewFixedLender(c, board)
 	backends := controllers.NewBackendsController(c, board, engine, lender, dispatcher)
 	hosts := controllers.NewHostsController(c, board, hostlist.New(c.Settings.Platform.Hosts, platformClient), members, backends)
-	configurations := controllers.NewConfigurationController(c, board, logservice.New(c.Settings.Platform.Log, platformClient))
+	logClient := logservice.New(c.Settings.Platform.Log, platformClient)
+	configurations := controllers.NewConfigurationController(c, board, logClient)
+	drains := newDrainRequest(submissions)
 
 	return &Daemon{
 		common:      c.Prefixed("app"),
 		board:       board,
 		listeners:   opened,
 		callers:     newHTTPServer(caller.New(c, board, tickets, routing).Handler()),
-		operators:   newHTTPServer(operator.New(c, board).Handler()),
+		operators:   newHTTPServer(operator.New(c, board, publish.NewFrom(logClient, c.Clock, inForce), recorder, drains).Handler()),
 		peers:       peerServer,
 		peerClient:  peerClient,
 		dispatcher:  dispatcher,
 		leases:      leases,
 		submissions: submissions,
 		legacies:    legacies,
+		drains:      drains,
 		services:    []service{dispatcher, submissions, legacies, leases, hosts, configurations},
 	}
 }
@@ -155,7 +164,10 @@
 	running.Go(func() error { return serveHTTP(d.operators, d.listeners.operator) })
 	running.Go(func() error { return serveHTTP(d.callers, d.listeners.caller) })
 	d.common.Log.WithField("incarnation", d.common.Incarnation).Info("serving")
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-d.drains.asked:
+	}
 	d.drain()
 	stopServing()
 	return running.Wait()
--- a/entry/pkg/app/drain.go
+++ b/entry/pkg/app/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 )
 
@@ -62,3 +63,25 @@
 	}
 	return true
 }
+
+// openCounter counts the submissions that have no answer yet.
+type openCounter interface {
+	Open() int
+}
+
+// drainRequest lets an operator start the planned stop that a signal starts too.
+type drainRequest struct {
+	submissions openCounter
+	once        sync.Once
+	asked       chan struct{}
+}
+
+func newDrainRequest(submissions openCounter) *drainRequest {
+	return &drainRequest{submissions: submissions, asked: make(chan struct{})}
+}
+
+// RequestDrain starts the planned stop, once, and returns how many submissions are still finished.
+func (r *drainRequest) RequestDrain() int {
+	r.once.Do(func() { close(r.asked) })
+	return r.submissions.Open()
+}
--- a/entry/pkg/blackboard/job.go
+++ b/entry/pkg/blackboard/job.go
@@ -21,6 +21,8 @@
 
 // Target is where a task may run.
 type Target struct {
+	Service    string // the owner's name; empty for a pool's
+	Pool       string // the owner's name; empty for a service's
 	Group      string
 	Role       platform.Role
 	Places     []string // failure domains; empty means all
--- a/entry/pkg/burn/recorder.go
+++ b/entry/pkg/burn/recorder.go
@@ -16,9 +16,11 @@
 type Recorder struct {
 	host    string
 	clock   clockwork.Clock
+	inForce func() *configuration.State
 	started time.Time
 
 	mutex  sync.Mutex
+	state  *configuration.State // that owners was made from
 	owners map[string][]*series
 }
 
@@ -28,16 +30,18 @@
 	Pool    string
 }
 
-// New returns a recorder without objectives, whose figures count from now.
-func New(host string, clock clockwork.Clock) *Recorder {
-	return &Recorder{host: host, clock: clock, started: clock.Now(), owners: map[string][]*series{}}
+// New returns a recorder whose figures count from now; inForce returns the accepted configuration, the same value until it changes.
+func New(host string, clock clockwork.Clock, inForce func() *configuration.State) *Recorder {
+	return &Recorder{host: host, clock: clock, inForce: inForce, started: clock.Now(), owners: map[string][]*series{}}
 }
 
-// Configure takes over the objectives in force; an unchanged one keeps its figures, a changed one begins anew.
-func (r *Recorder) Configure(state *configuration.State) {
-	now := r.clock.Now()
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
+// refresh takes over the objectives in force; an unchanged one keeps its figures, a changed one begins anew.
+func (r *Recorder) refresh(now time.Time) {
+	state := r.inForce()
+	if state == r.state {
+		return
+	}
+	r.state = state
 	owners := make(map[string][]*series, len(state.Owners))
 	for name, accepted := range state.Owners {
 		for _, objective := range accepted.Document.Objectives {
@@ -55,6 +59,7 @@
 	now := r.clock.Now()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	r.refresh(now)
 	for _, one := range r.owners[owner] {
 		target := Target{Service: one.objective.Service, Pool: one.objective.Pool}
 		if slices.Contains(targets, target) {
@@ -69,6 +74,7 @@
 	report := &api.BurnReport{Hosts: []string{r.host}, Time: now, Since: r.started, Objectives: []api.BurnObjective{}}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	r.refresh(now)
 	for name, all := range r.owners {
 		if owner != "" && owner != name {
 			continue
--- a/entry/pkg/burn/recorder_test.go
+++ b/entry/pkg/burn/recorder_test.go
@@ -32,9 +32,8 @@
 
 func newRecorder(objectives ...configuration.Objective) (*burn.Recorder, *clockwork.FakeClock) {
 	clock := clockwork.NewFakeClockAt(time.Date(2026, 4, 1, 0, 0, 0, 0, time.UTC))
-	recorder := burn.New("entry-1", clock)
-	recorder.Configure(stateWith(objectives...))
-	return recorder, clock
+	state := stateWith(objectives...)
+	return burn.New("entry-1", clock, func() *configuration.State { return state }), clock
 }
 
 func only(t *testing.T, recorder *burn.Recorder) api.BurnObjective {
@@ -91,12 +90,14 @@
 }
 
 func TestAChangedObjectiveBeginsAnew(t *testing.T) {
-	recorder, clock := newRecorder(prompt(0.99))
+	clock := clockwork.NewFakeClock()
+	state := stateWith(prompt(0.99))
+	recorder := burn.New("entry-1", clock, func() *configuration.State { return state })
 	recorder.Record("hokkaido", desk, broken, 0)
 	clock.Advance(time.Minute)
-	recorder.Configure(stateWith(prompt(0.99)))
+	state = stateWith(prompt(0.99))
 	require.EqualValues(t, 1, only(t, recorder).Bad)
-	recorder.Configure(stateWith(prompt(0.9)))
+	state = stateWith(prompt(0.9))
 	objective := only(t, recorder)
 	require.Zero(t, objective.Bad)
 	require.Equal(t, clock.Now(), objective.Since)
@@ -138,6 +139,7 @@
 func TestWindowsAgreeWithTheWholeHistory(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		recorder, clock := newRecorder(prompt(0.99))
+		require.Len(t, recorder.Report("").Objectives, 1)
 		var events []event
 		for range rapid.IntRange(1, 200).Draw(t, "events") {
 			clock.Advance(time.Duration(rapid.Int64Range(0, int64(2*time.Hour)).Draw(t, "gap")))
--- a/entry/pkg/controllers/submission_controller.go
+++ b/entry/pkg/controllers/submission_controller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"chervilusher.dev/entry/pkg/blackboard"
+	"chervilusher.dev/entry/pkg/burn"
 	"chervilusher.dev/entry/pkg/common"
 	"chervilusher.dev/entry/pkg/dispatch"
 	"chervilusher.dev/entry/pkg/ledger"
@@ -42,6 +44,11 @@
 	Close(window int64)
 }
 
+// AnswerRecorder counts answers against the objectives of their owner.
+type AnswerRecorder interface {
+	Record(owner string, targets []burn.Target, answer *api.Answer, took time.Duration)
+}
+
 // SubmissionController is the home of the submissions made under this process's tickets.
 type SubmissionController struct {
 	common  *common.Common
@@ -50,6 +57,7 @@
 	ledger  *ledger.Ledger
 	windows WindowCloser
 	runner  EffectRunner
+	answers AnswerRecorder
 	serial  atomic.Uint64
 }
 
@@ -61,6 +69,7 @@
 	entries *ledger.Ledger,
 	windows WindowCloser,
 	runner EffectRunner,
+	answers AnswerRecorder,
 ) *SubmissionController {
 	return &SubmissionController{
 		common:  c.Prefixed("submission"),
@@ -69,6 +78,7 @@
 		ledger:  entries,
 		windows: windows,
 		runner:  runner,
+		answers: answers,
 	}
 }
 
@@ -180,18 +190,38 @@
 ) (*blackboard.Job, *api.Answer) {
 	var effects dispatch.Effects
 	if refusal == nil {
-		job.Keep = func(answer *api.Answer) { s.ledger.Keep(entry, answer, s.common.Clock.Now()) }
+		job.Keep = func(answer *api.Answer) { s.keep(entry, job, answer, s.common.Clock.Now()) }
 		effects, refusal = s.engine.Submit(job, now)
 	}
 	if refusal != nil {
 		answer := refused(refusal)
-		s.ledger.Keep(entry, answer, now)
+		s.keep(entry, job, answer, now)
 		return nil, answer
 	}
 	s.runner.Run(effects)
 	return job, nil
 }
 
+// keep remembers the final answer and counts it; the job is nil when the submission names what its owner does not have.
+func (s *SubmissionController) keep(entry *ledger.Entry, job *blackboard.Job, answer *api.Answer, now time.Time) {
+	s.ledger.Keep(entry, answer, now)
+	if job != nil {
+		s.answers.Record(job.Owner, targetsOf(job), answer, now.Sub(job.Accepted))
+	}
+}
+
+// targetsOf returns the services and pools of a job, each once.
+func targetsOf(job *blackboard.Job) []burn.Target {
+	var targets []burn.Target
+	for _, task := range job.Tasks {
+		target := burn.Target{Service: task.Target.Service, Pool: task.Target.Pool}
+		if !slices.Contains(targets, target) {
+			targets = append(targets, target)
+		}
+	}
+	return targets
+}
+
 // refuseForeign answers calls that are meant for another process.
 func (s *SubmissionController) refuseForeign(identity *peer.Identity) *api.Answer {
 	if identity.Host != s.common.Settings.Name {
--- a/entry/pkg/controllers/target_resolver.go
+++ b/entry/pkg/controllers/target_resolver.go
@@ -45,6 +45,7 @@
 		return nil, fmt.Errorf("there is no service %q", name)
 	}
 	target := &blackboard.Target{
+		Service:    name,
 		Group:      service.Group,
 		Role:       platform.RoleMinion,
 		Places:     r.domains(service.Places),
@@ -65,6 +66,7 @@
 		return nil, fmt.Errorf("there is no pool %q", name)
 	}
 	target := &blackboard.Target{
+		Pool:       name,
 		Group:      pool.Group,
 		Role:       platform.RoleWorker,
 		Places:     r.domains(pool.Places),
--- a/entry/pkg/operator/status.go
+++ b/entry/pkg/operator/status.go
@@ -13,7 +13,7 @@
 	"chervilusher.dev/lib/platform"
 )
 
-func (s *Server) status(c echo.Context) error {
+func (s *Server) status(c echo.Context, who access) error {
 	status := &api.Status{Time: s.common.Clock.Now()}
 	s.addHosts(status)
 	directory := s.board.Configuration.Load()
@@ -21,7 +21,11 @@
 	s.board.Dispatch.Lock()
 	s.addBackends(status)
 	s.addOwners(status, directory)
+	s.addQueues(status)
 	s.board.Dispatch.Unlock()
+	if !who.host {
+		restrict(status, directory.Document(who.owner))
+	}
 	sortStatus(status)
 	return c.JSON(http.StatusOK, status)
 }
--- a/entry/pkg/queue/single.go
+++ b/entry/pkg/queue/single.go
@@ -47,6 +47,13 @@
 	return true
 }
 
+// Each shows every waiting task, first come first.
+func (s *Single) Each(visit func(task *blackboard.Task)) {
+	for element := s.waiting.Front(); element != nil; element = element.Next() {
+		visit(element.Value.(*blackboard.Task))
+	}
+}
+
 // Len returns how many tasks wait.
 func (s *Single) Len() int {
 	return len(s.elements)
--- a/lib/publish/follower.go
+++ b/lib/publish/follower.go
@@ -18,8 +18,8 @@
 	outcome  *Outcome
 }
 
-func newFollower(log Log, publish string) *follower {
-	return &follower{log: log, reader: configuration.NewReader(configuration.NewState()), publish: publish}
+func newFollower(log Log, known *configuration.State, publish string) *follower {
+	return &follower{log: log, reader: configuration.NewReader(known), publish: publish}
 }
 
 // attempt looks for the record in the log, and appends it only when the log was read to its end without finding it.
--- a/lib/publish/follower_test.go
+++ b/lib/publish/follower_test.go
@@ -97,7 +97,7 @@
 			if pending[i] == nil {
 				published++
 				id := fmt.Sprint("p", published)
-				pending[i] = &publication{newFollower(log, id), configuration.Record{
+				pending[i] = &publication{newFollower(log, configuration.NewState(), id), configuration.Record{
 					Type: configuration.RecordPublish, Publish: id, Author: "test",
 					Base: log.whole.Version("a"), Document: &configuration.Document{Owner: "a"},
 				}}
--- a/lib/publish/publisher.go
+++ b/lib/publish/publisher.go
@@ -24,6 +24,9 @@
 // ErrOutcomeLost means that the log dropped records, the published one perhaps among them, before they could be read.
 var ErrOutcomeLost = errors.New("the log dropped records before the outcome could be read; the state shows what is in force")
 
+// ErrOutcomeUnknown means that a record was sent and that the log did not tell what became of it.
+var ErrOutcomeUnknown = errors.New("the record may or may not be in the log; look for it in the history")
+
 // Log is the part of the log service that a publisher needs.
 type Log interface {
 	Append(ctx context.Context, stream string, data any) (int64, error)
@@ -34,6 +37,7 @@
 type Publisher struct {
 	log   Log
 	clock clockwork.Clock
+	known func() *configuration.State
 }
 
 // Outcome is what became of one publish record; exactly one of its fields is set.
@@ -55,12 +59,17 @@
 
 // New returns a publisher that writes to and reads from the log.
 func New(log Log, clock clockwork.Clock) *Publisher {
-	return &Publisher{log: log, clock: clock}
+	return NewFrom(log, clock, configuration.NewState)
+}
+
+// NewFrom returns a publisher that publishes on top of a state that is known already, and reads only what the log holds after it.
+func NewFrom(log Log, clock clockwork.Clock, known func() *configuration.State) *Publisher {
+	return &Publisher{log: log, clock: clock, known: known}
 }
 
 // State returns the configuration that the log's records add up to.
 func (p *Publisher) State(ctx context.Context) (*configuration.State, error) {
-	follower := newFollower(p.log, "")
+	follower := newFollower(p.log, p.known(), "")
 	if err := follower.catchUp(ctx); err != nil {
 		return nil, err
 	}
@@ -73,7 +82,7 @@
 // History returns the owner's records that the log still keeps, oldest first.
 func (p *Publisher) History(ctx context.Context, owner string) ([]Change, error) {
 	changes := []Change{}
-	follower := newFollower(p.log, "")
+	follower := newFollower(p.log, configuration.NewState(), "")
 	follower.visit = func(raw platform.Record, decision configuration.Decision) {
 		if decision.Owner == owner && decision.Publish != "" {
 			changes = append(changes, describe(raw, decision))
@@ -88,7 +97,7 @@
 		return nil, errors.New("the record needs a publish identifier and a document")
 	}
 	record.Type = configuration.RecordPublish
-	follower := newFollower(p.log, record.Publish)
+	follower := newFollower(p.log, p.known(), record.Publish)
 	var last error
 	for attempt := range attempts {
 		last = follower.attempt(ctx, &record)
@@ -99,10 +108,13 @@
 			return nil, last
 		}
 		if !p.pause(ctx, firstDelay<<attempt) {
-			return nil, errors.WithStack(ctx.Err())
+			break
 		}
 	}
-	return nil, errors.Wrapf(last, "publish %s may or may not be in the log; look for it in the history", record.Publish)
+	if follower.appended {
+		return nil, errors.Wrapf(ErrOutcomeUnknown, "publish %s: %v", record.Publish, last)
+	}
+	return nil, errors.Wrapf(last, "publish %s was not sent", record.Publish)
 }
 
 func (p *Publisher) pause(ctx context.Context, length time.Duration) bool {
