Wait in the outage test until the held request is gone

Cause: TestOutage failed once in 25 runs on a busy machine: the outage was lifted before the server had noticed that the caller of the held append had hung up, so that append took effect. Ruled out: a fault of the service, for an append in flight may take effect; the test's order was wrong. Change: the gate tells how many requests it holds, and the test lifts the outage only once that is none. The check of the offset stands. Proof: go test -race -count=20 ./pkg/logservice.

--- a/standin/pkg/control/gate.go
+++ b/standin/pkg/control/gate.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
@@ -37,6 +38,7 @@
 	clock clockwork.Clock
 	watch func() (Platform, <-chan struct{})
 	draw  *Draw
+	held  atomic.Int64
 }
 
 // NewGate returns a gate that asks watch for the faults that are on.
@@ -71,6 +73,11 @@
 	}
 }
 
+// Held returns how many requests a hanging outage holds at present.
+func (g *Gate) Held() int64 {
+	return g.held.Load()
+}
+
 // Refusing reports whether requests are refused or held at present.
 func (g *Gate) Refusing() bool {
 	faults, _ := g.watch()
@@ -88,6 +95,8 @@
 }
 
 func (g *Gate) waitWhileHung(ctx context.Context) Platform {
+	g.held.Add(1)
+	defer g.held.Add(-1)
 	for {
 		faults, changed := g.watch()
 		if faults.Outage != OutageHang {
--- a/standin/pkg/logservice/service_test.go
+++ b/standin/pkg/logservice/service_test.go
@@ -88,6 +88,7 @@
 	defer cancel()
 	_, err = log.Append(ctx, "a", 1)
 	require.ErrorIs(t, err, context.DeadlineExceeded)
+	require.Eventually(t, func() bool { return service.gate.Held() == 0 }, 10*time.Second, time.Millisecond)
 	service.Faults().Set(Faults{})
 	offset, err := log.Append(context.Background(), "a", 1)
 	require.NoError(t, err)
