Count tasks that start again at any back end

Cause: a start carries an identifier of its own, so a minion cannot see that one task of a job was started twice; the promise is about the task. Change: a recorder shared by an office's back ends remembers owner and echo of each start and counts repeats; the load tool reports them. Proof: go test -race ./... in standin and load.

--- a/load/pkg/app/run.go
+++ b/load/pkg/app/run.go
@@ -95,6 +95,7 @@
 		Jobs:     jobs,
 		Outcomes: outcomes,
 		Backends: running.Office.AllCounters().Backends,
+		Repeats:  running.Office.Recorder.Repeats(),
 		Before:   before,
 		After:    after,
 		Central:  reference.Central(settings, jobs),
--- a/load/pkg/measure/measure.go
+++ b/load/pkg/measure/measure.go
@@ -19,6 +19,7 @@
 	Jobs     []workload.Job
 	Outcomes []caller.Outcome
 	Backends []office.MemberCounters
+	Repeats  int64   // starts of work that had started before
 	Before   []Usage // of each entry host, at the first arrival
 	After    []Usage // of each entry host, after the last answer
 	Central  []time.Duration
@@ -75,7 +76,7 @@
 }
 
 func totals(run *Run, counters []Counter) Totals {
-	sum := Totals{Jobs: len(run.Jobs)}
+	sum := Totals{Jobs: len(run.Jobs), Repeats: run.Repeats}
 	lag, cancels := newSpans(), newSpans()
 	for i := range run.Outcomes {
 		outcome := &run.Outcomes[i]
--- a/load/pkg/measure/results.go
+++ b/load/pkg/measure/results.go
@@ -31,6 +31,7 @@
 	Tasks      int               `json:"tasks"`
 	Starts     int64             `json:"starts"`     // at the back ends
 	Duplicates int64             `json:"duplicates"` // starts of one start identifier at one back end
+	Repeats    int64             `json:"repeats"`    // starts of one task of a job that had started before anywhere
 	Refused    int64             `json:"refused"`    // starts that back ends turned down
 	Foreign    int               `json:"foreign"`    // answers that held another job's result
 	Mismatches int               `json:"mismatches"` // resubmissions with another answer
--- a/load/pkg/report/text.go
+++ b/load/pkg/report/text.go
@@ -23,9 +23,9 @@
 		}
 	}
 	for _, run := range runs {
-		_, _ = fmt.Fprintf(table, "%s/%d: %d starts, %.3f messages a start, %.4f wasted, %d duplicates, %d foreign, %d mismatches, tool delay p99 %s\n",
+		_, _ = fmt.Fprintf(table, "%s/%d: %d starts, %.3f messages a start, %.4f wasted, %d repeats, %d duplicates, %d foreign, %d mismatches, tool delay p99 %s\n",
 			run.Settings.Name, run.Settings.Seed, run.Totals.Starts, run.Totals.Messages, run.Totals.Wasted,
-			run.Totals.Duplicates, run.Totals.Foreign, run.Totals.Mismatches, run.Totals.SendLag)
+			run.Totals.Repeats, run.Totals.Duplicates, run.Totals.Foreign, run.Totals.Mismatches, run.Totals.SendLag)
 		for _, window := range run.Windows {
 			for _, ending := range window.Rows[0].Endings {
 				_, _ = fmt.Fprintf(table, "  %s: %d jobs %s %s, run: %s\n", window.Name, ending.Jobs, ending.State, ending.Code, ending.Ran)
--- a/standin/pkg/minion/minion.go
+++ b/standin/pkg/minion/minion.go
@@ -122,6 +122,7 @@
 		m.refuse(w, http.StatusGone, "the task was withdrawn")
 		return
 	}
+	m.settings.Recorder.Note(r.Header.Get(platform.HeaderOwner), payload.Echo)
 	select {
 	case <-run.Done():
 		m.answer(w, r, run.Status())
--- a/standin/pkg/minion/settings.go
+++ b/standin/pkg/minion/settings.go
@@ -1,6 +1,9 @@
 package minion
 
-import "chervilusher.dev/lib/jsontime"
+import (
+	"chervilusher.dev/lib/jsontime"
+	"chervilusher.dev/standin/pkg/task"
+)
 
 // Settings of one minion.
 type Settings struct {
@@ -11,6 +14,8 @@
 	Speed       float64 `json:"speed,omitempty"`       // of its run times; 2 halves them
 	Ledger      int     `json:"ledger,omitempty"`      // tasks remembered
 	Seed        uint64  `json:"seed,omitempty"`
+
+	Recorder *task.Recorder `json:"-"` // shared by many back ends; may be nil
 }
 
 // Faults of a minion.
--- a/standin/pkg/office/control.go
+++ b/standin/pkg/office/control.go
@@ -39,12 +39,13 @@
 type Counters struct {
 	Log      logservice.Counters `json:"log"`
 	Hosts    hostlist.Counters   `json:"hosts"`
+	Repeats  int64               `json:"repeats"` // starts of work that had started before at any back end
 	Backends []MemberCounters    `json:"backends"`
 }
 
 // AllCounters returns the counts of every stand-in.
 func (o *Office) AllCounters() Counters {
-	all := Counters{Log: o.Log.Counters(), Hosts: o.Hosts.Counters()}
+	all := Counters{Log: o.Log.Counters(), Hosts: o.Hosts.Counters(), Repeats: o.Recorder.Repeats()}
 	for _, member := range o.Members {
 		all.Backends = append(all.Backends, MemberCounters{
 			Name:     member.Name(),
--- a/standin/pkg/office/office.go
+++ b/standin/pkg/office/office.go
@@ -38,7 +38,9 @@
 	Hosts   *hostlist.Service
 	Members []Member
 	Relays  []*relay.Relay
-	control *listen.Server
+	// Recorder counts the pieces of work that started again at any back end.
+	Recorder *task.Recorder
+	control  *listen.Server
 }
 
 // New starts the office; call Close to end it.
@@ -46,7 +48,7 @@
 	if err := settings.Check(); err != nil {
 		return nil, err
 	}
-	office := &Office{}
+	office := &Office{Recorder: task.NewRecorder(settings.Memory)}
 	if err := office.start(clock, settings); err != nil {
 		office.Close()
 		return nil, err
@@ -140,7 +142,7 @@
 	hosts := make([]platform.Host, 0, group.Count)
 	for i := range group.Count {
 		host := group.host(i)
-		backend, err := startBackend(clock, group, host, i, seed+uint64(i))
+		backend, err := o.startBackend(clock, group, host, i, seed+uint64(i))
 		if err != nil {
 			return nil, err
 		}
@@ -151,7 +153,7 @@
 	return hosts, nil
 }
 
-func startBackend(clock clockwork.Clock, group Group, host platform.Host, index int, seed uint64) (Backend, error) {
+func (o *Office) startBackend(clock clockwork.Clock, group Group, host platform.Host, index int, seed uint64) (Backend, error) {
 	if group.Role == platform.RoleMinion {
 		return minion.New(clock, minion.Settings{
 			Name:        host.Name,
@@ -161,6 +163,7 @@
 			Speed:       group.Speed(index),
 			Ledger:      group.Ledger,
 			Seed:        seed,
+			Recorder:    o.Recorder,
 		})
 	}
 	return worker.New(clock, worker.Settings{
@@ -173,5 +176,6 @@
 		Lag:          group.Lag,
 		Ledger:       group.Ledger,
 		Seed:         seed,
+		Recorder:     o.Recorder,
 	})
 }
--- a/standin/pkg/office/settings.go
+++ b/standin/pkg/office/settings.go
@@ -23,6 +23,7 @@
 	Entries []Entry             `json:"entries,omitempty"`
 	Relays  []relay.Settings    `json:"relays,omitempty"`
 	Seed    uint64              `json:"seed,omitempty"`
+	Memory  int                 `json:"memory,omitempty"` // pieces of work in which repeated starts are found
 }
 
 // Group is a set of equal minions or workers.
--- a/standin/pkg/worker/handlers.go
+++ b/standin/pkg/worker/handlers.go
@@ -75,6 +75,7 @@
 		w.refuse(out, http.StatusGone, "the task was withdrawn")
 		return
 	}
+	w.settings.Recorder.Note(start.Owner, payload.Echo)
 	w.answer(out, r, run)
 }
 
--- a/standin/pkg/worker/settings.go
+++ b/standin/pkg/worker/settings.go
@@ -5,6 +5,7 @@
 
 	"chervilusher.dev/lib/jsontime"
 	"chervilusher.dev/standin/pkg/minion"
+	"chervilusher.dev/standin/pkg/task"
 )
 
 // Settings of one worker.
@@ -18,6 +19,8 @@
 	Lag          jsontime.Duration `json:"lag,omitempty"`    // of the reported usage
 	Ledger       int               `json:"ledger,omitempty"` // tasks remembered
 	Seed         uint64            `json:"seed,omitempty"`
+
+	Recorder *task.Recorder `json:"-"` // shared by many back ends; may be nil
 }
 
 // Faults of a worker are those of a minion.
