--- a/entry/pkg/app/daemon.go
+++ b/entry/pkg/app/daemon.go
@@ -16,9 +16,8 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
-	"chervilusher.dev/lib/logservice"
-
 	"chervilusher.dev/entry/pkg/blackboard"
+	"chervilusher.dev/entry/pkg/burn"
 	"chervilusher.dev/entry/pkg/caller"
 	"chervilusher.dev/entry/pkg/common"
 	"chervilusher.dev/entry/pkg/controllers"
@@ -30,6 +29,9 @@
 	"chervilusher.dev/entry/pkg/settings"
 	"chervilusher.dev/entry/pkg/ticket"
 	"chervilusher.dev/entry/pkg/worker"
+	"chervilusher.dev/lib/configuration"
+	"chervilusher.dev/lib/logservice"
+	"chervilusher.dev/lib/publish"
 )
 
 const (
@@ -41,24 +43,25 @@
 	platformTimeout = 15 * time.Second
 	// idleConnections bounds the unused connections to one back end.
 	idleConnections = 64
-	// drainTimeout bounds how long a planned stop waits for work in progress.
-	drainTimeout = 2 * time.Minute
 	// idleConnectionTimeout is how long an unused connection to a back end is kept.
 	idleConnectionTimeout = 90 * time.Second
 )
 
 // Daemon is one entry host's process.
 type Daemon struct {
-	common     *common.Common
-	board      *blackboard.Board
-	listeners  listeners
-	callers    *http.Server
-	operators  *http.Server
-	peers      *peer.Server
-	peerClient *peer.Client
-	dispatcher *controllers.DispatchController
-	leases     *controllers.LeaseController
-	services   []service
+	common      *common.Common
+	board       *blackboard.Board
+	listeners   listeners
+	callers     *http.Server
+	operators   *http.Server
+	peers       *peer.Server
+	peerClient  *peer.Client
+	dispatcher  *controllers.DispatchController
+	leases      *controllers.LeaseController
+	submissions *controllers.SubmissionController
+	legacies    *controllers.LegacyController
+	drains      *drainRequest
+	services    []service
 }
 
 // service is a part that runs until the context ends.
@@ -100,36 +103,48 @@
 func build(c *common.Common, opened listeners) *Daemon {
 	board := blackboard.New()
 	engine := newEngine(&board.Dispatch, &c.Settings.Policy)
-	entries := ledger.New(c.Settings.Ticket.Window.Std(), c.Settings.Ticket.Keep.Std(), c.Settings.Ticket.Bytes)
+	entries := ledger.New(ledger.Limits{
+		Window:  c.Settings.Ticket.Window.Std(),
+		Keep:    c.Settings.Ticket.Keep.Std(),
+		Entries: c.Settings.Ticket.Entries,
+		Bytes:   c.Settings.Ticket.Bytes,
+	}, c.Clock.Now())
 	tickets := ticket.New(c.Settings.Ticket.Key, c.Settings.Name, c.Settings.Place, c.Incarnation, c.Settings.Ticket.Window.Std(), c.Clock)
 
-	backendClient := newBackendClient()
 	platformClient := &http.Client{Timeout: platformTimeout}
-	workers := worker.New(backendClient)
+	workers := worker.New(newBackendClient(0))
 	peerClient := peer.NewClient()
 	peerServer := peer.NewServer()
 
-	dispatcher := controllers.NewDispatchController(c, board, engine, minion.New(backendClient), workers)
-	submissions := controllers.NewSubmissionController(c, board, engine, entries, dispatcher)
-	routing := controllers.NewRoutingController(c, board, tickets, submissions, peerClient, peerServer)
+	dispatcher := controllers.NewDispatchController(c, board, engine, minion.New(newBackendClient), workers)
+	inForce := func() *configuration.State { return board.Configuration.Load().State }
+	recorder := burn.New(c.Settings.Name, c.Clock, inForce)
+	submissions := controllers.NewSubmissionController(c, board, engine, entries, tickets, dispatcher, recorder)
+	legacies := controllers.NewLegacyController(c, board, peerClient, peerServer)
+	routing := controllers.NewRoutingController(c, board, tickets, submissions, peerClient, legacies, peerServer)
 	leases := controllers.NewLeaseController(c, board, workers, dispatcher)
 	members := controllers.NewMembersController(c, board)
 	lender := controllers.NewFixedLender(c, board)
 	backends := controllers.NewBackendsController(c, board, engine, lender, dispatcher)
 	hosts := controllers.NewHostsController(c, board, hostlist.New(c.Settings.Platform.Hosts, platformClient), members, backends)
-	configurations := controllers.NewConfigurationController(c, board, logservice.New(c.Settings.Platform.Log, platformClient))
+	logClient := logservice.New(c.Settings.Platform.Log, platformClient)
+	configurations := controllers.NewConfigurationController(c, board, logClient)
+	drains := newDrainRequest(submissions)
 
 	return &Daemon{
-		common:     c.Prefixed("app"),
-		board:      board,
-		listeners:  opened,
-		callers:    newHTTPServer(caller.New(c, board, tickets, routing).Handler()),
-		operators:  newHTTPServer(operator.New(c, board).Handler()),
-		peers:      peerServer,
-		peerClient: peerClient,
-		dispatcher: dispatcher,
-		leases:     leases,
-		services:   []service{dispatcher, submissions, leases, hosts, configurations},
+		common:      c.Prefixed("app"),
+		board:       board,
+		listeners:   opened,
+		callers:     newHTTPServer(caller.New(c, board, tickets, routing).Handler()),
+		operators:   newHTTPServer(operator.New(c, board, publish.NewFrom(logClient, c.Clock, inForce), recorder, drains).Handler()),
+		peers:       peerServer,
+		peerClient:  peerClient,
+		dispatcher:  dispatcher,
+		leases:      leases,
+		submissions: submissions,
+		legacies:    legacies,
+		drains:      drains,
+		services:    []service{dispatcher, submissions, legacies, leases, hosts, configurations},
 	}
 }
 
@@ -148,33 +163,17 @@
 	running.Go(func() error { return serveHTTP(d.operators, d.listeners.operator) })
 	running.Go(func() error { return serveHTTP(d.callers, d.listeners.caller) })
 	d.common.Log.WithField("incarnation", d.common.Incarnation).Info("serving")
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-d.drains.asked:
+	}
 	d.drain()
 	stopServing()
 	return running.Wait()
 }
 
-// drain refuses new work, finishes what is in progress and gives the leases back.
-func (d *Daemon) drain() {
-	d.common.Log.Info("draining")
-	d.board.Draining.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
-	defer cancel()
-	if err := d.callers.Shutdown(ctx); err != nil {
-		d.common.Log.WithError(err).Error("some callers were cut off")
-	}
-	d.dispatcher.Wait()
-	d.leases.GiveBackAll(ctx)
-	if err := d.operators.Shutdown(ctx); err != nil {
-		d.common.Log.WithError(err).Warn("some operators were cut off")
-	}
-	if err := d.peerClient.Close(); err != nil {
-		d.common.Log.WithError(err).Debug("closing connections to peers")
-	}
-	d.common.Log.Info("stopped")
-}
-
 func listen(loaded *settings.Settings) (listeners, error) {
+	var config net.ListenConfig
 	var opened listeners
 	for _, wanted := range []struct {
 		key     string
@@ -185,7 +184,7 @@
 		{"operator.listen", loaded.Operator.Listen, &opened.operator},
 		{"peer.listen", loaded.Peer.Listen, &opened.peer},
 	} {
-		listener, err := net.Listen("tcp", wanted.address)
+		listener, err := config.Listen(context.Background(), "tcp", wanted.address)
 		if err != nil {
 			return listeners{}, errors.Errorf("%s: %s", wanted.key, err)
 		}
@@ -194,10 +193,12 @@
 	return opened, nil
 }
 
-func newBackendClient() *http.Client {
+// newBackendClient makes a client that opens at most so many connections to one back end; zero means no bound.
+func newBackendClient(connections int) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
 			MaxIdleConnsPerHost: idleConnections,
+			MaxConnsPerHost:     connections,
 			IdleConnTimeout:     idleConnectionTimeout,
 			DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
 			DisableCompression:  true,
--- a/entry/pkg/blackboard/job.go
+++ b/entry/pkg/blackboard/job.go
@@ -21,6 +21,8 @@
 
 // Target is where a task may run.
 type Target struct {
+	Service    string // the owner's name; empty for a pool's
+	Pool       string // the owner's name; empty for a service's
 	Group      string
 	Role       platform.Role
 	Places     []string // failure domains; empty means all
@@ -81,9 +83,11 @@
 	Tasks      []*Task
 	Left       int // tasks without a result
 	Started    bool
+	Ran        bool // an outcome showed that a task ran
 	Unsure     bool // a start's outcome is unknown
 	Answer     *api.Answer
-	Done       chan struct{} // closed when Answer is set
+	Keep       func(answer *api.Answer) // called once with the answer, under the dispatch lock; may be nil
+	Done       chan struct{}            // closed when Answer is set
 }
 
 // Decided reports whether the job has its final answer.
--- a/entry/pkg/controllers/target_resolver.go
+++ b/entry/pkg/controllers/target_resolver.go
@@ -4,12 +4,11 @@
 	"fmt"
 	"time"
 
+	"chervilusher.dev/entry/pkg/blackboard"
+	"chervilusher.dev/entry/pkg/settings"
 	"chervilusher.dev/lib/api"
 	"chervilusher.dev/lib/configuration"
 	"chervilusher.dev/lib/platform"
-
-	"chervilusher.dev/entry/pkg/blackboard"
-	"chervilusher.dev/entry/pkg/settings"
 )
 
 // targetResolver turns the owner's names into targets, one for each service or pool of a job.
@@ -46,6 +45,7 @@
 		return nil, fmt.Errorf("there is no service %q", name)
 	}
 	target := &blackboard.Target{
+		Service:    name,
 		Group:      service.Group,
 		Role:       platform.RoleMinion,
 		Places:     r.domains(service.Places),
@@ -66,6 +66,7 @@
 		return nil, fmt.Errorf("there is no pool %q", name)
 	}
 	target := &blackboard.Target{
+		Pool:       name,
 		Group:      pool.Group,
 		Role:       platform.RoleWorker,
 		Places:     r.domains(pool.Places),
--- a/entry/pkg/dispatch/engine.go
+++ b/entry/pkg/dispatch/engine.go
@@ -75,12 +75,13 @@
 
 // Finish takes in how a start ended; an outcome of an earlier attempt is dropped and reported as stale.
 func (e *Engine) Finish(task *blackboard.Task, attempt int, outcome Outcome, now time.Time) (effects Effects, stale bool) {
-	if task.Attempt != attempt || task.State != blackboard.TaskStarted {
+	if task.Tries != attempt || task.State != blackboard.TaskStarted {
 		return Effects{}, true
 	}
 	group := e.Group(task.Target.Group)
 	backend := task.Backend
 	e.release(group, task)
+	e.learn(task, backend, outcome, now)
 	if outcome.Verdict == VerdictDone {
 		e.policies.Estimator.Observe(task, backend, now.Sub(task.Started))
 	} else if task.Job.Decided() {
@@ -94,7 +95,7 @@
 	case outcome.Verdict == VerdictDone:
 		e.complete(task, outcome.Value)
 	case e.mayStartAgain(group, task, outcome):
-		e.requeue(group, task, outcome, now)
+		effects.Stops = e.startAgain(group, task, outcome, now)
 	default:
 		effects.Stops = e.fail(task, outcome)
 	}
@@ -139,11 +140,7 @@
 		if !hasQueued(job) {
 			continue
 		}
-		effects.Stops = append(effects.Stops, e.end(job, &api.Answer{
-			State:  api.StateFailed,
-			Code:   api.CodeExpired,
-			Reason: "the deadline passed before every task could start",
-		})...)
+		effects.Stops = append(effects.Stops, e.end(job, expired())...)
 	}
 	return effects
 }
@@ -239,7 +236,7 @@
 	e.hold(group, task)
 	return Start{
 		Task:    task,
-		Attempt: task.Attempt,
+		Attempt: task.Tries,
 		ID:      startID(task),
 		Backend: *backend,
 		Payload: task.Payload,
--- a/entry/pkg/dispatch/policies.go
+++ b/entry/pkg/dispatch/policies.go
@@ -40,14 +40,15 @@
 	Verdict Verdict
 	Value   json.RawMessage // the answer, when done
 	Error   string
-	Busy    bool // nothing was started because the back end had no room
-	Stopped bool // the run was stopped on this host's order, which says nothing of the back end
+	Busy    bool  // nothing was started because the back end had no room
+	Fence   int64 // the fencing token that a worker refused, or zero
+	Stopped bool  // the run was stopped on this host's order, which says nothing of the back end
 }
 
 // Start is an order to start one task at one back end.
 type Start struct {
 	Task    *blackboard.Task
-	Attempt int
+	Attempt int    // tells the starts of one task apart
 	ID      string // unique for each start
 	Backend blackboard.Backend
 	Payload json.RawMessage
--- a/entry/pkg/placement/fastest.go
+++ b/entry/pkg/placement/fastest.go
@@ -155,18 +155,26 @@
 // fastest returns the entry with the lowest key that has room for the task.
 func (x *index) fastest(group *blackboard.Group, task *blackboard.Task, now time.Time) *entry {
 	var best *entry
+	var stale []*entry
 	for _, partition := range x.list {
 		if !partition.allows(group, task) {
 			continue
 		}
 		width := partition.width(task)
 		found := partition.first(width, func(candidate *entry) bool {
+			if candidate.backend.Free(now) == 0 {
+				stale = append(stale, candidate)
+				return false
+			}
 			return usable(candidate.backend, task, width, now)
 		})
 		if found != nil && (best == nil || lessEntry(found, best)) {
 			best = found
 		}
 	}
+	for _, lapsed := range stale {
+		x.leave(lapsed)
+	}
 	return best
 }
 
--- a/entry/pkg/queue/class.go
+++ b/entry/pkg/queue/class.go
@@ -106,6 +106,14 @@
 	found.push(task)
 }
 
+func (c *class) each(visit func(task *blackboard.Task)) {
+	for _, lane := range c.list {
+		for waiting := lane.head; waiting != nil; waiting = waiting.next {
+			visit(waiting.task)
+		}
+	}
+}
+
 // retry makes every lane worth asking again.
 func (c *class) retry() {
 	for _, lane := range c.list {
--- a/entry/pkg/queue/fair.go
+++ b/entry/pkg/queue/fair.go
@@ -163,3 +163,12 @@
 	f.ring = f.ring[:last]
 	owner.place = -1
 }
+
+// Each shows every waiting task; those of one owner and class come in their order.
+func (f *Fair) Each(visit func(task *blackboard.Task)) {
+	for _, owner := range f.ring {
+		for i := range owner.classes {
+			owner.classes[i].each(visit)
+		}
+	}
+}
--- a/lib/publish/publisher.go
+++ b/lib/publish/publisher.go
@@ -15,12 +15,18 @@
 const (
 	// readLimit is how many records one read asks for.
 	readLimit = 256
-	// appendAttempts is how often a record is appended while its answer is lost.
-	appendAttempts = 5
+	// attempts is how often a publisher turns to the log while it fails or its answers are lost.
+	attempts = 5
 	// firstDelay is the delay before the second attempt; it doubles each time.
 	firstDelay = 100 * time.Millisecond
 )
 
+// ErrOutcomeLost means that the log dropped records, the published one perhaps among them, before they could be read.
+var ErrOutcomeLost = errors.New("the log dropped records before the outcome could be read; the state shows what is in force")
+
+// ErrOutcomeUnknown means that a record was sent and that the log did not tell what became of it.
+var ErrOutcomeUnknown = errors.New("the record may or may not be in the log; look for it in the history")
+
 // Log is the part of the log service that a publisher needs.
 type Log interface {
 	Append(ctx context.Context, stream string, data any) (int64, error)
@@ -31,6 +37,7 @@
 type Publisher struct {
 	log   Log
 	clock clockwork.Clock
+	known func() *configuration.State
 }
 
 // Outcome is what became of one publish record; exactly one of its fields is set.
@@ -52,26 +59,36 @@
 
 // New returns a publisher that writes to and reads from the log.
 func New(log Log, clock clockwork.Clock) *Publisher {
-	return &Publisher{log: log, clock: clock}
+	return NewFrom(log, clock, configuration.NewState)
+}
+
+// NewFrom returns a publisher that publishes on top of a state that is known already, and reads only what the log holds after it.
+func NewFrom(log Log, clock clockwork.Clock, known func() *configuration.State) *Publisher {
+	return &Publisher{log: log, clock: clock, known: known}
 }
 
 // State returns the configuration that the log's records add up to.
 func (p *Publisher) State(ctx context.Context) (*configuration.State, error) {
-	return p.fold(ctx, configuration.NewState(), func(platform.Record, *configuration.Record, *configuration.State) bool {
-		return false
-	})
+	follower := newFollower(p.log, p.known(), "")
+	if err := follower.catchUp(ctx); err != nil {
+		return nil, err
+	}
+	if follower.reader.Searching() {
+		return nil, errors.New("the log no longer keeps its first records and holds no snapshot yet; ask an entry host for the state")
+	}
+	return follower.reader.State(), nil
 }
 
 // History returns the owner's records that the log still keeps, oldest first.
 func (p *Publisher) History(ctx context.Context, owner string) ([]Change, error) {
 	changes := []Change{}
-	_, err := p.fold(ctx, configuration.NewState(), func(raw platform.Record, record *configuration.Record, after *configuration.State) bool {
-		if record.Type == configuration.RecordPublish && record.Document != nil && record.Document.Owner == owner {
-			changes = append(changes, describe(raw, record, after))
+	follower := newFollower(p.log, configuration.NewState(), "")
+	follower.visit = func(raw platform.Record, decision configuration.Decision) {
+		if decision.Owner == owner && decision.Publish != "" {
+			changes = append(changes, describe(raw, decision))
 		}
-		return false
-	})
-	return changes, err
+	}
+	return changes, follower.catchUp(ctx)
 }
 
 // Publish appends the record and returns what became of it; when an answer is lost it looks for the record in the log before it appends again.
@@ -79,66 +96,25 @@
 	if record.Publish == "" || record.Document == nil {
 		return nil, errors.New("the record needs a publish identifier and a document")
 	}
-	before, err := p.State(ctx)
-	if err != nil {
-		return nil, err
-	}
+	record.Type = configuration.RecordPublish
+	follower := newFollower(p.log, p.known(), record.Publish)
 	var last error
-	for attempt := range appendAttempts {
-		_, last = p.log.Append(ctx, configuration.Stream, record)
-		outcome, err := p.find(ctx, before, record.Publish)
-		if err == nil && outcome != nil {
-			return outcome, nil
+	for attempt := range attempts {
+		last = follower.attempt(ctx, &record)
+		if follower.outcome != nil {
+			return follower.outcome, nil
 		}
-		if err != nil {
-			last = err
+		if errors.Is(last, ErrOutcomeLost) {
+			return nil, last
 		}
 		if !p.pause(ctx, firstDelay<<attempt) {
-			return nil, errors.WithStack(ctx.Err())
+			break
 		}
 	}
-	return nil, errors.Wrapf(last, "publish %s may or may not be in the log; look for it in the history", record.Publish)
-}
-
-// find returns what became of the first record with the publish identifier, or nil if the log does not hold it.
-func (p *Publisher) find(ctx context.Context, before *configuration.State, publish string) (*Outcome, error) {
-	var found *Outcome
-	_, err := p.fold(ctx, before, func(raw platform.Record, record *configuration.Record, after *configuration.State) bool {
-		if record.Publish != publish {
-			return false
-		}
-		found = outcomeOf(raw, record, after)
-		return true
-	})
-	return found, err
-}
-
-// fold applies all records from the state's next offset on, and stops after the record for which visit returns true.
-func (p *Publisher) fold(
-	ctx context.Context, state *configuration.State,
-	visit func(platform.Record, *configuration.Record, *configuration.State) bool,
-) (*configuration.State, error) {
-	from := state.Next
-	for {
-		batch, err := p.log.Read(ctx, configuration.Stream, from, readLimit, 0)
-		if err != nil {
-			return nil, err
-		}
-		for _, raw := range batch.Records {
-			state = state.Apply(raw)
-			from = raw.Offset + 1
-			var record configuration.Record
-			if err := json.Unmarshal(raw.Data, &record); err != nil {
-				continue
-			}
-			if visit(raw, &record, state) {
-				return state, nil
-			}
-		}
-		if len(batch.Records) == 0 || from >= batch.Next {
-			return state, nil
-		}
+	if follower.appended {
+		return nil, errors.Wrapf(ErrOutcomeUnknown, "publish %s: %v", record.Publish, last)
 	}
+	return nil, errors.Wrapf(last, "publish %s was not sent", record.Publish)
 }
 
 func (p *Publisher) pause(ctx context.Context, length time.Duration) bool {
@@ -150,33 +126,11 @@
 	}
 }
 
-func describe(raw platform.Record, record *configuration.Record, after *configuration.State) Change {
-	change := Change{
+func describe(raw platform.Record, decision configuration.Decision) Change {
+	var record configuration.Record
+	_ = json.Unmarshal(raw.Data, &record) // the fold has parsed it before
+	return Change{
 		Offset: raw.Offset, Time: raw.Time, Base: record.Base, Publish: record.Publish, Author: record.Author,
+		Version: decision.Version, Reason: decision.Reason,
 	}
-	outcome := outcomeOf(raw, record, after)
-	if outcome.Accepted != nil {
-		change.Version = outcome.Accepted.Version
-		return change
-	}
-	change.Reason = outcome.Rejected.Reason
-	return change
-}
-
-// outcomeOf reads from the state right after a record whether it was accepted.
-func outcomeOf(raw platform.Record, record *configuration.Record, after *configuration.State) *Outcome {
-	if record.Document != nil {
-		accepted := after.Owners[record.Document.Owner]
-		if accepted != nil && accepted.Offset == raw.Offset {
-			return &Outcome{Accepted: accepted}
-		}
-	}
-	for _, rejection := range after.Rejections {
-		if rejection.Offset == raw.Offset {
-			return &Outcome{Rejected: &rejection}
-		}
-	}
-	return &Outcome{Rejected: &configuration.Rejection{
-		Offset: raw.Offset, Publish: record.Publish, Author: record.Author, Reason: "the record was not accepted",
-	}}
 }
--- a/standin/pkg/office/office.go
+++ b/standin/pkg/office/office.go
@@ -22,6 +22,7 @@
 	Faults() *control.Switch[minion.Faults]
 	Server() *listen.Server
 	Counters() task.Counters
+	Marks() map[string]int64
 	Close()
 }
 
@@ -38,7 +39,9 @@
 	Hosts   *hostlist.Service
 	Members []Member
 	Relays  []*relay.Relay
-	control *listen.Server
+	// Recorder counts the pieces of work that started again at any back end.
+	Recorder *task.Recorder
+	control  *listen.Server
 }
 
 // New starts the office; call Close to end it.
@@ -46,7 +49,7 @@
 	if err := settings.Check(); err != nil {
 		return nil, err
 	}
-	office := &Office{}
+	office := &Office{Recorder: task.NewRecorder(settings.Memory)}
 	if err := office.start(clock, settings); err != nil {
 		office.Close()
 		return nil, err
@@ -75,6 +78,17 @@
 	return sum
 }
 
+// Marks returns how often each payload's mark was started, over all back ends.
+func (o *Office) Marks() map[string]int64 {
+	sum := map[string]int64{}
+	for _, member := range o.Members {
+		for mark, starts := range member.Marks() {
+			sum[mark] += starts
+		}
+	}
+	return sum
+}
+
 // Control returns the address of the control interface, or an empty string.
 func (o *Office) Control() string {
 	if o.control == nil {
@@ -140,7 +154,7 @@
 	hosts := make([]platform.Host, 0, group.Count)
 	for i := range group.Count {
 		host := group.host(i)
-		backend, err := startBackend(clock, group, host, i, seed+uint64(i))
+		backend, err := o.startBackend(clock, group, host, i, seed+uint64(i))
 		if err != nil {
 			return nil, err
 		}
@@ -151,7 +165,7 @@
 	return hosts, nil
 }
 
-func startBackend(clock clockwork.Clock, group Group, host platform.Host, index int, seed uint64) (Backend, error) {
+func (o *Office) startBackend(clock clockwork.Clock, group Group, host platform.Host, index int, seed uint64) (Backend, error) {
 	if group.Role == platform.RoleMinion {
 		return minion.New(clock, minion.Settings{
 			Name:        host.Name,
@@ -161,6 +175,7 @@
 			Speed:       group.Speed(index),
 			Ledger:      group.Ledger,
 			Seed:        seed,
+			Recorder:    o.Recorder,
 		})
 	}
 	return worker.New(clock, worker.Settings{
@@ -173,5 +188,6 @@
 		Lag:          group.Lag,
 		Ledger:       group.Ledger,
 		Seed:         seed,
+		Recorder:     o.Recorder,
 	})
 }
--- a/standin/pkg/worker/handlers.go
+++ b/standin/pkg/worker/handlers.go
@@ -75,6 +75,7 @@
 		w.refuse(out, http.StatusGone, "the task was withdrawn")
 		return
 	}
+	w.settings.Recorder.Note(start.Owner, payload.Echo)
 	w.answer(out, r, run)
 }
 
@@ -88,6 +89,7 @@
 		Length: payload.RunTime(speed),
 		Fail:   payload.Fail,
 		Hang:   faults.Hang,
+		Mark:   payload.Mark,
 		Free:   func() { w.room.free(start) },
 	}
 	if faults.Fail {
