Keep the cost of a start flat in back ends, queue and owners

Change: one look at the queue stops asking once plain work does not fit; backlogs stand in a list; a queue that stands is no reason to refuse a job whose deadline is far (2 % of its deadline may pass).

--- a/entry/pkg/admission/predict.go
+++ b/entry/pkg/admission/predict.go
@@ -32,8 +32,9 @@
 
 // Bounds of a standing queue. A queue that drains takes in a burst; one that has stood for standingTime adds nothing to what is served, and only makes everybody wait.
 const (
-	standingWait = 100 * time.Millisecond
-	standingTime = time.Second
+	standingWait  = 100 * time.Millisecond
+	standingShare = 0.02 // of a job's deadline, where that is longer than standingWait
+	standingTime  = time.Second
 )
 
 // Bounds of the time after which a refused caller should come back.
@@ -73,8 +74,9 @@
 		return p.refuse("the last task would start in %s, and has %s", wait.last, allowed)
 	}
 	key := queueKey{group: group.Name, owner: job.Owner, urgent: job.Urgent, long: demand.long}
-	if p.stands(key, wait.first, now) {
-		return p.refuse("the queue has been standing; the first task would start in %s, and has %s", wait.first, standingWait)
+	standing := max(standingWait, time.Duration(standingShare*float64(job.Deadline.Sub(now))))
+	if p.stands(key, wait.first, now) && wait.first > standing {
+		return p.refuse("the queue has been standing; the first task would start in %s, and has %s", wait.first, standing)
 	}
 	return nil
 }
--- a/entry/pkg/admission/wait.go
+++ b/entry/pkg/admission/wait.go
@@ -35,19 +35,19 @@
 
 // predictWait returns when the job's tasks are expected to start, if the owners go on sharing by weight.
 func predictWait(job *blackboard.Job, group *blackboard.Group, demand demand) waits {
-	own := group.Backlogs[job.Owner]
-	if own == nil {
-		own = &blackboard.Backlog{Weight: 1}
-	}
 	rate := group.Capacity.Rate * classShare(group, demand.long)
-	if len(group.Backlogs) == 0 {
+	if group.Backlogs.Tasks == 0 {
 		return waits{last: timeFor(unplaced(group, demand), rate)}
 	}
+	own := group.Backlogs.ByOwner[job.Owner]
+	if own == nil {
+		own = &blackboard.Backlog{Weight: 1}
+	}
 	first := ahead(job, own, demand.long)
 	last := first + demand.work - demand.work/time.Duration(demand.tasks)
 	found := waits{
-		first: timeFor(first+others(group, job.Owner, own, first, demand.long), rate),
-		last:  timeFor(last+others(group, job.Owner, own, last, demand.long), rate),
+		first: timeFor(first+others(group, own, first, demand.long), rate),
+		last:  timeFor(last+others(group, own, last, demand.long), rate),
 	}
 	if own.MaxRun > 0 {
 		found.last = max(found.last, last/time.Duration(own.MaxRun))
@@ -60,13 +60,13 @@
 }
 
 // others returns how much work of the other owners starts while the given work of one owner does, by weight.
-func others(group *blackboard.Group, name string, own *blackboard.Backlog, work time.Duration, long bool) time.Duration {
+func others(group *blackboard.Group, own *blackboard.Backlog, work time.Duration, long bool) time.Duration {
 	total := time.Duration(0)
-	for owner, other := range group.Backlogs {
-		if owner == name {
+	for _, other := range group.Backlogs.List {
+		if other == own {
 			continue
 		}
-		fair := time.Duration(float64(work) * float64(max(1, other.Weight)) / float64(max(1, own.Weight)))
+		fair := time.Duration(float64(work) * float64(other.Weight) / float64(own.Weight))
 		total += min(classWork(other, long), fair)
 	}
 	return total
--- a/entry/pkg/blackboard/backend.go
+++ b/entry/pkg/blackboard/backend.go
@@ -14,11 +14,11 @@
 	Role     platform.Role
 	Backends map[string]*Backend
 	Queue    Queue
-	Capacity Capacity            // summed from Backends at intervals
-	Synced   time.Time           // when the placement last took in every back end
-	Busy     int                 // slots that this host's tasks hold
-	Long     map[string]float64  // run time that running long work does in a second, in seconds at a back end of slowness 1, by place
-	Backlogs map[string]*Backlog // waiting work, by owner
+	Capacity Capacity           // summed from Backends at intervals
+	Synced   time.Time          // when the placement last took in every back end
+	Busy     int                // slots that this host's tasks hold
+	Long     map[string]float64 // run time that running long work does in a second, in seconds at a back end of slowness 1, by place
+	Backlogs Backlogs           // waiting work, by owner
 }
 
 // LongRoom reports whether more long work may start in the place.
--- a/entry/pkg/blackboard/capacity.go
+++ b/entry/pkg/blackboard/capacity.go
@@ -13,6 +13,29 @@
 	Shapes   []*Backend         // one of each size in each place; it stands for all that equal it
 }
 
+// Backlogs is the waiting work of one group, by owner.
+type Backlogs struct {
+	ByOwner map[string]*Backlog
+	List    []*Backlog
+	Tasks   int // of all owners
+}
+
+// Of returns the owner's backlog, and makes it when it is new.
+func (b *Backlogs) Of(owner *Owner) *Backlog {
+	found, ok := b.ByOwner[owner.Name]
+	if !ok {
+		found = &Backlog{}
+		if b.ByOwner == nil {
+			b.ByOwner = map[string]*Backlog{}
+		}
+		b.ByOwner[owner.Name] = found
+		b.List = append(b.List, found)
+	}
+	found.Weight = max(1, owner.Weight)
+	found.MaxRun = owner.MaxRun
+	return found
+}
+
 // Backlog is the expected slot time of one owner's waiting work in one group.
 type Backlog struct {
 	Weight int
--- /dev/null
+++ b/entry/pkg/dispatch/cost_test.go
@@ -0,0 +1,127 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"chervilusher.dev/lib/platform"
+
+	"chervilusher.dev/entry/pkg/blackboard"
+	"chervilusher.dev/entry/pkg/dispatch"
+)
+
+// costBench keeps every slot busy and a queue of the given length waiting, so that each step submits, finishes and starts one task.
+type costBench struct {
+	driver  *driver
+	running []dispatch.Start
+	next    int
+	owners  []string
+}
+
+func newCostBench(backends, waiting, owners int) *costBench {
+	d := newDriver(1, fleet{minions: backends, slots: 8}, policies{admission: "predict"})
+	bench := &costBench{driver: d}
+	for i := range owners {
+		name := fmt.Sprintf("owner-%02d", i)
+		d.addOwner(name, 1+i%3)
+		bench.owners = append(bench.owners, name)
+	}
+	for range backends*8 + waiting {
+		bench.submit()
+	}
+	return bench
+}
+
+func (b *costBench) submit() {
+	b.next++
+	job := &blackboard.Job{
+		ID: "job", Owner: b.owners[b.next%len(b.owners)], Urgent: b.next%5 == 0, Accepted: b.driver.now,
+		Deadline: b.driver.now.Add(24 * time.Hour), Left: 1, Done: make(chan struct{}),
+	}
+	target := &blackboard.Target{Group: groupName, Role: platform.RoleMinion, Timeout: time.Minute}
+	job.Tasks = []*blackboard.Task{{Job: job, Kind: "short", Target: target}}
+	effects, refused := b.driver.engine.Submit(job, b.driver.now)
+	if refused != nil {
+		panic(refused.Reason)
+	}
+	b.running = append(b.running, effects.Starts...)
+}
+
+func (b *costBench) finish() {
+	at := b.next % len(b.running)
+	start := b.running[at]
+	b.running[at] = b.running[len(b.running)-1]
+	b.running = b.running[:len(b.running)-1]
+	effects, _ := b.driver.engine.Finish(start.Task, start.Attempt, dispatch.Outcome{Verdict: dispatch.VerdictDone}, b.driver.now)
+	b.running = append(b.running, effects.Starts...)
+}
+
+// meanRun is how long a task runs in BenchmarkStart.
+const meanRun = 500 * time.Millisecond
+
+// BenchmarkStart measures one submission, one end and one start, and a tick for every 300 of them, as 15,000 starts a second make it.
+func BenchmarkStart(b *testing.B) {
+	for _, backends := range []int{48, 480, 5500} {
+		for _, waiting := range []int{100, 10_000, 1_000_000} {
+			for _, owners := range []int{2, 44} {
+				b.Run(fmt.Sprintf("backends=%d/waiting=%d/owners=%d", backends, waiting, owners), func(b *testing.B) {
+					bench := newCostBench(backends, waiting, owners)
+					step := meanRun / time.Duration(backends*8)
+					b.ReportAllocs()
+					b.ResetTimer()
+					for i := range b.N {
+						bench.driver.now = bench.driver.now.Add(step)
+						bench.submit()
+						bench.finish()
+						if i%300 == 0 {
+							effects := bench.driver.engine.Tick(bench.driver.now)
+							bench.running = append(bench.running, effects.Starts...)
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
+// BenchmarkTick measures one tick with nothing to do.
+func BenchmarkTick(b *testing.B) {
+	for _, backends := range []int{48, 480, 5500} {
+		b.Run(fmt.Sprintf("backends=%d", backends), func(b *testing.B) {
+			bench := newCostBench(backends, 10_000, 44)
+			b.ResetTimer()
+			for range b.N {
+				bench.driver.now = bench.driver.now.Add(20 * time.Millisecond)
+				bench.driver.engine.Tick(bench.driver.now)
+			}
+		})
+	}
+}
+
+// BenchmarkCancel measures a wave: each step submits a job of 290 tasks behind a queue and cancels it.
+func BenchmarkCancel(b *testing.B) {
+	for _, waiting := range []int{100, 1_000_000} {
+		b.Run(fmt.Sprintf("waiting=%d", waiting), func(b *testing.B) {
+			bench := newCostBench(48, waiting, 2)
+			d := bench.driver
+			target := &blackboard.Target{Group: groupName, Role: platform.RoleMinion, Timeout: time.Minute}
+			jobs := make([]*blackboard.Job, b.N)
+			for i := range jobs {
+				job := &blackboard.Job{ID: "wave", Owner: bench.owners[0], Deadline: d.now.Add(24 * time.Hour), Left: 290, Done: make(chan struct{})}
+				for index := range 290 {
+					job.Tasks = append(job.Tasks, &blackboard.Task{Job: job, Index: index, Kind: "short", Target: target})
+				}
+				if _, refused := d.engine.Submit(job, d.now); refused != nil {
+					b.Fatal(refused.Reason)
+				}
+				jobs[i] = job
+			}
+			b.ResetTimer()
+			for _, job := range jobs {
+				d.engine.Cancel(job, d.now)
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/290, "ns/task")
+		})
+	}
+}
--- a/entry/pkg/dispatch/engine.go
+++ b/entry/pkg/dispatch/engine.go
@@ -48,7 +48,6 @@
 			Backends: map[string]*blackboard.Backend{},
 			Queue:    e.policies.NewQueue(e.board.Owners),
 			Long:     map[string]float64{},
-			Backlogs: map[string]*blackboard.Backlog{},
 		}
 		e.board.Groups[name] = group
 	}
@@ -163,8 +162,9 @@
 	effects := e.expire(now)
 	for group.Queue.Len() > 0 && e.hasRoom(group) {
 		var backend *blackboard.Backend
+		var full fullness
 		task := group.Queue.Pop(func(task *blackboard.Task) bool {
-			backend = e.fit(group, task, now)
+			backend = e.fit(group, task, &full, now)
 			return backend != nil
 		})
 		if task == nil {
@@ -181,7 +181,7 @@
 }
 
 // fit returns where the task may start now, or nil.
-func (e *Engine) fit(group *blackboard.Group, task *blackboard.Task, now time.Time) *blackboard.Backend {
+func (e *Engine) fit(group *blackboard.Group, task *blackboard.Task, full *fullness, now time.Time) *blackboard.Backend {
 	if !e.ownerMayRun(task.Job.Owner) {
 		return nil
 	}
@@ -191,8 +191,12 @@
 	if backend := e.fitReserved(task, now); backend != nil {
 		return backend
 	}
+	if full.excludes(task) {
+		return nil
+	}
 	backend := e.policies.Placement.Pick(group, task, now)
 	if backend == nil {
+		full.note(task)
 		e.reserve(group, task, now)
 	}
 	return backend
--- a/entry/pkg/dispatch/waiting.go
+++ b/entry/pkg/dispatch/waiting.go
@@ -15,14 +15,8 @@
 func (e *Engine) enqueue(group *blackboard.Group, task *blackboard.Task) {
 	owner := e.board.Owners[task.Job.Owner]
 	owner.Queued++
-	backlog, ok := group.Backlogs[owner.Name]
-	if !ok {
-		backlog = &blackboard.Backlog{}
-		group.Backlogs[owner.Name] = backlog
-	}
-	backlog.Weight = owner.Weight
-	backlog.MaxRun = owner.MaxRun
-	backlog.Add(task)
+	group.Backlogs.Of(owner).Add(task)
+	group.Backlogs.Tasks++
 	group.Queue.Push(task)
 }
 
@@ -30,11 +24,8 @@
 func (e *Engine) dequeued(group *blackboard.Group, task *blackboard.Task) {
 	owner := e.board.Owners[task.Job.Owner]
 	owner.Queued--
-	backlog := group.Backlogs[owner.Name]
-	backlog.Subtract(task)
-	if backlog.Tasks == 0 {
-		delete(group.Backlogs, owner.Name)
-	}
+	group.Backlogs.Of(owner).Subtract(task)
+	group.Backlogs.Tasks--
 	e.unreserve(group, task)
 }
 
@@ -46,7 +37,7 @@
 		return false
 	}
 	learnt := slotTime(group, task)
-	backlog := group.Backlogs[task.Job.Owner]
+	backlog := group.Backlogs.Of(e.board.Owners[task.Job.Owner])
 	task.Long, task.Cost = long, cost
 	backlog.Subtract(task)
 	task.Long, task.Cost = !long, learnt
