Draw the burn report as a page and add up several hosts

The page is drawn by the command line and not by the daemon, so that the plotting library and its fonts take none of a host's memory. The page's layout as a whole was not seen in a browser; none is on this machine.

--- a/cli/pkg/app/arguments.go
+++ b/cli/pkg/app/arguments.go
@@ -139,6 +139,9 @@
 
 // burnArguments are those of burn.
 type burnArguments struct {
-	operatorFlags
+	Entry     []string `arg:"--entry,separate,env:CHERVILUSHER_OPERATORS" help:"base URLs of entry hosts' operators' APIs, whose figures are added up"`
+	Token     string   `arg:"--token,env:CHERVILUSHER_OPERATOR_TOKEN" help:"the operator's token"`
+	TokenFile string   `arg:"--token-file" help:"file whose first line is the token"`
+
 	Page string `arg:"--page" help:"write the report as an HTML page to this file"`
 }
--- a/cli/pkg/app/help.go
+++ b/cli/pkg/app/help.go
@@ -43,7 +43,7 @@
 	"drain":          {"chervilusher drain --entry http://10.0.0.1:7200 --token-file host.token"},
 	"burn": {
 		"chervilusher burn --entry http://10.0.0.1:7200",
-		"chervilusher burn --entry http://10.0.0.1:7200 --page burn.html",
+		"chervilusher burn --entry http://10.0.0.1:7200 --entry http://10.0.0.2:7200 --page burn.html",
 	},
 }
 
--- a/cli/pkg/app/operators.go
+++ b/cli/pkg/app/operators.go
@@ -1,6 +1,7 @@
 package app
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"os"
@@ -9,10 +10,12 @@
 
 	"github.com/pkg/errors"
 
+	"chervilusher.dev/cli/pkg/burnpage"
 	"chervilusher.dev/cli/pkg/files"
 	"chervilusher.dev/cli/pkg/operator"
 	"chervilusher.dev/cli/pkg/output"
 	"chervilusher.dev/lib/api"
+	"chervilusher.dev/lib/burn"
 )
 
 // progressInterval is how often a terminal is shown how far a job is.
@@ -63,26 +66,35 @@
 }
 
 func (a *app) burn(ctx context.Context, arguments *burnArguments) error {
-	host, err := a.operator(arguments.operatorFlags)
-	if err != nil {
-		return err
+	if len(arguments.Entry) == 0 {
+		return usage(errors.New("no entry host is given; set CHERVILUSHER_OPERATORS or --entry to operators' addresses"))
 	}
-	if arguments.Page != "" {
-		return a.burnPage(ctx, host, arguments.Page)
+	reports := make([]*api.BurnReport, 0, len(arguments.Entry))
+	for i, entry := range arguments.Entry {
+		a.printer.Progress("reading host %d of %d", i+1, len(arguments.Entry))
+		host, err := a.operator(operatorFlags{Entry: entry, Token: arguments.Token, TokenFile: arguments.TokenFile})
+		if err != nil {
+			return err
+		}
+		report, err := host.Burn(ctx)
+		if err != nil {
+			return errors.Wrap(err, entry)
+		}
+		reports = append(reports, report)
 	}
-	report, err := host.Burn(ctx)
-	if err != nil {
-		return err
+	merged := burn.Merge(reports)
+	if arguments.Page != "" {
+		return a.burnPage(merged, arguments.Page)
 	}
-	return a.printer.Print(report, burnTable(report))
+	return a.printer.Print(merged, burnTable(merged))
 }
 
-func (a *app) burnPage(ctx context.Context, host *operator.Client, path string) error {
-	page, err := host.BurnPage(ctx)
-	if err != nil {
+func (a *app) burnPage(report *api.BurnReport, path string) error {
+	var page bytes.Buffer
+	if err := burnpage.Write(&page, report); err != nil {
 		return err
 	}
-	if err := os.WriteFile(path, page, pageMode); err != nil {
+	if err := os.WriteFile(path, page.Bytes(), pageMode); err != nil {
 		return errors.WithStack(err)
 	}
 	return a.printer.Text(path, "written to "+path)
--- /dev/null
+++ b/cli/pkg/burnpage/doc.go
@@ -0,0 +1,2 @@
+// Package burnpage draws a burn report as one HTML page that needs nothing else.
+package burnpage
--- a/cli/pkg/operator/client.go
+++ b/cli/pkg/operator/client.go
@@ -61,11 +61,6 @@
 	return call[api.BurnReport](ctx, c, http.MethodGet, "/v1/burn", nil)
 }
 
-// BurnPage returns the report as an HTML page.
-func (c *Client) BurnPage(ctx context.Context) ([]byte, error) {
-	return c.do(ctx, http.MethodGet, "/v1/burn?format=html", nil)
-}
-
 // Drain tells the host to take no new work, finish what it has, and exit.
 func (c *Client) Drain(ctx context.Context) (*api.Drained, error) {
 	return call[api.Drained](ctx, c, http.MethodPost, "/v1/drain", nil)
