--- a/entry/pkg/dispatch/engine.go
+++ b/entry/pkg/dispatch/engine.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"encoding/json"
 	"time"
 
 	"chervilusher.dev/entry/pkg/blackboard"
@@ -9,131 +8,35 @@
 	"chervilusher.dev/lib/api"
 )
 
-// Verdict is how one start ended.
-type Verdict int
-
-// Verdicts of a start.
-const (
-	VerdictDone    Verdict = iota // the back end answered
-	VerdictFailed                 // it ran and ended with an error
-	VerdictNotRun                 // it is certain that nothing was started
-	VerdictUnknown                // it may have run
-)
-
-// String returns the verdict's name.
-func (v Verdict) String() string {
-	switch v {
-	case VerdictDone:
-		return "done"
-	case VerdictFailed:
-		return "failed"
-	case VerdictNotRun:
-		return "not run"
-	case VerdictUnknown:
-		return "unknown"
-	default:
-		return "invalid"
-	}
-}
-
-// Outcome is what became of one start.
-type Outcome struct {
-	Verdict Verdict
-	Value   json.RawMessage // the answer, when done
-	Error   string
-	Busy    bool  // nothing was started because the back end had no room
-	Fence   int64 // the fencing token that a worker refused, or zero
-}
-
-// Start is an order to start one task at one back end.
-type Start struct {
-	Task    *blackboard.Task
-	Attempt int    // tells the starts of one task apart
-	ID      string // unique for each start
-	Backend blackboard.Backend
-	Payload json.RawMessage
-	Owner   string
-}
-
-// Stop is an order to stop a task that was started.
-type Stop struct {
-	ID        string
-	Backend   blackboard.Backend
-	Supported bool // the back end can stop tasks
-}
-
-// Effects is what a decision asks of the back ends.
-type Effects struct {
-	Starts []Start
-	Stops  []Stop
-}
-
-// Append adds the effects of another decision.
-func (e *Effects) Append(more Effects) {
-	e.Starts = append(e.Starts, more.Starts...)
-	e.Stops = append(e.Stops, more.Stops...)
-}
-
-// Placement chooses the back end for a task among those that have a free slot, or nil.
-type Placement interface {
-	Pick(group *blackboard.Group, task *blackboard.Task, now time.Time) *blackboard.Backend
-}
-
-// Admission refuses work that is not worth queueing; it returns nil to admit.
-type Admission interface {
-	Admit(job *blackboard.Job, groups map[string]*blackboard.Group, now time.Time) *Refusal
-}
-
-// Estimator learns how long work takes.
-type Estimator interface {
-	// Classify sets whether the task counts as long.
-	Classify(task *blackboard.Task)
-	// Observe takes in how long a task ran at a back end.
-	Observe(task *blackboard.Task, backend *blackboard.Backend, took time.Duration)
-}
-
-// Health ejects back ends that fail and decides on retries.
-type Health interface {
-	// Observe takes in how a start ended.
-	Observe(group *blackboard.Group, backend *blackboard.Backend, verdict Verdict, now time.Time)
-	// Started counts a start against the retry budget.
-	Started(group *blackboard.Group, retry bool)
-	// MayRetry reports whether the retry budget allows one more start.
-	MayRetry(group *blackboard.Group) bool
-	// Tick lets delays run out.
-	Tick(group *blackboard.Group, now time.Time)
-}
-
-// Refusal is why a submission was not taken; nothing of it was started.
-type Refusal struct {
-	Code       api.Code
-	Reason     string
-	RetryAfter time.Duration
-}
-
-// Policies are the exchangeable decisions.
-type Policies struct {
-	Placement Placement
-	Admission Admission
-	Estimator Estimator
-	Health    Health
-	NewQueue  func(owners map[string]*blackboard.Owner) blackboard.Queue
-}
-
 // Engine is the dispatcher's decisions over the board's dispatch state.
 type Engine struct {
 	board     *blackboard.Dispatch
 	policies  Policies
+	limits    Limits
 	maxTries  int
 	deadlines deadlineHeap
+	running   startQueue
+	reserved  map[*blackboard.Task]*blackboard.Backend
+}
+
+// Limits bound what long work may take.
+type Limits struct {
+	Long  time.Duration // a task that has run for this long counts as long
+	Share float64       // most of a place's slots that long work may hold
 }
 
 // maxTries bounds how often a task that reaches no back end is tried.
 const maxTries = 12
 
 // New returns an engine over the board with the given policies.
-func New(board *blackboard.Dispatch, policies Policies) *Engine {
-	return &Engine{board: board, policies: policies, maxTries: maxTries}
+func New(board *blackboard.Dispatch, policies Policies, limits Limits) *Engine {
+	return &Engine{
+		board:    board,
+		policies: policies,
+		limits:   limits,
+		maxTries: maxTries,
+		reserved: map[*blackboard.Task]*blackboard.Backend{},
+	}
 }
 
 // Group returns the group of that name and makes it when it is new.
@@ -144,6 +47,8 @@
 			Name:     name,
 			Backends: map[string]*blackboard.Backend{},
 			Queue:    e.policies.NewQueue(e.board.Owners),
+			Long:     map[string]float64{},
+			Backlogs: map[string]*blackboard.Backlog{},
 		}
 		e.board.Groups[name] = group
 	}
@@ -152,15 +57,17 @@
 
 // Submit queues the job's tasks and starts what it can, or refuses the whole job.
 func (e *Engine) Submit(job *blackboard.Job, now time.Time) (Effects, *Refusal) {
+	for _, task := range job.Tasks {
+		group := e.Group(task.Target.Group)
+		e.refresh(group, now)
+		e.classify(group, task)
+	}
 	if refusal := e.refuse(job, now); refusal != nil {
 		return Effects{}, refusal
 	}
-	owner := e.board.Owners[job.Owner]
 	for _, task := range job.Tasks {
 		task.Queued = now
-		e.policies.Estimator.Classify(task)
-		e.Group(task.Target.Group).Queue.Push(task)
-		owner.Queued++
+		e.enqueue(e.Group(task.Target.Group), task)
 	}
 	e.deadlines.add(job)
 	return e.assignGroups(job, now), nil
@@ -173,12 +80,15 @@
 	}
 	group := e.Group(task.Target.Group)
 	backend := task.Backend
-	e.release(task)
+	e.release(group, task)
 	e.learn(task, backend, outcome, now)
 	if outcome.Verdict == VerdictDone {
 		e.policies.Estimator.Observe(task, backend, now.Sub(task.Started))
+	} else if task.Job.Decided() {
+		outcome.Stopped = true
 	}
-	e.policies.Health.Observe(group, backend, outcome.Verdict, now)
+	e.policies.Health.Observe(group, backend, outcome, now)
+	e.policies.Placement.Update(group, backend)
 	switch {
 	case task.Job.Decided():
 		task.State = blackboard.TaskEnded
@@ -210,30 +120,51 @@
 
 // Tick ends jobs whose deadline passed before all their tasks were started, and lets delays run out.
 func (e *Engine) Tick(now time.Time) Effects {
+	effects := e.expire(now)
+	e.countOverruns(now)
+	e.expireReservations(now)
+	for _, group := range e.board.Groups {
+		e.refresh(group, now)
+		for _, backend := range e.policies.Health.Tick(group, now) {
+			e.policies.Placement.Update(group, backend)
+		}
+		effects.Append(e.Assign(group, now))
+	}
+	return effects
+}
+
+// expire ends the jobs whose deadline passed before all their tasks were started.
+func (e *Engine) expire(now time.Time) Effects {
 	var effects Effects
 	for _, job := range e.deadlines.expired(now) {
-		if job.Decided() || !hasQueued(job) {
+		if !hasQueued(job) {
 			continue
 		}
 		effects.Stops = append(effects.Stops, e.end(job, expired())...)
 	}
+	return effects
+}
+
+// Changed takes in that the grant, the state or the presence of a back end has changed.
+func (e *Engine) Changed(group *blackboard.Group, backend *blackboard.Backend) {
+	e.policies.Placement.Update(group, backend)
+}
+
+// Sync takes in that any back ends may have changed; it looks at all of them.
+func (e *Engine) Sync() {
 	for _, group := range e.board.Groups {
-		e.policies.Health.Tick(group, now)
-		effects.Append(e.Assign(group, now))
+		e.policies.Placement.Sync(group)
+		group.Capacity.Summed = time.Time{}
 	}
-	return effects
 }
 
 // Assign starts waiting tasks of the group while there are free slots for them.
 func (e *Engine) Assign(group *blackboard.Group, now time.Time) Effects {
-	var effects Effects
-	for group.Queue.Len() > 0 {
+	effects := e.expire(now)
+	for group.Queue.Len() > 0 && e.hasRoom(group) {
 		var backend *blackboard.Backend
 		task := group.Queue.Pop(func(task *blackboard.Task) bool {
-			if !e.ownerMayRun(task.Job.Owner) {
-				return false
-			}
-			backend = e.policies.Placement.Pick(group, task, now)
+			backend = e.fit(group, task, now)
 			return backend != nil
 		})
 		if task == nil {
@@ -244,6 +175,29 @@
 	return effects
 }
 
+// hasRoom reports whether some back end may have room; false is certain.
+func (e *Engine) hasRoom(group *blackboard.Group) bool {
+	return len(e.reserved) > 0 || e.policies.Placement.HasRoom(group)
+}
+
+// fit returns where the task may start now, or nil.
+func (e *Engine) fit(group *blackboard.Group, task *blackboard.Task, now time.Time) *blackboard.Backend {
+	if !e.ownerMayRun(task.Job.Owner) {
+		return nil
+	}
+	if e.reclassify(group, task) {
+		return nil
+	}
+	if backend := e.fitReserved(task, now); backend != nil {
+		return backend
+	}
+	backend := e.policies.Placement.Pick(group, task, now)
+	if backend == nil {
+		e.reserve(group, task, now)
+	}
+	return backend
+}
+
 func (e *Engine) assignGroups(job *blackboard.Job, now time.Time) Effects {
 	var effects Effects
 	seen := map[string]bool{}
@@ -267,18 +221,19 @@
 	invariant.Check(task.State == blackboard.TaskQueued, "task_starts_once", "job %s task %d starts in state %d", task.Job.ID, task.Index, task.State)
 	invariant.Check(task.Attempt == 0 || task.Job.Idempotent, "task_starts_once", "job %s task %d starts again", task.Job.ID, task.Index)
 	invariant.Check(!backend.Leaving, "leaving_gets_no_work", "back end %s", backend.Name)
-	owner := e.board.Owners[task.Job.Owner]
-	owner.Queued--
-	owner.Running++
-	e.policies.Health.Started(group, task.Attempt > 0)
+	e.dequeued(group, task)
+	e.board.Owners[task.Job.Owner].Running++
+	if task.Tries == 0 {
+		e.policies.Health.Started(group)
+	}
 	task.State = blackboard.TaskStarted
 	task.Attempt++
 	task.Tries++
 	task.Backend = backend
 	task.Width = backend.Width(task.Need)
 	task.Started = now
-	backend.Busy += task.Width
 	task.Job.Started = true
+	e.hold(group, task)
 	return Start{
 		Task:    task,
 		Attempt: task.Tries,
@@ -289,8 +244,29 @@
 	}
 }
 
-func (e *Engine) release(task *blackboard.Task) {
-	task.Backend.Busy -= task.Width
-	invariant.Check(task.Backend.Busy >= 0, "slots_balance", "back end %s has %d busy slots", task.Backend.Name, task.Backend.Busy)
+// hold takes the task's slots.
+func (e *Engine) hold(group *blackboard.Group, task *blackboard.Task) {
+	backend := task.Backend
+	backend.Busy += task.Width
+	group.Busy += task.Width
+	if backend.Ejected {
+		invariant.Check(!backend.Probing, "one_probe", "back end %s", backend.Name)
+		backend.Probing = true
+	}
+	if task.Long {
+		holdLong(group, task)
+	} else {
+		e.running.push(task)
+	}
+	e.policies.Placement.Update(group, backend)
+}
+
+// release gives the task's slots back.
+func (e *Engine) release(group *blackboard.Group, task *blackboard.Task) {
+	backend := task.Backend
+	backend.Busy -= task.Width
+	group.Busy -= task.Width
+	invariant.Check(backend.Busy >= 0, "slots_balance", "back end %s has %d busy slots", backend.Name, backend.Busy)
 	e.board.Owners[task.Job.Owner].Running--
+	releaseLong(group, task)
 }
