--- /dev/null
+++ b/entry/pkg/admission/wait.go
@@ -0,0 +1,118 @@
+package admission
+
+import (
+	"time"
+
+	"chervilusher.dev/entry/pkg/blackboard"
+)
+
+// demand is what a job asks of one group.
+type demand struct {
+	tasks int
+	work  time.Duration // slot time
+	run   time.Duration // longest expected run of one task
+	long  bool          // all of it is long
+}
+
+func demands(job *blackboard.Job) map[string]demand {
+	found := make(map[string]demand, 1)
+	for _, task := range job.Tasks {
+		sum, ok := found[task.Target.Group]
+		sum.tasks++
+		sum.work += task.Cost
+		sum.run = max(sum.run, task.Expected+time.Duration(spreads*float64(task.Spread)))
+		sum.long = task.Long && (sum.long || !ok)
+		found[task.Target.Group] = sum
+	}
+	return found
+}
+
+// waits are the predicted times until the first and the last task of a job start.
+type waits struct {
+	first time.Duration
+	last  time.Duration
+}
+
+// predictWait returns when the job's tasks are expected to start, if the owners go on sharing by weight.
+func predictWait(job *blackboard.Job, group *blackboard.Group, demand demand) waits {
+	own := group.Backlogs[job.Owner]
+	if own == nil {
+		own = &blackboard.Backlog{Weight: 1}
+	}
+	rate := group.Capacity.Rate * classShare(group, demand.long)
+	if len(group.Backlogs) == 0 {
+		return waits{last: timeFor(unplaced(group, demand), rate)}
+	}
+	first := ahead(job, own, demand.long)
+	last := first + demand.work - demand.work/time.Duration(demand.tasks)
+	found := waits{
+		first: timeFor(first+others(group, job.Owner, own, first, demand.long), rate),
+		last:  timeFor(last+others(group, job.Owner, own, last, demand.long), rate),
+	}
+	if own.MaxRun > 0 {
+		found.last = max(found.last, last/time.Duration(own.MaxRun))
+	}
+	return found
+}
+
+func timeFor(work time.Duration, rate float64) time.Duration {
+	return time.Duration(float64(work) / rate)
+}
+
+// others returns how much work of the other owners starts while the given work of one owner does, by weight.
+func others(group *blackboard.Group, name string, own *blackboard.Backlog, work time.Duration, long bool) time.Duration {
+	total := time.Duration(0)
+	for owner, other := range group.Backlogs {
+		if owner == name {
+			continue
+		}
+		fair := time.Duration(float64(work) * float64(max(1, other.Weight)) / float64(max(1, own.Weight)))
+		total += min(classWork(other, long), fair)
+	}
+	return total
+}
+
+// ahead returns the slot time of the owner's waiting work that starts before the job.
+func ahead(job *blackboard.Job, own *blackboard.Backlog, long bool) time.Duration {
+	switch {
+	case long:
+		return own.Long
+	case job.Urgent:
+		return own.Urgent
+	default:
+		return own.Urgent + own.Short
+	}
+}
+
+func classWork(backlog *blackboard.Backlog, long bool) time.Duration {
+	if long {
+		return backlog.Long
+	}
+	return backlog.Urgent + backlog.Short
+}
+
+// unplaced returns the part of the job's work that finds no free slot at once, when nothing else waits.
+func unplaced(group *blackboard.Group, demand demand) time.Duration {
+	left := demand.tasks - max(0, group.Capacity.Slots-group.Busy)
+	if left <= 0 {
+		return 0
+	}
+	return demand.work / time.Duration(demand.tasks) * time.Duration(left)
+}
+
+// classShare returns the share of the group's rate that the class may count on.
+func classShare(group *blackboard.Group, long bool) float64 {
+	held, most := 0.0, 0.0
+	for place, limit := range group.Capacity.Long {
+		held += group.Long[place]
+		most += limit
+	}
+	rate := group.Capacity.Rate
+	if long {
+		return max(most/rate, minClassShare)
+	}
+	return max(1-held/rate, 1-most/rate, minClassShare)
+}
+
+// minClassShare keeps the prediction finite where one class may take everything.
+const minClassShare = 0.05
--- a/entry/pkg/app/policies.go
+++ b/entry/pkg/app/policies.go
@@ -1,6 +1,8 @@
 package app
 
 import (
+	"math/rand/v2"
+
 	"chervilusher.dev/entry/pkg/admission"
 	"chervilusher.dev/entry/pkg/blackboard"
 	"chervilusher.dev/entry/pkg/dispatch"
@@ -11,15 +13,49 @@
 	"chervilusher.dev/entry/pkg/settings"
 )
 
-// newPolicies builds the decisions that the settings select.
+// newEngine builds the engine with the decisions that the settings select.
+func newEngine(board *blackboard.Dispatch, policy *settings.Policy) *dispatch.Engine {
+	limits := dispatch.Limits{Long: policy.Long.Std(), Share: policy.Share}
+	return dispatch.New(board, newPolicies(policy), limits)
+}
+
 func newPolicies(policy *settings.Policy) dispatch.Policies {
 	return dispatch.Policies{
-		Placement: placement.NewFastest(),
-		Admission: admission.NewNone(),
+		Placement: newPlacement(policy.Placement),
+		Admission: newAdmission(policy.Admission),
 		Estimator: estimate.New(policy.Long.Std()),
-		Health:    health.New(policy.Retries),
-		NewQueue: func(map[string]*blackboard.Owner) blackboard.Queue {
-			return queue.NewSingle()
-		},
+		Health:    health.New(policy.Retries, policy.Eject),
+		NewQueue:  newQueue(policy.Queue),
+	}
+}
+
+func newPlacement(name string) dispatch.Placement {
+	switch name {
+	case "random":
+		return placement.NewRandom(newRandom())
+	case "robin":
+		return placement.NewRobin()
+	case "least":
+		return placement.NewLeast()
+	default:
+		return placement.NewFastest()
+	}
+}
+
+func newAdmission(name string) dispatch.Admission {
+	if name == "none" {
+		return admission.NewNone()
 	}
+	return admission.NewPredict(newRandom())
+}
+
+func newQueue(name string) func(owners map[string]*blackboard.Owner) blackboard.Queue {
+	if name == "single" {
+		return func(map[string]*blackboard.Owner) blackboard.Queue { return queue.NewSingle() }
+	}
+	return func(owners map[string]*blackboard.Owner) blackboard.Queue { return queue.NewFair(owners) }
+}
+
+func newRandom() *rand.Rand {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 }
--- a/entry/pkg/controllers/dispatch_controller.go
+++ b/entry/pkg/controllers/dispatch_controller.go
@@ -90,6 +90,7 @@
 func (d *DispatchController) AssignAll() {
 	d.board.Dispatch.Lock()
 	var effects dispatch.Effects
+	d.engine.Sync()
 	for _, group := range d.board.Dispatch.Groups {
 		effects.Append(d.engine.Assign(group, d.common.Clock.Now()))
 	}
--- /dev/null
+++ b/entry/pkg/dispatch/capacity.go
@@ -0,0 +1,114 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+
+	"chervilusher.dev/entry/pkg/blackboard"
+)
+
+// summedAge is how old a group's summed capacity may grow.
+const summedAge = 100 * time.Millisecond
+
+// maxDrift is how far a group's mean speed may be from 1 until speeds are rescaled.
+const maxDrift = 0.05
+
+// syncAge is how long the placement may rely on being told of changes.
+const syncAge = time.Second
+
+// refresh sums the group's capacity when the last sum is old.
+func (e *Engine) refresh(group *blackboard.Group, now time.Time) {
+	if now.Sub(group.Capacity.Summed) < summedAge && group.Capacity.Backends == len(group.Backends) {
+		return
+	}
+	if now.Sub(group.Synced) >= syncAge || group.Capacity.Backends != len(group.Backends) {
+		e.policies.Placement.Sync(group)
+		group.Synced = now
+	}
+	group.Capacity = e.sum(group, now)
+	if speed := group.Capacity.Rate / float64(max(1, group.Capacity.Slots)); math.Abs(speed-1) > maxDrift && group.Capacity.Slots > 0 {
+		e.policies.Estimator.Rescale(group, speed)
+		e.policies.Placement.Sync(group)
+		group.Capacity = e.sum(group, now)
+	}
+}
+
+func (e *Engine) sum(group *blackboard.Group, now time.Time) blackboard.Capacity {
+	capacity := blackboard.Capacity{Summed: now, Backends: len(group.Backends), Long: map[string]float64{}}
+	shapes := map[shape]bool{}
+	var tiers tiers
+	for _, backend := range group.Backends {
+		if backend.Leaving {
+			continue
+		}
+		if key := shapeOf(backend); !shapes[key] {
+			shapes[key] = true
+			capacity.Shapes = append(capacity.Shapes, backend)
+		}
+		if backend.Ejected || backend.Lapsed(now) {
+			continue
+		}
+		capacity.Slots += backend.Granted
+		rate := float64(backend.Granted) / slowness(backend)
+		capacity.Rate += rate
+		capacity.Long[backend.Place] += rate * e.limits.Share
+		tiers.add(slowness(backend), rate)
+	}
+	capacity.Slow = tiers.below(nearlyAll * capacity.Rate)
+	return capacity
+}
+
+func slowness(backend *blackboard.Backend) float64 {
+	if backend.Slowness <= 0 {
+		return 1
+	}
+	return backend.Slowness
+}
+
+type shape struct {
+	place        string
+	slots        int
+	cores        float64
+	memory       int64
+	accelerators int
+}
+
+func shapeOf(backend *blackboard.Backend) shape {
+	return shape{
+		place:        backend.Place,
+		slots:        backend.Slots,
+		cores:        backend.Cores,
+		memory:       backend.Memory,
+		accelerators: backend.Accelerators,
+	}
+}
+
+// nearlyAll is the share of starts that a bound on the slowness has to cover.
+const nearlyAll = 0.99
+
+// Steps of slowness: each is tierStep times the one before it.
+const (
+	tierCount = 64
+	tierStep  = 1.1
+	firstTier = 0.05
+)
+
+// tiers sums rates by slowness.
+type tiers [tierCount]float64
+
+func (t *tiers) add(slowness, rate float64) {
+	tier := int(math.Ceil(math.Log(slowness/firstTier) / math.Log(tierStep)))
+	t[min(max(tier, 0), tierCount-1)] += rate
+}
+
+// below returns the slowness that the given part of the summed rate stays below.
+func (t *tiers) below(rate float64) float64 {
+	sum := 0.0
+	for tier := range t {
+		sum += t[tier]
+		if sum >= rate {
+			return firstTier * math.Pow(tierStep, float64(tier))
+		}
+	}
+	return firstTier * math.Pow(tierStep, tierCount-1)
+}
--- a/entry/pkg/dispatch/ran.go
+++ b/entry/pkg/dispatch/ran.go
@@ -23,7 +23,7 @@
 
 // startAgain queues the task once more, unless its job's deadline has passed in the meantime.
 func (e *Engine) startAgain(group *blackboard.Group, task *blackboard.Task, outcome Outcome, now time.Time) []Stop {
-	e.requeue(group, task, outcome)
+	e.requeue(group, task, outcome, now)
 	if now.Before(task.Job.Deadline) {
 		return nil
 	}
