--- a/entry/pkg/controllers/submission_controller.go
+++ b/entry/pkg/controllers/submission_controller.go
@@ -110,6 +110,7 @@
 	if answer != nil {
 		return answer
 	}
+	s.common.Log.WithField("job", job.ID).WithField("owner", job.Owner).WithField("key", job.Key).Debug("accepted or joined")
 	return s.await(ctx, job, request.Wait)
 }
 
