--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -33,6 +33,7 @@
 
 const (
 	ownerToken = "the token of the tests' owner"
+	hostToken  = "the token of the hosts' operator"
 	patience   = 20 * time.Second
 	pollEvery  = 20 * time.Millisecond
 )
@@ -190,11 +191,11 @@
 	}
 	text := fmt.Sprintf(`{
 		"name": %q, "place": %q,
-		"caller": {"listen": %q}, "operator": {"listen": %q}, "peer": {"listen": %q},
+		"caller": {"listen": %q}, "operator": {"listen": %q, "hash": %q}, "peer": {"listen": %q},
 		"platform": {"log": "http://%s", "hosts": "http://%s"},
 		"ticket": {"key": "a key for the tests alone", "keep": %q},
 		"lease": {"length": "1s", "margin": "300ms"},
-	}`, e.name, e.place, e.caller, e.operator, e.peer, e.log.Address(), e.hosts.Address(), keep)
+	}`, e.name, e.place, e.caller, e.operator, configuration.HashToken(hostToken), e.peer, e.log.Address(), e.hosts.Address(), keep)
 	e.settings = filepath.Join(e.t.TempDir(), e.name+".json")
 	require.NoError(e.t, os.WriteFile(e.settings, []byte(text), 0o600))
 }
