--- a/cli/pkg/app/app.go
+++ b/cli/pkg/app/app.go
@@ -51,7 +51,12 @@
 		printer.Error(err)
 		return exitUsage
 	}
-	a := &app{stdin: stdin, printer: printer, http: &http.Client{}, clock: clockwork.NewRealClock()}
+	httpClient, err := parsed.httpClient()
+	if err != nil {
+		printer.Error(err)
+		return exitUsage
+	}
+	a := &app{stdin: stdin, printer: printer, http: httpClient, clock: clockwork.NewRealClock()}
 	if err := a.dispatch(ctx, &parsed); err != nil {
 		printer.Error(err)
 		return exitCode(err)
--- a/cli/pkg/app/app_test.go
+++ b/cli/pkg/app/app_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"encoding/pem"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -146,6 +147,22 @@
 	require.Contains(t, got.stderr, "version 1 is in force")
 }
 
+func TestHostsWithTLS(t *testing.T) {
+	server := httptest.NewTLSServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(writer).Encode(api.Ticket{Ticket: "secured"})
+	}))
+	t.Cleanup(server.Close)
+	path := filepath.Join(t.TempDir(), "trust.pem")
+	block := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: server.Certificate().Raw})
+	require.NoError(t, os.WriteFile(path, block, 0o600))
+	got := command(t, "", "--trust", path, "ticket", "--entry", server.URL, "--token", "x")
+	require.Equal(t, exitDone, got.code, got.stderr)
+	require.Contains(t, got.stdout, "secured")
+	got = command(t, "", "--trust", "absent.pem", "ticket", "--entry", server.URL, "--token", "x")
+	require.Equal(t, exitUsage, got.code)
+	require.Contains(t, got.stderr, "absent.pem")
+}
+
 func TestHelpShowsExamplesOfEachCommand(t *testing.T) {
 	for name := range examples {
 		line := append(strings.Fields(name), "--help")
--- a/cli/pkg/app/arguments.go
+++ b/cli/pkg/app/arguments.go
@@ -5,6 +5,7 @@
 // arguments is the whole command line.
 type arguments struct {
 	JSON bool `arg:"--json" help:"print JSON instead of tables and text"`
+	tlsFlags
 
 	Submit  *submitArguments  `arg:"subcommand:submit" help:"submit a job and wait for its answer"`
 	Request *requestArguments `arg:"subcommand:request" help:"send a single request and wait for its answer"`
@@ -51,6 +52,7 @@
 	Declared time.Duration `arg:"--declared" help:"guess of the run time, such as 200ms"`
 	Cores    float64       `arg:"--cores" help:"processors that the task needs on a worker"`
 	Memory   int64         `arg:"--memory" help:"bytes that the task needs on a worker"`
+	Cards    int           `arg:"--accelerators" help:"accelerators that the task needs on a worker"`
 	Urgent   bool          `arg:"--urgent" help:"goes before other work of the owner"`
 	Deadline time.Duration `arg:"--deadline" help:"time from receipt after which the answer is of no use"`
 }
--- a/entry/pkg/app/daemon.go
+++ b/entry/pkg/app/daemon.go
@@ -51,7 +51,7 @@
 type Daemon struct {
 	common      *common.Common
 	board       *blackboard.Board
-	listeners   listeners
+	listeners   *listeners
 	callers     *http.Server
 	operators   *http.Server
 	peers       *peer.Server
@@ -69,19 +69,13 @@
 	Serve(ctx context.Context)
 }
 
-type listeners struct {
-	caller   net.Listener
-	operator net.Listener
-	peer     net.Listener
-}
-
 // Listen builds the daemon and opens its addresses; it does not serve yet.
 func Listen(loaded *settings.Settings, logTo io.Writer) (*Daemon, error) {
-	opened, err := listen(loaded)
+	c := newCommon(loaded, logTo)
+	opened, err := listen(c)
 	if err != nil {
 		return nil, err
 	}
-	c := newCommon(loaded, logTo)
 	return build(c, opened), nil
 }
 
@@ -100,7 +94,7 @@
 	}
 }
 
-func build(c *common.Common, opened listeners) *Daemon {
+func build(c *common.Common, opened *listeners) *Daemon {
 	board := blackboard.New()
 	engine := newEngine(&board.Dispatch, &c.Settings.Policy)
 	entries := ledger.New(ledger.Limits{
@@ -113,7 +107,7 @@
 
 	platformClient := &http.Client{Timeout: platformTimeout}
 	workers := worker.New(newBackendClient(0))
-	peerClient := peer.NewClient()
+	peerClient := peer.NewClient(opened.toPeers)
 	peerServer := peer.NewServer()
 
 	dispatcher := controllers.NewDispatchController(c, board, engine, minion.New(newBackendClient), workers)
@@ -159,6 +153,12 @@
 			return nil
 		})
 	}
+	for _, source := range d.listeners.sources {
+		running.Go(func() error {
+			source.Serve(serving)
+			return nil
+		})
+	}
 	running.Go(func() error { return d.peers.Serve(serving, d.listeners.peer) })
 	running.Go(func() error { return serveHTTP(d.operators, d.listeners.operator) })
 	running.Go(func() error { return serveHTTP(d.callers, d.listeners.caller) })
@@ -172,27 +172,6 @@
 	return running.Wait()
 }
 
-func listen(loaded *settings.Settings) (listeners, error) {
-	var config net.ListenConfig
-	var opened listeners
-	for _, wanted := range []struct {
-		key     string
-		address string
-		into    *net.Listener
-	}{
-		{"caller.listen", loaded.Caller.Listen, &opened.caller},
-		{"operator.listen", loaded.Operator.Listen, &opened.operator},
-		{"peer.listen", loaded.Peer.Listen, &opened.peer},
-	} {
-		listener, err := config.Listen(context.Background(), "tcp", wanted.address)
-		if err != nil {
-			return listeners{}, errors.Errorf("%s: %s", wanted.key, err)
-		}
-		*wanted.into = listener
-	}
-	return opened, nil
-}
-
 // newBackendClient makes a client that opens at most so many connections to one back end; zero means no bound.
 func newBackendClient(connections int) *http.Client {
 	return &http.Client{
--- a/entry/pkg/peer/client.go
+++ b/entry/pkg/peer/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"time"
 
@@ -23,14 +24,20 @@
 	maxMessageBytes = 64 << 20
 )
 
+// TLSSource gives the TLS configuration of each new connection.
+type TLSSource interface {
+	Client() *tls.Config
+}
+
 // Client calls other entry hosts and keeps unused connections for the next call.
 type Client struct {
-	pool *drpcpool.Pool[string, drpcpool.Conn]
+	pool   *drpcpool.Pool[string, drpcpool.Conn]
+	secure TLSSource
 }
 
-// NewClient returns a client without connections.
-func NewClient() *Client {
-	return &Client{pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
+// NewClient returns a client without connections; a nil source means plain TCP.
+func NewClient(secure TLSSource) *Client {
+	return &Client{secure: secure, pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
 		Expiration:  idleExpiration,
 		KeyCapacity: idlePerHost,
 	})}
@@ -43,7 +50,7 @@
 
 // Call asks the host at address and waits for its response; after an error the call may have taken effect.
 func Call[Request, Response any](ctx context.Context, client *Client, address, method string, request *Request) (*Response, error) {
-	conn := client.pool.Get(ctx, address, dial)
+	conn := client.pool.Get(ctx, address, client.dial)
 	defer func() { _ = conn.Close() }()
 	var response Response
 	if err := conn.Invoke(ctx, method, encoding{}, request, &response); err != nil {
@@ -52,15 +59,25 @@
 	return &response, nil
 }
 
-func dial(ctx context.Context, address string) (drpcpool.Conn, error) {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	transport, err := dialer.DialContext(ctx, "tcp", address)
+func (c *Client) dial(ctx context.Context, address string) (drpcpool.Conn, error) {
+	transport, err := c.connect(ctx, address)
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
 	return drpcconn.NewWithOptions(transport, drpcconn.Options{Manager: managerOptions()}), nil
 }
 
+func (c *Client) connect(ctx context.Context, address string) (net.Conn, error) {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	if c.secure == nil {
+		return dialer.DialContext(ctx, "tcp", address)
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	secured := &tls.Dialer{NetDialer: dialer, Config: c.secure.Client()}
+	return secured.DialContext(ctx, "tcp", address)
+}
+
 func managerOptions() drpcmanager.Options {
 	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes}}
 }
--- a/entry/pkg/settings/check.go
+++ b/entry/pkg/settings/check.go
@@ -50,6 +50,9 @@
 			return errors.Errorf("%s is %q; give host:port", address.key, address.value)
 		}
 	}
+	if err := s.checkTLS(); err != nil {
+		return err
+	}
 	urls := []struct{ key, value string }{
 		{"platform.log", s.Platform.Log},
 		{"platform.hosts", s.Platform.Hosts},
@@ -62,6 +65,28 @@
 	return nil
 }
 
+func (s *Settings) checkTLS() error {
+	for _, one := range []struct {
+		key   string
+		files TLS
+	}{
+		{"caller.tls", s.Caller.TLS},
+		{"operator.tls", s.Operator.TLS},
+		{"peer.tls", s.Peer.TLS},
+	} {
+		if (one.files.Cert == "") != (one.files.Key == "") {
+			return errors.Errorf("%s names only one of cert and key; give both or none", one.key)
+		}
+		if one.files.Trust != "" && one.files.Cert == "" {
+			return errors.Errorf("%s.trust needs cert and key beside it", one.key)
+		}
+	}
+	if s.Peer.TLS.Cert != "" && s.Peer.TLS.Trust == "" {
+		return errors.New("peer.tls.trust is empty; name the authorities of the other hosts' certificates")
+	}
+	return nil
+}
+
 func (s *Settings) checkTicket() error {
 	if len(s.Ticket.Key) < minKeyBytes {
 		return errors.Errorf("ticket.key has %d characters; give at least %d", len(s.Ticket.Key), minKeyBytes)
--- a/entry/pkg/settings/settings.go
+++ b/entry/pkg/settings/settings.go
@@ -36,12 +36,26 @@
 // Listener is an address to listen on.
 type Listener struct {
 	Listen string `json:"listen"` // host:port
+	TLS    TLS    `json:"tls"`
+}
+
+// TLS names the PEM files of an address; without files it speaks plain TCP.
+type TLS struct {
+	Cert  string `json:"cert"`  // certificate and the chain to its authority
+	Key   string `json:"key"`   // private key of the certificate
+	Trust string `json:"trust"` // authorities whose certificates clients must show; empty lets in any client
+}
+
+// Enabled reports whether files are named.
+func (t TLS) Enabled() bool {
+	return t.Cert != ""
 }
 
 // Operator is the operators' address and the host's own operator token.
 type Operator struct {
 	Listen string `json:"listen"` // host:port
-	Hash   string `json:"hash"`   // SHA-256 of the token for host-wide calls, in hexadecimal; empty refuses them
+	TLS    TLS    `json:"tls"`
+	Hash   string `json:"hash"` // SHA-256 of the token for host-wide calls, in hexadecimal; empty refuses them
 }
 
 // Platform holds the base URLs of the platform's services.
