--- a/cli/pkg/app/arguments.go
+++ b/cli/pkg/app/arguments.go
@@ -45,16 +45,16 @@
 
 // workFlags describe work on the command line.
 type workFlags struct {
-	Service  string        `arg:"--service" help:"service whose minions run it"`
-	Pool     string        `arg:"--pool" help:"worker pool that runs it"`
-	Kind     string        `arg:"--kind" help:"kind of work"`
-	Payload  string        `arg:"--payload" help:"JSON value given to the task"`
-	Declared time.Duration `arg:"--declared" help:"guess of the run time, such as 200ms"`
-	Cores    float64       `arg:"--cores" help:"processors that the task needs on a worker"`
-	Memory   int64         `arg:"--memory" help:"bytes that the task needs on a worker"`
-	Cards    int           `arg:"--accelerators" help:"accelerators that the task needs on a worker"`
-	Urgent   bool          `arg:"--urgent" help:"goes before other work of the owner"`
-	Deadline time.Duration `arg:"--deadline" help:"time from receipt after which the answer is of no use"`
+	Service      string        `arg:"--service" help:"service whose minions run it"`
+	Pool         string        `arg:"--pool" help:"worker pool that runs it"`
+	Kind         string        `arg:"--kind" help:"kind of work"`
+	Payload      string        `arg:"--payload" help:"JSON value given to the task"`
+	Declared     time.Duration `arg:"--declared" help:"guess of the run time, such as 200ms"`
+	Cores        float64       `arg:"--cores" help:"processors that the task needs on a worker"`
+	Memory       int64         `arg:"--memory" help:"bytes that the task needs on a worker"`
+	Accelerators int           `arg:"--accelerators" help:"accelerators that the task needs on a worker"`
+	Urgent       bool          `arg:"--urgent" help:"goes before other work of the owner"`
+	Deadline     time.Duration `arg:"--deadline" help:"time from receipt after which the answer is of no use"`
 }
 
 // submitArguments are those of submit.
--- a/cli/pkg/app/callers.go
+++ b/cli/pkg/app/callers.go
@@ -114,7 +114,7 @@
 	return &api.Task{
 		Service: w.Service, Pool: w.Pool, Kind: w.Kind,
 		Payload: json.RawMessage(w.Payload), Declared: jsontime.Duration(w.Declared),
-		Need: api.Need{Cores: w.Cores, Memory: w.Memory, Accelerators: w.Cards},
+		Need: api.Need{Cores: w.Cores, Memory: w.Memory, Accelerators: w.Accelerators},
 	}, nil
 }
 
