Give each run's entry hosts a loopback address of their own

Change: the hosts listen on 127.X.Y.1 with X and Y drawn for the run, on ports below the clients' range.

--- a/load/pkg/fleet/fleet.go
+++ b/load/pkg/fleet/fleet.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -19,6 +22,12 @@
 // settleTime lets the hosts hear of each other and of the back ends before the first arrival.
 const settleTime = 3 * time.Second
 
+// Range of the entry hosts' addresses; the ports are below those that the system gives to clients.
+const (
+	loopbackParts = 250
+	firstPort     = 7000
+)
+
 // Fleet is the running system of one experiment.
 type Fleet struct {
 	Office    *office.Office
@@ -73,10 +82,8 @@
 }
 
 func (f *Fleet) start(ctx context.Context, settings *experiment.Settings, program string) error {
-	addresses, err := chooseAddresses(ctx, len(settings.Entries))
-	if err != nil {
-		return err
-	}
+	addresses := chooseAddresses(len(settings.Entries))
+	var err error
 	if f.Office, err = office.New(clockwork.NewRealClock(), officeSettings(settings, addresses)); err != nil {
 		return err
 	}
@@ -125,32 +132,17 @@
 	return wanted
 }
 
-// chooseAddresses finds free ports for the hosts; all stay taken until the last one is found.
-func chooseAddresses(ctx context.Context, hosts int) ([]entry.Addresses, error) {
-	var config net.ListenConfig
-	var held []net.Listener
-	defer func() {
-		for _, listener := range held {
-			_ = listener.Close()
-		}
-	}()
-	choose := func() (string, error) {
-		listener, err := config.Listen(ctx, "tcp", "127.0.0.1:0")
-		if err != nil {
-			return "", errors.WithStack(err)
-		}
-		held = append(held, listener)
-		return listener.Addr().String(), nil
+// chooseAddresses gives the hosts ports on a loopback address of the run's own, so that runs side by side do not meet.
+func chooseAddresses(hosts int) []entry.Addresses {
+	ip := fmt.Sprintf("127.%d.%d.1", 1+rand.IntN(loopbackParts), rand.IntN(loopbackParts))
+	port := firstPort
+	next := func() string {
+		port++
+		return net.JoinHostPort(ip, strconv.Itoa(port))
 	}
 	chosen := make([]entry.Addresses, hosts)
 	for i := range chosen {
-		for _, into := range []*string{&chosen[i].Caller, &chosen[i].Operator, &chosen[i].Peer} {
-			address, err := choose()
-			if err != nil {
-				return nil, err
-			}
-			*into = address
-		}
+		chosen[i] = entry.Addresses{Caller: next(), Operator: next(), Peer: next()}
 	}
-	return chosen, nil
+	return chosen
 }
