--- a/entry/pkg/app/daemon.go
+++ b/entry/pkg/app/daemon.go
@@ -21,7 +21,6 @@
 	"chervilusher.dev/entry/pkg/caller"
 	"chervilusher.dev/entry/pkg/common"
 	"chervilusher.dev/entry/pkg/controllers"
-	"chervilusher.dev/entry/pkg/dispatch"
 	"chervilusher.dev/entry/pkg/hostlist"
 	"chervilusher.dev/entry/pkg/ledger"
 	"chervilusher.dev/entry/pkg/minion"
@@ -103,7 +102,7 @@
 
 func build(c *common.Common, opened listeners) *Daemon {
 	board := blackboard.New()
-	engine := dispatch.New(&board.Dispatch, newPolicies(&c.Settings.Policy))
+	engine := newEngine(&board.Dispatch, &c.Settings.Policy)
 	entries := ledger.New(ledger.Limits{
 		Window:  c.Settings.Ticket.Window.Std(),
 		Keep:    c.Settings.Ticket.Keep.Std(),
--- a/entry/pkg/dispatch/outcome.go
+++ b/entry/pkg/dispatch/outcome.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	"chervilusher.dev/entry/pkg/blackboard"
 	"chervilusher.dev/entry/pkg/invariant"
@@ -27,27 +28,34 @@
 
 // mayStartAgain allows another start when the last one reached no back end, or when the request is idempotent and the retry budget holds.
 func (e *Engine) mayStartAgain(group *blackboard.Group, task *blackboard.Task, outcome Outcome) bool {
+	if outcome.Verdict == VerdictNotRun {
+		return outcome.Busy || task.Tries < e.maxTries
+	}
 	if task.Tries >= e.maxTries {
 		return false
 	}
-	if outcome.Verdict == VerdictNotRun {
-		return outcome.Busy || e.policies.Health.MayRetry(group)
-	}
-	return task.Job.Idempotent && e.policies.Health.MayRetry(group)
+	return task.Job.Idempotent && e.policies.Health.TakeRetry(group)
 }
 
-func (e *Engine) requeue(group *blackboard.Group, task *blackboard.Task, outcome Outcome) {
+// Times for which a task shuns the back end of its last attempt while another may take it.
+const (
+	shunBusy   = 100 * time.Millisecond
+	shunFailed = time.Second
+)
+
+func (e *Engine) requeue(group *blackboard.Group, task *blackboard.Task, outcome Outcome, now time.Time) {
 	if outcome.Verdict == VerdictNotRun {
 		task.Attempt--
 	}
-	if outcome.Verdict == VerdictUnknown {
-		task.Job.Unsure = true
-	}
 	task.State = blackboard.TaskQueued
 	task.Avoid = task.Backend
+	task.Shun = now.Add(shunFailed)
+	if outcome.Busy {
+		task.Shun = now.Add(shunBusy)
+	}
 	task.Backend = nil
-	group.Queue.Push(task)
-	e.board.Owners[task.Job.Owner].Queued++
+	e.classify(group, task)
+	e.enqueue(group, task)
 }
 
 func (e *Engine) fail(task *blackboard.Task, outcome Outcome) []Stop {
@@ -61,7 +69,6 @@
 		answer.Code = api.CodeUnavailable
 		answer.Reason = place + " reached no back end: " + outcome.Error
 	case VerdictUnknown:
-		task.Job.Unsure = true
 		answer.Code = api.CodeTaskUnknown
 		answer.Reason = place + " may have run, and its answer is lost: " + outcome.Error
 	default:
@@ -74,7 +81,7 @@
 // end decides the job, drops its waiting tasks and returns stops for those that run.
 func (e *Engine) end(job *blackboard.Job, answer *api.Answer) []Stop {
 	var stops []Stop
-	ran := api.RanNo
+	answer.Ran = ranOf(job)
 	for _, task := range job.Tasks {
 		switch task.State {
 		case blackboard.TaskQueued:
@@ -83,23 +90,17 @@
 			stops = append(stops, Stop{ID: startID(task), Backend: *task.Backend, Supported: task.Target.Tombstones})
 		case blackboard.TaskEnded, blackboard.TaskDropped:
 		}
-		if task.Attempt > 0 {
-			ran = api.RanYes
-		}
-	}
-	if job.Unsure && ran == api.RanNo {
-		ran = api.RanUnknown
 	}
-	answer.Ran = ran
 	e.decide(job, answer)
 	return stops
 }
 
 func (e *Engine) drop(task *blackboard.Task) {
-	removed := e.Group(task.Target.Group).Queue.Remove(task)
+	group := e.Group(task.Target.Group)
+	removed := group.Queue.Remove(task)
 	invariant.Check(removed, "queue_holds_waiting", "job %s task %d waits but is in no queue", task.Job.ID, task.Index)
 	task.State = blackboard.TaskDropped
-	e.board.Owners[task.Job.Owner].Queued--
+	e.dequeued(group, task)
 }
 
 func (e *Engine) decide(job *blackboard.Job, answer *api.Answer) {
@@ -107,6 +108,7 @@
 	answer.Key = job.Key
 	answer.Tasks = len(job.Tasks)
 	job.Answer = answer
+	e.deadlines.leave()
 	if job.Keep != nil {
 		job.Keep(answer)
 	}
