End an experiment's entry hosts at once

Cause: all hosts of a fleet drained together, each looked for a peer to take its kept answers, and a run ended half a minute after its last answer. Change: the tool kills the processes once the figures are read.

--- a/load/pkg/entry/process.go
+++ b/load/pkg/entry/process.go
@@ -15,11 +15,10 @@
 	"chervilusher.dev/load/pkg/experiment"
 )
 
-// Times of a process's start and end.
+// Times of a process's start.
 const (
 	readyTimeout = 20 * time.Second
 	readyPoll    = 50 * time.Millisecond
-	stopTimeout  = 30 * time.Second
 )
 
 // Process is one entry host that this program started.
@@ -112,19 +111,13 @@
 	}
 }
 
-// Close ends the process, at first gracefully.
+// Close ends the process at once; its work is over and nothing of it is kept.
 func (p *Process) Close() {
 	if p.pid() == 0 {
 		return
 	}
-	_ = p.send(syscall.SIGCONT)
-	_ = p.send(syscall.SIGTERM)
-	select {
-	case <-p.ended:
-	case <-time.After(stopTimeout):
-		_ = p.send(syscall.SIGKILL)
-		<-p.ended
-	}
+	_ = p.send(syscall.SIGKILL)
+	<-p.ended
 }
 
 func (p *Process) send(signal os.Signal) error {
