Count starts at faulty back ends by window

Cause: the target for back ends that fail fast is a share of the starts after the first 2 s, and the counters covered the whole run only. Change: the tool reads the back ends' counters at the ends of each window. Proof: TestStartsOfAWindowAtFaultyBackends.

--- a/load/pkg/app/run.go
+++ b/load/pkg/app/run.go
@@ -83,6 +83,8 @@
 	for _, process := range running.Entries {
 		hosts = append(hosts, caller.Host{Address: process.Addresses.Caller, Size: process.Host.Size})
 	}
+	samples := make(chan []measure.Sample, 1)
+	go func() { samples <- sampleWindows(ctx, settings, running, start) }()
 	sender := caller.New(settings, hosts)
 	outcomes := sender.Run(ctx, jobs, start)
 	<-faults
@@ -96,6 +98,8 @@
 		Outcomes: outcomes,
 		Backends: running.Office.AllCounters().Backends,
 		Repeats:  running.Office.Recorder.Repeats(),
+		Samples:  <-samples,
+		Faulty:   faultyBackends(settings, running),
 		Before:   before,
 		After:    after,
 		Central:  reference.Central(settings, jobs),
--- a/load/pkg/measure/measure.go
+++ b/load/pkg/measure/measure.go
@@ -19,9 +19,11 @@
 	Jobs     []workload.Job
 	Outcomes []caller.Outcome
 	Backends []office.MemberCounters
-	Repeats  int64   // starts of work that had started before
-	Before   []Usage // of each entry host, at the first arrival
-	After    []Usage // of each entry host, after the last answer
+	Repeats  int64 // starts of work that had started before
+	Samples  []Sample
+	Faulty   map[string]bool // names of the back ends that some fault names
+	Before   []Usage         // of each entry host, at the first arrival
+	After    []Usage         // of each entry host, after the last answer
 	Central  []time.Duration
 	Date     time.Time
 	Build    string
--- a/load/pkg/measure/measure_test.go
+++ b/load/pkg/measure/measure_test.go
@@ -41,7 +41,12 @@
 		Backends: []office.MemberCounters{{Name: "m", Speed: 1, Counters: task.Counters{Starts: 1, Refused: 1}}},
 		Before:   []Usage{{Counters: map[string]float64{startsCounter: 5}}},
 		After:    []Usage{{Counters: map[string]float64{startsCounter: 6, messagesCounter + `{kind="loan",wasted="yes"}`: 2}}},
-		Central:  []time.Duration{time.Second, time.Second},
+		Samples: []Sample{
+			{At: 0, Backends: []office.MemberCounters{{Name: "m"}}},
+			{At: 4 * time.Second, Backends: []office.MemberCounters{{Name: "m", Counters: task.Counters{Starts: 3}}}},
+		},
+		Faulty:  map[string]bool{"m": true},
+		Central: []time.Duration{time.Second, time.Second},
 	}
 }
 
@@ -61,6 +66,12 @@
 	require.InDelta(t, 0.5, results.Groups[0].Offered, 0.001)
 }
 
+func TestStartsOfAWindowAtFaultyBackends(t *testing.T) {
+	figures := Summarize(run()).Windows[0]
+	require.EqualValues(t, 3, figures.Starts)
+	require.EqualValues(t, 3, figures.Faulty)
+}
+
 func TestMessagesForEachStart(t *testing.T) {
 	results := Summarize(run())
 	require.InDelta(t, 3, results.Totals.Messages, 0.001)
--- a/load/pkg/measure/results.go
+++ b/load/pkg/measure/results.go
@@ -47,6 +47,8 @@
 	experiment.Window
 	Rows    []Row   `json:"rows"`
 	Goodput float64 `json:"goodput"` // work done in time within the window, as a share of the capacity of all groups
+	Starts  int64   `json:"starts"`  // at all back ends within the window
+	Faulty  int64   `json:"faulty"`  // of them, at back ends that some fault of the experiment names
 }
 
 // Row is the figures of one owner's class, or of all classes.
@@ -132,6 +134,12 @@
 	Y float64 `json:"y"`
 }
 
+// Sample is the counters of all back ends at a moment, counted from the start.
+type Sample struct {
+	At       time.Duration
+	Backends []BackendFigures
+}
+
 // Usage is the cost and the counters of one entry host at a moment.
 type Usage struct {
 	Cost     entry.Cost
--- a/load/pkg/measure/window.go
+++ b/load/pkg/measure/window.go
@@ -107,8 +107,34 @@
 	for _, builder := range builders {
 		figures.Rows = append(figures.Rows, builder.build())
 	}
+	figures.Starts, figures.Faulty = startsWithin(run, window)
 	length := (window.To - window.From).Std()
 	done := run.workDone(window.From.Std(), window.To.Std())
 	figures.Goodput = done / (run.capacity() * length.Seconds())
 	return figures
 }
+
+// startsWithin returns the starts between the samples at a window's ends, and those of them at faulty back ends.
+func startsWithin(run *Run, window experiment.Window) (all, faulty int64) {
+	first, last := sampleAt(run, window.From.Std()), sampleAt(run, window.To.Std())
+	if first == nil || last == nil {
+		return 0, 0
+	}
+	for i, backend := range last.Backends {
+		starts := backend.Starts - first.Backends[i].Starts
+		all += starts
+		if run.Faulty[backend.Name] {
+			faulty += starts
+		}
+	}
+	return all, faulty
+}
+
+func sampleAt(run *Run, at time.Duration) *Sample {
+	for i := range run.Samples {
+		if run.Samples[i].At == at {
+			return &run.Samples[i]
+		}
+	}
+	return nil
+}
