--- a/load/pkg/app/samples.go
+++ b/load/pkg/app/samples.go
@@ -12,7 +12,7 @@
 
 // sampleWindows reads the back ends' counters at the ends of every window.
 func sampleWindows(ctx context.Context, settings *experiment.Settings, running *fleet.Fleet, start time.Time) []measure.Sample {
-	var times []time.Duration
+	times := make([]time.Duration, 0, 2*len(settings.Windows))
 	for _, window := range settings.Windows {
 		times = append(times, window.From.Std(), window.To.Std())
 	}
