Lend slots from keepers: pure decisions and their measurement

Change: Keeper (lends the fastest free slots first, remembers demand and pushes, recalls by fair share, takes a host's word after lost messages), Borrower (one call at a time for each keeper, offers, gives idle slots back at once, renews all at once, loans lapse by its own clock less a margin).

--- a/entry/pkg/blackboard/backend.go
+++ b/entry/pkg/blackboard/backend.go
@@ -14,6 +14,14 @@
 	Role     platform.Role
 	Backends map[string]*Backend
 	Queue    Queue
+	Wants    map[string]*Waiting // waiting tasks by the room that they need
+}
+
+// Waiting counts waiting tasks that need the same room.
+type Waiting struct {
+	Need   api.Need
+	Places []string // failure domains; empty means all
+	Count  int
 }
 
 // Queue holds the waiting tasks of a group in the order in which they are to start.
@@ -46,13 +54,29 @@
 	Granted int       // slots that this host may use now
 	Until   time.Time // when the grant lapses; zero means that it does not
 	Busy    int       // slots that this host's tasks hold
-	Fence   int64     // fencing token of the worker's lease; zero for minions
+	Peak    int       // most slots busy since the lender last looked
+	Lease   Lease     // of a worker, while this host is its keeper
+	Lapse   time.Time // when the worker's lease lapses under which its slots were lent; zero for minions
+
+	Recalled int   // slots that go back to the keeper when they come free
+	Fence    int64 // fencing token of the worker's lease; zero for minions
 
 	Ejected  bool // it gets no work but probes
 	Probing  bool // one probe is under way
 	Slowness float64
 }
 
+// Lease is the right of a keeper to use a worker.
+type Lease struct {
+	Fence int64     // fencing token; zero when this host has no lease
+	Until time.Time // less the margin
+}
+
+// Leased reports whether this host may lend the back end's slots: a worker's only under its lease.
+func (b *Backend) Leased(now time.Time) bool {
+	return b.Role == platform.RoleMinion || (b.Lease.Fence != 0 && now.Before(b.Lease.Until))
+}
+
 // Free returns how many more slots this host may use at the back end at the given time.
 func (b *Backend) Free(now time.Time) int {
 	if b.Leaving || b.Lapsed(now) {
--- a/entry/pkg/dispatch/engine.go
+++ b/entry/pkg/dispatch/engine.go
@@ -281,6 +281,7 @@
 	task.Width = backend.Width(task.Need)
 	task.Started = now
 	backend.Busy += task.Width
+	backend.Peak = max(backend.Peak, backend.Busy)
 	task.Job.Started = true
 	return Start{
 		Task:    task,
--- /dev/null
+++ b/entry/pkg/lending/borrower.go
@@ -0,0 +1,275 @@
+package lending
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"chervilusher.dev/entry/pkg/blackboard"
+)
+
+// Lender is another host, or this one, whose keeper can be asked for slots.
+type Lender struct {
+	Name     string
+	Distance time.Duration // round trip
+}
+
+// Options tune a borrower.
+type Options struct {
+	Host        string
+	Incarnation string
+	Margin      time.Duration // of a loan that is not used for new starts
+	Renew       time.Duration // loans are renewed after this time
+	Hold        time.Duration // an idle slot is kept this long before it goes back
+}
+
+// Borrower gets slots for the queues of this host from keepers and gives back what it does not use.
+type Borrower struct {
+	options Options
+	board   *blackboard.Dispatch
+	lenders map[string]*lender
+	order   []*lender          // the nearest first
+	holders map[string]*lender // of the slots of each back end
+	local   *Keeper            // this host's own, whose free slots are seen without asking
+	blocked map[string]time.Time
+	looked  time.Time // when idle slots were last looked for
+	Counts  Counts
+}
+
+// Counts are the messages and slots of a borrower since its start.
+type Counts struct {
+	Asks     int // that went to another host
+	Empty    int // of them, that asked for slots and got none
+	Renewals int // of them, that only renewed or gave back
+	Pushes   int // grants that came by themselves
+	Granted  int // slots
+	Unused   int // slots given back without a start
+}
+
+// lender is the borrower's view of one keeper.
+type lender struct {
+	Lender
+	calling bool      // an ask is under way; there is one at a time
+	down    time.Time // not asked before this time
+	epoch   uint64
+	full    bool      // the next ask tells all holdings
+	asked   time.Time // when the last answered ask was sent
+	until   time.Time // when the loans lapse, less the margin
+	held    map[string]int
+	returns map[string]int
+	offers  map[string][]Offer
+	told    map[string]int // demand that the keeper remembers, by group
+	unused  map[string]int // slots granted and not yet used, by back end
+}
+
+// NewBorrower returns a borrower that holds nothing.
+func NewBorrower(board *blackboard.Dispatch, local *Keeper, options Options) *Borrower {
+	return &Borrower{
+		options: options,
+		board:   board,
+		local:   local,
+		lenders: map[string]*lender{},
+		holders: map[string]*lender{},
+		blocked: map[string]time.Time{},
+	}
+}
+
+// SetLenders sets which hosts can be asked, the nearest first; the holdings from those that are gone lapse by themselves.
+func (b *Borrower) SetLenders(lenders []Lender) {
+	known := b.lenders
+	b.lenders = make(map[string]*lender, len(lenders))
+	b.order = b.order[:0]
+	for _, each := range lenders {
+		entry, ok := known[each.Name]
+		if !ok {
+			entry = &lender{
+				full:    true,
+				held:    map[string]int{},
+				returns: map[string]int{},
+				offers:  map[string][]Offer{},
+				told:    map[string]int{},
+				unused:  map[string]int{},
+			}
+		}
+		entry.Lender = each
+		b.lenders[each.Name] = entry
+		b.order = append(b.order, entry)
+	}
+}
+
+// Rehome moves the holdings of back ends whose keeper has changed to the new keeper, which learns of them by the next ask.
+func (b *Borrower) Rehome(keeperOf func(backend string) string) {
+	for _, name := range slices.Sorted(maps.Keys(b.holders)) {
+		from := b.holders[name]
+		to, ok := b.lenders[keeperOf(name)]
+		if !ok || to == from {
+			continue
+		}
+		to.held[name] += from.held[name]
+		to.full = true
+		to.asked = time.Time{}
+		delete(from.held, name)
+		b.holders[name] = to
+	}
+}
+
+// Answered takes in a keeper's answer to the ask; sent is when the ask left.
+func (b *Borrower) Answered(name string, ask *Ask, answer *Answer, sent time.Time) {
+	from, ok := b.lenders[name]
+	if !ok {
+		return
+	}
+	from.calling = false
+	from.asked = sent
+	from.until = sent.Add(answer.Length - b.options.Margin)
+	b.takeOffers(from, ask, answer.Offers)
+	granted := b.take(from, answer.Granted)
+	b.apply(from, answer.Terms, sent)
+	b.recall(from, answer.Recalls)
+	asked := 0
+	clear(from.told)
+	for i := range ask.Demands {
+		demand := &ask.Demands[i]
+		asked += demand.Count
+		from.told[demand.Want.Group] += min(demand.Later, max(0, demand.Count-granted))
+	}
+	b.count(from, asked, granted)
+}
+
+// Failed takes in that an ask got no answer: it may have taken effect, so the next one tells all holdings.
+func (b *Borrower) Failed(name string, now time.Time, retry time.Duration) {
+	from, ok := b.lenders[name]
+	if !ok {
+		return
+	}
+	from.calling = false
+	from.full = true
+	from.down = now.Add(retry)
+	clear(from.offers)
+	clear(from.told)
+}
+
+// Pushed takes in a grant that a keeper sent by itself, and reports false when it is void.
+func (b *Borrower) Pushed(push *Push, now time.Time) bool {
+	from, ok := b.lenders[push.Keeper]
+	if !ok || from.epoch != push.Epoch || !now.Before(from.until) {
+		return false
+	}
+	b.Counts.Pushes++
+	granted := b.take(from, push.Granted)
+	for group := range from.told {
+		from.told[group] = max(0, from.told[group]-granted)
+	}
+	b.apply(from, push.Terms, now)
+	return true
+}
+
+func (b *Borrower) count(from *lender, asked, granted int) {
+	if from.Name == b.options.Host {
+		return
+	}
+	b.Counts.Asks++
+	switch {
+	case asked == 0:
+		b.Counts.Renewals++
+	case granted == 0:
+		b.Counts.Empty++
+	}
+}
+
+// take adds granted slots, and returns how many there are.
+func (b *Borrower) take(from *lender, granted []Holding) int {
+	slots := 0
+	for _, holding := range granted {
+		slots += holding.Slots
+		if other := b.holders[holding.Backend]; other != nil && other != from {
+			from.held[holding.Backend] += other.held[holding.Backend]
+			delete(other.held, holding.Backend)
+			other.full = true
+		}
+		b.holders[holding.Backend] = from
+		from.held[holding.Backend] += holding.Slots
+		if from.Name != b.options.Host {
+			from.unused[holding.Backend] += holding.Slots
+			b.Counts.Granted += holding.Slots
+		}
+		if backend := b.backend(holding.Backend); backend != nil && backend.Slowness == 0 {
+			backend.Slowness = holding.Slowness
+		}
+	}
+	return slots
+}
+
+// apply puts the lender's holdings on the board.
+func (b *Borrower) apply(from *lender, terms []Term, sent time.Time) {
+	for name, slots := range from.held {
+		backend := b.backend(name)
+		if backend == nil {
+			from.returns[name] += slots
+			delete(from.held, name)
+			delete(b.holders, name)
+			continue
+		}
+		backend.Granted = slots
+		backend.Until = from.until
+		if backend.Lapse.Before(backend.Until) && !backend.Lapse.IsZero() {
+			backend.Until = backend.Lapse
+		}
+	}
+	for _, term := range terms {
+		backend := b.backend(term.Backend)
+		if backend == nil || from.held[term.Backend] == 0 {
+			continue
+		}
+		backend.Fence = term.Fence
+		backend.Lapse = sent.Add(term.Left)
+		backend.Until = earlier(from.until, backend.Lapse)
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// takeOffers replaces what was known of the keeper's free slots in the groups that the ask touched.
+func (b *Borrower) takeOffers(from *lender, ask *Ask, offers []Offer) {
+	for i := range ask.Demands {
+		from.offers[ask.Demands[i].Want.Group] = nil
+	}
+	touched := map[string]bool{}
+	for _, offer := range offers {
+		if !touched[offer.Group] {
+			touched[offer.Group] = true
+			from.offers[offer.Group] = nil
+		}
+		from.offers[offer.Group] = append(from.offers[offer.Group], offer)
+	}
+}
+
+// recall gives back idle slots at once, and marks others to go back as they come free.
+func (b *Borrower) recall(from *lender, recalls []Recall) {
+	for _, recall := range recalls {
+		left := recall.Slots
+		for name := range from.held {
+			backend := b.backend(name)
+			if left == 0 || backend == nil || backend.Group != recall.Group {
+				continue
+			}
+			slots := min(left, from.held[name])
+			backend.Recalled = slots
+			left -= slots
+		}
+	}
+}
+
+func (b *Borrower) backend(name string) *blackboard.Backend {
+	for _, group := range b.board.Groups {
+		if backend, ok := group.Backends[name]; ok {
+			return backend
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/pkg/lending/fleet_test.go
@@ -0,0 +1,505 @@
+package lending
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"chervilusher.dev/lib/api"
+	"chervilusher.dev/lib/platform"
+
+	"chervilusher.dev/entry/pkg/blackboard"
+	"chervilusher.dev/entry/pkg/dispatch"
+	"chervilusher.dev/entry/pkg/health"
+	"chervilusher.dev/entry/pkg/keeper"
+	"chervilusher.dev/entry/pkg/placement"
+	"chervilusher.dev/entry/pkg/queue"
+)
+
+// Figures of the reference fleet.
+const (
+	fleetPlaces   = 3
+	fleetMinions  = 48
+	fleetSlots    = 8
+	withinPlace   = 100 * time.Microsecond // one way
+	betweenPlaces = 500 * time.Microsecond // one way
+	roundTrips    = 7 * time.Millisecond   // of the caller and the minion, which the ideal has too
+	meanWork      = 0.9505                 // seconds
+)
+
+var fleetSpeeds = []float64{0.5, 0.7, 1, 1, 1.4, 2}
+
+type event struct {
+	at    time.Time
+	order int
+	run   func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at.Before(e[j].at) || (e[i].at.Equal(e[j].at) && e[i].order < e[j].order)
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// fleet joins the real engines, keepers and borrowers of several hosts by messages with a delay, on a clock of its own.
+type fleet struct {
+	t       testing.TB
+	random  *rand.Rand
+	now     time.Time
+	events  events
+	order   int
+	hosts   []*fleetHost
+	busy    map[string]int
+	policy  string
+	ratios  []float64
+	started int
+	failed  int // tasks that ended without an answer
+	refused int // starts that the minion's own limit refused
+	from    time.Time
+	loss    float64 // share of messages that are lost
+}
+
+type fleetHost struct {
+	name     string
+	place    string
+	board    *blackboard.Board
+	engine   *dispatch.Engine
+	keeper   *Keeper
+	borrower *Borrower
+	group    *blackboard.Group
+}
+
+type knownSpeed struct{}
+
+func (knownSpeed) Classify(*blackboard.Task)                                    {}
+func (knownSpeed) Observe(*blackboard.Task, *blackboard.Backend, time.Duration) {}
+
+func newFleet(t testing.TB, policy string, hosts int, seed int64, options Options, loan time.Duration) *fleet {
+	f := &fleet{t: t, random: rand.New(rand.NewSource(seed)), now: time.Unix(0, 0), busy: map[string]int{}, policy: policy}
+	members := &blackboard.MemberTable{ByName: map[string]blackboard.Member{}}
+	for i := range hosts {
+		name := fmt.Sprint("host", i)
+		members.ByName[name] = blackboard.Member{Name: name, Place: fmt.Sprint("place", i%fleetPlaces), Size: 1, Alive: true}
+	}
+	for i := range hosts {
+		f.hosts = append(f.hosts, f.newHost(fmt.Sprint("host", i), fmt.Sprint("place", i%fleetPlaces), members, hosts, options, loan))
+	}
+	return f
+}
+
+func (f *fleet) newHost(name, place string, members *blackboard.MemberTable, hosts int, options Options, loan time.Duration) *fleetHost {
+	host := &fleetHost{name: name, place: place, board: blackboard.New()}
+	host.engine = dispatch.New(&host.board.Dispatch, dispatch.Policies{
+		Placement: placement.NewFastest(),
+		Admission: admitAll{},
+		Estimator: knownSpeed{},
+		Health:    health.New(0.1),
+		NewQueue:  func(map[string]*blackboard.Owner) blackboard.Queue { return queue.NewSingle() },
+	})
+	host.board.Dispatch.Owners["desk"] = &blackboard.Owner{Name: "desk", Weight: 1, MaxWait: 1 << 30}
+	host.group = host.engine.Group("minions")
+	host.keeper = NewKeeper(loan, options.Margin, 0)
+	options.Host = name
+	options.Incarnation = name
+	host.borrower = NewBorrower(&host.board.Dispatch, host.keeper, options)
+	var keeping []*blackboard.Backend
+	for i := range fleetMinions {
+		minion := &blackboard.Backend{
+			Name: fmt.Sprint("minion", i), Place: fmt.Sprint("place", i%fleetPlaces), Group: "minions",
+			Role: platform.RoleMinion, Slots: fleetSlots, Slowness: 1 / fleetSpeeds[(i/fleetPlaces)%len(fleetSpeeds)],
+		}
+		host.group.Backends[minion.Name] = minion
+		switch f.policy {
+		case "central":
+			minion.Granted = fleetSlots
+		case "fixed":
+			index := slices.Index([]string{"host0", "host1", "host2", "host3", "host4", "host5"}, name)
+			minion.Granted = fleetSlots*(index+1)/hosts - fleetSlots*index/hosts
+		case "shared":
+			minion.Granted = fleetSlots
+		}
+		if keeper.Of(minion.Name, minion.Place, members) == name {
+			keeping = append(keeping, minion)
+		}
+	}
+	host.keeper.Update(keeping, true, f.now)
+	host.borrower.SetLenders(f.lendersOf(name, place, hosts))
+	return host
+}
+
+func (f *fleet) lendersOf(name, place string, hosts int) []Lender {
+	lenders := []Lender{{Name: name}}
+	for i := range hosts {
+		other := Lender{Name: fmt.Sprint("host", i), Distance: 2 * betweenPlaces}
+		if other.Name == name {
+			continue
+		}
+		if place == fmt.Sprint("place", i%fleetPlaces) {
+			other.Distance = 2 * withinPlace
+		}
+		lenders = append(lenders, other)
+	}
+	slices.SortStableFunc(lenders, func(a, b Lender) int { return int(a.Distance - b.Distance) })
+	return lenders
+}
+
+type admitAll struct{}
+
+func (admitAll) Admit(*blackboard.Job, map[string]*blackboard.Group, time.Time) *dispatch.Refusal {
+	return nil
+}
+
+func (f *fleet) after(delay time.Duration, run func()) {
+	f.order++
+	heap.Push(&f.events, event{at: f.now.Add(delay), order: f.order, run: run})
+}
+
+// play runs the fleet at a share of its capacity and collects response against ideal after a warm-up.
+func (f *fleet) play(load float64, warm, length time.Duration) {
+	capacity := 0.0
+	for i := range fleetMinions {
+		capacity += fleetSlots * fleetSpeeds[(i/fleetPlaces)%len(fleetSpeeds)]
+	}
+	rate := load * capacity / meanWork
+	f.from = f.now.Add(warm)
+	end := f.from.Add(length)
+	var arrive func()
+	arrive = func() {
+		if f.now.Before(end) {
+			f.submit(f.hosts[f.random.Intn(len(f.hosts))])
+			f.after(time.Duration(f.random.ExpFloat64()/rate*float64(time.Second)), arrive)
+		}
+	}
+	f.after(0, arrive)
+	for _, host := range f.hosts {
+		f.tick(host, end)
+	}
+	if f.policy == "shared" {
+		f.hear(end)
+	}
+	for len(f.events) > 0 {
+		next := heap.Pop(&f.events).(event)
+		f.now = next.at
+		next.run()
+	}
+}
+
+func (f *fleet) tick(host *fleetHost, end time.Time) {
+	if f.now.After(end.Add(time.Minute)) || f.policy != "loans" {
+		return
+	}
+	host.keeper.Tick(f.now)
+	f.step(host, dispatch.Effects{})
+	f.after(5*time.Millisecond, func() { f.tick(host, end) })
+}
+
+// hear tells each host what the others use; until the next time they go by it.
+func (f *fleet) hear(end time.Time) {
+	for _, host := range f.hosts {
+		for name, minion := range host.group.Backends {
+			minion.Granted = fleetSlots - f.busy[name] + minion.Busy
+		}
+		f.run(host, host.engine.Assign(host.group, f.now))
+	}
+	if f.now.Before(end) {
+		f.after(200*time.Millisecond, func() { f.hear(end) })
+	}
+}
+
+func (f *fleet) submit(host *fleetHost) {
+	work := 0.0
+	switch draw := f.random.Float64(); {
+	case draw < 0.003:
+		work = 20 + 20*f.random.Float64()
+	case draw < 0.1:
+		work = 2 + 4*f.random.Float64()
+	default:
+		work = 0.05 + 0.95*f.random.Float64()
+	}
+	job := &blackboard.Job{ID: fmt.Sprint(f.order), Owner: "desk", Deadline: f.now.Add(time.Hour), Left: 1, Done: make(chan struct{})}
+	job.Tasks = []*blackboard.Task{{
+		Job: job, Kind: "k", Declared: time.Duration(work * float64(time.Second)),
+		Target: &blackboard.Target{Group: "minions", Role: platform.RoleMinion, Timeout: time.Hour},
+	}}
+	effects, refusal := host.engine.Submit(job, f.now)
+	require.Nil(f.t, refusal)
+	f.step(host, effects)
+}
+
+// step carries out effects, asks the own keeper at once and others by messages.
+func (f *fleet) step(host *fleetHost, effects dispatch.Effects) {
+	f.run(host, effects)
+	if f.policy != "loans" {
+		return
+	}
+	for again := true; again; {
+		again = false
+		for _, call := range host.borrower.Plan(f.now) {
+			if call.Lender == host.name {
+				answer := host.keeper.Serve(call.Ask, f.now)
+				f.answered(host, host.name, call.Ask, answer, f.now)
+				again = len(answer.Granted) > 0
+				f.push(host)
+				continue
+			}
+			f.send(host, call)
+		}
+	}
+}
+
+func (f *fleet) answered(host *fleetHost, lender string, ask *Ask, answer *Answer, sent time.Time) {
+	host.borrower.Answered(lender, ask, answer, sent)
+	f.run(host, host.engine.Assign(host.group, f.now))
+}
+
+func (f *fleet) send(host *fleetHost, call Call) {
+	lender := f.find(call.Lender)
+	delay := f.delay(host, lender)
+	sent := f.now
+	if f.lost() {
+		f.after(retryLost, func() { host.borrower.Failed(call.Lender, f.now, 0) })
+		return
+	}
+	f.after(delay, func() {
+		answer := lender.keeper.Serve(call.Ask, f.now)
+		f.push(lender)
+		f.step(lender, dispatch.Effects{})
+		if f.lost() {
+			f.after(retryLost, func() { host.borrower.Failed(call.Lender, f.now, 0) })
+			return
+		}
+		f.after(delay, func() {
+			f.answered(host, call.Lender, call.Ask, answer, sent)
+			f.step(host, dispatch.Effects{})
+		})
+	})
+}
+
+// retryLost is after what time a host gives up waiting for an answer.
+const retryLost = 50 * time.Millisecond
+
+func (f *fleet) lost() bool {
+	return f.loss > 0 && f.random.Float64() < f.loss
+}
+
+func (f *fleet) push(keeping *fleetHost) {
+	for _, push := range keeping.keeper.Pushes(keeping.name, f.now) {
+		to := f.find(push.Host)
+		if f.lost() {
+			continue // the borrower's next full ask tells that it does not hold the slots
+		}
+		f.after(f.delay(keeping, to), func() {
+			if !to.borrower.Pushed(&push, f.now) {
+				f.after(f.delay(keeping, to), func() { keeping.keeper.Refused(&push) })
+				return
+			}
+			f.run(to, to.engine.Assign(to.group, f.now))
+			f.step(to, dispatch.Effects{})
+		})
+	}
+}
+
+func (f *fleet) find(name string) *fleetHost {
+	for _, host := range f.hosts {
+		if host.name == name {
+			return host
+		}
+	}
+	return nil
+}
+
+func (f *fleet) delay(a, b *fleetHost) time.Duration {
+	if a == b {
+		return 0
+	}
+	if a.place == b.place {
+		return withinPlace
+	}
+	return betweenPlaces
+}
+
+func (f *fleet) run(host *fleetHost, effects dispatch.Effects) {
+	for _, start := range effects.Starts {
+		host.borrower.Started(start.Backend.Name, 1)
+		travel := 2 * withinPlace
+		if start.Backend.Place != host.place {
+			travel = 2 * betweenPlaces
+		}
+		f.busy[start.Backend.Name]++
+		if f.busy[start.Backend.Name] > fleetSlots {
+			f.busy[start.Backend.Name]--
+			f.refused++
+			f.after(travel, func() {
+				f.finish(host, start, dispatch.Outcome{Verdict: dispatch.VerdictNotRun, Busy: true})
+			})
+			continue
+		}
+		f.started++
+		took := time.Duration(float64(start.Task.Declared) * start.Backend.Slowness)
+		f.after(travel+took, func() {
+			f.busy[start.Backend.Name]--
+			if task := start.Task; !task.Queued.Before(f.from) {
+				response := f.now.Sub(task.Queued) + roundTrips
+				f.ratios = append(f.ratios, response.Seconds()/(task.Declared+roundTrips).Seconds())
+			}
+			f.finish(host, start, dispatch.Outcome{Verdict: dispatch.VerdictDone})
+		})
+	}
+}
+
+func (f *fleet) finish(host *fleetHost, start dispatch.Start, outcome dispatch.Outcome) {
+	effects, _ := host.engine.Finish(start.Task, start.Attempt, outcome, f.now)
+	if answer := start.Task.Job.Answer; answer != nil && answer.State == api.StateFailed {
+		f.failed++
+	}
+	f.step(host, effects)
+}
+
+func (f *fleet) quantile(q float64) float64 {
+	slices.Sort(f.ratios)
+	return f.ratios[int(q*float64(len(f.ratios)-1))]
+}
+
+func (f *fleet) counts() Counts {
+	var sum Counts
+	for _, host := range f.hosts {
+		counts := host.borrower.Counts
+		sum.Asks += counts.Asks
+		sum.Empty += counts.Empty
+		sum.Renewals += counts.Renewals
+		sum.Pushes += counts.Pushes
+		sum.Granted += counts.Granted
+		sum.Unused += counts.Unused
+	}
+	return sum
+}
+
+func defaultOptions() Options {
+	return Options{Margin: 100 * time.Millisecond, Renew: 400 * time.Millisecond}
+}
+
+func (f *fleet) report(name string) {
+	counts := f.counts()
+	per := func(count int) float64 { return float64(count) / float64(f.started) }
+	f.t.Logf("%-24s p50 %.2f p99 %.2f p999 %.2f | per start: asks %.3f empty %.3f renewals %.3f pushes %.3f unused %.3f refused %.4f failed %.4f",
+		name, f.quantile(0.5), f.quantile(0.99), f.quantile(0.999),
+		per(counts.Asks), per(counts.Empty), per(counts.Renewals), per(counts.Pushes), per(counts.Unused), per(f.refused), per(f.failed))
+}
+
+// TestLoansComeNearACentralQueue holds the targets of the reference fleet: within 15 % of a central queue, and at most 0.1 wasted messages for each start at 70 %.
+func TestLoansComeNearACentralQueue(t *testing.T) {
+	for seed := range int64(3) {
+		f := newFleet(t, "loans", 6, seed, defaultOptions(), time.Second)
+		f.play(0.7, 30*time.Second, 120*time.Second)
+		f.report(fmt.Sprintf("70 %% seed %d", seed))
+		require.LessOrEqual(t, f.quantile(0.5), 0.83)
+		require.LessOrEqual(t, f.quantile(0.99), 1.15)
+		require.LessOrEqual(t, f.wasted(), 0.1)
+		require.Zero(t, f.failed)
+
+		f = newFleet(t, "loans", 6, seed, defaultOptions(), time.Second)
+		f.play(0.9, 30*time.Second, 120*time.Second)
+		f.report(fmt.Sprintf("90 %% seed %d", seed))
+		require.LessOrEqual(t, f.quantile(0.5), 1.15)
+		require.LessOrEqual(t, f.quantile(0.99), 2.3)
+		require.Zero(t, f.failed)
+	}
+}
+
+// TestLoansSurviveLostMessages loses asks, answers and pushes; no slot is lost for good and no task is left.
+func TestLoansSurviveLostMessages(t *testing.T) {
+	for seed := range int64(3) {
+		f := newFleet(t, "loans", 6, seed, defaultOptions(), time.Second)
+		f.loss = 0.05
+		f.play(0.8, 0, 20*time.Second)
+		f.report(fmt.Sprintf("loss seed %d", seed))
+		require.Zero(t, f.failed)
+		require.Len(t, f.ratios, f.started)
+		for _, host := range f.hosts {
+			require.Zero(t, host.group.Queue.Len())
+			host.keeper.Tick(f.now.Add(time.Hour))
+			for name, entry := range host.keeper.backends {
+				require.Zero(t, entry.lent, "slots of %s are lost", name)
+			}
+			for _, minion := range host.group.Backends {
+				require.Zero(t, minion.Busy)
+			}
+		}
+	}
+}
+
+// BenchmarkLending sets loans against the baselines; -benchtime=1x runs each once.
+func BenchmarkLending(b *testing.B) {
+	for _, load := range []float64{0.7, 0.9} {
+		for _, policy := range []string{"central", "fixed", "shared", "loans"} {
+			for seed := range int64(3) {
+				hosts := 6
+				if policy == "central" {
+					hosts = 1
+				}
+				b.Run(fmt.Sprintf("load=%.0f/policy=%s/seed=%d", load*100, policy, seed), func(b *testing.B) {
+					f := newFleet(b, policy, hosts, seed, defaultOptions(), time.Second)
+					f.play(load, 30*time.Second, 120*time.Second)
+					f.metrics(b)
+				})
+			}
+		}
+	}
+}
+
+// BenchmarkHold sets the times for which idle slots are kept against each other, and BenchmarkLoan the lengths of loans.
+func BenchmarkHold(b *testing.B) {
+	for _, hold := range []time.Duration{0, 5 * time.Millisecond, 20 * time.Millisecond, 50 * time.Millisecond, 200 * time.Millisecond} {
+		for seed := range int64(3) {
+			b.Run(fmt.Sprintf("hold=%s/seed=%d", hold, seed), func(b *testing.B) {
+				options := defaultOptions()
+				options.Hold = hold
+				f := newFleet(b, "loans", 6, seed, options, time.Second)
+				f.play(0.7, 30*time.Second, 120*time.Second)
+				f.metrics(b)
+			})
+		}
+	}
+}
+
+// BenchmarkLoan sets lengths of loans against messages.
+func BenchmarkLoan(b *testing.B) {
+	for _, loan := range []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second, 5 * time.Second} {
+		b.Run(fmt.Sprintf("loan=%s", loan), func(b *testing.B) {
+			options := defaultOptions()
+			options.Renew = loan * 2 / 5
+			f := newFleet(b, "loans", 6, 0, options, loan)
+			f.play(0.7, 30*time.Second, 120*time.Second)
+			f.metrics(b)
+		})
+	}
+}
+
+// wasted counts the messages for each start that brought no start: asks for nothing, grants unused, starts refused.
+func (f *fleet) wasted() float64 {
+	counts := f.counts()
+	return float64(counts.Empty+counts.Unused+f.refused) / float64(f.started)
+}
+
+func (f *fleet) metrics(b *testing.B) {
+	counts := f.counts()
+	b.ReportMetric(f.quantile(0.5), "p50")
+	b.ReportMetric(f.quantile(0.99), "p99")
+	b.ReportMetric(float64(counts.Asks+counts.Pushes)/float64(f.started), "calls/start")
+	b.ReportMetric(f.wasted(), "wasted/start")
+	b.ReportMetric(float64(f.failed)/float64(f.started+f.failed), "failed/task")
+	b.ReportMetric(0, "ns/op")
+}
--- /dev/null
+++ b/entry/pkg/lending/plan.go
@@ -0,0 +1,248 @@
+package lending
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"chervilusher.dev/entry/pkg/blackboard"
+)
+
+const (
+	// usualRun is the run time against which the distance of a keeper is weighed.
+	usualRun = 300 * time.Millisecond
+	// offerAge is how long an offer is believed.
+	offerAge = 100 * time.Millisecond
+	// blockedDelay is how long a group does not ask after slots came that its queue could not use.
+	blockedDelay = 50 * time.Millisecond
+	// unknownFree is how many free slots are hoped for at a keeper that has not been asked lately.
+	unknownFree = 1
+	// hopedSlowness is the slowness that is hoped for there: a known slot of usual speed is better, a slow one is not.
+	hopedSlowness = 1.02
+	// faster is how much faster a free slot elsewhere must be for an idle one to go back at once.
+	faster = 1.1
+)
+
+// Call is an ask for one lender.
+type Call struct {
+	Lender string
+	Ask    *Ask
+}
+
+// source is a number of slots of one speed that a lender may have free.
+type source struct {
+	lender *lender
+	cost   float64 // slowness, with the distance added
+	slow   float64
+	free   int
+	hoped  bool // nothing is known; it may have none
+}
+
+// Plan returns the asks that are to be sent now; each lender is asked by one call at a time.
+func (b *Borrower) Plan(now time.Time) []Call {
+	b.lapse(now)
+	b.giveBack(now)
+	asks := map[*lender]*Ask{}
+	for _, group := range b.board.Groups {
+		if !now.Before(b.blocked[group.Name]) {
+			b.planGroup(group, asks, now)
+		}
+	}
+	var calls []Call
+	for _, lender := range b.order {
+		ask := asks[lender]
+		if ask == nil && !b.due(lender, now) {
+			continue
+		}
+		if lender.calling || now.Before(lender.down) {
+			continue
+		}
+		calls = append(calls, Call{Lender: lender.Name, Ask: b.fill(lender, ask, now)})
+	}
+	return calls
+}
+
+// Blocked notes that the group's queue has work that its free slots do not suit.
+func (b *Borrower) Blocked(group string, now time.Time) {
+	b.blocked[group] = now.Add(blockedDelay)
+}
+
+// due reports whether the lender is to be told something though nothing is needed.
+func (b *Borrower) due(lender *lender, now time.Time) bool {
+	if len(lender.returns) > 0 {
+		return true
+	}
+	holds := len(lender.held) > 0
+	for _, count := range lender.told {
+		holds = holds || count > 0
+	}
+	return holds && now.Sub(lender.asked) >= b.options.Renew
+}
+
+// fill completes the ask with what goes back and, after a failure or for a renewal, with all holdings.
+func (b *Borrower) fill(lender *lender, ask *Ask, now time.Time) *Ask {
+	if ask == nil {
+		ask = &Ask{}
+	}
+	b.repeatDemand(lender, ask)
+	ask.Host = b.options.Host
+	ask.Incarnation = b.options.Incarnation
+	for name, slots := range lender.returns {
+		holding := Holding{Backend: name, Slots: slots}
+		if backend := b.backend(name); backend != nil {
+			holding.Slowness = backend.Slowness
+		}
+		ask.Returned = append(ask.Returned, holding)
+	}
+	clear(lender.returns)
+	if lender.full || now.Sub(lender.asked) >= b.options.Renew {
+		ask.Full = true
+		lender.full = false
+		lender.epoch++
+		for name, slots := range lender.held {
+			ask.Held = append(ask.Held, Holding{Backend: name, Slots: slots})
+		}
+	}
+	ask.Epoch = lender.epoch
+	lender.calling = true
+	return ask
+}
+
+// repeatDemand keeps the demand that the keeper remembers alive: each ask replaces it.
+func (b *Borrower) repeatDemand(lender *lender, ask *Ask) {
+	for _, group := range b.board.Groups {
+		count := min(lender.told[group.Name], group.Queue.Len())
+		if count > 0 && !asksFor(ask, group.Name) {
+			ask.Demands = append(ask.Demands, Demand{Want: Want{Group: group.Name}, Count: count, Later: count})
+		}
+	}
+}
+
+func asksFor(ask *Ask, group string) bool {
+	return slices.ContainsFunc(ask.Demands, func(demand Demand) bool { return demand.Want.Group == group })
+}
+
+// planGroup spreads the group's demand over the lenders, the fastest free slots first; what finds none waits at keepers.
+func (b *Borrower) planGroup(group *blackboard.Group, asks map[*lender]*Ask, now time.Time) {
+	for _, want := range wantsOf(group) {
+		left := want.count - b.underWay(group)
+		if left <= 0 {
+			continue
+		}
+		sources := b.sources(group.Name, now)
+		for i, source := range sources {
+			if left <= 0 {
+				break
+			}
+			count := min(left, source.free)
+			add(asks, source.lender, &want.Want, count, limitAfter(sources, i))
+			left -= count
+		}
+		if left > 0 {
+			b.wait(group, &want.Want, left, asks)
+		}
+	}
+}
+
+// wanted is a number of waiting tasks of one kind.
+type wanted struct {
+	Want
+	count int
+}
+
+// wantsOf returns the waiting work of the group by the room that it needs.
+func wantsOf(group *blackboard.Group) []wanted {
+	if group.Queue.Len() == 0 {
+		return nil
+	}
+	if len(group.Wants) == 0 {
+		return []wanted{{Want{Group: group.Name}, group.Queue.Len()}}
+	}
+	wants := make([]wanted, 0, len(group.Wants))
+	for _, each := range group.Wants {
+		wants = append(wants, wanted{Want{Group: group.Name, Need: each.Need, Places: each.Places}, each.Count})
+	}
+	return wants
+}
+
+// underWay counts the tasks of the group that an ask on its way has asked for.
+func (b *Borrower) underWay(group *blackboard.Group) int {
+	count := 0
+	for _, lender := range b.order {
+		if lender.calling {
+			count += lender.told[group.Name]
+		}
+	}
+	return count
+}
+
+// sources lists what the lenders that can be asked now may have free, the best first.
+func (b *Borrower) sources(group string, now time.Time) []source {
+	var sources []source
+	for _, lender := range b.order {
+		if lender.calling || now.Before(lender.down) {
+			continue
+		}
+		penalty := lender.Distance.Seconds() / usualRun.Seconds()
+		known := now.Sub(lender.asked) < offerAge
+		if lender.Name == b.options.Host {
+			known = true
+			lender.offers[group] = b.local.offersOf(group, now)
+		}
+		if !known && lender.told[group] == 0 {
+			sources = append(sources, source{lender: lender, cost: hopedSlowness + penalty, free: unknownFree, hoped: true})
+			continue
+		}
+		for _, offer := range lender.offers[group] {
+			if offer.Free > 0 {
+				sources = append(sources, source{lender: lender, cost: offer.Slowness + penalty, slow: offer.Slowness, free: offer.Free})
+			}
+		}
+	}
+	slices.SortStableFunc(sources, func(a, b source) int { return cmp.Compare(a.cost, b.cost) })
+	return sources
+}
+
+// limitAfter returns the slowness from which on the next best lender is better; zero when there is none.
+func limitAfter(sources []source, i int) float64 {
+	for _, next := range sources[i+1:] {
+		if next.lender != sources[i].lender {
+			return max(next.cost, sources[i].slow) * sameSpeed
+		}
+	}
+	return 0
+}
+
+// wait spreads demand that nothing is free for over all keepers, which grant when slots come back.
+func (b *Borrower) wait(group *blackboard.Group, want *Want, left int, asks map[*lender]*Ask) {
+	share := (left + len(b.order) - 1) / max(1, len(b.order))
+	for _, lender := range b.order {
+		told := lender.told[group.Name]
+		if lender.calling || (told > 0 && told*2 >= share && share*2 >= told) {
+			continue
+		}
+		demand := add(asks, lender, want, share, 0)
+		demand.Later = share
+	}
+}
+
+// add puts demand into the lender's ask.
+func add(asks map[*lender]*Ask, to *lender, want *Want, count int, limit float64) *Demand {
+	ask := asks[to]
+	if ask == nil {
+		ask = &Ask{}
+		asks[to] = ask
+	}
+	to.told[want.Group] = count
+	for i := range ask.Demands {
+		demand := &ask.Demands[i]
+		if demand.Want.Group == want.Group && demand.Want.Need == want.Need && slices.Equal(demand.Want.Places, want.Places) {
+			demand.Count += count
+			demand.Limit = limit
+			to.told[want.Group] = demand.Count
+			return demand
+		}
+	}
+	ask.Demands = append(ask.Demands, Demand{Want: *want, Count: count, Limit: limit})
+	return &ask.Demands[len(ask.Demands)-1]
+}
