--- a/entry/pkg/blackboard/backend.go
+++ b/entry/pkg/blackboard/backend.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 	"time"
 
 	"chervilusher.dev/lib/api"
@@ -14,14 +15,44 @@
 	Role     platform.Role
 	Backends map[string]*Backend
 	Queue    Queue
-	Wants    map[string]*Waiting // waiting tasks by the room that they need
+	Capacity Capacity            // summed from Backends at intervals
+	Synced   time.Time           // when the placement last took in every back end
+	Busy     int                 // slots that this host's tasks hold
+	Long     map[string]float64  // run time that running long work does in a second, in seconds at a back end of slowness 1, by place
+	Backlogs map[string]*Backlog // waiting work, by owner
+	Rooms    map[RoomKey]*Room   // waiting work, by the room that it needs
 }
 
-// Waiting counts waiting tasks that need the same room.
-type Waiting struct {
+// RoomKey tells kinds of room apart.
+type RoomKey struct {
+	Need   api.Need
+	Places string // joined by commas
+}
+
+// Room counts waiting tasks that need the same room.
+type Room struct {
 	Need   api.Need
 	Places []string // failure domains; empty means all
-	Count  int
+	Tasks  int
+}
+
+// AddWaiting counts a waiting task, or takes it out again with -1.
+func (g *Group) AddWaiting(task *Task, count int) {
+	key := RoomKey{Need: task.Need, Places: strings.Join(task.Target.Places, ",")}
+	room, ok := g.Rooms[key]
+	if !ok {
+		room = &Room{Need: task.Need, Places: task.Target.Places}
+		g.Rooms[key] = room
+	}
+	room.Tasks += count
+	if room.Tasks == 0 {
+		delete(g.Rooms, key)
+	}
+}
+
+// LongRoom reports whether more long work may start in the place.
+func (g *Group) LongRoom(place string) bool {
+	return g.Long[place] < g.Capacity.Long[place]
 }
 
 // Queue holds the waiting tasks of a group in the order in which they are to start.
@@ -58,12 +89,21 @@
 	Lease   Lease     // of a worker, while this host is its keeper
 	Lapse   time.Time // when the worker's lease lapses under which its slots were lent; zero for minions
 
-	Recalled int   // slots that go back to the keeper when they come free
-	Fence    int64 // fencing token of the worker's lease; zero for minions
-
-	Ejected  bool // it gets no work but probes
-	Probing  bool // one probe is under way
-	Slowness float64
+	Fence int64 // fencing token of the worker's lease; zero for minions
+
+	Share    int // slots that this host can count on while others want theirs; zero when Granted tells
+	Recalled int // slots that go back to the keeper when they come free
+
+	Ejected  bool      // it gets no work but probes
+	Probe    time.Time // when the next probe may start, while ejected
+	Probing  bool      // one probe is under way
+	Limit    int       // most slots used while it comes back after an ejection; zero means no bound
+	Paused   time.Time // it gets no work before this time
+	Reserved *Task     // the wide task that its free slots are kept for
+	Slowness float64   // learnt run time against the usual; zero means unknown
+	Recent   float64   // Slowness of the last few runs
+	Learnt   int       // runs that Slowness was learnt from
+	Failing  float64   // share of recent starts that failed, 0 to 1
 }
 
 // Lease is the right of a keeper to use a worker.
@@ -77,12 +117,24 @@
 	return b.Role == platform.RoleMinion || (b.Lease.Fence != 0 && now.Before(b.Lease.Until))
 }
 
+// Expected returns how many slots this host can count on, those that it would have to borrow among them.
+func (b *Backend) Expected(now time.Time) int {
+	if b.Lapsed(now) {
+		return b.Share
+	}
+	return max(b.Granted, b.Share)
+}
+
 // Free returns how many more slots this host may use at the back end at the given time.
 func (b *Backend) Free(now time.Time) int {
-	if b.Leaving || b.Lapsed(now) {
+	if b.Leaving || b.Lapsed(now) || now.Before(b.Paused) {
 		return 0
 	}
-	return max(0, b.Granted-b.Busy)
+	granted := b.Granted
+	if b.Limit > 0 {
+		granted = min(granted, b.Limit)
+	}
+	return max(0, granted-b.Busy)
 }
 
 // Lapsed reports whether the grant has run out.
--- /dev/null
+++ b/entry/pkg/dispatch/waiting.go
@@ -0,0 +1,67 @@
+package dispatch
+
+import (
+	"time"
+
+	"chervilusher.dev/entry/pkg/blackboard"
+)
+
+func (e *Engine) classify(group *blackboard.Group, task *blackboard.Task) {
+	e.policies.Estimator.Classify(task)
+	task.Cost = slotTime(group, task)
+}
+
+// enqueue counts the task as waiting and queues it.
+func (e *Engine) enqueue(group *blackboard.Group, task *blackboard.Task) {
+	owner := e.board.Owners[task.Job.Owner]
+	owner.Queued++
+	backlog, ok := group.Backlogs[owner.Name]
+	if !ok {
+		backlog = &blackboard.Backlog{}
+		group.Backlogs[owner.Name] = backlog
+	}
+	backlog.Weight = owner.Weight
+	backlog.MaxRun = owner.MaxRun
+	backlog.Add(task)
+	group.AddWaiting(task, 1)
+	group.Queue.Push(task)
+}
+
+// dequeued counts the task as no longer waiting.
+func (e *Engine) dequeued(group *blackboard.Group, task *blackboard.Task) {
+	owner := e.board.Owners[task.Job.Owner]
+	owner.Queued--
+	backlog := group.Backlogs[owner.Name]
+	backlog.Subtract(task)
+	group.AddWaiting(task, -1)
+	if backlog.Tasks == 0 {
+		delete(group.Backlogs, owner.Name)
+	}
+	e.unreserve(group, task)
+}
+
+// reclassify moves a waiting task to the class that was learnt since it was queued, and reports whether it did.
+func (e *Engine) reclassify(group *blackboard.Group, task *blackboard.Task) bool {
+	long, cost := task.Long, task.Cost
+	e.policies.Estimator.Classify(task)
+	if task.Long == long {
+		return false
+	}
+	learnt := slotTime(group, task)
+	backlog := group.Backlogs[task.Job.Owner]
+	task.Long, task.Cost = long, cost
+	backlog.Subtract(task)
+	task.Long, task.Cost = !long, learnt
+	backlog.Add(task)
+	return true
+}
+
+// slotTime returns the expected run time for each slot that the task takes at a typical back end.
+func slotTime(group *blackboard.Group, task *blackboard.Task) time.Duration {
+	for _, shape := range group.Capacity.Shapes {
+		if width := shape.Width(task.Need); width <= shape.Slots && task.Target.Allows(shape) {
+			return task.Expected * time.Duration(width)
+		}
+	}
+	return task.Expected
+}
--- a/entry/pkg/lending/borrower.go
+++ b/entry/pkg/lending/borrower.go
@@ -14,6 +14,11 @@
 	Distance time.Duration // round trip
 }
 
+// Observer is told when the grant of a back end has changed.
+type Observer interface {
+	Changed(group *blackboard.Group, backend *blackboard.Backend)
+}
+
 // Options tune a borrower.
 type Options struct {
 	Host        string
@@ -25,15 +30,16 @@
 
 // Borrower gets slots for the queues of this host from keepers and gives back what it does not use.
 type Borrower struct {
-	options Options
-	board   *blackboard.Dispatch
-	lenders map[string]*lender
-	order   []*lender          // the nearest first
-	holders map[string]*lender // of the slots of each back end
-	local   *Keeper            // this host's own, whose free slots are seen without asking
-	blocked map[string]time.Time
-	looked  time.Time // when idle slots were last looked for
-	Counts  Counts
+	options  Options
+	board    *blackboard.Dispatch
+	lenders  map[string]*lender
+	order    []*lender          // the nearest first
+	holders  map[string]*lender // of the slots of each back end
+	observer Observer
+	local    *Keeper // this host's own, whose free slots are seen without asking
+	blocked  map[string]time.Time
+	looked   time.Time // when idle slots were last looked for
+	Counts   Counts
 }
 
 // Counts are the messages and slots of a borrower since its start.
@@ -63,14 +69,15 @@
 }
 
 // NewBorrower returns a borrower that holds nothing.
-func NewBorrower(board *blackboard.Dispatch, local *Keeper, options Options) *Borrower {
+func NewBorrower(board *blackboard.Dispatch, local *Keeper, observer Observer, options Options) *Borrower {
 	return &Borrower{
-		options: options,
-		board:   board,
-		local:   local,
-		lenders: map[string]*lender{},
-		holders: map[string]*lender{},
-		blocked: map[string]time.Time{},
+		options:  options,
+		board:    board,
+		local:    local,
+		observer: observer,
+		lenders:  map[string]*lender{},
+		holders:  map[string]*lender{},
+		blocked:  map[string]time.Time{},
 	}
 }
 
@@ -215,6 +222,7 @@
 		if backend.Lapse.Before(backend.Until) && !backend.Lapse.IsZero() {
 			backend.Until = backend.Lapse
 		}
+		b.changed(backend)
 	}
 	for _, term := range terms {
 		backend := b.backend(term.Backend)
@@ -224,9 +232,14 @@
 		backend.Fence = term.Fence
 		backend.Lapse = sent.Add(term.Left)
 		backend.Until = earlier(from.until, backend.Lapse)
+		b.changed(backend)
 	}
 }
 
+func (b *Borrower) changed(backend *blackboard.Backend) {
+	b.observer.Changed(b.board.Groups[backend.Group], backend)
+}
+
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
--- a/entry/pkg/lending/fleet_test.go
+++ b/entry/pkg/lending/fleet_test.go
@@ -10,15 +10,14 @@
 
 	"github.com/stretchr/testify/require"
 
-	"chervilusher.dev/lib/api"
-	"chervilusher.dev/lib/platform"
-
 	"chervilusher.dev/entry/pkg/blackboard"
 	"chervilusher.dev/entry/pkg/dispatch"
 	"chervilusher.dev/entry/pkg/health"
 	"chervilusher.dev/entry/pkg/keeper"
 	"chervilusher.dev/entry/pkg/placement"
 	"chervilusher.dev/entry/pkg/queue"
+	"chervilusher.dev/lib/api"
+	"chervilusher.dev/lib/platform"
 )
 
 // Figures of the reference fleet.
@@ -82,10 +81,13 @@
 	group    *blackboard.Group
 }
 
+// knownSpeed stands for an estimator that has learnt all speeds.
 type knownSpeed struct{}
 
 func (knownSpeed) Classify(*blackboard.Task)                                    {}
 func (knownSpeed) Observe(*blackboard.Task, *blackboard.Backend, time.Duration) {}
+func (knownSpeed) Overran(*blackboard.Task, time.Duration)                      {}
+func (knownSpeed) Rescale(*blackboard.Group, float64)                           {}
 
 func newFleet(t testing.TB, policy string, hosts int, seed int64, options Options, loan time.Duration) *fleet {
 	f := &fleet{t: t, random: rand.New(rand.NewSource(seed)), now: time.Unix(0, 0), busy: map[string]int{}, policy: policy}
@@ -106,15 +108,15 @@
 		Placement: placement.NewFastest(),
 		Admission: admitAll{},
 		Estimator: knownSpeed{},
-		Health:    health.New(0.1),
+		Health:    health.New(0.1, 0.5),
 		NewQueue:  func(map[string]*blackboard.Owner) blackboard.Queue { return queue.NewSingle() },
-	})
+	}, dispatch.Limits{Long: time.Hour, Share: 1})
 	host.board.Dispatch.Owners["desk"] = &blackboard.Owner{Name: "desk", Weight: 1, MaxWait: 1 << 30}
 	host.group = host.engine.Group("minions")
 	host.keeper = NewKeeper(loan, options.Margin, 0)
 	options.Host = name
 	options.Incarnation = name
-	host.borrower = NewBorrower(&host.board.Dispatch, host.keeper, options)
+	host.borrower = NewBorrower(&host.board.Dispatch, host.keeper, host.engine, options)
 	var keeping []*blackboard.Backend
 	for i := range fleetMinions {
 		minion := &blackboard.Backend{
@@ -135,6 +137,7 @@
 			keeping = append(keeping, minion)
 		}
 	}
+	host.engine.Sync()
 	host.keeper.Update(keeping, true, f.now)
 	host.borrower.SetLenders(f.lendersOf(name, place, hosts))
 	return host
@@ -211,6 +214,7 @@
 	for _, host := range f.hosts {
 		for name, minion := range host.group.Backends {
 			minion.Granted = fleetSlots - f.busy[name] + minion.Busy
+			host.engine.Changed(host.group, minion)
 		}
 		f.run(host, host.engine.Assign(host.group, f.now))
 	}
--- a/entry/pkg/lending/giveback.go
+++ b/entry/pkg/lending/giveback.go
@@ -32,9 +32,12 @@
 	if idle == 0 {
 		return 0
 	}
-	if backend.Leaving || backend.Ejected {
+	if backend.Leaving {
 		return idle
 	}
+	if backend.Ejected {
+		return max(0, idle-1) // a probe needs one
+	}
 	recalled := min(idle, backend.Recalled)
 	group := b.board.Groups[backend.Group]
 	if group == nil || group.Queue.Len() > 0 {
@@ -76,6 +79,7 @@
 		delete(holder.held, backend.Name)
 		delete(b.holders, backend.Name)
 	}
+	b.changed(backend)
 }
 
 // lapse drops the idle part of holdings whose loan ran out; busy slots stay counted until their tasks end.
--- a/entry/pkg/lending/keeper.go
+++ b/entry/pkg/lending/keeper.go
@@ -228,6 +228,9 @@
 		if demand.Limit > 0 && entry.slowness() > demand.Limit {
 			break
 		}
+		if slices.Contains(demand.Avoid, entry.backend.Name) {
+			continue
+		}
 		tasks := min(count-lent, entry.room(&demand.Want, now))
 		if tasks <= 0 {
 			continue
@@ -317,7 +320,7 @@
 }
 
 func (k *kept) free(now time.Time) int {
-	if k.backend.Leaving || k.backend.Ejected || now.Before(k.since) || !k.backend.Leased(now) {
+	if k.backend.Leaving || now.Before(k.since) || !k.backend.Leased(now) {
 		return 0
 	}
 	return max(0, k.backend.Slots-k.lent)
--- a/entry/pkg/lending/messages.go
+++ b/entry/pkg/lending/messages.go
@@ -15,10 +15,11 @@
 
 // Demand is waiting work that a host has no slots for.
 type Demand struct {
-	Want  Want    `json:"want"`
-	Count int     `json:"n"`               // tasks
-	Limit float64 `json:"max,omitempty"`   // slower back ends are not wanted; zero means no bound
-	Later int     `json:"later,omitempty"` // tasks that may wait at the keeper for slots to come back
+	Want  Want     `json:"want"`
+	Count int      `json:"n"`               // tasks
+	Limit float64  `json:"max,omitempty"`   // slower back ends are not wanted; zero means no bound
+	Avoid []string `json:"not,omitempty"`   // back ends that the host has ejected
+	Later int      `json:"later,omitempty"` // tasks that may wait at the keeper for slots to come back
 }
 
 // Holding is a number of slots of one back end.
--- a/entry/pkg/lending/plan.go
+++ b/entry/pkg/lending/plan.go
@@ -103,6 +103,9 @@
 			ask.Held = append(ask.Held, Holding{Backend: name, Slots: slots})
 		}
 	}
+	for i := range ask.Demands {
+		ask.Demands[i].Avoid = ejected(b.board.Groups[ask.Demands[i].Want.Group])
+	}
 	ask.Epoch = lender.epoch
 	lender.calling = true
 	return ask
@@ -113,11 +116,23 @@
 	for _, group := range b.board.Groups {
 		count := min(lender.told[group.Name], group.Queue.Len())
 		if count > 0 && !asksFor(ask, group.Name) {
-			ask.Demands = append(ask.Demands, Demand{Want: Want{Group: group.Name}, Count: count, Later: count})
+			want := wantsOf(group)[0].Want
+			ask.Demands = append(ask.Demands, Demand{Want: want, Count: count, Later: count})
 		}
 	}
 }
 
+// ejected returns the names of the group's back ends that get no work but probes.
+func ejected(group *blackboard.Group) []string {
+	var names []string
+	for name, backend := range group.Backends {
+		if backend.Ejected {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 func asksFor(ask *Ask, group string) bool {
 	return slices.ContainsFunc(ask.Demands, func(demand Demand) bool { return demand.Want.Group == group })
 }
@@ -155,12 +170,9 @@
 	if group.Queue.Len() == 0 {
 		return nil
 	}
-	if len(group.Wants) == 0 {
-		return []wanted{{Want{Group: group.Name}, group.Queue.Len()}}
-	}
-	wants := make([]wanted, 0, len(group.Wants))
-	for _, each := range group.Wants {
-		wants = append(wants, wanted{Want{Group: group.Name, Need: each.Need, Places: each.Places}, each.Count})
+	wants := make([]wanted, 0, len(group.Rooms))
+	for _, room := range group.Rooms {
+		wants = append(wants, wanted{Want{Group: group.Name, Need: room.Need, Places: room.Places}, room.Tasks})
 	}
 	return wants
 }
--- a/entry/pkg/queue/single.go
+++ b/entry/pkg/queue/single.go
@@ -29,7 +29,13 @@
 		return nil
 	}
 	task := front.Value.(*blackboard.Task)
-	if !fits(task) {
+	long := task.Long
+	fitting := fits(task)
+	if task.Long != long {
+		// Its class was learnt just now, which changes nothing of its turn here.
+		fitting = fits(task)
+	}
+	if !fitting {
 		return nil
 	}
 	s.Remove(task)
@@ -47,6 +53,13 @@
 	return true
 }
 
+// Each shows every waiting task, first come first.
+func (s *Single) Each(visit func(task *blackboard.Task)) {
+	for element := s.waiting.Front(); element != nil; element = element.Next() {
+		visit(element.Value.(*blackboard.Task))
+	}
+}
+
 // Len returns how many tasks wait.
 func (s *Single) Len() int {
 	return len(s.elements)
--- a/standin/pkg/minion/minion.go
+++ b/standin/pkg/minion/minion.go
@@ -78,6 +78,11 @@
 	return counters
 }
 
+// Marks returns how often each payload's mark was started.
+func (m *Minion) Marks() map[string]int64 {
+	return m.ledger.Marks()
+}
+
 // Close ends the minion and stops its tasks.
 func (m *Minion) Close() {
 	m.server.Down()
@@ -122,6 +127,7 @@
 		m.refuse(w, http.StatusGone, "the task was withdrawn")
 		return
 	}
+	m.settings.Recorder.Note(r.Header.Get(platform.HeaderOwner), payload.Echo)
 	select {
 	case <-run.Done():
 		m.answer(w, r, run.Status())
@@ -139,6 +145,7 @@
 		Length: payload.RunTime(speed),
 		Fail:   payload.Fail,
 		Hang:   faults.Hang,
+		Mark:   payload.Mark,
 		Free:   func() { m.busy.Add(-1) },
 	}
 	if faults.Fail {
