--- a/entry/pkg/dispatch/waiting.go
+++ b/entry/pkg/dispatch/waiting.go
@@ -23,6 +23,7 @@
 	backlog.Weight = owner.Weight
 	backlog.MaxRun = owner.MaxRun
 	backlog.Add(task)
+	group.AddWaiting(task, 1)
 	group.Queue.Push(task)
 }
 
@@ -32,6 +33,7 @@
 	owner.Queued--
 	backlog := group.Backlogs[owner.Name]
 	backlog.Subtract(task)
+	group.AddWaiting(task, -1)
 	if backlog.Tasks == 0 {
 		delete(group.Backlogs, owner.Name)
 	}
