--- a/entry/pkg/blackboard/backend.go
+++ b/entry/pkg/blackboard/backend.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 	"time"
 
 	"chervilusher.dev/lib/api"
@@ -19,6 +20,34 @@
 	Busy     int                 // slots that this host's tasks hold
 	Long     map[string]float64  // run time that running long work does in a second, in seconds at a back end of slowness 1, by place
 	Backlogs map[string]*Backlog // waiting work, by owner
+	Rooms    map[RoomKey]*Room   // waiting work, by the room that it needs
+}
+
+// RoomKey tells kinds of room apart.
+type RoomKey struct {
+	Need   api.Need
+	Places string // joined by commas
+}
+
+// Room counts waiting tasks that need the same room.
+type Room struct {
+	Need   api.Need
+	Places []string // failure domains; empty means all
+	Tasks  int
+}
+
+// AddWaiting counts a waiting task, or takes it out again with -1.
+func (g *Group) AddWaiting(task *Task, count int) {
+	key := RoomKey{Need: task.Need, Places: strings.Join(task.Target.Places, ",")}
+	room, ok := g.Rooms[key]
+	if !ok {
+		room = &Room{Need: task.Need, Places: task.Target.Places}
+		g.Rooms[key] = room
+	}
+	room.Tasks += count
+	if room.Tasks == 0 {
+		delete(g.Rooms, key)
+	}
 }
 
 // LongRoom reports whether more long work may start in the place.
@@ -56,7 +85,14 @@
 	Granted int       // slots that this host may use now
 	Until   time.Time // when the grant lapses; zero means that it does not
 	Busy    int       // slots that this host's tasks hold
-	Fence   int64     // fencing token of the worker's lease; zero for minions
+	Peak    int       // most slots busy since the lender last looked
+	Lease   Lease     // of a worker, while this host is its keeper
+	Lapse   time.Time // when the worker's lease lapses under which its slots were lent; zero for minions
+
+	Fence int64 // fencing token of the worker's lease; zero for minions
+
+	Share    int // slots that this host can count on while others want theirs; zero when Granted tells
+	Recalled int // slots that go back to the keeper when they come free
 
 	Ejected  bool      // it gets no work but probes
 	Probe    time.Time // when the next probe may start, while ejected
@@ -70,6 +106,25 @@
 	Failing  float64   // share of recent starts that failed, 0 to 1
 }
 
+// Lease is the right of a keeper to use a worker.
+type Lease struct {
+	Fence int64     // fencing token; zero when this host has no lease
+	Until time.Time // less the margin
+}
+
+// Leased reports whether this host may lend the back end's slots: a worker's only under its lease.
+func (b *Backend) Leased(now time.Time) bool {
+	return b.Role == platform.RoleMinion || (b.Lease.Fence != 0 && now.Before(b.Lease.Until))
+}
+
+// Expected returns how many slots this host can count on, those that it would have to borrow among them.
+func (b *Backend) Expected(now time.Time) int {
+	if b.Lapsed(now) {
+		return b.Share
+	}
+	return max(b.Granted, b.Share)
+}
+
 // Free returns how many more slots this host may use at the back end at the given time.
 func (b *Backend) Free(now time.Time) int {
 	if b.Leaving || b.Lapsed(now) || now.Before(b.Paused) {
--- a/entry/pkg/dispatch/capacity.go
+++ b/entry/pkg/dispatch/capacity.go
@@ -45,11 +45,12 @@
 			shapes[key] = true
 			capacity.Shapes = append(capacity.Shapes, backend)
 		}
-		if backend.Ejected || backend.Lapsed(now) {
+		if backend.Ejected {
 			continue
 		}
-		capacity.Slots += backend.Granted
-		rate := float64(backend.Granted) / slowness(backend)
+		expected := backend.Expected(now)
+		capacity.Slots += expected
+		rate := float64(expected) / slowness(backend)
 		capacity.Rate += rate
 		capacity.Long[backend.Place] += rate * e.limits.Share
 		tiers.add(slowness(backend), rate)
