--- a/entry/pkg/dispatch/outcome.go
+++ b/entry/pkg/dispatch/outcome.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	"chervilusher.dev/entry/pkg/blackboard"
 	"chervilusher.dev/entry/pkg/invariant"
@@ -33,18 +34,28 @@
 	if task.Tries >= e.maxTries {
 		return false
 	}
-	return task.Job.Idempotent && e.policies.Health.MayRetry(group)
+	return task.Job.Idempotent && e.policies.Health.TakeRetry(group)
 }
 
-func (e *Engine) requeue(group *blackboard.Group, task *blackboard.Task, outcome Outcome) {
+// Times for which a task shuns the back end of its last attempt while another may take it.
+const (
+	shunBusy   = 100 * time.Millisecond
+	shunFailed = time.Second
+)
+
+func (e *Engine) requeue(group *blackboard.Group, task *blackboard.Task, outcome Outcome, now time.Time) {
 	if outcome.Verdict == VerdictNotRun {
 		task.Attempt--
 	}
 	task.State = blackboard.TaskQueued
 	task.Avoid = task.Backend
+	task.Shun = now.Add(shunFailed)
+	if outcome.Busy {
+		task.Shun = now.Add(shunBusy)
+	}
 	task.Backend = nil
-	group.Queue.Push(task)
-	e.board.Owners[task.Job.Owner].Queued++
+	e.classify(group, task)
+	e.enqueue(group, task)
 }
 
 func (e *Engine) fail(task *blackboard.Task, outcome Outcome) []Stop {
@@ -85,10 +96,11 @@
 }
 
 func (e *Engine) drop(task *blackboard.Task) {
-	removed := e.Group(task.Target.Group).Queue.Remove(task)
+	group := e.Group(task.Target.Group)
+	removed := group.Queue.Remove(task)
 	invariant.Check(removed, "queue_holds_waiting", "job %s task %d waits but is in no queue", task.Job.ID, task.Index)
 	task.State = blackboard.TaskDropped
-	e.board.Owners[task.Job.Owner].Queued--
+	e.dequeued(group, task)
 }
 
 func (e *Engine) decide(job *blackboard.Job, answer *api.Answer) {
@@ -96,6 +108,7 @@
 	answer.Key = job.Key
 	answer.Tasks = len(job.Tasks)
 	job.Answer = answer
+	e.deadlines.leave()
 	if job.Keep != nil {
 		job.Keep(answer)
 	}
--- a/entry/pkg/estimate/estimator.go
+++ b/entry/pkg/estimate/estimator.go
@@ -1,60 +1,174 @@
 package estimate
 
 import (
+	"math"
 	"time"
 
 	"chervilusher.dev/entry/pkg/blackboard"
 )
 
-// kindGain and backendGain are the weights of a new observation in the moving averages.
+// Weights of a new observation in the moving averages, and how far one observation counts.
 const (
-	kindGain    = 0.05
-	backendGain = 0.1
+	kindGain    = 0.02
+	backendGain = 0.02
+	recentGain  = 0.2
+	maxRatio    = 4
 )
 
+// Bounds for a back end whose speed has changed at once: its recent runs are that far from what was learnt.
+const (
+	changeRatio   = 2
+	changeLearnt  = 5 // runs that the new slowness counts as learnt from
+	usualVariance = 0.25
+)
+
+// maxKinds bounds how many kinds of work are remembered for one group.
+const maxKinds = 100_000
+
 type kindKey struct {
 	owner string
-	group string
 	kind  string
 }
 
-// Estimator holds the mean run time of each kind of work and the relative slowness of each back end.
+// kind is what was learnt of one kind of work.
+type kind struct {
+	mean      float64 // seconds at a back end of slowness 1
+	deviation float64 // mean distance from the mean, in seconds
+	runs      int
+	long      bool
+}
+
+// Estimator learns the run time of each kind of work and the relative slowness of each back end.
 type Estimator struct {
-	long  time.Duration
-	kinds map[kindKey]float64 // seconds at a back end of slowness 1
+	limits Limits
+	groups map[string]map[kindKey]*kind
+}
+
+// Limits are the mean run times between which a kind of work keeps its class.
+type Limits struct {
+	Long  time.Duration // from here on a kind becomes long
+	Short time.Duration // below here a kind becomes short again
 }
 
 // New returns an estimator for which work is long from the given run time on.
 func New(long time.Duration) *Estimator {
-	return &Estimator{long: long, kinds: map[kindKey]float64{}}
+	return NewWithLimits(Limits{Long: long, Short: long})
 }
 
-// Classify sets whether the task counts as long, by what was learnt or else by what was declared.
-func (e *Estimator) Classify(task *blackboard.Task) {
-	task.Long = e.Expect(task) >= e.long
+// NewWithLimits returns an estimator whose kinds keep their class between the limits.
+func NewWithLimits(limits Limits) *Estimator {
+	return &Estimator{limits: limits, groups: map[string]map[kindKey]*kind{}}
 }
 
-// Expect returns the expected run time at a back end of slowness 1; zero when nothing is known.
-func (e *Estimator) Expect(task *blackboard.Task) time.Duration {
-	mean, ok := e.kinds[keyOf(task)]
+// Classify sets the task's expected run time and whether it counts as long, by what was learnt or else by what was declared.
+func (e *Estimator) Classify(task *blackboard.Task) {
+	learnt, ok := e.groups[task.Target.Group][keyOf(task)]
 	if !ok {
-		return task.Declared
+		task.Expected = task.Declared
+		task.Long = task.Declared >= e.limits.Long
+		return
 	}
-	return time.Duration(mean * float64(time.Second))
+	task.Expected = seconds(learnt.mean)
+	task.Spread = seconds(learnt.deviation)
+	task.Long = learnt.long
 }
 
 // Observe takes in how long a task ran at a back end.
 func (e *Estimator) Observe(task *blackboard.Task, backend *blackboard.Backend, took time.Duration) {
-	key := keyOf(task)
-	seconds := took.Seconds()
-	mean, ok := e.kinds[key]
-	if !ok || mean <= 0 {
-		e.kinds[key] = seconds / slowness(backend)
+	ran := math.Max(took.Seconds(), minSeconds)
+	learnt, ok := e.groups[task.Target.Group][keyOf(task)]
+	if !ok {
+		learnt = e.learn(task, ran/slowness(backend))
+		learnt.runs = 1
+		learnt.long = seconds(learnt.mean) >= e.limits.Long
+		backend.Learnt++
+		backend.Slowness = slowness(backend)
+		return
+	}
+	observeBackend(backend, math.Min(ran/learnt.mean, maxRatio), learnt.trust())
+	e.average(learnt, ran/slowness(backend))
+}
+
+// observeBackend takes in one run time against the usual; a kind of work whose run times vary much counts for less.
+func observeBackend(backend *blackboard.Backend, ratio, trust float64) {
+	before := slowness(backend)
+	backend.Learnt++
+	backend.Slowness = before + trust*gain(backendGain, backend.Learnt)*(ratio-before)
+	if backend.Recent <= 0 {
+		backend.Recent = before
+	}
+	backend.Recent += trust * recentGain * (ratio - backend.Recent)
+	if backend.Learnt < changeLearnt {
 		return
 	}
-	ratio := seconds / mean
-	backend.Slowness = slowness(backend) + backendGain*(ratio-slowness(backend))
-	e.kinds[key] = mean + kindGain*(seconds/slowness(backend)-mean)
+	if backend.Recent > changeRatio*backend.Slowness || backend.Recent*changeRatio < backend.Slowness {
+		backend.Slowness = backend.Recent
+		backend.Learnt = changeLearnt
+	}
+}
+
+// trust returns how much one run tells of a back end's speed, from 0 to 1.
+func (k *kind) trust() float64 {
+	variation := k.deviation / k.mean
+	return math.Min(1, usualVariance/(variation*variation))
+}
+
+// minSeconds keeps means and ratios above zero.
+const minSeconds = 1e-6
+
+// Overran takes in that a task has run for at least the given time and goes on.
+func (e *Estimator) Overran(task *blackboard.Task, took time.Duration) {
+	if _, ok := e.groups[task.Target.Group][keyOf(task)]; !ok {
+		learnt := e.learn(task, took.Seconds())
+		learnt.long = took >= e.limits.Long
+	}
+}
+
+func (e *Estimator) learn(task *blackboard.Task, mean float64) *kind {
+	kinds, ok := e.groups[task.Target.Group]
+	if !ok || len(kinds) >= maxKinds {
+		kinds = map[kindKey]*kind{}
+		e.groups[task.Target.Group] = kinds
+	}
+	learnt := &kind{mean: mean, deviation: mean / 2}
+	kinds[keyOf(task)] = learnt
+	return learnt
+}
+
+// Rescale makes a back end of slowness 1 the typical one; speed is the present mean over the group's slots.
+func (e *Estimator) Rescale(group *blackboard.Group, speed float64) {
+	for _, backend := range group.Backends {
+		backend.Slowness *= speed
+		backend.Recent *= speed
+	}
+	for _, learnt := range e.groups[group.Name] {
+		learnt.mean /= speed
+		learnt.deviation /= speed
+		e.class(learnt)
+	}
+}
+
+func (e *Estimator) average(learnt *kind, ran float64) {
+	learnt.runs++
+	weight := gain(kindGain, learnt.runs)
+	learnt.deviation += weight * (math.Abs(ran-learnt.mean) - learnt.deviation)
+	learnt.mean += weight * (ran - learnt.mean)
+	e.class(learnt)
+}
+
+// class lets the kind change its class when its mean has left the limits of its present one.
+func (e *Estimator) class(learnt *kind) {
+	switch mean := seconds(learnt.mean); {
+	case mean >= e.limits.Long:
+		learnt.long = true
+	case mean < e.limits.Short:
+		learnt.long = false
+	}
+}
+
+// gain lets the first observations count evenly and later ones by the given weight.
+func gain(weight float64, observations int) float64 {
+	return math.Max(weight, 1/float64(observations+1))
 }
 
 func slowness(backend *blackboard.Backend) float64 {
@@ -64,6 +178,10 @@
 	return backend.Slowness
 }
 
+func seconds(value float64) time.Duration {
+	return time.Duration(value * float64(time.Second))
+}
+
 func keyOf(task *blackboard.Task) kindKey {
-	return kindKey{owner: task.Job.Owner, group: task.Target.Group, kind: task.Kind}
+	return kindKey{owner: task.Job.Owner, kind: task.Kind}
 }
--- a/entry/pkg/queue/single.go
+++ b/entry/pkg/queue/single.go
@@ -29,7 +29,13 @@
 		return nil
 	}
 	task := front.Value.(*blackboard.Task)
-	if !fits(task) {
+	long := task.Long
+	fitting := fits(task)
+	if task.Long != long {
+		// Its class was learnt just now, which changes nothing of its turn here.
+		fitting = fits(task)
+	}
+	if !fitting {
 		return nil
 	}
 	s.Remove(task)
