--- a/entry/pkg/dispatch/cost_test.go
+++ b/entry/pkg/dispatch/cost_test.go
@@ -5,10 +5,9 @@
 	"testing"
 	"time"
 
-	"chervilusher.dev/lib/platform"
-
 	"chervilusher.dev/entry/pkg/blackboard"
 	"chervilusher.dev/entry/pkg/dispatch"
+	"chervilusher.dev/lib/platform"
 )
 
 // costBench keeps every slot busy and a queue of the given length waiting, so that each step submits, finishes and starts one task.
--- a/entry/pkg/dispatch/engine.go
+++ b/entry/pkg/dispatch/engine.go
@@ -48,6 +48,7 @@
 			Backends: map[string]*blackboard.Backend{},
 			Queue:    e.policies.NewQueue(e.board.Owners),
 			Long:     map[string]float64{},
+			Rooms:    map[blackboard.RoomKey]*blackboard.Room{},
 		}
 		e.board.Groups[name] = group
 	}
@@ -252,6 +253,7 @@
 func (e *Engine) hold(group *blackboard.Group, task *blackboard.Task) {
 	backend := task.Backend
 	backend.Busy += task.Width
+	backend.Peak = max(backend.Peak, backend.Busy)
 	group.Busy += task.Width
 	if backend.Ejected {
 		invariant.Check(!backend.Probing, "one_probe", "back end %s", backend.Name)
--- a/entry/pkg/dispatch/waiting.go
+++ b/entry/pkg/dispatch/waiting.go
@@ -17,6 +17,7 @@
 	owner.Queued++
 	group.Backlogs.Of(owner).Add(task)
 	group.Backlogs.Tasks++
+	group.AddWaiting(task, 1)
 	group.Queue.Push(task)
 }
 
@@ -26,6 +27,7 @@
 	owner.Queued--
 	group.Backlogs.Of(owner).Subtract(task)
 	group.Backlogs.Tasks--
+	group.AddWaiting(task, -1)
 	e.unreserve(group, task)
 }
 
