--- /dev/null
+++ b/entry/pkg/dispatch/engine_test.go
@@ -0,0 +1,273 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"chervilusher.dev/entry/pkg/blackboard"
+	"chervilusher.dev/entry/pkg/dispatch"
+	"chervilusher.dev/lib/api"
+	"chervilusher.dev/lib/platform"
+)
+
+func (d *driver) group() *blackboard.Group {
+	return d.engine.Group(groupName)
+}
+
+// newWorkers returns a driver over workers of 16 cores.
+func newWorkers(count int) *driver {
+	d := newDriver(1, fleet{minions: count, slots: 16}, policies{admission: "none"})
+	d.addOwner("hokkaido", 1)
+	d.group().Role = platform.RoleWorker
+	for _, backend := range d.group().Backends {
+		backend.Role, backend.Cores = platform.RoleWorker, 16
+		d.minions[backend.Name].speed = 1
+	}
+	return d
+}
+
+// submitWide submits one worker task that takes that many cores for a second.
+func (d *driver) submitWide(cores float64) *blackboard.Job {
+	d.serial++
+	job := &blackboard.Job{
+		ID: fmt.Sprintf("wide-%d", d.serial), Owner: "hokkaido", Accepted: d.now, Deadline: d.now.Add(time.Hour), Left: 1, Done: make(chan struct{}),
+	}
+	job.Tasks = []*blackboard.Task{{
+		Job: job, Kind: "wide", Need: api.Need{Cores: cores},
+		Target: &blackboard.Target{Group: groupName, Role: platform.RoleWorker, Timeout: time.Hour},
+	}}
+	d.works[job.Tasks[0]] = time.Second
+	effects, refused := d.engine.Submit(job, d.now)
+	if refused != nil {
+		d.refused = append(d.refused, refusal{arrived: d.now.Sub(epoch)})
+		return job
+	}
+	d.carryOut(effects)
+	return job
+}
+
+func TestWideTaskDoesNotStarveBehindNarrowOnes(t *testing.T) {
+	d := newWorkers(2)
+	d.stream(steady(80), func() work {
+		return work{owner: "hokkaido", kind: "narrow", deadline: time.Hour, tasks: []time.Duration{500 * time.Millisecond}}
+	})
+	d.runUntil(5 * time.Second)
+	wide := d.submitWide(16)
+	d.runUntil(10 * time.Second)
+	require.Equal(t, blackboard.TaskEnded, wide.Tasks[0].State)
+	narrow := 0
+	for _, end := range d.ends {
+		if end.job != wide && end.from > 5*time.Second {
+			narrow++
+		}
+	}
+	require.Greater(t, narrow, 100, "narrow work goes on meanwhile")
+	d.runUntil(20 * time.Second)
+	for _, backend := range d.group().Backends {
+		require.Nil(t, backend.Reserved)
+	}
+}
+
+func TestTaskLargerThanAnyWorkerIsRefused(t *testing.T) {
+	d := newWorkers(2)
+	job := d.submitWide(17)
+	require.Len(t, d.refused, 1)
+	require.Equal(t, blackboard.TaskQueued, job.Tasks[0].State)
+	require.Zero(t, d.group().Queue.Len())
+	require.Zero(t, d.board.Owners["hokkaido"].Queued)
+}
+
+func TestNewWorkerMakesWorkPossibleAtOnce(t *testing.T) {
+	d := newWorkers(1)
+	d.submitWide(17)
+	require.Len(t, d.refused, 1)
+	d.minions["large"] = &minion{speed: 1}
+	d.group().Backends["large"] = &blackboard.Backend{Name: "large", Place: "place-0", Role: platform.RoleWorker, Slots: 64, Granted: 64, Cores: 64}
+	large := d.submitWide(17)
+	require.Len(t, d.refused, 1)
+	require.Equal(t, "large", large.Tasks[0].Backend.Name)
+}
+
+func TestExpiredWorkNeverStarts(t *testing.T) {
+	d := newDriver(1, fleet{minions: 1, slots: 1}, policies{admission: "none"})
+	d.addOwner("hokkaido", 1)
+	d.submit(work{owner: "hokkaido", kind: "short", deadline: time.Minute, tasks: []time.Duration{time.Second}})
+	late := d.submit(work{owner: "hokkaido", kind: "short", deadline: time.Second, tasks: []time.Duration{time.Second}})
+	d.runUntil(10 * time.Second)
+	require.Equal(t, api.CodeExpired, late.Answer.Code)
+	require.Equal(t, api.RanNo, late.Answer.Ran)
+	require.Equal(t, 1, d.started())
+}
+
+func TestOverrunningTaskCountsAsLongAsSoonAsItOverruns(t *testing.T) {
+	d := newDriver(1, fleet{minions: 1, slots: 8}, policies{admission: "none"})
+	d.addOwner("hokkaido", 1)
+	job := d.submit(work{owner: "hokkaido", kind: "short", deadline: time.Minute, declared: time.Second, tasks: []time.Duration{30 * time.Second}})
+	d.runUntil(longFrom - tickEvery)
+	require.False(t, job.Tasks[0].Long)
+	d.runUntil(longFrom + tickEvery)
+	require.True(t, job.Tasks[0].Long)
+	require.Positive(t, d.group().Long["place-0"])
+	d.runUntil(90 * time.Second)
+	require.Zero(t, d.group().Long["place-0"])
+}
+
+func TestCancelDropsWhatWaitsAndStopsWhatRuns(t *testing.T) {
+	d := newDriver(1, fleet{minions: 1, slots: 8}, policies{admission: "none"})
+	d.addOwner("hokkaido", 1)
+	tasks := make([]time.Duration, api.MaxTasks)
+	for i := range tasks {
+		tasks[i] = time.Second
+	}
+	job := d.submit(work{owner: "hokkaido", kind: "short", deadline: time.Minute, tasks: tasks})
+	other := d.submit(work{owner: "hokkaido", kind: "short", deadline: time.Minute, tasks: []time.Duration{time.Second}})
+	effects := d.engine.Cancel(job, d.now)
+	require.Len(t, effects.Stops, 8)
+	require.Equal(t, api.StateCancelled, job.Answer.State)
+	require.Equal(t, 1, d.group().Queue.Len())
+	require.Equal(t, 1, d.board.Owners["hokkaido"].Queued)
+	d.runUntil(10 * time.Second)
+	require.True(t, d.inside[other])
+	require.Zero(t, d.group().Busy)
+}
+
+// TestBooksBalance drives the engine with random work, outcomes, faults and cancellations, and checks its books at every step.
+func TestBooksBalance(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := fleet{minions: rapid.IntRange(1, 6).Draw(t, "minions"), slots: 4}
+		chosen := policies{
+			placement: rapid.SampledFrom([]string{"", "random", "robin", "least"}).Draw(t, "placement"),
+			queue:     rapid.SampledFrom([]string{"", "single"}).Draw(t, "queue"),
+			admission: rapid.SampledFrom([]string{"", "none"}).Draw(t, "admission"),
+		}
+		d := newDriver(1, size, chosen)
+		d.addOwner("hokkaido", 1)
+		d.addOwner("kerlouan", 2)
+		d.board.Owners["kerlouan"].MaxRun = 5
+		var jobs []*blackboard.Job
+		var running []dispatch.Start
+		starts := map[*blackboard.Task]int{}
+		take := func(effects dispatch.Effects) {
+			for _, start := range effects.Starts {
+				starts[start.Task]++
+				require.False(t, start.Task.Job.Decided())
+				require.True(t, d.now.Before(start.Task.Job.Deadline), "expired work starts")
+				require.False(t, start.Backend.Leaving)
+			}
+			running = append(running, effects.Starts...)
+		}
+		backend := func(t *rapid.T) *blackboard.Backend {
+			return d.group().Backends[fmt.Sprintf("minion-%04d", rapid.IntRange(0, size.minions-1).Draw(t, "backend"))]
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"submit": func(t *rapid.T) {
+				job := &blackboard.Job{
+					ID: fmt.Sprint(len(jobs)), Owner: rapid.SampledFrom([]string{"hokkaido", "kerlouan"}).Draw(t, "owner"),
+					Urgent: rapid.Bool().Draw(t, "urgent"), Accepted: d.now, Done: make(chan struct{}),
+					Deadline: d.now.Add(time.Duration(rapid.IntRange(1, 10_000).Draw(t, "deadline")) * time.Millisecond),
+				}
+				job.Left = rapid.IntRange(1, 10).Draw(t, "tasks")
+				job.Idempotent = job.Left == 1 && rapid.Bool().Draw(t, "idempotent")
+				target := &blackboard.Target{Group: groupName, Role: platform.RoleMinion}
+				for i := range job.Left {
+					kind := rapid.SampledFrom([]string{"short", "long"}).Draw(t, "kind")
+					job.Tasks = append(job.Tasks, &blackboard.Task{Job: job, Index: i, Kind: kind, Target: target, Declared: time.Second})
+				}
+				effects, refused := d.engine.Submit(job, d.now)
+				if refused == nil {
+					jobs = append(jobs, job)
+				}
+				take(effects)
+			},
+			"finish": func(t *rapid.T) {
+				if len(running) == 0 {
+					return
+				}
+				at := rapid.IntRange(0, len(running)-1).Draw(t, "start")
+				start := running[at]
+				running = append(running[:at], running[at+1:]...)
+				outcome := rapid.SampledFrom([]dispatch.Outcome{
+					{Verdict: dispatch.VerdictDone},
+					{Verdict: dispatch.VerdictDone},
+					{Verdict: dispatch.VerdictFailed},
+					{Verdict: dispatch.VerdictNotRun},
+					{Verdict: dispatch.VerdictNotRun, Busy: true},
+					{Verdict: dispatch.VerdictUnknown},
+				}).Draw(t, "outcome")
+				effects, stale := d.engine.Finish(start.Task, start.Attempt, outcome, d.now)
+				require.False(t, stale)
+				take(effects)
+				_, stale = d.engine.Finish(start.Task, start.Attempt, outcome, d.now)
+				require.True(t, stale, "an outcome is taken in twice")
+			},
+			"cancel": func(t *rapid.T) {
+				if len(jobs) > 0 {
+					take(d.engine.Cancel(rapid.SampledFrom(jobs).Draw(t, "job"), d.now))
+				}
+			},
+			"grant": func(t *rapid.T) {
+				changed := backend(t)
+				changed.Granted = rapid.IntRange(0, 4).Draw(t, "granted")
+				d.engine.Changed(d.group(), changed)
+			},
+			"leave": func(t *rapid.T) {
+				changed := backend(t)
+				changed.Leaving = rapid.Bool().Draw(t, "leaving")
+				d.engine.Changed(d.group(), changed)
+			},
+			"wait": func(t *rapid.T) {
+				d.now = d.now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+				take(d.engine.Tick(d.now))
+			},
+			"": func(t *rapid.T) {
+				checkBooks(t, d, jobs, len(running))
+				for task, count := range starts {
+					require.Equal(t, count, task.Tries)
+					require.True(t, task.Attempt <= 1 || task.Job.Idempotent, "a task that may have run starts again")
+				}
+			},
+		})
+	})
+}
+
+// checkBooks compares every count with what it is counted from.
+func checkBooks(t *rapid.T, d *driver, jobs []*blackboard.Job, running int) {
+	waiting, runs := map[string]int{}, map[string]int{}
+	busy := map[*blackboard.Backend]int{}
+	backlog := map[string]time.Duration{}
+	for _, job := range jobs {
+		for _, task := range job.Tasks {
+			switch task.State {
+			case blackboard.TaskQueued:
+				waiting[job.Owner]++
+				backlog[job.Owner] += task.Cost
+			case blackboard.TaskStarted:
+				runs[job.Owner]++
+				busy[task.Backend] += task.Width
+			case blackboard.TaskEnded, blackboard.TaskDropped:
+			}
+		}
+	}
+	sum := 0
+	for name, owner := range d.board.Owners {
+		require.Equal(t, waiting[name], owner.Queued)
+		require.Equal(t, runs[name], owner.Running)
+		require.True(t, owner.MaxRun == 0 || owner.Running <= owner.MaxRun)
+		sum += owner.Queued
+		if counted := d.group().Backlogs.ByOwner[name]; counted != nil {
+			require.Equal(t, backlog[name], counted.Urgent+counted.Short+counted.Long)
+		}
+	}
+	require.Equal(t, sum, d.group().Queue.Len())
+	total := 0
+	for _, backend := range d.group().Backends {
+		require.Equal(t, busy[backend], backend.Busy)
+		total += backend.Busy
+	}
+	require.Equal(t, running, total)
+	require.Equal(t, total, d.group().Busy)
+}
--- a/entry/pkg/placement/key.go
+++ b/entry/pkg/placement/key.go
@@ -11,6 +11,12 @@
 // maxFailing bounds the weight of failures, so that keys stay finite.
 const maxFailing = 0.999
 
+// A back end that mostly fails goes behind all others, however fast it ends.
+const (
+	mostlyFailing = 0.5
+	behindAll     = 1e9
+)
+
 // keyOf returns the expected run time against the usual until a task succeeds; a back end that was not tried goes first, with one task at a time.
 func keyOf(backend *blackboard.Backend) float64 {
 	slowness := backend.Slowness
@@ -20,5 +26,9 @@
 			return 0
 		}
 	}
-	return slowness / (1 - min(backend.Failing, maxFailing))
+	key := slowness / (1 - min(backend.Failing, maxFailing))
+	if backend.Failing > mostlyFailing {
+		key += behindAll
+	}
+	return key
 }
--- /dev/null
+++ b/entry/pkg/placement/placement_test.go
@@ -0,0 +1,265 @@
+package placement_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"chervilusher.dev/entry/pkg/blackboard"
+	"chervilusher.dev/entry/pkg/dispatch"
+	"chervilusher.dev/entry/pkg/placement"
+	"chervilusher.dev/lib/api"
+	"chervilusher.dev/lib/platform"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// learntRuns is more runs than any policy asks for.
+const learntRuns = 100
+
+func newGroup(backends ...*blackboard.Backend) *blackboard.Group {
+	group := &blackboard.Group{
+		Name:     "desk",
+		Backends: map[string]*blackboard.Backend{},
+		Long:     map[string]float64{},
+		Capacity: blackboard.Capacity{Long: map[string]float64{"a": 100, "b": 100}},
+	}
+	for _, backend := range backends {
+		group.Backends[backend.Name] = backend
+	}
+	return group
+}
+
+func newMinion(name string, slowness float64) *blackboard.Backend {
+	return &blackboard.Backend{
+		Name: name, Place: "a", Role: platform.RoleMinion, Slots: 8, Granted: 8, Slowness: slowness, Learnt: learntRuns,
+	}
+}
+
+func newTask() *blackboard.Task {
+	return &blackboard.Task{
+		Job:    &blackboard.Job{Owner: "hokkaido", Tasks: make([]*blackboard.Task, 1)},
+		Target: &blackboard.Target{Group: "desk"},
+	}
+}
+
+func TestFastestFreeBackendIsTaken(t *testing.T) {
+	fast, slow := newMinion("fast", 0.5), newMinion("slow", 2)
+	group := newGroup(fast, slow)
+	policy := placement.NewFastest()
+	require.Same(t, fast, policy.Pick(group, newTask(), epoch))
+	fast.Busy = 8
+	policy.Update(group, fast)
+	require.Same(t, slow, policy.Pick(group, newTask(), epoch))
+	slow.Busy = 8
+	policy.Update(group, slow)
+	require.Nil(t, policy.Pick(group, newTask(), epoch))
+	require.False(t, policy.HasRoom(group))
+	fast.Busy = 7
+	policy.Update(group, fast)
+	require.Same(t, fast, policy.Pick(group, newTask(), epoch))
+}
+
+func TestFastFailureNeverLooksFast(t *testing.T) {
+	failing, unknown, slow := newMinion("failing", 0.01), newMinion("unknown", 0), newMinion("slow", 10)
+	failing.Failing = 0.999
+	unknown.Learnt, unknown.Failing = 0, 0.95
+	policy := placement.NewFastest()
+	require.Same(t, slow, policy.Pick(newGroup(failing, unknown, slow), newTask(), epoch))
+}
+
+func TestUnknownBackendIsTriedWithOneTaskAtATime(t *testing.T) {
+	known, unknown := newMinion("known", 0.5), newMinion("unknown", 0)
+	unknown.Learnt = 0
+	group := newGroup(known, unknown)
+	policy := placement.NewFastest()
+	require.Same(t, unknown, policy.Pick(group, newTask(), epoch))
+	unknown.Busy = 1
+	policy.Update(group, unknown)
+	require.Same(t, known, policy.Pick(group, newTask(), epoch))
+}
+
+func TestShunnedBackendIsTakenOnceItsTimeIsOver(t *testing.T) {
+	only := newMinion("only", 1)
+	group := newGroup(only)
+	task := newTask()
+	task.Avoid, task.Shun = only, epoch.Add(time.Second)
+	for name, policy := range every() {
+		require.Nil(t, policy.Pick(group, task, epoch), name)
+		require.Same(t, only, policy.Pick(group, task, epoch.Add(time.Second)), name)
+	}
+}
+
+func every() map[string]dispatch.Placement {
+	return map[string]dispatch.Placement{
+		"fastest": placement.NewFastest(),
+		"random":  placement.NewRandom(rand.New(rand.NewPCG(1, 1))),
+		"robin":   placement.NewRobin(),
+		"least":   placement.NewLeast(),
+	}
+}
+
+func TestEjectedBackendGetsOneProbeOfWorkThatMayBeRisked(t *testing.T) {
+	ejected := newMinion("ejected", 1)
+	ejected.Ejected, ejected.Probe = true, epoch
+	group := newGroup(ejected)
+	policy := placement.NewFastest()
+	safe, job := newTask(), newTask()
+	safe.Job.Idempotent = true
+	job.Job.Tasks = make([]*blackboard.Task, 2)
+	require.Nil(t, policy.Pick(group, safe, epoch.Add(-time.Millisecond)), "before the delay is over")
+	require.Nil(t, policy.Pick(group, job, epoch), "a job would be lost with its task")
+	require.Nil(t, policy.Pick(group, job, epoch.Add(11*time.Second)))
+	require.Same(t, ejected, policy.Pick(group, newTask(), epoch.Add(11*time.Second)), "nothing safer came for long")
+	require.Same(t, ejected, policy.Pick(group, job, epoch.Add(31*time.Second)), "nothing else came at all")
+	require.Same(t, ejected, policy.Pick(group, safe, epoch))
+	ejected.Probing = true
+	require.Nil(t, policy.Pick(group, safe, epoch))
+}
+
+func TestWideTaskTakesAWorkerWithRoomForIt(t *testing.T) {
+	small := &blackboard.Backend{Name: "small", Place: "a", Role: platform.RoleWorker, Slots: 16, Granted: 16, Cores: 16, Memory: 32 << 30, Slowness: 0.5, Learnt: learntRuns}
+	large := &blackboard.Backend{Name: "large", Place: "a", Role: platform.RoleWorker, Slots: 64, Granted: 64, Cores: 64, Memory: 128 << 30, Accelerators: 2, Slowness: 2, Learnt: learntRuns}
+	group := newGroup(small, large)
+	policy := placement.NewFastest()
+	wide, accelerated := newTask(), newTask()
+	wide.Need = api.Need{Cores: 8}
+	accelerated.Need = api.Need{Accelerators: 1}
+	require.Same(t, small, policy.Pick(group, wide, epoch))
+	require.Same(t, large, policy.Pick(group, accelerated, epoch))
+	small.Busy = 9
+	policy.Update(group, small)
+	require.Same(t, large, policy.Pick(group, wide, epoch))
+	require.Same(t, small, policy.Pick(group, newTask(), epoch))
+}
+
+func TestLongWorkStaysOutOfAPlaceWhoseShareIsTaken(t *testing.T) {
+	near, far := newMinion("near", 0.5), newMinion("far", 2)
+	far.Place = "b"
+	group := newGroup(near, far)
+	group.Long["a"] = 100
+	long := newTask()
+	long.Long = true
+	policy := placement.NewFastest()
+	require.Same(t, far, policy.Pick(group, long, epoch))
+	require.Same(t, near, policy.Pick(group, newTask(), epoch))
+}
+
+func TestLapsedGrantsHideNoBackend(t *testing.T) {
+	backends := make([]*blackboard.Backend, 0, 501)
+	for i := range 500 {
+		lapsed := newMinion(fmt.Sprintf("lapsed-%03d", i), 0.5)
+		lapsed.Until = epoch
+		backends = append(backends, lapsed)
+	}
+	live := newMinion("live", 2)
+	group := newGroup(append(backends, live)...)
+	policy := placement.NewFastest()
+	var picked *blackboard.Backend
+	for range 500 {
+		if picked = policy.Pick(group, newTask(), epoch); picked != nil {
+			break
+		}
+	}
+	require.Same(t, live, picked)
+}
+
+func TestBackendThatWasNotUsedForLongIsExplored(t *testing.T) {
+	fast, slow := newMinion("fast", 0.5), newMinion("slow", 2)
+	group := newGroup(fast, slow)
+	policy := placement.NewFastest()
+	picks := 0
+	now := epoch
+	for range 10_000 {
+		now = now.Add(10 * time.Millisecond)
+		if policy.Pick(group, newTask(), now) == slow {
+			picks++
+		}
+	}
+	require.Positive(t, picks)
+	require.LessOrEqual(t, picks, 10)
+}
+
+// TestOrderMatchesAScan drives the ordered structure against a look at every back end.
+func TestOrderMatchesAScan(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		group := newGroup()
+		policy := placement.NewFastest()
+		now := epoch
+		any := func(t *rapid.T) *blackboard.Backend {
+			return group.Backends[fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "backend"))]
+		}
+		change := func(t *rapid.T, apply func(backend *blackboard.Backend)) {
+			if backend := any(t); backend != nil {
+				apply(backend)
+				policy.Update(group, backend)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"add": func(t *rapid.T) {
+				name := fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "backend"))
+				group.Backends[name] = &blackboard.Backend{
+					Name: name, Place: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "place"), Role: platform.RoleWorker,
+					Slots: 4, Granted: 4, Cores: 4, Slowness: float64(rapid.IntRange(1, 5).Draw(t, "slowness")), Learnt: learntRuns,
+				}
+				policy.Sync(group)
+			},
+			"remove": func(t *rapid.T) {
+				if backend := any(t); backend != nil {
+					delete(group.Backends, backend.Name)
+					policy.Sync(group)
+				}
+			},
+			"busy": func(t *rapid.T) {
+				change(t, func(b *blackboard.Backend) { b.Busy = rapid.IntRange(0, 4).Draw(t, "busy") })
+			},
+			"grant": func(t *rapid.T) {
+				change(t, func(b *blackboard.Backend) { b.Granted = rapid.IntRange(0, 4).Draw(t, "granted") })
+			},
+			"speed": func(t *rapid.T) {
+				change(t, func(b *blackboard.Backend) { b.Slowness = float64(rapid.IntRange(1, 5).Draw(t, "slowness")) })
+			},
+			"limit": func(t *rapid.T) {
+				change(t, func(b *blackboard.Backend) { b.Limit = rapid.IntRange(0, 4).Draw(t, "limit") })
+			},
+			"leave": func(t *rapid.T) {
+				change(t, func(b *blackboard.Backend) { b.Leaving = rapid.Bool().Draw(t, "leaving") })
+			},
+			"pause": func(t *rapid.T) {
+				change(t, func(b *blackboard.Backend) { b.Paused = now.Add(time.Second) })
+			},
+			"": func(t *rapid.T) {
+				task := newTask()
+				task.Need.Cores = float64(rapid.IntRange(0, 5).Draw(t, "cores"))
+				if rapid.Bool().Draw(t, "placed") {
+					task.Target.Places = []string{"b"}
+				}
+				now = now.Add(time.Millisecond)
+				expected := slowest
+				for _, backend := range group.Backends {
+					if task.Target.Allows(backend) && backend.Free(now) >= backend.Width(task.Need) {
+						expected = min(expected, backend.Slowness)
+					}
+				}
+				for _, backend := range group.Backends {
+					if backend.Paused.Before(now) {
+						policy.Update(group, backend)
+					}
+				}
+				picked := policy.Pick(group, task, now)
+				if expected == slowest {
+					require.Nil(t, picked)
+					return
+				}
+				require.NotNil(t, picked)
+				require.InDelta(t, expected, picked.Slowness, 0)
+			},
+		})
+	})
+}
+
+const slowest = 1e9
