Send a lost publish again under its own identifier

A host that starts from its state in force did not find a first copy that another version had followed, and called it rejected; it now looks in the history before it says so. Tests for both.

--- a/cli/pkg/app/app_test.go
+++ b/cli/pkg/app/app_test.go
@@ -147,6 +147,29 @@
 	require.Contains(t, got.stderr, "version 1 is in force")
 }
 
+func TestALostPublishIsSentAgainUnderTheSameIdentifier(t *testing.T) {
+	var identifiers []string
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		var change api.Change
+		_ = json.NewDecoder(request.Body).Decode(&change)
+		identifiers = append(identifiers, change.Publish)
+		switch len(identifiers) {
+		case 1:
+			panic(http.ErrAbortHandler)
+		case 2:
+			writer.WriteHeader(http.StatusServiceUnavailable)
+			_ = json.NewEncoder(writer).Encode(api.Fault{Code: api.CodeUnavailable, Reason: "no log"})
+		default:
+			_ = json.NewEncoder(writer).Encode(configuration.Accepted{Version: 1})
+		}
+	}))
+	t.Cleanup(server.Close)
+	skeleton := command(t, "", "config", "new", "hokkaido")
+	got := command(t, skeleton.stdout, "config", "publish", "-", "--base", "0", "--publish", "again", "--entry", server.URL)
+	require.Equal(t, exitDone, got.code, got.stderr)
+	require.Equal(t, []string{"again", "again", "again"}, identifiers)
+}
+
 func TestHostsWithTLS(t *testing.T) {
 	server := httptest.NewTLSServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
 		_ = json.NewEncoder(writer).Encode(api.Ticket{Ticket: "secured"})
--- a/cli/pkg/app/arguments.go
+++ b/cli/pkg/app/arguments.go
@@ -124,6 +124,7 @@
 	sourceFlags
 	File   string `arg:"positional,required" help:"file with the document, - for standard input"`
 	Base   *int64 `arg:"--base" help:"version that the document was made from; 0 for an owner's first one"`
+	Again  string `arg:"--publish" help:"identifier of an earlier attempt whose answer was lost, to go on with it"`
 	Author string `arg:"--author,env:USER" help:"who makes the change, recorded in the log"`
 }
 
--- a/cli/pkg/app/configuration.go
+++ b/cli/pkg/app/configuration.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"strconv"
 	"time"
@@ -12,11 +11,8 @@
 	"github.com/pkg/errors"
 
 	"chervilusher.dev/cli/pkg/files"
-	"chervilusher.dev/cli/pkg/operator"
 	"chervilusher.dev/cli/pkg/output"
-	"chervilusher.dev/lib/api"
 	"chervilusher.dev/lib/configuration"
-	"chervilusher.dev/lib/logservice"
 	"chervilusher.dev/lib/publish"
 )
 
@@ -111,8 +107,12 @@
 	if err != nil {
 		return err
 	}
+	identifier := arguments.Again
+	if identifier == "" {
+		identifier = uuid.NewString()
+	}
 	record := configuration.Record{
-		Type: configuration.RecordPublish, Publish: uuid.NewString(), Author: arguments.Author, Base: *arguments.Base, Document: document,
+		Type: configuration.RecordPublish, Publish: identifier, Author: arguments.Author, Base: *arguments.Base, Document: document,
 	}
 	a.printer.Progress("publishing %s", record.Publish)
 	accepted, err := into.publish(ctx, record)
@@ -162,68 +162,3 @@
 	}
 	return a.printer.Print(changes, table)
 }
-
-func (a *app) source(flags sourceFlags) (source, error) {
-	if flags.Log != "" {
-		log := logservice.New(flags.Log, a.http)
-		return &logSource{publisher: publish.New(log, a.clock)}, nil
-	}
-	host, err := a.operator(flags.operatorFlags)
-	if err != nil {
-		return nil, err
-	}
-	return &hostSource{host: host}, nil
-}
-
-// logSource reads and publishes on the log itself.
-type logSource struct {
-	publisher *publish.Publisher
-}
-
-func (s *logSource) accepted(ctx context.Context, owner string) (*configuration.Accepted, error) {
-	state, err := s.publisher.State(ctx)
-	if err != nil {
-		return nil, err
-	}
-	accepted, ok := state.Owners[owner]
-	if !ok {
-		return nil, errors.Errorf("the log holds no accepted configuration of owner %q", owner)
-	}
-	return accepted, nil
-}
-
-func (s *logSource) history(ctx context.Context, owner string) ([]publish.Change, error) {
-	return s.publisher.History(ctx, owner)
-}
-
-func (s *logSource) publish(ctx context.Context, record configuration.Record) (*configuration.Accepted, error) {
-	outcome, err := s.publisher.Publish(ctx, record)
-	if err != nil {
-		return nil, err
-	}
-	if outcome.Rejected != nil {
-		return nil, &rejectedError{reason: outcome.Rejected.Reason}
-	}
-	return outcome.Accepted, nil
-}
-
-// hostSource reads and publishes through an entry host.
-type hostSource struct {
-	host *operator.Client
-}
-
-func (s *hostSource) accepted(ctx context.Context, owner string) (*configuration.Accepted, error) {
-	return s.host.Accepted(ctx, owner)
-}
-
-func (s *hostSource) history(ctx context.Context, owner string) ([]publish.Change, error) {
-	return s.host.History(ctx, owner)
-}
-
-func (s *hostSource) publish(ctx context.Context, record configuration.Record) (*configuration.Accepted, error) {
-	document, err := json.Marshal(record.Document)
-	if err != nil {
-		return nil, errors.WithStack(err)
-	}
-	return s.host.Publish(ctx, record.Document.Owner, api.Change{Base: record.Base, Publish: record.Publish, Document: document})
-}
--- a/cli/pkg/app/exit.go
+++ b/cli/pkg/app/exit.go
@@ -58,7 +58,6 @@
 	var answered *client.Error
 	var lost *client.LostError
 	var refused *operator.Error
-	var network *net.OpError
 	switch {
 	case err == nil:
 		return exitDone
@@ -78,13 +77,19 @@
 		return exitRejected
 	case errors.As(err, &refused):
 		return exitRefused
-	case errors.As(err, &network) && network.Op == "dial":
+	case isUnreachable(err):
 		return exitUnreachable
 	default:
 		return exitError
 	}
 }
 
+// isUnreachable reports whether a connection could not even be made.
+func isUnreachable(err error) bool {
+	var network *net.OpError
+	return errors.As(err, &network) && network.Op == "dial"
+}
+
 func exitOfAnswer(answer *api.Answer) int {
 	switch {
 	case answer.State == api.StateCancelled:
--- a/lib/publish/publisher.go
+++ b/lib/publish/publisher.go
@@ -102,7 +102,7 @@
 	for attempt := range attempts {
 		last = follower.attempt(ctx, &record)
 		if follower.outcome != nil {
-			return follower.outcome, nil
+			return p.earliest(ctx, &record, follower.outcome), nil
 		}
 		if errors.Is(last, ErrOutcomeLost) {
 			return nil, last
@@ -117,6 +117,25 @@
 	return nil, errors.Wrapf(last, "publish %s was not sent", record.Publish)
 }
 
+// earliest returns what became of the record's first copy, if it was accepted before the known state and another version followed it.
+func (p *Publisher) earliest(ctx context.Context, record *configuration.Record, outcome *Outcome) *Outcome {
+	if outcome.Rejected == nil || p.known().Next == 0 {
+		return outcome
+	}
+	changes, err := p.History(ctx, record.Document.Owner)
+	if err != nil {
+		return outcome
+	}
+	for _, change := range changes {
+		if change.Publish == record.Publish && change.Version > 0 {
+			return &Outcome{Accepted: &configuration.Accepted{
+				Version: change.Version, Offset: change.Offset, Publish: change.Publish, Author: change.Author, Document: *record.Document,
+			}}
+		}
+	}
+	return outcome
+}
+
 func (p *Publisher) pause(ctx context.Context, length time.Duration) bool {
 	select {
 	case <-ctx.Done():
--- a/lib/publish/publisher_test.go
+++ b/lib/publish/publisher_test.go
@@ -103,3 +103,22 @@
 	require.EqualValues(t, 0, history[1].Version)
 	require.NotEmpty(t, history[1].Reason)
 }
+
+func TestAResentPublishTellsOfItsFirstCopyAlsoWhenAnotherVersionFollowed(t *testing.T) {
+	log := &fakeLog{}
+	direct := publish.New(log, clockwork.NewRealClock())
+	for i, id := range []string{"p1", "p2"} {
+		_, err := direct.Publish(t.Context(), record(id, int64(i)))
+		require.NoError(t, err)
+	}
+	state, err := direct.State(t.Context())
+	require.NoError(t, err)
+	host := publish.NewFrom(log, clockwork.NewRealClock(), func() *configuration.State { return state })
+	outcome, err := host.Publish(t.Context(), record("p1", 0))
+	require.NoError(t, err)
+	require.NotNil(t, outcome.Accepted)
+	require.EqualValues(t, 1, outcome.Accepted.Version)
+	outcome, err = host.Publish(t.Context(), record("p3", 0))
+	require.NoError(t, err)
+	require.NotNil(t, outcome.Rejected)
+}
