Show in the status what a host knows, and nothing that it does not

Counters that nobody filled are gone; in their place stand the slots that the host may use now, the learnt slowness and the share of recent failures. Waiting work is counted by owner, service and pool, refusals by owner.

--- a/cli/pkg/app/views.go
+++ b/cli/pkg/app/views.go
@@ -21,44 +21,47 @@
 }
 
 func hostsView(status *api.Status) (any, output.Table) {
-	table := output.Table{Heading: []string{"HOST", "PLACE", "ADDRESS", "SIZE", "READY", "STARTED"}}
+	table := output.Table{Heading: []string{"HOST", "PLACE", "ADDRESS", "SIZE", "READY", "INCARNATION"}}
 	for _, host := range status.Hosts {
 		table.Rows = append(table.Rows, []string{
-			host.Name, host.Place, host.Address, strconv.Itoa(host.Size), string(host.Ready), formatTime(host.Started),
+			host.Name, host.Place, host.Address, strconv.Itoa(host.Size), string(host.Ready), host.Incarnation,
 		})
 	}
 	return status.Hosts, table
 }
 
+var backendHeading = []string{"PLACE", "GROUP", "KEEPER", "READY", "SLOTS", "GRANTED", "USED", "FAILING", "SLOW"}
+
 func minionsView(status *api.Status) (any, output.Table) {
-	table := output.Table{Heading: []string{"MINION", "PLACE", "GROUP", "KEEPER", "READY", "SLOTS", "USED", "STARTED", "FAILED", "EXPECTED"}}
+	table := output.Table{Heading: append([]string{"MINION"}, backendHeading...)}
 	for _, minion := range status.Minions {
-		table.Rows = append(table.Rows, []string{
-			minion.Name, minion.Place, minion.Group, minion.Keeper, string(minion.Ready), strconv.Itoa(minion.Slots),
-			strconv.Itoa(minion.Used), formatCount(minion.Started), formatCount(minion.Failed), formatDuration(minion.Expected),
-		})
+		table.Rows = append(table.Rows, backendCells(&minion.BackendStatus))
 	}
 	return status.Minions, table
 }
 
 func workersView(status *api.Status) (any, output.Table) {
-	table := output.Table{Heading: []string{"WORKER", "PLACE", "RACK", "GROUP", "KEEPER", "READY", "CORES", "USED", "RUNNING", "STARTED", "FAILED"}}
+	table := output.Table{Heading: append(append([]string{"WORKER"}, backendHeading...), "RACK", "CORES", "FENCE")}
 	for _, worker := range status.Workers {
-		table.Rows = append(table.Rows, []string{
-			worker.Name, worker.Place, worker.Rack, worker.Group, worker.Keeper, string(worker.Ready),
-			formatCores(worker.Cores), formatCores(worker.Used), strconv.Itoa(worker.Running),
-			formatCount(worker.Started), formatCount(worker.Failed),
-		})
+		cells := append(backendCells(&worker.BackendStatus), worker.Rack, formatShare(worker.Cores), formatCount(worker.Fence))
+		table.Rows = append(table.Rows, cells)
 	}
 	return status.Workers, table
 }
 
+func backendCells(backend *api.BackendStatus) []string {
+	return []string{
+		backend.Name, backend.Place, backend.Group, backend.Keeper, string(backend.Ready), strconv.Itoa(backend.Slots),
+		strconv.Itoa(backend.Granted), strconv.Itoa(backend.Used), formatShare(backend.Failing), formatShare(backend.Slow),
+	}
+}
+
 func queuesView(status *api.Status) (any, output.Table) {
-	table := output.Table{Heading: []string{"OWNER", "SERVICE", "POOL", "URGENT", "NORMAL", "LONG", "RUNNING", "OLDEST"}}
+	table := output.Table{Heading: []string{"OWNER", "SERVICE", "POOL", "URGENT", "NORMAL", "LONG", "OLDEST"}}
 	for _, queue := range status.Queues {
 		table.Rows = append(table.Rows, []string{
 			queue.Owner, queue.Service, queue.Pool, strconv.Itoa(queue.Urgent), strconv.Itoa(queue.Normal),
-			strconv.Itoa(queue.Long), strconv.Itoa(queue.Running), formatDuration(queue.Oldest),
+			strconv.Itoa(queue.Long), formatDuration(queue.Oldest),
 		})
 	}
 	return status.Queues, table
@@ -79,8 +82,8 @@
 	return strconv.FormatInt(count, 10)
 }
 
-func formatCores(cores float64) string {
-	return strconv.FormatFloat(cores, 'f', 1, 64)
+func formatShare(share float64) string {
+	return strconv.FormatFloat(share, 'f', 2, 64)
 }
 
 func formatDuration(length jsontime.Duration) string {
--- a/entry/pkg/blackboard/board.go
+++ b/entry/pkg/blackboard/board.go
@@ -35,9 +35,10 @@
 // Owner counts what one owner holds at this host.
 type Owner struct {
 	Name    string
-	Weight  int // share against other owners, at least 1
-	Queued  int // tasks waiting
-	Running int // tasks started and not ended
-	MaxWait int // most tasks waiting
-	MaxRun  int // most tasks running; zero means no bound
+	Weight  int   // share against other owners, at least 1
+	Queued  int   // tasks waiting
+	Running int   // tasks started and not ended
+	Refused int64 // submissions refused since the process began
+	MaxWait int   // most tasks waiting
+	MaxRun  int   // most tasks running; zero means no bound
 }
--- a/entry/pkg/controllers/submission_controller.go
+++ b/entry/pkg/controllers/submission_controller.go
@@ -206,6 +206,9 @@
 // keep remembers the final answer and counts it; the job is nil when the submission names what its owner does not have.
 func (s *SubmissionController) keep(entry *ledger.Entry, job *blackboard.Job, answer *api.Answer, now time.Time) {
 	s.ledger.Keep(entry, answer, now)
+	if owner, ok := s.board.Dispatch.Owners[entry.ID.Owner]; ok && answer.State == api.StateRefused {
+		owner.Refused++
+	}
 	if job != nil {
 		s.answers.Record(job.Owner, targetsOf(job), answer, now.Sub(job.Accepted))
 	}
--- a/entry/pkg/operator/server_test.go
+++ b/entry/pkg/operator/server_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
@@ -19,9 +20,11 @@
 	"chervilusher.dev/entry/pkg/burn"
 	"chervilusher.dev/entry/pkg/common"
 	"chervilusher.dev/entry/pkg/operator"
+	"chervilusher.dev/entry/pkg/queue"
 	"chervilusher.dev/entry/pkg/settings"
 	"chervilusher.dev/lib/api"
 	"chervilusher.dev/lib/configuration"
+	"chervilusher.dev/lib/jsontime"
 	"chervilusher.dev/lib/platform"
 	"chervilusher.dev/lib/publish"
 )
@@ -74,19 +77,25 @@
 
 func newBench() *bench {
 	board := blackboard.New()
+	clock := clockwork.NewFakeClock()
 	state := configuration.NewState()
 	state.Next = 2
 	for _, owner := range []string{"hokkaido", "kerlouan"} {
 		state.Owners[owner] = &configuration.Accepted{Version: 1, Document: document(owner)}
 		group := &blackboard.Group{Name: owner + "-minions", Role: platform.RoleMinion, Backends: map[string]*blackboard.Backend{}}
 		group.Backends[owner+"-1"] = &blackboard.Backend{Name: owner + "-1", Group: group.Name, Role: platform.RoleMinion}
+		group.Queue = queue.NewFair(board.Dispatch.Owners)
+		group.Queue.Push(&blackboard.Task{
+			Job:    &blackboard.Job{Owner: owner, Urgent: true, Accepted: clock.Now().Add(-time.Second)},
+			Target: &blackboard.Target{Service: "desk", Group: group.Name},
+		})
 		board.Dispatch.Groups[group.Name] = group
 		board.Dispatch.Owners[owner] = &blackboard.Owner{Name: owner}
 	}
 	board.Configuration.Store(blackboard.NewDirectory(state))
 	loaded := settings.Default()
 	loaded.Operator.Hash = configuration.HashToken("host-token")
-	c := &common.Common{Log: &log.Logger{Handler: discard.Default}, Settings: loaded, Clock: clockwork.NewFakeClock()}
+	c := &common.Common{Log: &log.Logger{Handler: discard.Default}, Settings: loaded, Clock: clock}
 	recorder := burn.New("entry-1", c.Clock, func() *configuration.State { return board.Configuration.Load().State })
 	made := &bench{publisher: &fakePublisher{}, drainer: &fakeDrainer{}}
 	made.handler = operator.New(c, board, made.publisher, recorder, made.drainer).Handler()
@@ -148,6 +157,8 @@
 	require.Len(t, status.Minions, 1)
 	require.Equal(t, "hokkaido-1", status.Minions[0].Name)
 	require.Len(t, status.Owners, 1)
+	waiting := api.QueueStatus{Owner: "hokkaido", Service: "desk", Urgent: 1, Oldest: jsontime.Duration(time.Second)}
+	require.Equal(t, []api.QueueStatus{waiting}, status.Queues)
 	status = api.Status{}
 	made.call(t, http.MethodGet, "/v1/status", "host-token", "", &status)
 	require.Len(t, status.Minions, 2)
--- a/entry/pkg/operator/status.go
+++ b/entry/pkg/operator/status.go
@@ -60,7 +60,7 @@
 				status.Workers = append(status.Workers, workerStatus(backend, members))
 				continue
 			}
-			status.Minions = append(status.Minions, minionStatus(backend, members))
+			status.Minions = append(status.Minions, api.MinionStatus{BackendStatus: backendStatus(backend, members)})
 		}
 	}
 }
@@ -73,35 +73,34 @@
 			Weight:  owner.Weight,
 			Queued:  owner.Queued,
 			Running: owner.Running,
+			Refused: owner.Refused,
 		})
 	}
 }
 
-func minionStatus(backend *blackboard.Backend, members *blackboard.MemberTable) api.MinionStatus {
-	return api.MinionStatus{
-		Name:   backend.Name,
-		Place:  backend.Place,
-		Group:  backend.Group,
-		Keeper: keeper.Of(backend.Name, backend.Place, members),
-		Ready:  backendReady(backend),
-		Slots:  backend.Slots,
-		Used:   backend.Busy,
+func backendStatus(backend *blackboard.Backend, members *blackboard.MemberTable) api.BackendStatus {
+	return api.BackendStatus{
+		Name:    backend.Name,
+		Place:   backend.Place,
+		Group:   backend.Group,
+		Keeper:  keeper.Of(backend.Name, backend.Place, members),
+		Ready:   backendReady(backend),
+		Slots:   backend.Slots,
+		Granted: backend.Granted,
+		Used:    backend.Busy,
+		Failing: backend.Failing,
+		Slow:    backend.Slowness,
 	}
 }
 
 func workerStatus(backend *blackboard.Backend, members *blackboard.MemberTable) api.WorkerStatus {
 	return api.WorkerStatus{
-		Name:         backend.Name,
-		Place:        backend.Place,
-		Rack:         backend.Rack,
-		Group:        backend.Group,
-		Keeper:       keeper.Of(backend.Name, backend.Place, members),
-		Fence:        backend.Fence,
-		Ready:        backendReady(backend),
-		Cores:        backend.Cores,
-		Memory:       backend.Memory,
-		Accelerators: backend.Accelerators,
-		Running:      backend.Busy,
+		BackendStatus: backendStatus(backend, members),
+		Rack:          backend.Rack,
+		Fence:         backend.Fence,
+		Cores:         backend.Cores,
+		Memory:        backend.Memory,
+		Accelerators:  backend.Accelerators,
 	}
 }
 
@@ -127,5 +126,8 @@
 	slices.SortFunc(status.Hosts, func(a, b api.HostStatus) int { return cmp.Compare(a.Name, b.Name) })
 	slices.SortFunc(status.Minions, func(a, b api.MinionStatus) int { return cmp.Compare(a.Name, b.Name) })
 	slices.SortFunc(status.Workers, func(a, b api.WorkerStatus) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(status.Queues, func(a, b api.QueueStatus) int {
+		return cmp.Or(cmp.Compare(a.Owner, b.Owner), cmp.Compare(a.Service, b.Service), cmp.Compare(a.Pool, b.Pool))
+	})
 	slices.SortFunc(status.Owners, func(a, b api.OwnerStatus) int { return cmp.Compare(a.Owner, b.Owner) })
 }
--- a/lib/api/status.go
+++ b/lib/api/status.go
@@ -31,57 +31,52 @@
 
 // HostStatus is one entry host.
 type HostStatus struct {
-	Name        string    `json:"name"`
-	Place       string    `json:"place"`
-	Address     string    `json:"address"`
-	Size        int       `json:"size"`
-	Incarnation string    `json:"incarnation,omitempty"` // random for each start of the process
-	Started     time.Time `json:"started,omitzero"`
-	Ready       Ready     `json:"ready"`
+	Name        string `json:"name"`
+	Place       string `json:"place"`
+	Address     string `json:"address"`
+	Size        int    `json:"size"`
+	Incarnation string `json:"incarnation,omitempty"` // random for each start of the process
+	Ready       Ready  `json:"ready"`
+}
+
+// BackendStatus is what minions and workers have in common, as seen by the host that answers.
+type BackendStatus struct {
+	Name    string  `json:"name"`
+	Place   string  `json:"place"`
+	Group   string  `json:"group"`
+	Keeper  string  `json:"keeper,omitempty"` // the entry host that hands out its slots
+	Ready   Ready   `json:"ready"`
+	Slots   int     `json:"slots"`   // tasks that it runs at once, for all hosts together
+	Granted int     `json:"granted"` // slots that the answering host may use now
+	Used    int     `json:"used"`    // slots with tasks of the answering host
+	Failing float64 `json:"failing"` // share of recent starts that failed, 0 to 1
+	Slow    float64 `json:"slow"`    // learnt run time against the usual of its group; zero means unknown
 }
 
 // MinionStatus is one minion as seen by the host that answers.
 type MinionStatus struct {
-	Name     string            `json:"name"`
-	Place    string            `json:"place"`
-	Group    string            `json:"group"`
-	Keeper   string            `json:"keeper,omitempty"` // the entry host that hands out its slots
-	Ready    Ready             `json:"ready"`
-	Slots    int               `json:"slots"`
-	Used     int               `json:"used"`               // slots with a task of the answering host
-	Started  int64             `json:"started"`            // tasks started since the host's start
-	Failed   int64             `json:"failed"`             // tasks that ended with an error
-	Expected jsontime.Duration `json:"expected,omitempty"` // learnt time of one task, over all kinds
+	BackendStatus
 }
 
 // WorkerStatus is one worker as seen by the host that answers.
 type WorkerStatus struct {
-	Name         string  `json:"name"`
-	Place        string  `json:"place"`
+	BackendStatus
 	Rack         string  `json:"rack,omitempty"`
-	Group        string  `json:"group"`
-	Keeper       string  `json:"keeper,omitempty"` // the entry host that holds its lease
-	Fence        int64   `json:"fence,omitempty"`  // the lease's fencing token, if the answering host holds it
-	Ready        Ready   `json:"ready"`
+	Fence        int64   `json:"fence,omitempty"` // fencing token under which the answering host starts tasks
 	Cores        float64 `json:"cores"`
 	Memory       int64   `json:"memory"` // bytes
 	Accelerators int     `json:"accelerators,omitempty"`
-	Used         float64 `json:"used"` // cores taken by tasks of the answering host
-	Running      int     `json:"running"`
-	Started      int64   `json:"started"`
-	Failed       int64   `json:"failed"`
 }
 
-// QueueStatus is the work of one owner for one service or pool that waits or runs at the host that answers.
+// QueueStatus is the work of one owner for one service or pool that waits at the host that answers.
 type QueueStatus struct {
 	Owner   string            `json:"owner"`
 	Service string            `json:"service,omitempty"`
 	Pool    string            `json:"pool,omitempty"`
-	Urgent  int               `json:"urgent"` // urgent tasks that wait
-	Normal  int               `json:"normal"` // other tasks that wait
-	Long    int               `json:"long"`   // waiting tasks that are learnt to be long
-	Running int               `json:"running"`
-	Oldest  jsontime.Duration `json:"oldest,omitempty"` // age of the task that has waited longest
+	Urgent  int               `json:"urgent"`           // urgent tasks that wait
+	Normal  int               `json:"normal"`           // other tasks that wait
+	Long    int               `json:"long"`             // waiting tasks that are learnt to be long
+	Oldest  jsontime.Duration `json:"oldest,omitempty"` // since its job was received, of the oldest
 }
 
 // OwnerStatus is one owner at the host that answers.
@@ -96,7 +91,5 @@
 
 // ConfigurationStatus tells how far a host has folded the configuration stream.
 type ConfigurationStatus struct {
-	Next   int64             `json:"next"`          // offset of the first record not yet folded
-	Source string            `json:"source"`        // "log" or the peer that it came from
-	Age    jsontime.Duration `json:"age,omitempty"` // since the log last answered; it grows while the log is away
+	Next int64 `json:"next"` // offset of the first record not yet folded
 }
