--- a/load/pkg/app/app.go
+++ b/load/pkg/app/app.go
@@ -28,6 +28,9 @@
 	Entry      string   `arg:"--entry" default:"bin/entry" help:"program of the entry daemon"`
 	Seeds      []uint64 `arg:"--seeds" help:"seeds to run with one after the other, in place of the experiment's"`
 	Output     string   `arg:"--output" default:"out" help:"directory of the results"`
+	Policy     string   `arg:"--policy" help:"policy settings of the entry hosts as JSON, in place of the experiment's"`
+	Lease      string   `arg:"--lease" help:"lease settings of the entry hosts as JSON, in place of the experiment's"`
+	Suffix     string   `arg:"--suffix" help:"added to the experiment's name, such as -single-queue"`
 	Build      string   `arg:"--build" help:"version of the measured program, for the record"`
 }
 
--- a/load/pkg/app/run.go
+++ b/load/pkg/app/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"os"
@@ -30,6 +31,9 @@
 	if err != nil {
 		return err
 	}
+	if err = c.override(settings); err != nil {
+		return err
+	}
 	seeds := c.Seeds
 	if len(seeds) == 0 {
 		seeds = []uint64{settings.Seed}
@@ -43,6 +47,24 @@
 	return nil
 }
 
+// override puts the command line's settings in place of the experiment's.
+func (c *runCommand) override(settings *experiment.Settings) error {
+	settings.Name += c.Suffix
+	for _, part := range []struct {
+		text string
+		into *json.RawMessage
+	}{{c.Policy, &settings.Entry.Policy}, {c.Lease, &settings.Entry.Lease}} {
+		if part.text == "" {
+			continue
+		}
+		if !json.Valid([]byte(part.text)) {
+			return errors.Errorf("%q is not JSON", part.text)
+		}
+		*part.into = json.RawMessage(part.text)
+	}
+	return nil
+}
+
 // runOnce runs the experiment with one seed and writes its results.
 func (c *runCommand) runOnce(ctx context.Context, settings *experiment.Settings, out io.Writer) error {
 	jobs := workload.Arrivals(settings)
