--- a/load/pkg/measure/measure.go
+++ b/load/pkg/measure/measure.go
@@ -140,6 +140,9 @@
 func grownCounters(run *Run) []Counter {
 	growth := map[string]float64{}
 	for i := range run.After {
+		if run.After[i].Counters == nil {
+			continue // The host is gone, and its counters with it.
+		}
 		for name, value := range run.After[i].Counters {
 			growth[name] += value - run.Before[i].Counters[name]
 		}
@@ -181,6 +184,10 @@
 	figures := make([]EntryFigures, 0, len(run.After))
 	for i, host := range run.Settings.Entries {
 		before, after := run.Before[i], run.After[i]
+		if after.Counters == nil {
+			figures = append(figures, EntryFigures{Host: host})
+			continue
+		}
 		figure := EntryFigures{
 			Host:   host,
 			CPU:    jsontime.Duration(after.Cost.CPU - before.Cost.CPU),
--- a/load/pkg/measure/results.go
+++ b/load/pkg/measure/results.go
@@ -49,6 +49,7 @@
 	Goodput float64 `json:"goodput"` // work done in time within the window, as a share of the capacity of all groups
 	Starts  int64   `json:"starts"`  // at all back ends within the window
 	Faulty  int64   `json:"faulty"`  // of them, at back ends that some fault of the experiment names
+	Gap     Gap     `json:"gap"`
 }
 
 // Row is the figures of one owner's class, or of all classes.
@@ -134,10 +135,17 @@
 	Y float64 `json:"y"`
 }
 
+// Gap is the longest time within a window in which one of the fastest back ends got no start.
+type Gap struct {
+	Length  jsontime.Duration `json:"length"`
+	Backend string            `json:"backend"`
+}
+
 // Sample is the counters of all back ends at a moment, counted from the start.
 type Sample struct {
 	At       time.Duration
 	Backends []BackendFigures
+	Gap      Gap // since the sample before
 }
 
 // Usage is the cost and the counters of one entry host at a moment.
--- a/load/pkg/measure/window.go
+++ b/load/pkg/measure/window.go
@@ -108,6 +108,9 @@
 		figures.Rows = append(figures.Rows, builder.build())
 	}
 	figures.Starts, figures.Faulty = startsWithin(run, window)
+	if last := sampleAt(run, window.To.Std()); last != nil {
+		figures.Gap = last.Gap
+	}
 	length := (window.To - window.From).Std()
 	done := run.workDone(window.From.Std(), window.To.Std())
 	figures.Goodput = done / (run.capacity() * length.Seconds())
--- a/load/pkg/report/text.go
+++ b/load/pkg/report/text.go
@@ -27,7 +27,8 @@
 			run.Settings.Name, run.Settings.Seed, run.Totals.Starts, run.Totals.Messages, run.Totals.Wasted,
 			run.Totals.Repeats, run.Totals.Duplicates, run.Totals.Foreign, run.Totals.Mismatches, run.Totals.SendLag)
 		for _, window := range run.Windows {
-			_, _ = fmt.Fprintf(table, "  %s: %d starts, %d at faulty back ends\n", window.Name, window.Starts, window.Faulty)
+			_, _ = fmt.Fprintf(table, "  %s: %d starts, %d at faulty back ends, longest gap %s at %s\n",
+				window.Name, window.Starts, window.Faulty, window.Gap.Length, window.Gap.Backend)
 			for _, ending := range window.Rows[0].Endings {
 				_, _ = fmt.Fprintf(table, "  %s: %d jobs %s %s, run: %s\n", window.Name, ending.Jobs, ending.State, ending.Code, ending.Ran)
 			}
