Write plain log lines

The text handler of the log library colours its lines and gives times as seconds since the start, which is of no use in a file or a log store. One small handler writes the time, the level, the message and the fields, on one line whatever they hold.

--- a/entry/pkg/app/daemon.go
+++ b/entry/pkg/app/daemon.go
@@ -10,7 +10,6 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
-	"github.com/apex/log/handlers/text"
 	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
@@ -80,7 +79,7 @@
 }
 
 func newCommon(loaded *settings.Settings, logTo io.Writer) *common.Common {
-	var handler log.Handler = text.New(logTo)
+	var handler log.Handler = common.NewLineHandler(logTo)
 	if loaded.Log.Format == "json" {
 		handler = json.New(logTo)
 	}
