Keep a queue short only once it has refused work for a deadline

Change: a queue counts as standing a second after it first refused a job for its deadline with a wait of half a second or more. Ruled out: dropping the rule; with a deadline of 10 s the queue then takes more than 2 s to drain after the crest.

--- a/entry/pkg/admission/predict.go
+++ b/entry/pkg/admission/predict.go
@@ -10,7 +10,7 @@
 	"chervilusher.dev/lib/api"
 )
 
-// Predict refuses work whose predicted wait and run pass its deadline, or that would keep up a standing queue.
+// Predict refuses work whose predicted wait and run pass its deadline, or that would keep a queue long that has refused work for some time.
 type Predict struct {
 	random *rand.Rand
 	queues map[queueKey]*standing
@@ -24,16 +24,17 @@
 	long   bool
 }
 
-// standing tells since when the predicted wait has been above standingWait, but for breaks shorter than standingTime.
+// standing tells since when a queue has been too long, but for breaks shorter than standingTime.
 type standing struct {
 	since time.Time
 	short time.Time // since when the wait has been short again; zero while it is not
 }
 
-// Bounds of a standing queue. A queue that drains takes in a burst; one that has stood for standingTime adds nothing to what is served, and only makes everybody wait.
+// Bounds of a standing queue. A queue that drains takes in a burst; one that has refused work for standingTime adds nothing to what is served, and only makes everybody wait.
 const (
-	standingWait  = 100 * time.Millisecond
-	standingShare = 0.02 // of a job's deadline, where that is longer than standingWait
+	standingFrom  = 500 * time.Millisecond // a queue this long that refuses work is standing
+	standingWait  = 100 * time.Millisecond // a standing queue is kept this short
+	standingShare = 0.02                   // of a job's deadline, where that is longer than standingWait
 	standingTime  = time.Second
 )
 
@@ -70,10 +71,11 @@
 	wait := predictWait(job, group, demand)
 	run := time.Duration(float64(demand.run) * max(1, group.Capacity.Slow))
 	allowed := job.Deadline.Sub(now) - run
+	key := queueKey{group: group.Name, owner: job.Owner, urgent: job.Urgent, long: demand.long}
 	if time.Duration(waitMargin*float64(wait.last)) > max(allowed, negligibleWait) {
+		p.overrun(key, wait.first, now)
 		return p.refuse("the last task would start in %s, and has %s", wait.last, allowed)
 	}
-	key := queueKey{group: group.Name, owner: job.Owner, urgent: job.Urgent, long: demand.long}
 	standing := max(standingWait, time.Duration(standingShare*float64(job.Deadline.Sub(now))))
 	if p.stands(key, wait.first, now) && wait.first > standing {
 		return p.refuse("the queue has been standing; the first task would start in %s, and has %s", wait.first, standing)
@@ -96,17 +98,21 @@
 // negligibleWait is never a reason to refuse.
 const negligibleWait = 10 * time.Millisecond
 
-// stands takes in the predicted wait, and reports whether the queue has been standing for too long.
+// overrun takes in that the queue has become too long for a deadline.
+func (p *Predict) overrun(key queueKey, wait time.Duration, now time.Time) {
+	if _, ok := p.queues[key]; !ok && wait >= standingFrom {
+		p.queues[key] = &standing{since: now}
+	}
+}
+
+// stands takes in the predicted wait, and reports whether the queue has been too long for some time.
 func (p *Predict) stands(key queueKey, wait time.Duration, now time.Time) bool {
 	found, ok := p.queues[key]
-	if wait <= standingWait {
-		if ok {
-			p.shorten(key, found, now)
-		}
+	if !ok {
 		return false
 	}
-	if !ok {
-		p.queues[key] = &standing{since: now}
+	if wait <= standingWait {
+		p.shorten(key, found, now)
 		return false
 	}
 	found.short = time.Time{}
--- a/entry/pkg/dispatch/crest_test.go
+++ b/entry/pkg/dispatch/crest_test.go
@@ -119,3 +119,37 @@
 		require.Zero(t, f.spurious)
 	}
 }
+
+// TestLittleIsRefusedBelowCapacity runs the reference mix with tight deadlines on one host's share of the fleet, where a few long tasks make much of the load.
+func TestLittleIsRefusedBelowCapacity(t *testing.T) {
+	for _, load := range []float64{0.7, 0.9} {
+		for _, seed := range seeds {
+			refused, late := refusedBelowCapacity(seed, policies{}, load)
+			none, lateNone := refusedBelowCapacity(seed, policies{admission: "none"}, load)
+			t.Logf("load %.1f seed %d: %.4f refused, %.4f late or given up; without admission control %.4f, %.4f", load, seed, refused, late, none, lateNone)
+			if load < 0.8 {
+				require.LessOrEqual(t, refused, 0.005)
+			}
+		}
+	}
+}
+
+func refusedBelowCapacity(seed uint64, chosen policies, load float64) (refused, late float64) {
+	d := newDriver(seed, fleet{minions: 16, slots: 3}, chosen)
+	d.addOwner("hokkaido", 1)
+	jobs := 0
+	d.stream(steady(load*d.capacity()/meanWork), func() work {
+		jobs++
+		kind, amount := referenceWork(d.random)
+		deadline := map[string]time.Duration{"short": 3 * time.Second, "long": 20 * time.Second, "straggler": 2 * time.Minute}[kind]
+		return work{owner: "hokkaido", kind: kind, urgent: kind == "short", deadline: deadline, declared: time.Second, tasks: []time.Duration{amount}}
+	})
+	d.runUntil(120 * time.Second)
+	missed := 0
+	for i := range d.results {
+		if !d.results[i].inside {
+			missed++
+		}
+	}
+	return float64(len(d.refused)) / float64(jobs), float64(missed) / float64(jobs)
+}
