--- a/cli/pkg/app/app_test.go
+++ b/cli/pkg/app/app_test.go
@@ -85,6 +85,7 @@
 		{"payload", []string{"submit", "--service", "s", "--kind", "k", "--payload", "{"}, "--payload"},
 		{"unknown key", []string{"submit", "-"}, "bogus"},
 		{"no base", []string{"config", "publish", "-", "--log", "http://h"}, "bogus"},
+		{"no ticket", []string{"wait", "key", "--entry", "http://h", "--token", "x"}, "--ticket is missing"},
 		{"status", []string{"status", "bogus"}, "bogus"},
 	}
 	for _, test := range cases {
--- a/cli/pkg/app/arguments.go
+++ b/cli/pkg/app/arguments.go
@@ -79,7 +79,7 @@
 type handleArguments struct {
 	callerFlags
 	Key    string `arg:"positional,required" help:"key of the submission"`
-	Ticket string `arg:"--ticket,required" help:"ticket under which it was submitted"`
+	Ticket string `arg:"--ticket" help:"ticket under which it was submitted"`
 }
 
 // ticketArguments are those of ticket.
--- a/cli/pkg/app/callers.go
+++ b/cli/pkg/app/callers.go
@@ -133,19 +133,29 @@
 }
 
 func (a *app) wait(ctx context.Context, arguments *handleArguments) error {
-	caller, err := a.caller(arguments.callerFlags)
+	caller, handle, err := a.handle(arguments)
 	if err != nil {
 		return err
 	}
-	return a.printAnswer(caller.Wait(ctx, client.Handle{Key: arguments.Key, Ticket: arguments.Ticket}))
+	return a.printAnswer(caller.Wait(ctx, handle))
 }
 
 func (a *app) cancel(ctx context.Context, arguments *handleArguments) error {
-	caller, err := a.caller(arguments.callerFlags)
+	caller, handle, err := a.handle(arguments)
 	if err != nil {
 		return err
 	}
-	return a.printAnswer(caller.Cancel(ctx, client.Handle{Key: arguments.Key, Ticket: arguments.Ticket}))
+	return a.printAnswer(caller.Cancel(ctx, handle))
+}
+
+// handle returns the submission that the arguments name, and a client to ask about it.
+func (a *app) handle(arguments *handleArguments) (*client.Client, client.Handle, error) {
+	handle := client.Handle{Key: arguments.Key, Ticket: arguments.Ticket}
+	if handle.Ticket == "" {
+		return nil, handle, usage(errors.New("--ticket is missing; give the ticket that was printed with the key"))
+	}
+	caller, err := a.caller(arguments.callerFlags)
+	return caller, handle, err
 }
 
 func (a *app) ticket(ctx context.Context, arguments *ticketArguments) error {
--- a/entry/pkg/app/app.go
+++ b/entry/pkg/app/app.go
@@ -25,7 +25,7 @@
 const collectorPercent = 400
 
 type arguments struct {
-	Settings string `arg:"--settings,required" placeholder:"FILE" help:"settings, JSON with comments"`
+	Settings string `arg:"--settings" placeholder:"FILE" help:"settings, JSON with comments"`
 }
 
 // Description implements arg.Described.
@@ -47,6 +47,9 @@
 		}
 		return complain(err)
 	}
+	if parsed.Settings == "" {
+		return complain(errors.New("--settings is missing; name the file with the host's settings"))
+	}
 	loaded, err := settings.Load(parsed.Settings)
 	if err != nil {
 		return complain(err)
