Run the cores of several daemons against each other at random

Cause: the promises had process tests of named cases, and no search for cases that nobody named. Change: TestRandomisedHosts joins three cores (engine, ledger, tickets, home, kept records; the real policies) with fakes of minions, workers and callers that count starts by themselves. Steps are drawn: deaths, two at once, empty replacements, pauses past the lease, cuts between hosts, places and back ends, lost, late and delayed starts and answers, resubmission anywhere, cancellation waves, leaving and failing back ends, drains with records that break off.

--- /dev/null
+++ b/entry/pkg/controllers/simhost_test.go
@@ -0,0 +1,163 @@
+package controllers
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/text"
+	"github.com/jonboulle/clockwork"
+
+	"chervilusher.dev/entry/pkg/admission"
+	"chervilusher.dev/entry/pkg/blackboard"
+	"chervilusher.dev/entry/pkg/burn"
+	"chervilusher.dev/entry/pkg/common"
+	"chervilusher.dev/entry/pkg/dispatch"
+	"chervilusher.dev/entry/pkg/estimate"
+	"chervilusher.dev/entry/pkg/health"
+	"chervilusher.dev/entry/pkg/ledger"
+	"chervilusher.dev/entry/pkg/peer"
+	"chervilusher.dev/entry/pkg/placement"
+	"chervilusher.dev/entry/pkg/queue"
+	"chervilusher.dev/entry/pkg/settings"
+	"chervilusher.dev/entry/pkg/ticket"
+	"chervilusher.dev/lib/api"
+	"chervilusher.dev/lib/configuration"
+	"chervilusher.dev/lib/jsontime"
+)
+
+const (
+	simOwner   = "owner"
+	simEntries = 12
+	simBytes   = 20_000
+	simLease   = 2 * time.Second
+	simMargin  = 500 * time.Millisecond
+)
+
+// simHost is the core of one daemon: its home, engine, ledger and kept records, without any I/O.
+type simHost struct {
+	name        string
+	place       string
+	common      *common.Common
+	board       *blackboard.Board
+	engine      *dispatch.Engine
+	ledger      *ledger.Ledger
+	tickets     *ticket.Issuer
+	submissions *SubmissionController
+	legacies    *LegacyController
+	outbox      []dispatch.Start // decided and not yet sent
+	stops       []dispatch.Stop
+	waiting     int // starts whose outcome has not come
+	paused      bool
+	dead        bool
+}
+
+func simDirectory() *blackboard.Directory {
+	state := configuration.NewState()
+	state.Next = 1
+	state.Owners[simOwner] = &configuration.Accepted{Version: 1, Document: configuration.Document{
+		Owner: simOwner,
+		Services: []configuration.Service{
+			{Name: "asked", Group: "minions", Tombstones: true},
+			{Name: "plain", Group: "minions"},
+		},
+		Pools: []configuration.Pool{{Name: "pool", Group: "workers"}},
+	}}
+	return blackboard.NewDirectory(state)
+}
+
+func newSimHost(name, place string, serial int, clock clockwork.Clock) *simHost {
+	loaded := settings.Default()
+	loaded.Name = name
+	loaded.Place = place
+	loaded.Ticket = settings.Ticket{
+		Key: "a key for the tests alone", Window: jsontime.Duration(10 * time.Second),
+		Keep: jsontime.Duration(30 * time.Second), Entries: simEntries, Bytes: simBytes,
+	}
+	c := &common.Common{
+		Log:         &log.Logger{Handler: text.New(io.Discard), Level: log.FatalLevel},
+		Settings:    loaded,
+		Clock:       clock,
+		Incarnation: fmt.Sprintf("%s-%d", name, serial),
+	}
+	h := &simHost{name: name, place: place, common: c, board: blackboard.New()}
+	h.board.Configuration.Store(simDirectory())
+	h.board.Dispatch.Owners[simOwner] = &blackboard.Owner{Name: simOwner, Weight: 1, MaxWait: 30}
+	h.engine = dispatch.New(&h.board.Dispatch, dispatch.Policies{
+		Placement: placement.NewFastest(),
+		Admission: admission.NewNone(),
+		Estimator: estimate.New(2 * time.Second),
+		Health:    health.New(0.1, 0.5),
+		NewQueue:  func(owners map[string]*blackboard.Owner) blackboard.Queue { return queue.NewFair(owners) },
+	}, dispatch.Limits{Long: 2 * time.Second, Share: 0.7})
+	limits := ledger.Limits{Window: 10 * time.Second, Keep: 30 * time.Second, Entries: simEntries, Bytes: simBytes}
+	h.ledger = ledger.New(limits, clock.Now())
+	h.tickets = ticket.New(loaded.Ticket.Key, name, place, c.Incarnation, limits.Window, clock)
+	inForce := func() *configuration.State { return h.board.Configuration.Load().State }
+	h.submissions = NewSubmissionController(c, h.board, h.engine, h.ledger, h.tickets, h, burn.New(name, clock, inForce))
+	h.legacies = NewLegacyController(c, h.board, nil, peer.NewServer())
+	return h
+}
+
+// Run implements EffectRunner: effects wait until a step sends them.
+func (h *simHost) Run(effects dispatch.Effects) {
+	h.outbox = append(h.outbox, effects.Starts...)
+	h.stops = append(h.stops, effects.Stops...)
+}
+
+func (h *simHost) finish(start *dispatch.Start, outcome dispatch.Outcome) {
+	h.waiting--
+	effects, stale := h.engine.Finish(start.Task, start.Attempt, outcome, h.common.Clock.Now())
+	if stale {
+		panic("an outcome of a start that was waited for is stale")
+	}
+	h.Run(effects)
+}
+
+func (h *simHost) tick() {
+	now := h.common.Clock.Now()
+	h.Run(h.engine.Tick(now))
+	h.ledger.Expire(now)
+	h.legacies.expire()
+}
+
+// takeBackends takes the host list over and gives this host all slots of the minions.
+func (h *simHost) takeBackends(backends []*simBackend) {
+	for _, known := range backends {
+		group := h.engine.Group(known.host.Group)
+		group.Role = known.host.Role
+		backend, ok := group.Backends[known.host.Name]
+		if !ok {
+			backend = &blackboard.Backend{Name: known.host.Name, Group: group.Name, Role: group.Role}
+			group.Backends[known.host.Name] = backend
+		}
+		backend.Place = known.host.Place
+		backend.Slots = known.host.Slots
+		backend.Cores = known.host.Cores
+		backend.Leaving = known.host.State == "leaving"
+		if backend.Fence == 0 && group.Name == "minions" {
+			backend.Granted = backend.Slots
+		}
+	}
+	h.engine.Sync()
+}
+
+// renew takes or renews the lease of a worker as the lease controller does.
+func (h *simHost) renew(worker *simBackend) {
+	now := h.common.Clock.Now()
+	backend := h.engine.Group("workers").Backends[worker.host.Name]
+	backend.Fence = worker.lease(h.common.Incarnation, backend.Fence, now, now.Add(simLease))
+	backend.Granted = 0
+	if backend.Fence != 0 {
+		backend.Granted = backend.Slots
+		backend.Until = now.Add(simLease - simMargin)
+	}
+	h.engine.Sync()
+	h.Run(h.engine.Assign(h.engine.Group("workers"), now))
+}
+
+func (h *simHost) submit(request *peer.SubmitRequest) *api.Answer {
+	return h.submissions.Submit(context.Background(), request)
+}
