--- a/load/pkg/measure/measure.go
+++ b/load/pkg/measure/measure.go
@@ -19,9 +19,11 @@
 	Jobs     []workload.Job
 	Outcomes []caller.Outcome
 	Backends []office.MemberCounters
-	Repeats  int64   // starts of work that had started before
-	Before   []Usage // of each entry host, at the first arrival
-	After    []Usage // of each entry host, after the last answer
+	Repeats  int64 // starts of work that had started before
+	Samples  []Sample
+	Faulty   map[string]bool // names of the back ends that some fault names
+	Before   []Usage         // of each entry host, at the first arrival
+	After    []Usage         // of each entry host, after the last answer
 	Central  []time.Duration
 	Date     time.Time
 	Build    string
@@ -138,6 +140,9 @@
 func grownCounters(run *Run) []Counter {
 	growth := map[string]float64{}
 	for i := range run.After {
+		if run.After[i].Counters == nil {
+			continue // The host is gone, and its counters with it.
+		}
 		for name, value := range run.After[i].Counters {
 			growth[name] += value - run.Before[i].Counters[name]
 		}
@@ -179,6 +184,10 @@
 	figures := make([]EntryFigures, 0, len(run.After))
 	for i, host := range run.Settings.Entries {
 		before, after := run.Before[i], run.After[i]
+		if after.Counters == nil {
+			figures = append(figures, EntryFigures{Host: host})
+			continue
+		}
 		figure := EntryFigures{
 			Host:   host,
 			CPU:    jsontime.Duration(after.Cost.CPU - before.Cost.CPU),
