Keep the plain threshold for long work and drop hysteresis

Cause: a plain threshold was to be measured against one with two limits, as in the related paper on storage tiers.

--- a/entry/pkg/dispatch/classes_test.go
+++ b/entry/pkg/dispatch/classes_test.go
@@ -5,14 +5,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-
-	"chervilusher.dev/entry/pkg/estimate"
 )
 
-const (
-	meanShort = 0.525
-	meanLong  = 0.003/0.1*30 + 0.097/0.1*4
-)
+const meanShort = 0.525 // of the short work of referenceWork, in seconds
 
 // shortStream submits short work that takes the given share of the fleet.
 func (d *driver) shortStream(load float64, owner string, urgent bool) {
@@ -79,40 +74,3 @@
 		require.LessOrEqual(t, p99, 2*1.25)
 	}
 }
-
-func TestClassThresholdAgainstHysteresis(t *testing.T) {
-	table := []struct {
-		name   string
-		limits estimate.Limits
-	}{
-		{"plain threshold", estimate.Limits{Long: longFrom, Short: longFrom}},
-		{"hysteresis", estimate.Limits{Long: longFrom * 5 / 4, Short: longFrom * 3 / 4}},
-	}
-	for _, row := range table {
-		for _, seed := range seeds {
-			p99, done := borderline(seed, policies{limits: row.limits})
-			t.Logf("%s seed %d: short p99 %.2f, %d borderline jobs done", row.name, seed, p99, done)
-			require.Positive(t, done)
-		}
-	}
-}
-
-// borderline mixes short work with a kind whose mean run time lies at the threshold.
-func borderline(seed uint64, chosen policies) (p99 float64, done int) {
-	d := newDriver(seed, referenceFleet, chosen)
-	d.addOwner("hokkaido", 1)
-	d.shortStream(0.2, "hokkaido", false)
-	d.stream(steady(1.2*d.capacity()/2), func() work {
-		return work{
-			owner: "hokkaido", kind: "border", deadline: 20 * time.Second, declared: time.Second,
-			tasks: []time.Duration{between(d.random, time.Second, 3*time.Second)},
-		}
-	})
-	d.runUntil(measured)
-	for i := range d.results {
-		if d.results[i].kind == "border" {
-			done++
-		}
-	}
-	return percentile(d.ratios(warmUp, measured, func(r *result) bool { return r.kind == "short" }), 0.99), done
-}
--- a/entry/pkg/dispatch/drive_test.go
+++ b/entry/pkg/dispatch/drive_test.go
@@ -132,7 +132,6 @@
 	admission string
 	queue     string
 	share     float64
-	limits    estimate.Limits
 }
 
 func newDriver(seed uint64, fleet fleet, chosen policies) *driver {
@@ -192,9 +191,6 @@
 	if chosen.admission == "none" {
 		built.Admission = admission.NewNone()
 	}
-	if chosen.limits.Long > 0 {
-		built.Estimator = estimate.NewWithLimits(chosen.limits)
-	}
 	return built
 }
 
--- a/entry/pkg/estimate/estimator.go
+++ b/entry/pkg/estimate/estimator.go
@@ -35,29 +35,17 @@
 	mean      float64 // seconds at a back end of slowness 1
 	deviation float64 // mean distance from the mean, in seconds
 	runs      int
-	long      bool
 }
 
 // Estimator learns the run time of each kind of work and the relative slowness of each back end.
 type Estimator struct {
-	limits Limits
+	long   time.Duration
 	groups map[string]map[kindKey]*kind
 }
 
-// Limits are the mean run times between which a kind of work keeps its class.
-type Limits struct {
-	Long  time.Duration // from here on a kind becomes long
-	Short time.Duration // below here a kind becomes short again
-}
-
 // New returns an estimator for which work is long from the given run time on.
 func New(long time.Duration) *Estimator {
-	return NewWithLimits(Limits{Long: long, Short: long})
-}
-
-// NewWithLimits returns an estimator whose kinds keep their class between the limits.
-func NewWithLimits(limits Limits) *Estimator {
-	return &Estimator{limits: limits, groups: map[string]map[kindKey]*kind{}}
+	return &Estimator{long: long, groups: map[string]map[kindKey]*kind{}}
 }
 
 // Classify sets the task's expected run time and whether it counts as long, by what was learnt or else by what was declared.
@@ -65,12 +53,12 @@
 	learnt, ok := e.groups[task.Target.Group][keyOf(task)]
 	if !ok {
 		task.Expected = task.Declared
-		task.Long = task.Declared >= e.limits.Long
+		task.Long = task.Declared >= e.long
 		return
 	}
 	task.Expected = seconds(learnt.mean)
 	task.Spread = seconds(learnt.deviation)
-	task.Long = learnt.long
+	task.Long = task.Expected >= e.long
 }
 
 // Observe takes in how long a task ran at a back end.
@@ -80,13 +68,12 @@
 	if !ok {
 		learnt = e.learn(task, ran/slowness(backend))
 		learnt.runs = 1
-		learnt.long = seconds(learnt.mean) >= e.limits.Long
 		backend.Learnt++
 		backend.Slowness = slowness(backend)
 		return
 	}
 	observeBackend(backend, math.Min(ran/learnt.mean, maxRatio), learnt.trust())
-	e.average(learnt, ran/slowness(backend))
+	learnt.average(ran / slowness(backend))
 }
 
 // observeBackend takes in one run time against the usual; a kind of work whose run times vary much counts for less.
@@ -119,8 +106,7 @@
 // Overran takes in that a task has run for at least the given time and goes on.
 func (e *Estimator) Overran(task *blackboard.Task, took time.Duration) {
 	if _, ok := e.groups[task.Target.Group][keyOf(task)]; !ok {
-		learnt := e.learn(task, took.Seconds())
-		learnt.long = took >= e.limits.Long
+		e.learn(task, took.Seconds())
 	}
 }
 
@@ -144,26 +130,14 @@
 	for _, learnt := range e.groups[group.Name] {
 		learnt.mean /= speed
 		learnt.deviation /= speed
-		e.class(learnt)
 	}
 }
 
-func (e *Estimator) average(learnt *kind, ran float64) {
-	learnt.runs++
-	weight := gain(kindGain, learnt.runs)
-	learnt.deviation += weight * (math.Abs(ran-learnt.mean) - learnt.deviation)
-	learnt.mean += weight * (ran - learnt.mean)
-	e.class(learnt)
-}
-
-// class lets the kind change its class when its mean has left the limits of its present one.
-func (e *Estimator) class(learnt *kind) {
-	switch mean := seconds(learnt.mean); {
-	case mean >= e.limits.Long:
-		learnt.long = true
-	case mean < e.limits.Short:
-		learnt.long = false
-	}
+func (k *kind) average(ran float64) {
+	k.runs++
+	weight := gain(kindGain, k.runs)
+	k.deviation += weight * (math.Abs(ran-k.mean) - k.deviation)
+	k.mean += weight * (ran - k.mean)
 }
 
 // gain lets the first observations count evenly and later ones by the given weight.
