--- a/entry/pkg/operator/server_test.go
+++ b/entry/pkg/operator/server_test.go
@@ -57,6 +57,7 @@
 
 // bench is an operators' API over a board with the documents of two owners.
 type bench struct {
+	board     *blackboard.Board
 	publisher *fakePublisher
 	drainer   *fakeDrainer
 	handler   http.Handler
@@ -97,7 +98,7 @@
 	loaded.Operator.Hash = configuration.HashToken("host-token")
 	c := &common.Common{Log: &log.Logger{Handler: discard.Default}, Settings: loaded, Clock: clock}
 	recorder := burn.New("entry-1", c.Clock, func() *configuration.State { return board.Configuration.Load().State })
-	made := &bench{publisher: &fakePublisher{}, drainer: &fakeDrainer{}}
+	made := &bench{board: board, publisher: &fakePublisher{}, drainer: &fakeDrainer{}}
 	made.handler = operator.New(c, board, made.publisher, recorder, made.drainer).Handler()
 	return made
 }
--- a/entry/pkg/operator/status.go
+++ b/entry/pkg/operator/status.go
@@ -26,6 +26,7 @@
 	if !who.host {
 		restrict(status, directory.Document(who.owner))
 	}
+	s.addKeepers(status)
 	sortStatus(status)
 	return c.JSON(http.StatusOK, status)
 }
@@ -52,15 +53,28 @@
 	}
 }
 
-func (s *Server) addBackends(status *api.Status) {
+// addKeepers works the keepers out without the dispatch lock.
+func (s *Server) addKeepers(status *api.Status) {
 	members := s.board.Members.Load()
+	for i := range status.Minions {
+		minion := &status.Minions[i]
+		minion.Keeper = keeper.Of(minion.Name, minion.Place, members)
+	}
+	for i := range status.Workers {
+		worker := &status.Workers[i]
+		worker.Keeper = keeper.Of(worker.Name, worker.Place, members)
+	}
+}
+
+// addBackends copies the back ends; the dispatch lock is held.
+func (s *Server) addBackends(status *api.Status) {
 	for _, group := range s.board.Dispatch.Groups {
 		for _, backend := range group.Backends {
 			if backend.Role == platform.RoleWorker {
-				status.Workers = append(status.Workers, workerStatus(backend, members))
+				status.Workers = append(status.Workers, workerStatus(backend))
 				continue
 			}
-			status.Minions = append(status.Minions, api.MinionStatus{BackendStatus: backendStatus(backend, members)})
+			status.Minions = append(status.Minions, api.MinionStatus{BackendStatus: backendStatus(backend)})
 		}
 	}
 }
@@ -78,12 +92,11 @@
 	}
 }
 
-func backendStatus(backend *blackboard.Backend, members *blackboard.MemberTable) api.BackendStatus {
+func backendStatus(backend *blackboard.Backend) api.BackendStatus {
 	return api.BackendStatus{
 		Name:    backend.Name,
 		Place:   backend.Place,
 		Group:   backend.Group,
-		Keeper:  keeper.Of(backend.Name, backend.Place, members),
 		Ready:   backendReady(backend),
 		Slots:   backend.Slots,
 		Granted: backend.Granted,
@@ -93,9 +106,9 @@
 	}
 }
 
-func workerStatus(backend *blackboard.Backend, members *blackboard.MemberTable) api.WorkerStatus {
+func workerStatus(backend *blackboard.Backend) api.WorkerStatus {
 	return api.WorkerStatus{
-		BackendStatus: backendStatus(backend, members),
+		BackendStatus: backendStatus(backend),
 		Rack:          backend.Rack,
 		Fence:         backend.Fence,
 		Cores:         backend.Cores,
