Report the burn of the hosts that answer

One host that is down kept the command from showing the others. It now prints what it got, names the host that is missing, and does not exit 0.

--- a/cli/pkg/app/app_test.go
+++ b/cli/pkg/app/app_test.go
@@ -148,6 +148,27 @@
 	require.Contains(t, got.stderr, "version 1 is in force")
 }
 
+func TestBurnAddsUpTheHostsThatAnswer(t *testing.T) {
+	objective := api.BurnObjective{Owner: "hokkaido", Name: "prompt", Service: "desk", Target: 0.9, Good: 3}
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(writer).Encode(api.BurnReport{Hosts: []string{"h"}, Objectives: []api.BurnObjective{objective}})
+	}))
+	t.Cleanup(server.Close)
+	closed := httptest.NewServer(http.NotFoundHandler())
+	closed.Close()
+	var report api.BurnReport
+	got := command(t, "", "--json", "burn", "--entry", server.URL, "--entry", server.URL)
+	require.Equal(t, exitDone, got.code, got.stderr)
+	require.NoError(t, json.Unmarshal([]byte(got.stdout), &report))
+	require.EqualValues(t, 6, report.Objectives[0].Good)
+
+	got = command(t, "", "--json", "burn", "--entry", server.URL, "--entry", closed.URL)
+	require.Equal(t, exitUnreachable, got.code)
+	require.Contains(t, got.stderr, "the report lacks "+closed.URL)
+	require.NoError(t, json.Unmarshal([]byte(got.stdout), &report))
+	require.EqualValues(t, 3, report.Objectives[0].Good)
+}
+
 func TestALostPublishIsSentAgainUnderTheSameIdentifier(t *testing.T) {
 	var identifiers []string
 	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
--- a/cli/pkg/app/operators.go
+++ b/cli/pkg/app/operators.go
@@ -65,28 +65,44 @@
 	return a.printer.Text(drained, fmt.Sprintf("draining: %d submissions are still finished", drained.Running))
 }
 
+// burn reports what the hosts that answer know, and fails afterwards if some did not.
 func (a *app) burn(ctx context.Context, arguments *burnArguments) error {
 	if len(arguments.Entry) == 0 {
 		return usage(errors.New("no entry host is given; set CHERVILUSHER_OPERATORS or --entry to operators' addresses"))
 	}
 	reports := make([]*api.BurnReport, 0, len(arguments.Entry))
+	var missing error
 	for i, entry := range arguments.Entry {
 		a.printer.Progress("reading host %d of %d", i+1, len(arguments.Entry))
-		host, err := a.operator(operatorFlags{Entry: entry, Token: arguments.Token, TokenFile: arguments.TokenFile})
+		report, err := a.readBurn(ctx, entry, arguments)
 		if err != nil {
-			return err
-		}
-		report, err := host.Burn(ctx)
-		if err != nil {
-			return errors.Wrap(err, entry)
+			missing = errors.Wrapf(err, "the report lacks %s", entry)
+			continue
 		}
 		reports = append(reports, report)
 	}
+	if len(reports) == 0 {
+		return missing
+	}
 	merged := burn.Merge(reports)
 	if arguments.Page != "" {
-		return a.burnPage(merged, arguments.Page)
+		if err := a.burnPage(merged, arguments.Page); err != nil {
+			return err
+		}
+		return missing
+	}
+	if err := a.printer.Print(merged, burnTable(merged)); err != nil {
+		return err
+	}
+	return missing
+}
+
+func (a *app) readBurn(ctx context.Context, entry string, arguments *burnArguments) (*api.BurnReport, error) {
+	host, err := a.operator(operatorFlags{Entry: entry, Token: arguments.Token, TokenFile: arguments.TokenFile})
+	if err != nil {
+		return nil, err
 	}
-	return a.printer.Print(merged, burnTable(merged))
+	return host.Burn(ctx)
 }
 
 func (a *app) burnPage(report *api.BurnReport, path string) error {
