--- a/entry/pkg/dispatch/engine.go
+++ b/entry/pkg/dispatch/engine.go
@@ -63,6 +63,7 @@
 		e.classify(group, task)
 	}
 	if refusal := e.refuse(job, now); refusal != nil {
+		countRefusal(job.Owner, refusal)
 		return Effects{}, refusal
 	}
 	for _, task := range job.Tasks {
@@ -140,6 +141,7 @@
 		if !hasQueued(job) {
 			continue
 		}
+		expiredTotal.Inc()
 		effects.Stops = append(effects.Stops, e.end(job, expired())...)
 	}
 	return effects
@@ -230,6 +232,7 @@
 	e.board.Owners[task.Job.Owner].Running++
 	if task.Tries == 0 {
 		e.policies.Health.Started(group)
+		observeWait(task.Long, now.Sub(task.Queued).Seconds())
 	}
 	task.State = blackboard.TaskStarted
 	task.Attempt++
--- a/entry/pkg/dispatch/long.go
+++ b/entry/pkg/dispatch/long.go
@@ -59,6 +59,7 @@
 			continue
 		}
 		task.Long = true
+		overrunsTotal.Inc()
 		holdLong(e.Group(task.Target.Group), task)
 		e.policies.Estimator.Overran(task, now.Sub(task.Started))
 	}
--- a/entry/pkg/dispatch/reserve.go
+++ b/entry/pkg/dispatch/reserve.go
@@ -34,6 +34,7 @@
 		return
 	}
 	best.Reserved = task
+	reservationsTotal.Inc()
 	e.reserved[task] = best
 	e.policies.Placement.Update(group, best)
 }
--- a/entry/pkg/health/health.go
+++ b/entry/pkg/health/health.go
@@ -9,6 +9,13 @@
 	"chervilusher.dev/entry/pkg/dispatch"
 )
 
+var (
+	ejectionsTotal      = metrics.NewCounter(`chervilusher_ejections_total`)
+	pausesTotal         = metrics.NewCounter(`chervilusher_pauses_total`)
+	retriesTotal        = metrics.NewCounter(`chervilusher_retries_total`)
+	retriesRefusedTotal = metrics.NewCounter(`chervilusher_retries_refused_total`)
+)
+
 // Delays before the next probe of an ejected back end; each failed probe doubles the delay.
 const (
 	firstProbeDelay = time.Second
@@ -61,7 +68,12 @@
 
 // TakeRetry spends retry budget for one more start, and reports whether there was any.
 func (h *Health) TakeRetry(group *blackboard.Group) bool {
-	return h.state(group).budget.take()
+	if !h.state(group).budget.take() {
+		retriesRefusedTotal.Inc()
+		return false
+	}
+	retriesTotal.Inc()
+	return true
 }
 
 // Observe takes in how a start ended.
@@ -121,7 +133,7 @@
 	backend.Probing = false
 	backend.Limit = 0
 	record.putOff(backend, now)
-	metrics.GetOrCreateCounter("chervilusher_ejections_total").Inc()
+	ejectionsTotal.Inc()
 }
 
 // recount drops back ends that left the group.
@@ -187,6 +199,7 @@
 	record.pause = min(max(2*record.pause, firstPause), lastPause)
 	backend.Paused = now.Add(record.pause)
 	s.paused[backend] = struct{}{}
+	pausesTotal.Inc()
 }
 
 // Tick returns the back ends whose pause has ended.
