Count the calls that lend slots among the messages

Cause: the wasted messages of the loans are calls that bring nothing, and the lending controller counts them by kind. Proof: TestMessagesForEachStart.

--- a/load/pkg/measure/measure.go
+++ b/load/pkg/measure/measure.go
@@ -108,12 +108,17 @@
 	return sum
 }
 
-// Names of the entry hosts' counters that count messages; starts and stops are messages too.
+// Names of the entry hosts' counters that count messages.
 const (
-	messagesCounter = "chervilusher_messages_total"
-	startsCounter   = "chervilusher_starts_total"
-	stopsCounter    = "chervilusher_stops_total"
-	wastedLabel     = `wasted="yes"`
+	startsCounter  = "chervilusher_starts_total"
+	stopsCounter   = "chervilusher_stops_total"
+	lendingCounter = "chervilusher_lending_calls_total"
+)
+
+// Kinds of lending calls; an empty or failed one is counted under borrow or push too.
+const (
+	lendingEmpty  = `kind="empty"`
+	lendingFailed = `kind="failed"`
 )
 
 // messages returns the entry hosts' messages for each start, and those of them that moved no work.
@@ -124,10 +129,11 @@
 	for _, counter := range counters {
 		name, _, _ := strings.Cut(counter.Name, "{")
 		switch name {
-		case messagesCounter:
-			all += counter.Value
-			if strings.Contains(counter.Name, wastedLabel) {
+		case lendingCounter:
+			if strings.Contains(counter.Name, lendingEmpty) || strings.Contains(counter.Name, lendingFailed) {
 				wasted += counter.Value
+			} else {
+				all += counter.Value
 			}
 		case startsCounter, stopsCounter:
 			all += counter.Value
--- a/load/pkg/measure/measure_test.go
+++ b/load/pkg/measure/measure_test.go
@@ -40,7 +40,7 @@
 		},
 		Backends: []office.MemberCounters{{Name: "m", Speed: 1, Counters: task.Counters{Starts: 1, Refused: 1}}},
 		Before:   []Usage{{Counters: map[string]float64{startsCounter: 5}}},
-		After:    []Usage{{Counters: map[string]float64{startsCounter: 6, messagesCounter + `{kind="loan",wasted="yes"}`: 2}}},
+		After:    []Usage{{Counters: map[string]float64{startsCounter: 6, lendingCounter + `{kind="borrow"}`: 2, lendingCounter + `{kind="empty"}`: 2}}},
 		Samples: []Sample{
 			{At: 0, Backends: []office.MemberCounters{{Name: "m"}}},
 			{At: 4 * time.Second, Backends: []office.MemberCounters{{Name: "m", Counters: task.Counters{Starts: 3}}}},
