--- a/entry/pkg/lending/keeper.go
+++ b/entry/pkg/lending/keeper.go
@@ -269,7 +269,7 @@
 const sameSpeed = 1.05
 
 func (k *Keeper) offersOf(group string, now time.Time) []Offer {
-	var offers []Offer
+	offers := make([]Offer, 0, len(k.groups[group]))
 	for _, entry := range k.groups[group] {
 		free := entry.free(now)
 		if free <= 0 {
--- a/entry/pkg/lending/plan.go
+++ b/entry/pkg/lending/plan.go
@@ -48,7 +48,7 @@
 			b.planGroup(group, asks, now)
 		}
 	}
-	var calls []Call
+	calls := make([]Call, 0, len(b.order))
 	for _, lender := range b.order {
 		ask := asks[lender]
 		if ask == nil && !b.due(lender, now) {
