--- a/entry/pkg/controllers/routing_controller.go
+++ b/entry/pkg/controllers/routing_controller.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"chervilusher.dev/entry/pkg/blackboard"
 	"chervilusher.dev/entry/pkg/common"
 	"chervilusher.dev/entry/pkg/peer"
@@ -19,6 +21,8 @@
 	retryUnreachable = time.Second
 )
 
+var crossedPeerAnswers = metrics.GetOrCreateCounter(`chervilusher_answers_dropped_total{why="crossed"}`)
+
 // Home answers for the submissions made under this process's tickets.
 type Home interface {
 	Submit(ctx context.Context, request *peer.SubmitRequest) *api.Answer
@@ -93,14 +97,24 @@
 }
 
 // answering wraps a method of the home for peers.
-func answering[Request any](incarnation string, serve func(ctx context.Context, request *Request) *api.Answer) func(context.Context, *Request) (*peer.AnswerResponse, error) {
+func answering[Request any, R identified[Request]](incarnation string, serve func(ctx context.Context, request *Request) *api.Answer) func(context.Context, *Request) (*peer.AnswerResponse, error) {
 	return func(ctx context.Context, request *Request) (*peer.AnswerResponse, error) {
-		return &peer.AnswerResponse{Incarnation: incarnation, Answer: *serve(ctx, request)}, nil
+		return &peer.AnswerResponse{
+			Incarnation: incarnation,
+			Key:         R(request).IdentityOf().Key,
+			Answer:      *serve(ctx, request),
+		}, nil
 	}
 }
 
+// identified is a call about one submission.
+type identified[Request any] interface {
+	*Request
+	IdentityOf() *peer.Identity
+}
+
 // forward calls the home; only an answer from its own address tells that the home's process is gone.
-func forward[Request any](ctx context.Context, r *RoutingController, claims *ticket.Claims, method string, request *Request, wait time.Duration) *api.Answer {
+func forward[Request any, R identified[Request]](ctx context.Context, r *RoutingController, claims *ticket.Claims, method string, request *Request, wait time.Duration) *api.Answer {
 	member, ok := r.board.Members.Load().ByName[claims.Host]
 	if !ok {
 		return unreachable("the home is not in the host list now")
@@ -112,9 +126,21 @@
 		r.common.Log.WithError(err).WithField("home", claims.Host).Warn("cannot reach the home of a submission")
 		return unreachable("the home cannot be reached now")
 	}
+	if !belongs(response, R(request).IdentityOf()) {
+		crossedPeerAnswers.Inc()
+		return unreachable("the answer belonged to another submission")
+	}
 	return &response.Answer
 }
 
+// belongs reports whether an answer is about the submission, and from its home unless it says that the home is another.
+func belongs(response *peer.AnswerResponse, identity *peer.Identity) bool {
+	if response.Key != identity.Key {
+		return false
+	}
+	return response.Incarnation == identity.Incarnation || response.Answer.Ran == api.RanUnknown
+}
+
 // unreachable says that the outcome is unknown: an earlier try of the same submission may have reached its home.
 func unreachable(reason string) *api.Answer {
 	return &api.Answer{
--- a/entry/pkg/peer/messages.go
+++ b/entry/pkg/peer/messages.go
@@ -25,6 +25,15 @@
 	Key         string `json:"key"`
 }
 
+// IdentityOf returns the submission that a call is about.
+func (r *SubmitRequest) IdentityOf() *Identity { return &r.Identity }
+
+// IdentityOf returns the submission that a call is about.
+func (r *WaitRequest) IdentityOf() *Identity { return &r.Identity }
+
+// IdentityOf returns the submission that a call is about.
+func (r *CancelRequest) IdentityOf() *Identity { return &r.Identity }
+
 // SubmitRequest hands a submission to its home.
 type SubmitRequest struct {
 	Identity   Identity       `json:"id"`
@@ -45,9 +54,10 @@
 	Identity Identity `json:"id"`
 }
 
-// AnswerResponse carries the home's answer; Incarnation is that of the process which gave it.
+// AnswerResponse carries the home's answer; Incarnation is that of the process which gave it, and Key that of the submission asked for.
 type AnswerResponse struct {
 	Incarnation string     `json:"inc"`
+	Key         string     `json:"key"`
 	Answer      api.Answer `json:"ans"`
 }
 
--- a/entry/pkg/settings/settings.go
+++ b/entry/pkg/settings/settings.go
@@ -110,7 +110,7 @@
 			Window:  jsontime.Duration(time.Minute),
 			Keep:    jsontime.Duration(10 * time.Minute),
 			Bytes:   64 << 20,
-			Entries: 200_000,
+			Entries: 100_000,
 		},
 		Policy: Policy{
 			Lending:   "fixed",
--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -1,7 +1,6 @@
 package integration
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -12,8 +11,6 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
-	"strings"
-	"syscall"
 	"testing"
 	"time"
 
@@ -82,22 +79,6 @@
 	entries []*entry
 }
 
-// entry is one daemon's process; peers, and the platform's services, are reached through relays of its own.
-type entry struct {
-	t        *testing.T
-	name     string
-	place    string
-	caller   string
-	operator string
-	peer     string
-	inward   *relay.Relay // other hosts to this one
-	log      *relay.Relay
-	hosts    *relay.Relay
-	settings string
-	command  *exec.Cmd
-	exited   chan error
-}
-
 func newFleet(t *testing.T, wanted plan) *fleet {
 	t.Helper()
 	f := &fleet{t: t}
@@ -203,75 +184,6 @@
 	return made
 }
 
-func (e *entry) writeSettings(wanted plan) {
-	keep := wanted.keep
-	if keep == 0 {
-		keep = time.Minute
-	}
-	text := fmt.Sprintf(`{
-		"name": %q, "place": %q,
-		"caller": {"listen": %q}, "operator": {"listen": %q, "hash": %q}, "peer": {"listen": %q},
-		"platform": {"log": "http://%s", "hosts": "http://%s"},
-		"ticket": {"key": "a key for the tests alone", "keep": %q},
-		"lease": {"length": "1s", "margin": "300ms"},
-	}`, e.name, e.place, e.caller, e.operator, configuration.HashToken(hostToken), e.peer, e.log.Address(), e.hosts.Address(), keep)
-	e.settings = filepath.Join(e.t.TempDir(), e.name+".json")
-	require.NoError(e.t, os.WriteFile(e.settings, []byte(text), 0o600))
-}
-
-func (e *entry) start() {
-	e.t.Helper()
-	e.command = exec.CommandContext(context.Background(), entryBinary, "--settings", e.settings)
-	output, err := os.OpenFile(e.settings+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	require.NoError(e.t, err)
-	e.command.Stdout = output
-	e.command.Stderr = output
-	require.NoError(e.t, e.command.Start())
-	exited := make(chan error, 1)
-	e.exited = exited
-	command := e.command
-	go func() { exited <- command.Wait() }()
-	e.t.Cleanup(func() {
-		_ = command.Process.Signal(syscall.SIGCONT)
-		_ = command.Process.Kill()
-		if e.t.Failed() {
-			e.showLog()
-		}
-	})
-}
-
-func (e *entry) showLog() {
-	const tailBytes = 6000
-	raw, err := os.ReadFile(e.settings + ".log")
-	if err != nil {
-		return
-	}
-	e.t.Logf("%s wrote:\n%s", e.name, raw[max(0, len(raw)-tailBytes):])
-}
-
-func (e *entry) signal(signal syscall.Signal) {
-	e.t.Helper()
-	require.NoError(e.t, e.command.Process.Signal(signal))
-}
-
-func (e *entry) kill() {
-	e.t.Helper()
-	e.signal(syscall.SIGKILL)
-	<-e.exited
-}
-
-func (e *entry) url() string { return "http://" + e.caller }
-
-func (e *entry) ready() bool {
-	status, err := get("http://" + e.operator + "/ready")
-	return err == nil && status == http.StatusOK
-}
-
-func (e *entry) waitReady() {
-	e.t.Helper()
-	require.Eventually(e.t, e.ready, patience, pollEvery, e.name)
-}
-
 func get(address string) (int, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
@@ -382,25 +294,9 @@
 	for mark, starts := range f.office.Marks() {
 		require.LessOrEqual(f.t, starts, int64(1), mark)
 	}
-}
-
-// metric returns the value of one of the daemon's own counters.
-func (e *entry) metric(name string) float64 {
-	e.t.Helper()
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.operator+"/metrics", nil)
-	require.NoError(e.t, err)
-	response, err := http.DefaultClient.Do(request)
-	require.NoError(e.t, err)
-	defer func() { _ = response.Body.Close() }()
-	lines := bufio.NewScanner(response.Body)
-	for lines.Scan() {
-		if text, ok := strings.CutPrefix(lines.Text(), name+" "); ok {
-			value, err := strconv.ParseFloat(text, 64)
-			require.NoError(e.t, err)
-			return value
+	for _, daemon := range f.entries {
+		if daemon.alive() {
+			require.NotContains(f.t, daemon.metrics(), "chervilusher_invariant_breaches_total{", daemon.name)
 		}
 	}
-	return 0
 }
--- a/integration/planned_stop_test.go
+++ b/integration/planned_stop_test.go
@@ -74,6 +74,7 @@
 	require.Equal(t, api.CodeDraining, answer.Code)
 	require.Equal(t, api.RanNo, answer.Ran)
 	require.Zero(t, f.office.Marks()["never"])
+	f.requireAnswersSurviveRollingRestart(handles)
 	for mark := range f.office.Marks() {
 		require.NotContains(t, mark, "late", "nothing is accepted after the refusal began")
 	}
@@ -81,6 +82,37 @@
 	t.Logf("%d attended, %d unattended and 1 forwarded answered, %d late ones refused", inProgress, unattended, refused)
 }
 
+// requireAnswersSurviveRollingRestart restarts the hosts one after another; the last ones had been handed the first one's answers.
+func (f *fleet) requireAnswersSurviveRollingRestart(handles map[string]client.Handle) {
+	f.t.Helper()
+	f.entries[0].start()
+	f.entries[0].waitReady()
+	for _, next := range f.entries[1:] {
+		f.waitForMembers(len(f.entries))
+		next.signal(syscall.SIGTERM)
+		require.NoError(f.t, <-next.exited)
+		next.start()
+		next.waitReady()
+	}
+	f.waitForMembers(len(f.entries))
+	for mark, handle := range handles {
+		for _, through := range f.entries {
+			requireOwnAnswer(f.t, f.once(through, handle, job(task("desk", mark, 500*time.Millisecond))), mark)
+		}
+	}
+}
+
+// waitForMembers waits until every host knows all hosts.
+func (f *fleet) waitForMembers(count int) {
+	f.t.Helper()
+	for _, daemon := range f.entries {
+		require.Eventually(f.t, func() bool {
+			status, err := daemon.status()
+			return err == nil && len(status.Hosts) == count
+		}, patience, pollEvery, daemon.name)
+	}
+}
+
 // answersOf checks that every answer is complete.
 func answersOf(answers map[string]*api.Answer) map[string]*api.Answer {
 	for mark, answer := range answers {
