--- a/entry/pkg/admission/predict.go
+++ b/entry/pkg/admission/predict.go
@@ -78,7 +78,7 @@
 	}
 	standing := max(standingWait, time.Duration(standingShare*float64(job.Deadline.Sub(now))))
 	if p.stands(key, wait.first, now) && wait.first > standing {
-		return p.refuse("the queue has been standing; the first task would start in %s, and has %s", wait.first, standing)
+		return p.refuse("the queue has been too long for some time; the first task would start in %s, and has %s", wait.first, standing)
 	}
 	return nil
 }
