--- /dev/null
+++ b/entry/pkg/membership/tracker.go
@@ -0,0 +1,131 @@
+package membership
+
+import (
+	"time"
+
+	"chervilusher.dev/entry/pkg/blackboard"
+)
+
+// Options tune a tracker.
+type Options struct {
+	Self     string
+	Place    string
+	Interval time.Duration // between heartbeats
+	Suspect  time.Duration // a host of the same place that was silent for this long is not alive
+	Confirm  int           // heartbeats without a gap until a suspected host is alive again
+}
+
+// Tracker holds what the heartbeats tell of each entry host of the host list.
+type Tracker struct {
+	options Options
+	members map[string]*tracked
+	ticked  time.Time
+}
+
+type tracked struct {
+	member  blackboard.Member
+	listed  bool // as leaving, by the host list
+	told    bool // as leaving, by itself
+	streak  int  // heartbeats without a gap
+	retired string
+}
+
+// New returns a tracker that knows no hosts.
+func New(options Options) *Tracker {
+	return &Tracker{options: options, members: map[string]*tracked{}}
+}
+
+// SetHosts takes over the entry hosts of the host list; a new host counts as alive until it was silent for too long.
+func (t *Tracker) SetHosts(hosts []blackboard.Member, now time.Time) {
+	known := t.members
+	t.members = make(map[string]*tracked, len(hosts))
+	for _, host := range hosts {
+		entry, ok := known[host.Name]
+		if !ok {
+			entry = &tracked{member: host}
+			entry.member.Alive = true
+			entry.member.Heard = now
+		}
+		entry.member.Name = host.Name
+		entry.member.Address = host.Address
+		entry.member.Place = host.Place
+		entry.member.Size = host.Size
+		entry.listed = host.Leaving
+		entry.member.Leaving = entry.listed || entry.told
+		t.members[host.Name] = entry
+	}
+}
+
+// Heard takes in a heartbeat and reports whether the view has changed.
+func (t *Tracker) Heard(name, incarnation string, leaving bool, now time.Time) bool {
+	entry, ok := t.members[name]
+	if !ok || incarnation == entry.retired {
+		return false
+	}
+	before := entry.member
+	if entry.member.Incarnation != incarnation {
+		entry.retired = entry.member.Incarnation
+		entry.member.Incarnation = incarnation
+		entry.streak = 0
+	}
+	if now.Sub(entry.member.Heard) > 2*t.options.Interval {
+		entry.streak = 0
+	}
+	entry.streak++
+	entry.member.Heard = now
+	entry.told = leaving
+	entry.member.Leaving = entry.listed || entry.told
+	if entry.streak >= t.options.Confirm || entry.member.Place != t.options.Place {
+		entry.member.Alive = true
+	}
+	return changed(&before, &entry.member)
+}
+
+// Missed takes in that a host of another place did not answer, and reports whether the view has changed.
+func (t *Tracker) Missed(name string) bool {
+	entry, ok := t.members[name]
+	if !ok || entry.member.Place == t.options.Place || !entry.member.Alive {
+		return false
+	}
+	entry.member.Alive = false
+	return true
+}
+
+// Tick suspects the silent hosts of this place and reports whether the view has changed; a pause of this process is not held against them.
+func (t *Tracker) Tick(now time.Time) (changed, paused bool) {
+	if gap := now.Sub(t.ticked); !t.ticked.IsZero() && gap > t.options.Suspect/2 {
+		paused = true
+		for _, entry := range t.members {
+			entry.member.Heard = entry.member.Heard.Add(gap)
+		}
+	}
+	t.ticked = now
+	for name, entry := range t.members {
+		if name == t.options.Self || entry.member.Place != t.options.Place || !entry.member.Alive {
+			continue
+		}
+		if now.Sub(entry.member.Heard) > t.options.Suspect {
+			entry.member.Alive = false
+			entry.streak = 0
+			changed = true
+		}
+	}
+	return changed, paused
+}
+
+// Table returns the present view.
+func (t *Tracker) Table() *blackboard.MemberTable {
+	table := &blackboard.MemberTable{ByName: make(map[string]blackboard.Member, len(t.members))}
+	for name, entry := range t.members {
+		member := entry.member
+		if name == t.options.Self {
+			member.Alive = true
+		}
+		table.ByName[name] = member
+	}
+	return table
+}
+
+func changed(before, after *blackboard.Member) bool {
+	return before.Alive != after.Alive || before.Leaving != after.Leaving || before.Incarnation != after.Incarnation
+}
--- /dev/null
+++ b/entry/pkg/membership/tracker_test.go
@@ -0,0 +1,103 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"chervilusher.dev/entry/pkg/blackboard"
+)
+
+const (
+	interval = 500 * time.Millisecond
+	suspect  = 1250 * time.Millisecond
+)
+
+var start = time.Unix(1000, 0)
+
+func newTracker() *Tracker {
+	tracker := New(Options{Self: "a", Place: "north", Interval: interval, Suspect: suspect, Confirm: 3})
+	tracker.SetHosts([]blackboard.Member{
+		{Name: "a", Place: "north", Size: 1},
+		{Name: "b", Place: "north", Size: 1},
+		{Name: "far", Place: "south", Size: 1},
+	}, start)
+	return tracker
+}
+
+func alive(tracker *Tracker, name string) bool {
+	return tracker.Table().ByName[name].Alive
+}
+
+func TestSilentHostIsSuspectedAndComesBackAfterAStreak(t *testing.T) {
+	tracker := newTracker()
+	now := start
+	for range 4 {
+		now = now.Add(interval)
+		tracker.Tick(now)
+	}
+	require.False(t, alive(tracker, "b"))
+	require.True(t, alive(tracker, "far"), "hosts of other places are not judged by silence")
+
+	for beat := range 3 {
+		require.False(t, alive(tracker, "b"), "after %d heartbeats", beat)
+		now = now.Add(interval)
+		tracker.Heard("b", "i1", false, now)
+		tracker.Tick(now)
+	}
+	require.True(t, alive(tracker, "b"))
+}
+
+func TestOwnPauseIsNotHeldAgainstOthers(t *testing.T) {
+	tracker := newTracker()
+	now := start
+	tracker.Heard("b", "i1", false, now)
+	tracker.Tick(now)
+	now = now.Add(time.Minute)
+	_, paused := tracker.Tick(now)
+	require.True(t, paused)
+	require.True(t, alive(tracker, "b"))
+}
+
+func TestAnEarlierIncarnationIsNotHeardAgain(t *testing.T) {
+	tracker := newTracker()
+	tracker.Heard("b", "i1", false, start)
+	require.True(t, tracker.Heard("b", "i2", false, start))
+	require.False(t, tracker.Heard("b", "i1", true, start))
+	require.False(t, tracker.Table().ByName["b"].Leaving)
+}
+
+func TestLeavingIsToldByTheHostOrTheList(t *testing.T) {
+	tracker := newTracker()
+	require.True(t, tracker.Heard("b", "i1", true, start))
+	require.True(t, tracker.Table().ByName["b"].Leaving)
+}
+
+// TestSuspicionIsBounded checks at random times that a host is never suspected sooner than the bound, and always within a tick of it.
+func TestSuspicionIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tracker := newTracker()
+		now, heard := start, start
+		steady := true // heard without a gap since it last was alive
+		for range 200 {
+			step := time.Duration(rapid.IntRange(50, 500).Draw(t, "ms")) * time.Millisecond
+			now = now.Add(step)
+			if rapid.IntRange(0, 2).Draw(t, "hear") == 0 {
+				tracker.Heard("b", "i1", false, now)
+				heard = now
+			}
+			tracker.Tick(now)
+			silent := now.Sub(heard)
+			if silent > suspect {
+				steady = false
+				require.False(t, alive(tracker, "b"))
+			}
+			if steady {
+				require.True(t, alive(tracker, "b"))
+			}
+			steady = steady || alive(tracker, "b")
+		}
+	})
+}
