--- a/entry/pkg/app/daemon.go
+++ b/entry/pkg/app/daemon.go
@@ -123,14 +123,20 @@
 	legacies := controllers.NewLegacyController(c, board, peerClient, peerServer)
 	routing := controllers.NewRoutingController(c, board, tickets, submissions, peerClient, legacies, peerServer)
 	leases := controllers.NewLeaseController(c, board, workers, dispatcher)
-	members := controllers.NewMembersController(c, board)
-	lender := controllers.NewFixedLender(c, board)
-	backends := controllers.NewBackendsController(c, board, engine, lender, dispatcher)
-	hosts := controllers.NewHostsController(c, board, hostlist.New(c.Settings.Platform.Hosts, platformClient), members, backends)
 	logClient := logservice.New(c.Settings.Platform.Log, platformClient)
-	configurations := controllers.NewConfigurationController(c, board, logClient)
+	configurations := controllers.NewConfigurationController(c, board, logClient, peerClient, peerServer)
+	members := controllers.NewMembersController(c, board, peerClient, peerServer, configurations)
+	loans := controllers.NewLendingController(c, board, engine, dispatcher, peerClient, peerServer)
+	backends := controllers.NewBackendsController(c, board, engine, controllers.NewLender(c, board, loans), dispatcher)
+	members.Observe(backends)
+	hosts := controllers.NewHostsController(c, board, hostlist.New(c.Settings.Platform.Hosts, platformClient), members, backends)
 	drains := newDrainRequest(submissions)
 
+	services := []service{dispatcher, submissions, legacies, leases, hosts, configurations, members}
+	if c.Settings.Policy.Lending == "loans" {
+		dispatcher.Observe(loans.Wake)
+		services = append(services, loans)
+	}
 	return &Daemon{
 		common:      c.Prefixed("app"),
 		board:       board,
@@ -144,7 +150,7 @@
 		submissions: submissions,
 		legacies:    legacies,
 		drains:      drains,
-		services:    []service{dispatcher, submissions, legacies, leases, hosts, configurations},
+		services:    services,
 	}
 }
 
--- a/entry/pkg/blackboard/backend.go
+++ b/entry/pkg/blackboard/backend.go
@@ -86,6 +86,7 @@
 	Until   time.Time // when the grant lapses; zero means that it does not
 	Busy    int       // slots that this host's tasks hold
 	Peak    int       // most slots busy since the lender last looked
+	Starts  int       // tasks started here
 	Lease   Lease     // of a worker, while this host is its keeper
 	Lapse   time.Time // when the worker's lease lapses under which its slots were lent; zero for minions
 
--- a/entry/pkg/controllers/backends_controller.go
+++ b/entry/pkg/controllers/backends_controller.go
@@ -13,6 +13,24 @@
 	BackendsChanged()
 }
 
+// Ways in which hosts divide slots, as the settings name them.
+const (
+	lendingLoans  = "loans"
+	lendingShared = "shared"
+)
+
+// NewLender returns the lender that the settings select; loans are the lending controller's.
+func NewLender(c *common.Common, board *blackboard.Board, loans Lender) Lender {
+	switch c.Settings.Policy.Lending {
+	case lendingLoans:
+		return loans
+	case lendingShared:
+		return NewSharedLender(board)
+	default:
+		return NewFixedLender(c, board)
+	}
+}
+
 // Assigner starts waiting work after grants have changed.
 type Assigner interface {
 	AssignAll()
@@ -54,6 +72,15 @@
 	b.assigner.AssignAll()
 }
 
+// MembersChanged lets the lender divide the slots among other hosts.
+func (b *BackendsController) MembersChanged() {
+	b.board.Dispatch.Lock()
+	b.lender.BackendsChanged()
+	b.engine.Sync()
+	b.board.Dispatch.Unlock()
+	b.assigner.AssignAll()
+}
+
 func (b *BackendsController) take(host *platform.Host, sharing int) {
 	group := b.engine.Group(host.Group)
 	group.Role = host.Role
--- a/entry/pkg/controllers/configuration_controller.go
+++ b/entry/pkg/controllers/configuration_controller.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"chervilusher.dev/entry/pkg/blackboard"
 	"chervilusher.dev/entry/pkg/common"
+	"chervilusher.dev/entry/pkg/peer"
 	"chervilusher.dev/lib/configuration"
 	"chervilusher.dev/lib/platform"
 )
@@ -16,26 +19,51 @@
 	readLimit = 500
 	// readWait is how long one read of the log waits for the first record.
 	readWait = 5 * time.Second
+	// snapshotSpread is the time over which the hosts spread when a snapshot is due.
+	snapshotSpread = 30 * time.Second
 	// firstBackoff and lastBackoff bound the exponential delay after a failed read of the platform.
 	firstBackoff = 50 * time.Millisecond
 	lastBackoff  = 2 * time.Second
 )
 
-// LogReader reads a stream of the platform's log.
-type LogReader interface {
+// ConfigurationLog reads the configuration stream and appends snapshots to it.
+type ConfigurationLog interface {
 	Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (*platform.Batch, error)
+	Append(ctx context.Context, stream string, data any) (int64, error)
 }
 
-// ConfigurationController folds the log's configuration records and puts the outcome in force.
+// ConfigurationController folds the log's configuration records, takes newer states from peers and puts the outcome in force.
 type ConfigurationController struct {
 	common *common.Common
 	board  *blackboard.Board
-	log    LogReader
+	log    ConfigurationLog
+	client *peer.Client
+	asking atomic.Bool // a peer is being asked
+
+	mu        sync.Mutex
+	reader    *configuration.Reader
+	snapshots *configuration.Snapshots
+	due       time.Time // when this host writes a snapshot, if none has come by then
 }
 
-// NewConfigurationController returns the controller.
-func NewConfigurationController(c *common.Common, board *blackboard.Board, log LogReader) *ConfigurationController {
-	return &ConfigurationController{common: c.Prefixed("configuration"), board: board, log: log}
+// NewConfigurationController returns the controller and adds its method to the server of peers.
+func NewConfigurationController(
+	c *common.Common,
+	board *blackboard.Board,
+	log ConfigurationLog,
+	client *peer.Client,
+	server *peer.Server,
+) *ConfigurationController {
+	controller := &ConfigurationController{
+		common:    c.Prefixed("configuration"),
+		board:     board,
+		log:       log,
+		client:    client,
+		reader:    configuration.NewReader(configuration.NewState()),
+		snapshots: configuration.NewSnapshots(),
+	}
+	peer.Handle(server, peer.MethodDelta, controller.serveDelta)
+	return controller
 }
 
 // Serve follows the log until the context ends.
@@ -52,22 +80,67 @@
 }
 
 func (c *ConfigurationController) follow(ctx context.Context) error {
-	state := c.board.Configuration.Load().State
-	batch, err := c.log.Read(ctx, configuration.Stream, state.Next, readLimit, readWait)
+	c.mu.Lock()
+	from := c.reader.From()
+	c.mu.Unlock()
+	batch, err := c.log.Read(ctx, configuration.Stream, from, readLimit, readWait)
 	if err != nil {
 		return err
 	}
-	if len(batch.Records) == 0 {
+	if state := c.feed(batch, from); state != nil {
+		c.snapshot(ctx, state)
+	}
+	return nil
+}
+
+// feed folds the batch and returns the state if a snapshot of it is to be written now.
+func (c *ConfigurationController) feed(batch *platform.Batch, from int64) *configuration.State {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.reader.From() != from {
+		return nil // a peer's state came in the meantime; what was read does not join it
+	}
+	before := c.reader.State()
+	searching := c.reader.Searching()
+	c.reader.Feed(batch)
+	if c.reader.Searching() && !searching {
+		c.common.Log.WithField("next", before.Next).WithField("first", batch.First).
+			Warn("the log has dropped records that were not read; looking for a snapshot")
+	}
+	if c.reader.State() != before {
+		c.put(c.reader.State(), "log")
+	}
+	now := c.common.Clock.Now()
+	c.snapshots.Observe(batch, now)
+	return c.snapshotDue(now)
+}
+
+// snapshotDue lets the hosts wait for different times, so that mostly one of them writes.
+func (c *ConfigurationController) snapshotDue(now time.Time) *configuration.State {
+	if c.reader.Searching() || !c.snapshots.Due(c.reader.State(), now) {
+		c.due = time.Time{}
 		return nil
 	}
-	for _, record := range batch.Records {
-		state = state.Apply(record)
+	if c.due.IsZero() {
+		c.due = now.Add(rand.N(snapshotSpread))
 	}
-	c.put(state)
-	return nil
+	if now.Before(c.due) {
+		return nil
+	}
+	c.due = time.Time{}
+	return c.reader.State()
+}
+
+func (c *ConfigurationController) snapshot(ctx context.Context, state *configuration.State) {
+	record := configuration.Record{Type: configuration.RecordSnapshot, Author: c.common.Settings.Name, State: state}
+	if _, err := c.log.Append(ctx, configuration.Stream, record); err != nil {
+		c.common.Log.WithError(err).Warn("cannot write a snapshot; another host or a later try will")
+		return
+	}
+	c.common.Log.WithField("next", state.Next).Info("snapshot written")
 }
 
-func (c *ConfigurationController) put(state *configuration.State) {
+func (c *ConfigurationController) put(state *configuration.State, source string) {
 	c.board.Configuration.Store(blackboard.NewDirectory(state))
 	c.board.Dispatch.Lock()
 	defer c.board.Dispatch.Unlock()
@@ -84,7 +157,7 @@
 		}
 		owner.MaxRun = accepted.Document.Quota.Running
 	}
-	c.common.Log.WithField("next", state.Next).Info("configuration is in force")
+	c.common.Log.WithField("next", state.Next).WithField("source", source).Info("configuration is in force")
 }
 
 // backoff delays retries exponentially, with jitter so that hosts do not retry together.
--- a/entry/pkg/controllers/dispatch_controller.go
+++ b/entry/pkg/controllers/dispatch_controller.go
@@ -51,6 +51,12 @@
 	minions Starter
 	workers Starter
 	running atomic.Int64 // calls to back ends in progress
+	observe func()       // called after each decision
+}
+
+// Observe sets what is called after each decision; it is to be set before Serve, and must not block.
+func (d *DispatchController) Observe(observe func()) {
+	d.observe = observe
 }
 
 // NewDispatchController returns the controller; the board's dispatch lock guards the engine.
@@ -66,6 +72,7 @@
 		engine:  engine,
 		minions: minions,
 		workers: workers,
+		observe: func() {},
 	}
 }
 
@@ -108,6 +115,7 @@
 		stop := &effects.Stops[i]
 		d.spawn(func() { d.stop(stop) })
 	}
+	d.observe()
 }
 
 func (d *DispatchController) spawn(call func()) {
--- a/entry/pkg/controllers/lease_controller.go
+++ b/entry/pkg/controllers/lease_controller.go
@@ -64,11 +64,11 @@
 	var calls errgroup.Group
 	calls.SetLimit(leaseCalls)
 	for _, backend := range l.workers() {
-		if backend.Fence == 0 {
+		if backend.Lease.Fence == 0 {
 			continue
 		}
 		calls.Go(func() error {
-			if err := l.leaser.GiveBack(ctx, backend.Address, backend.Fence); err != nil {
+			if err := l.leaser.GiveBack(ctx, backend.Address, backend.Lease.Fence); err != nil {
 				l.common.Log.WithError(err).WithField("worker", backend.Name).Warn("cannot give back a lease; it lapses by itself")
 			}
 			return nil
@@ -112,7 +112,7 @@
 	asked := l.common.Clock.Now()
 	request := platform.LeaseRequest{
 		Holder: l.common.Settings.Name + "/" + l.common.Incarnation,
-		Fence:  worker.Fence,
+		Fence:  worker.Lease.Fence,
 		Length: jsontime.Duration(length),
 	}
 	ctx, cancel := context.WithTimeout(ctx, length/renewalsPerLease)
@@ -132,15 +132,21 @@
 	l.apply(group.Backends[worker.Name], lease, held, until)
 }
 
+// apply notes the lease; the keeper lends under it, and without loans this host alone uses it.
 func (l *LeaseController) apply(worker *blackboard.Backend, lease *platform.Lease, held bool, until time.Time) {
-	if held {
-		worker.Granted = 0
-		worker.Fence = 0
+	worker.Lease = blackboard.Lease{}
+	if !held {
+		worker.Lease = blackboard.Lease{Fence: lease.Fence, Until: until}
+	}
+	if l.common.Settings.Policy.Lending == lendingLoans {
 		return
 	}
-	worker.Fence = lease.Fence
-	worker.Granted = worker.Slots
+	worker.Fence = worker.Lease.Fence
 	worker.Until = until
+	worker.Granted = 0
+	if !held {
+		worker.Granted = worker.Slots
+	}
 }
 
 // workers returns copies of the workers of this place.
--- /dev/null
+++ b/entry/pkg/controllers/lenders.go
@@ -0,0 +1,60 @@
+package controllers
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"chervilusher.dev/entry/pkg/blackboard"
+	"chervilusher.dev/entry/pkg/lending"
+)
+
+const (
+	// farLenders bounds how many hosts of other places are asked for slots.
+	farLenders = 12
+	// nearDistance and farDistance are round trips until the calls have shown them.
+	nearDistance = 200 * time.Microsecond
+	farDistance  = 2 * time.Millisecond
+)
+
+// lendersOf returns this host, the live hosts of its place and some of other places, the nearest first.
+func lendersOf(members *blackboard.MemberTable, self string) []lending.Lender {
+	own := members.ByName[self]
+	near := []lending.Lender{{Name: self, Place: own.Place}}
+	var far []lending.Lender
+	for name, member := range members.ByName {
+		switch {
+		case name == self || !member.Alive || member.Leaving:
+		case member.Place == own.Place:
+			near = append(near, lending.Lender{Name: name, Place: member.Place, Distance: nearDistance})
+		default:
+			far = append(far, lending.Lender{Name: name, Place: member.Place, Distance: farDistance})
+		}
+	}
+	order := func(a, b lending.Lender) int {
+		return cmp.Compare(xxhash.Sum64String(self+a.Name), xxhash.Sum64String(self+b.Name))
+	}
+	slices.SortFunc(near[1:], order)
+	slices.SortFunc(far, order)
+	return append(near, far[:min(len(far), farLenders)]...)
+}
+
+// setShares sets what this host can count on of each back end: its size against that of all live hosts in the group's places.
+func setShares(group *blackboard.Group, places map[string]bool, members *blackboard.MemberTable, self string) {
+	total := 0
+	for name, member := range members.ByName {
+		if name == self || (places[member.Place] && member.Alive && !member.Leaving) {
+			total += max(1, member.Size)
+		}
+	}
+	own := members.ByName[self]
+	size := max(1, own.Size)
+	total = max(total, size)
+	for name, backend := range group.Backends {
+		// The remainder falls to each host on another part of the back ends.
+		offset := int(xxhash.Sum64String(name+self) % uint64(total))
+		backend.Share = (backend.Slots*size + offset) / total
+	}
+}
--- /dev/null
+++ b/entry/pkg/controllers/lending_controller.go
@@ -0,0 +1,273 @@
+package controllers
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"chervilusher.dev/entry/pkg/blackboard"
+	"chervilusher.dev/entry/pkg/common"
+	"chervilusher.dev/entry/pkg/dispatch"
+	"chervilusher.dev/entry/pkg/keeper"
+	"chervilusher.dev/entry/pkg/lending"
+	"chervilusher.dev/entry/pkg/peer"
+)
+
+const (
+	// lendTick is how often idle slots and renewals are looked at.
+	lendTick = 50 * time.Millisecond
+	// lendTimeout bounds one call to a keeper.
+	lendTimeout = 500 * time.Millisecond
+	// retryLender is when a keeper that did not answer is asked again.
+	retryLender = 500 * time.Millisecond
+	// renewalsPerLoan is how often loans are renewed before they would lapse.
+	renewalsPerLoan = 2.5
+	// keeperGrace is how long a new keeper waits for borrowers to report what they hold.
+	keeperGrace = 250 * time.Millisecond
+)
+
+var (
+	borrowCalls  = metrics.NewCounter(`chervilusher_lending_calls_total{kind="borrow"}`)
+	borrowEmpty  = metrics.NewCounter(`chervilusher_lending_calls_total{kind="empty"}`)
+	borrowFailed = metrics.NewCounter(`chervilusher_lending_calls_total{kind="failed"}`)
+	pushCalls    = metrics.NewCounter(`chervilusher_lending_calls_total{kind="push"}`)
+	slotsUnused  = metrics.NewCounter(`chervilusher_lending_unused_slots_total`)
+)
+
+// LendingController lends the slots of the back ends that this host keeps, and borrows for the queues of this host.
+type LendingController struct {
+	common   *common.Common
+	board    *blackboard.Board
+	engine   *dispatch.Engine
+	runner   EffectRunner
+	client   *peer.Client
+	wake     chan struct{}
+	calls    sync.WaitGroup
+	keeper   *lending.Keeper   // the dispatch lock guards it
+	borrower *lending.Borrower // likewise
+	counts   lending.Counts
+}
+
+// NewLendingController returns the controller and adds its methods to the server of peers.
+func NewLendingController(
+	c *common.Common,
+	board *blackboard.Board,
+	engine *dispatch.Engine,
+	runner EffectRunner,
+	client *peer.Client,
+	server *peer.Server,
+) *LendingController {
+	loan := c.Settings.Lease.Loan.Std()
+	margin := min(c.Settings.Lease.Margin.Std(), loan/4)
+	slots := lending.NewKeeper(loan, margin, keeperGrace)
+	controller := &LendingController{
+		common: c.Prefixed("lending"),
+		board:  board,
+		engine: engine,
+		runner: runner,
+		client: client,
+		wake:   make(chan struct{}, 1),
+		keeper: slots,
+		borrower: lending.NewBorrower(&board.Dispatch, slots, engine, lending.Options{
+			Host:        c.Settings.Name,
+			Incarnation: c.Incarnation,
+			Margin:      margin,
+			Renew:       time.Duration(float64(loan) / renewalsPerLoan),
+		}),
+	}
+	peer.Handle(server, peer.MethodBorrow, controller.serveBorrow)
+	peer.Handle(server, peer.MethodPush, controller.servePush)
+	return controller
+}
+
+// Wake lets the controller look at the queues soon; it never blocks.
+func (l *LendingController) Wake() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Serve borrows and lends until the context ends.
+func (l *LendingController) Serve(ctx context.Context) {
+	ticker := l.common.Clock.NewTicker(lendTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			l.calls.Wait()
+			return
+		case <-ticker.Chan():
+			l.tick()
+		case <-l.wake:
+		}
+		l.step(ctx)
+	}
+}
+
+// BackendsChanged takes over which back ends this host keeps; the dispatch lock is held.
+func (l *LendingController) BackendsChanged() {
+	members := l.board.Members.Load()
+	now := l.common.Clock.Now()
+	self := l.common.Settings.Name
+	var keeping []*blackboard.Backend
+	places := map[string]map[string]bool{}
+	for _, group := range l.board.Dispatch.Groups {
+		places[group.Name] = map[string]bool{}
+		for name, backend := range group.Backends {
+			places[group.Name][backend.Place] = true
+			if backend.Place == l.common.Settings.Place && keeper.Of(name, backend.Place, members) == self {
+				keeping = append(keeping, backend)
+			}
+		}
+		setShares(group, places[group.Name], members, self)
+	}
+	l.keeper.Update(keeping, false, now)
+	l.borrower.SetLenders(lendersOf(members, self), places)
+	l.borrower.Rehome(func(backend string) string { return l.keeperOf(backend, members) })
+	l.Wake()
+}
+
+func (l *LendingController) keeperOf(name string, members *blackboard.MemberTable) string {
+	for _, group := range l.board.Dispatch.Groups {
+		if backend, ok := group.Backends[name]; ok {
+			return keeper.Of(name, backend.Place, members)
+		}
+	}
+	return ""
+}
+
+func (l *LendingController) tick() {
+	l.board.Dispatch.Lock()
+	defer l.board.Dispatch.Unlock()
+	l.keeper.Tick(l.common.Clock.Now())
+	l.countUp()
+}
+
+// countUp passes the borrower's counts on to the metrics.
+func (l *LendingController) countUp() {
+	now := l.borrower.Counts
+	borrowCalls.Add(now.Asks - l.counts.Asks)
+	borrowEmpty.Add(now.Empty - l.counts.Empty)
+	slotsUnused.Add(now.Unused - l.counts.Unused)
+	l.counts = now
+}
+
+// step asks the own keeper at once and other keepers by calls, and sends grants to hosts that wait.
+func (l *LendingController) step(ctx context.Context) {
+	l.board.Dispatch.Lock()
+	var effects dispatch.Effects
+	var remote []lending.Call
+	for again := true; again; {
+		again = false
+		for _, call := range l.borrower.Plan(l.common.Clock.Now()) {
+			if call.Lender != l.common.Settings.Name {
+				remote = append(remote, call)
+				continue
+			}
+			now := l.common.Clock.Now()
+			answer := l.keeper.Serve(call.Ask, now)
+			effects.Append(l.answered(&call, answer, now))
+			again = again || len(answer.Granted) > 0
+		}
+	}
+	pushes := l.keeper.Pushes(l.common.Settings.Name, l.common.Clock.Now())
+	l.board.Dispatch.Unlock()
+	l.runner.Run(effects)
+	for _, call := range remote {
+		l.calls.Go(func() { l.borrow(ctx, &call) })
+	}
+	l.push(ctx, pushes)
+}
+
+// answered takes in an answer and starts what it allows; the dispatch lock is held.
+func (l *LendingController) answered(call *lending.Call, answer *lending.Answer, sent time.Time) dispatch.Effects {
+	now := l.common.Clock.Now()
+	l.borrower.Answered(call.Lender, call.Ask, answer, sent, now)
+	if len(answer.Granted) == 0 {
+		return dispatch.Effects{}
+	}
+	return l.assign(now)
+}
+
+// assign starts waiting work; the dispatch lock is held.
+func (l *LendingController) assign(now time.Time) dispatch.Effects {
+	var effects dispatch.Effects
+	for _, group := range l.board.Dispatch.Groups {
+		if group.Queue.Len() == 0 {
+			continue
+		}
+		effects.Append(l.engine.Assign(group, now))
+		l.borrower.Settle(group, now)
+	}
+	return effects
+}
+
+func (l *LendingController) borrow(ctx context.Context, call *lending.Call) {
+	ctx, cancel := context.WithTimeout(ctx, lendTimeout)
+	defer cancel()
+	member := l.board.Members.Load().ByName[call.Lender]
+	sent := l.common.Clock.Now()
+	answer, err := peer.Call[peer.BorrowRequest, peer.BorrowResponse](ctx, l.client, member.Address, peer.MethodBorrow, call.Ask)
+	l.board.Dispatch.Lock()
+	var effects dispatch.Effects
+	if err != nil {
+		borrowFailed.Inc()
+		l.borrower.Failed(call.Lender, l.common.Clock.Now(), retryLender)
+	} else {
+		effects = l.answered(call, answer, sent)
+	}
+	l.board.Dispatch.Unlock()
+	l.runner.Run(effects)
+	l.Wake()
+}
+
+func (l *LendingController) serveBorrow(_ context.Context, ask *peer.BorrowRequest) (*peer.BorrowResponse, error) {
+	l.board.Dispatch.Lock()
+	answer := l.keeper.Serve(ask, l.common.Clock.Now())
+	l.board.Dispatch.Unlock()
+	if len(ask.Returned) > 0 {
+		l.Wake()
+	}
+	return answer, nil
+}
+
+func (l *LendingController) push(ctx context.Context, pushes []lending.Push) {
+	for _, push := range pushes {
+		pushCalls.Inc()
+		l.calls.Go(func() { l.pushOne(ctx, &push) })
+	}
+}
+
+func (l *LendingController) pushOne(ctx context.Context, push *lending.Push) {
+	ctx, cancel := context.WithTimeout(ctx, lendTimeout)
+	defer cancel()
+	member := l.board.Members.Load().ByName[push.Host]
+	taken, err := peer.Call[peer.PushRequest, peer.PushResponse](ctx, l.client, member.Address, peer.MethodPush, push)
+	if err == nil && taken.OK {
+		return
+	}
+	if err != nil {
+		return // the host's next full ask tells whether it got the slots
+	}
+	l.board.Dispatch.Lock()
+	l.keeper.Refused(push)
+	l.board.Dispatch.Unlock()
+	l.Wake()
+}
+
+func (l *LendingController) servePush(_ context.Context, push *peer.PushRequest) (*peer.PushResponse, error) {
+	now := l.common.Clock.Now()
+	l.board.Dispatch.Lock()
+	taken := l.borrower.Pushed(push, now)
+	var effects dispatch.Effects
+	if taken {
+		effects = l.assign(now)
+	}
+	l.board.Dispatch.Unlock()
+	l.runner.Run(effects)
+	l.Wake()
+	return &peer.PushResponse{OK: taken}, nil
+}
--- a/entry/pkg/controllers/members_controller.go
+++ b/entry/pkg/controllers/members_controller.go
@@ -1,38 +1,212 @@
 package controllers
 
 import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
 	"chervilusher.dev/entry/pkg/blackboard"
 	"chervilusher.dev/entry/pkg/common"
+	"chervilusher.dev/entry/pkg/membership"
+	"chervilusher.dev/entry/pkg/peer"
 	"chervilusher.dev/lib/platform"
 )
 
-// MembersController keeps the view of the entry hosts up to date.
+const (
+	// suspectIntervals is for how many heartbeat intervals a host may be silent.
+	suspectIntervals = 2.5
+	// confirmBeats is how many heartbeats without a gap a suspected host needs.
+	confirmBeats = 3
+	// farInterval is how often a host of another place is called; places take turns.
+	farInterval = time.Second
+	// farTimeout bounds a call to another place.
+	farTimeout = 2 * time.Second
+)
+
+var (
+	beatsSent   = metrics.NewCounter(`chervilusher_heartbeats_total{end="sent"}`)
+	beatsFailed = metrics.NewCounter(`chervilusher_heartbeats_total{end="failed"}`)
+	pausesTotal = metrics.NewCounter(`chervilusher_own_pauses_total`)
+)
+
+// ConfigurationPeer takes newer configuration from a peer.
+type ConfigurationPeer interface {
+	Offered(ctx context.Context, address string, next int64)
+}
+
+// MemberObserver is told when the view of the membership has changed.
+type MemberObserver interface {
+	MembersChanged()
+}
+
+// MembersController exchanges heartbeats with the other entry hosts and keeps the view of them up to date.
 type MembersController struct {
-	common *common.Common
-	board  *blackboard.Board
+	common        *common.Common
+	board         *blackboard.Board
+	client        *peer.Client
+	configuration ConfigurationPeer
+	observers     []MemberObserver
+
+	mu      sync.Mutex
+	tracker *membership.Tracker
 }
 
-// NewMembersController returns the controller.
-func NewMembersController(c *common.Common, board *blackboard.Board) *MembersController {
-	return &MembersController{common: c.Prefixed("members"), board: board}
+// NewMembersController returns the controller and adds its method to the server of peers.
+func NewMembersController(
+	c *common.Common,
+	board *blackboard.Board,
+	client *peer.Client,
+	server *peer.Server,
+	configurations ConfigurationPeer,
+) *MembersController {
+	interval := c.Settings.Lease.Heartbeat.Std()
+	controller := &MembersController{
+		common:        c.Prefixed("members"),
+		board:         board,
+		client:        client,
+		configuration: configurations,
+		tracker: membership.New(membership.Options{
+			Self:     c.Settings.Name,
+			Place:    c.Settings.Place,
+			Interval: interval,
+			Suspect:  time.Duration(suspectIntervals * float64(interval)),
+			Confirm:  confirmBeats,
+		}),
+	}
+	peer.Handle(server, peer.MethodBeat, controller.serveBeat)
+	return controller
+}
+
+// Observe adds an observer; it is to be called before Serve.
+func (m *MembersController) Observe(observer MemberObserver) {
+	m.observers = append(m.observers, observer)
 }
 
 // HostsChanged takes the entry hosts over from the host list.
 func (m *MembersController) HostsChanged() {
-	table := &blackboard.MemberTable{ByName: map[string]blackboard.Member{}}
+	var hosts []blackboard.Member
 	for name, host := range m.board.Hosts.Load().ByName {
 		if host.Role != platform.RoleEntry {
 			continue
 		}
-		table.ByName[name] = blackboard.Member{
+		hosts = append(hosts, blackboard.Member{
 			Name:    name,
 			Address: host.Address,
 			Place:   host.Place,
 			Size:    max(1, host.Size),
-			Alive:   true,
 			Leaving: host.State == platform.HostLeaving,
-			Heard:   m.common.Clock.Now(),
+		})
+	}
+	m.mu.Lock()
+	m.tracker.SetHosts(hosts, m.common.Clock.Now())
+	m.mu.Unlock()
+	m.publish()
+}
+
+// Serve sends heartbeats until the context ends.
+func (m *MembersController) Serve(ctx context.Context) {
+	near := m.common.Clock.NewTicker(m.common.Settings.Lease.Heartbeat.Std())
+	defer near.Stop()
+	far := m.common.Clock.NewTicker(farInterval)
+	defer far.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-near.Chan():
+			m.beatNear(ctx)
+		case <-far.Chan():
+			m.beatFar(ctx)
+		}
+	}
+}
+
+// beatNear calls the hosts of this place whose name is higher: one call serves both ends of a pair.
+func (m *MembersController) beatNear(ctx context.Context) {
+	m.mu.Lock()
+	changed, paused := m.tracker.Tick(m.common.Clock.Now())
+	m.mu.Unlock()
+	if paused {
+		pausesTotal.Inc()
+		m.common.Log.Warn("this process was paused")
+	}
+	if changed {
+		m.publish()
+	}
+	for name, member := range m.board.Members.Load().ByName {
+		if member.Place == m.common.Settings.Place && name > m.common.Settings.Name {
+			go m.beat(ctx, &member, m.common.Settings.Lease.Heartbeat.Std())
+		}
+	}
+}
+
+// beatFar calls one host of another place, chosen at random.
+func (m *MembersController) beatFar(ctx context.Context) {
+	var others []blackboard.Member
+	for _, member := range m.board.Members.Load().ByName {
+		if member.Place != m.common.Settings.Place {
+			others = append(others, member)
 		}
 	}
-	m.board.Members.Store(table)
+	if len(others) > 0 {
+		go m.beat(ctx, &others[rand.IntN(len(others))], farTimeout)
+	}
+}
+
+func (m *MembersController) beat(ctx context.Context, member *blackboard.Member, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	beatsSent.Inc()
+	answer, err := peer.Call[peer.Beat, peer.Beat](ctx, m.client, member.Address, peer.MethodBeat, m.own())
+	if err != nil {
+		beatsFailed.Inc()
+		m.mu.Lock()
+		changed := m.tracker.Missed(member.Name)
+		m.mu.Unlock()
+		if changed {
+			m.publish()
+		}
+		return
+	}
+	m.heard(answer)
+	m.configuration.Offered(ctx, member.Address, answer.Next)
+}
+
+func (m *MembersController) serveBeat(_ context.Context, beat *peer.Beat) (*peer.Beat, error) {
+	m.heard(beat)
+	if member, ok := m.board.Members.Load().ByName[beat.Name]; ok {
+		go m.configuration.Offered(context.Background(), member.Address, beat.Next)
+	}
+	return m.own(), nil
+}
+
+func (m *MembersController) heard(beat *peer.Beat) {
+	m.mu.Lock()
+	changed := m.tracker.Heard(beat.Name, beat.Incarnation, beat.Leaving, m.common.Clock.Now())
+	m.mu.Unlock()
+	if changed {
+		m.publish()
+	}
+}
+
+func (m *MembersController) own() *peer.Beat {
+	return &peer.Beat{
+		Name:        m.common.Settings.Name,
+		Incarnation: m.common.Incarnation,
+		Leaving:     m.board.Draining.Load(),
+		Next:        m.board.Configuration.Load().State.Next,
+	}
+}
+
+// publish puts the view on the board and tells the observers.
+func (m *MembersController) publish() {
+	m.mu.Lock()
+	m.board.Members.Store(m.tracker.Table())
+	m.mu.Unlock()
+	for _, observer := range m.observers {
+		observer.MembersChanged()
+	}
 }
--- a/entry/pkg/dispatch/engine.go
+++ b/entry/pkg/dispatch/engine.go
@@ -249,6 +249,7 @@
 func (e *Engine) hold(group *blackboard.Group, task *blackboard.Task) {
 	backend := task.Backend
 	backend.Busy += task.Width
+	backend.Starts++
 	backend.Peak = max(backend.Peak, backend.Busy)
 	group.Busy += task.Width
 	if backend.Ejected {
--- a/entry/pkg/lending/borrower.go
+++ b/entry/pkg/lending/borrower.go
@@ -11,6 +11,7 @@
 // Lender is another host, or this one, whose keeper can be asked for slots.
 type Lender struct {
 	Name     string
+	Place    string
 	Distance time.Duration // round trip
 }
 
@@ -28,6 +29,9 @@
 	Hold        time.Duration // an idle slot is kept this long before it goes back
 }
 
+// distanceGain is the weight of a new round trip in the moving average.
+const distanceGain = 0.1
+
 // Borrower gets slots for the queues of this host from keepers and gives back what it does not use.
 type Borrower struct {
 	options  Options
@@ -36,7 +40,8 @@
 	order    []*lender          // the nearest first
 	holders  map[string]*lender // of the slots of each back end
 	observer Observer
-	local    *Keeper // this host's own, whose free slots are seen without asking
+	local    *Keeper                    // this host's own, whose free slots are seen without asking
+	places   map[string]map[string]bool // of the back ends, by group; hosts elsewhere are not asked
 	blocked  map[string]time.Time
 	looked   time.Time // when idle slots were last looked for
 	Counts   Counts
@@ -66,6 +71,7 @@
 	offers  map[string][]Offer
 	told    map[string]int // demand that the keeper remembers, by group
 	unused  map[string]int // slots granted and not yet used, by back end
+	starts  map[string]int // the back end's starts when that was last counted
 }
 
 // NewBorrower returns a borrower that holds nothing.
@@ -81,8 +87,9 @@
 	}
 }
 
-// SetLenders sets which hosts can be asked, the nearest first; the holdings from those that are gone lapse by themselves.
-func (b *Borrower) SetLenders(lenders []Lender) {
+// SetLenders sets which hosts can be asked, the nearest first, and in which places each group has back ends; the holdings from those that are gone lapse by themselves.
+func (b *Borrower) SetLenders(lenders []Lender, places map[string]map[string]bool) {
+	b.places = places
 	known := b.lenders
 	b.lenders = make(map[string]*lender, len(lenders))
 	b.order = b.order[:0]
@@ -96,8 +103,12 @@
 				offers:  map[string][]Offer{},
 				told:    map[string]int{},
 				unused:  map[string]int{},
+				starts:  map[string]int{},
 			}
 		}
+		if ok && entry.Distance > 0 {
+			each.Distance = entry.Distance
+		}
 		entry.Lender = each
 		b.lenders[each.Name] = entry
 		b.order = append(b.order, entry)
@@ -121,13 +132,14 @@
 }
 
 // Answered takes in a keeper's answer to the ask; sent is when the ask left.
-func (b *Borrower) Answered(name string, ask *Ask, answer *Answer, sent time.Time) {
+func (b *Borrower) Answered(name string, ask *Ask, answer *Answer, sent, now time.Time) {
 	from, ok := b.lenders[name]
 	if !ok {
 		return
 	}
 	from.calling = false
 	from.asked = sent
+	from.Distance += time.Duration(distanceGain * float64(now.Sub(sent)-from.Distance))
 	from.until = sent.Add(answer.Length - b.options.Margin)
 	b.takeOffers(from, ask, answer.Offers)
 	granted := b.take(from, answer.Granted)
@@ -197,6 +209,7 @@
 		b.holders[holding.Backend] = from
 		from.held[holding.Backend] += holding.Slots
 		if from.Name != b.options.Host {
+			b.countUsed(from, holding.Backend)
 			from.unused[holding.Backend] += holding.Slots
 			b.Counts.Granted += holding.Slots
 		}
--- a/entry/pkg/lending/fleet_test.go
+++ b/entry/pkg/lending/fleet_test.go
@@ -139,7 +139,7 @@
 	}
 	host.engine.Sync()
 	host.keeper.Update(keeping, true, f.now)
-	host.borrower.SetLenders(f.lendersOf(name, place, hosts))
+	host.borrower.SetLenders(f.lendersOf(name, place, hosts), nil)
 	return host
 }
 
@@ -265,7 +265,7 @@
 }
 
 func (f *fleet) answered(host *fleetHost, lender string, ask *Ask, answer *Answer, sent time.Time) {
-	host.borrower.Answered(lender, ask, answer, sent)
+	host.borrower.Answered(lender, ask, answer, sent, f.now)
 	f.run(host, host.engine.Assign(host.group, f.now))
 }
 
@@ -337,7 +337,6 @@
 
 func (f *fleet) run(host *fleetHost, effects dispatch.Effects) {
 	for _, start := range effects.Starts {
-		host.borrower.Started(start.Backend.Name, 1)
 		travel := 2 * withinPlace
 		if start.Backend.Place != host.place {
 			travel = 2 * betweenPlaces
--- a/entry/pkg/lending/giveback.go
+++ b/entry/pkg/lending/giveback.go
@@ -40,7 +40,13 @@
 	}
 	recalled := min(idle, backend.Recalled)
 	group := b.board.Groups[backend.Group]
-	if group == nil || group.Queue.Len() > 0 {
+	if group == nil {
+		return recalled
+	}
+	if group.Queue.Len() > 0 {
+		if now.Before(b.blocked[group.Name]) {
+			return idle
+		}
 		return recalled
 	}
 	if b.better(holder, backend, now) {
@@ -68,6 +74,7 @@
 }
 
 func (b *Borrower) release(holder *lender, backend *blackboard.Backend, slots int) {
+	b.countUsed(holder, backend.Name)
 	unused := min(slots, holder.unused[backend.Name])
 	b.Counts.Unused += unused
 	holder.unused[backend.Name] -= unused
@@ -97,9 +104,13 @@
 	}
 }
 
-// Started notes that slots of the back end were used, so that they do not count as granted in vain.
-func (b *Borrower) Started(backend string, slots int) {
-	if holder, ok := b.holders[backend]; ok {
-		holder.unused[backend] = max(0, holder.unused[backend]-slots)
+// countUsed takes the starts since the last count off the slots that were granted and not used.
+func (b *Borrower) countUsed(holder *lender, name string) {
+	backend := b.backend(name)
+	if backend == nil {
+		return
 	}
+	started := backend.Starts - holder.starts[name]
+	holder.starts[name] = backend.Starts
+	holder.unused[name] = max(0, holder.unused[name]-started)
 }
--- a/entry/pkg/lending/plan.go
+++ b/entry/pkg/lending/plan.go
@@ -62,9 +62,18 @@
 	return calls
 }
 
-// Blocked notes that the group's queue has work that its free slots do not suit.
-func (b *Borrower) Blocked(group string, now time.Time) {
-	b.blocked[group] = now.Add(blockedDelay)
+// Settle is called after granted slots were offered to the group's queue; when slots stay free though work waits, they do not suit it, and the group asks for no more for a while.
+func (b *Borrower) Settle(group *blackboard.Group, now time.Time) {
+	if group.Queue.Len() == 0 {
+		return
+	}
+	for name := range b.holders {
+		backend, ok := group.Backends[name]
+		if ok && !backend.Ejected && backend.Free(now) > 0 {
+			b.blocked[group.Name] = now.Add(blockedDelay)
+			return
+		}
+	}
 }
 
 // due reports whether the lender is to be told something though nothing is needed.
@@ -192,7 +201,7 @@
 func (b *Borrower) sources(group string, now time.Time) []source {
 	var sources []source
 	for _, lender := range b.order {
-		if lender.calling || now.Before(lender.down) {
+		if lender.calling || now.Before(lender.down) || !b.serves(lender, group) {
 			continue
 		}
 		penalty := lender.Distance.Seconds() / usualRun.Seconds()
@@ -215,6 +224,11 @@
 	return sources
 }
 
+// serves reports whether the lender's place has back ends of the group.
+func (b *Borrower) serves(lender *lender, group string) bool {
+	return b.places == nil || b.places[group][lender.Place]
+}
+
 // limitAfter returns the slowness from which on the next best lender is better; zero when there is none.
 func limitAfter(sources []source, i int) float64 {
 	for _, next := range sources[i+1:] {
@@ -227,10 +241,16 @@
 
 // wait spreads demand that nothing is free for over all keepers, which grant when slots come back.
 func (b *Borrower) wait(group *blackboard.Group, want *Want, left int, asks map[*lender]*Ask) {
-	share := (left + len(b.order) - 1) / max(1, len(b.order))
+	serving := 0
+	for _, lender := range b.order {
+		if b.serves(lender, group.Name) {
+			serving++
+		}
+	}
+	share := (left + serving - 1) / max(1, serving)
 	for _, lender := range b.order {
 		told := lender.told[group.Name]
-		if lender.calling || (told > 0 && told*2 >= share && share*2 >= told) {
+		if lender.calling || !b.serves(lender, group.Name) || (told > 0 && told*2 >= share && share*2 >= told) {
 			continue
 		}
 		demand := add(asks, lender, want, share, 0)
--- a/entry/pkg/settings/settings.go
+++ b/entry/pkg/settings/settings.go
@@ -99,7 +99,7 @@
 			Entries: 200_000,
 		},
 		Policy: Policy{
-			Lending:   "fixed",
+			Lending:   "loans",
 			Placement: "fastest",
 			Admission: "predict",
 			Queue:     "fair",
@@ -114,8 +114,8 @@
 		Lease: Lease{
 			Length:    jsontime.Duration(3 * time.Second),
 			Margin:    jsontime.Duration(500 * time.Millisecond),
-			Loan:      jsontime.Duration(time.Second),
-			Heartbeat: jsontime.Duration(200 * time.Millisecond),
+			Loan:      jsontime.Duration(2 * time.Second),
+			Heartbeat: jsontime.Duration(500 * time.Millisecond),
 		},
 		Log: Log{Level: "info", Format: "text"},
 	}
