--- a/entry/pkg/controllers/backends_controller.go
+++ b/entry/pkg/controllers/backends_controller.go
@@ -124,10 +124,10 @@
 	return max(1, host.Slots)
 }
 
-// connectionsOf divides a back end's connections among the entry hosts, so that together they stay below what it accepts.
+// connectionsOf divides a back end's connections among the entry hosts; each may open as many as it could borrow slots.
 func connectionsOf(host *platform.Host, sharing int) int {
 	if host.Connections == 0 {
 		return 0
 	}
-	return max(1, host.Connections/max(1, sharing))
+	return max(1, min(host.Slots, host.Connections), host.Connections/max(1, sharing))
 }
--- a/integration/planned_stop_test.go
+++ b/integration/planned_stop_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -43,8 +44,14 @@
 		joined <- answer
 	}()
 	require.Eventually(t, func() bool {
+		started := 0
 		marks := f.office.Marks()
-		return len(marks) >= 2 && marks["forwarded"] == 1
+		for mark := range marks {
+			if strings.HasPrefix(mark, "attended-") {
+				started++
+			}
+		}
+		return started == inProgress && marks["forwarded"] == 1
 	}, patience, pollEvery)
 
 	leaving.signal(syscall.SIGTERM)
