--- a/entry/pkg/controllers/members_controller.go
+++ b/entry/pkg/controllers/members_controller.go
@@ -87,8 +87,9 @@
 
 // HostsChanged takes the entry hosts over from the host list.
 func (m *MembersController) HostsChanged() {
-	var hosts []blackboard.Member
-	for name, host := range m.board.Hosts.Load().ByName {
+	listed := m.board.Hosts.Load().ByName
+	hosts := make([]blackboard.Member, 0, len(m.board.Members.Load().ByName))
+	for name, host := range listed {
 		if host.Role != platform.RoleEntry {
 			continue
 		}
--- a/entry/pkg/operator/status.go
+++ b/entry/pkg/operator/status.go
@@ -26,6 +26,7 @@
 	if !who.host {
 		restrict(status, directory.Document(who.owner))
 	}
+	s.addKeepers(status)
 	sortStatus(status)
 	return c.JSON(http.StatusOK, status)
 }
@@ -52,15 +53,28 @@
 	}
 }
 
-func (s *Server) addBackends(status *api.Status) {
+// addKeepers works the keepers out without the dispatch lock.
+func (s *Server) addKeepers(status *api.Status) {
 	members := s.board.Members.Load()
+	for i := range status.Minions {
+		minion := &status.Minions[i]
+		minion.Keeper = keeper.Of(minion.Name, minion.Place, members)
+	}
+	for i := range status.Workers {
+		worker := &status.Workers[i]
+		worker.Keeper = keeper.Of(worker.Name, worker.Place, members)
+	}
+}
+
+// addBackends copies the back ends; the dispatch lock is held.
+func (s *Server) addBackends(status *api.Status) {
 	for _, group := range s.board.Dispatch.Groups {
 		for _, backend := range group.Backends {
 			if backend.Role == platform.RoleWorker {
-				status.Workers = append(status.Workers, workerStatus(backend, members))
+				status.Workers = append(status.Workers, workerStatus(backend))
 				continue
 			}
-			status.Minions = append(status.Minions, minionStatus(backend, members))
+			status.Minions = append(status.Minions, api.MinionStatus{BackendStatus: backendStatus(backend)})
 		}
 	}
 }
@@ -73,35 +87,33 @@
 			Weight:  owner.Weight,
 			Queued:  owner.Queued,
 			Running: owner.Running,
+			Refused: owner.Refused,
 		})
 	}
 }
 
-func minionStatus(backend *blackboard.Backend, members *blackboard.MemberTable) api.MinionStatus {
-	return api.MinionStatus{
-		Name:   backend.Name,
-		Place:  backend.Place,
-		Group:  backend.Group,
-		Keeper: keeper.Of(backend.Name, backend.Place, members),
-		Ready:  backendReady(backend),
-		Slots:  backend.Slots,
-		Used:   backend.Busy,
+func backendStatus(backend *blackboard.Backend) api.BackendStatus {
+	return api.BackendStatus{
+		Name:    backend.Name,
+		Place:   backend.Place,
+		Group:   backend.Group,
+		Ready:   backendReady(backend),
+		Slots:   backend.Slots,
+		Granted: backend.Granted,
+		Used:    backend.Busy,
+		Failing: backend.Failing,
+		Slow:    backend.Slowness,
 	}
 }
 
-func workerStatus(backend *blackboard.Backend, members *blackboard.MemberTable) api.WorkerStatus {
+func workerStatus(backend *blackboard.Backend) api.WorkerStatus {
 	return api.WorkerStatus{
-		Name:         backend.Name,
-		Place:        backend.Place,
-		Rack:         backend.Rack,
-		Group:        backend.Group,
-		Keeper:       keeper.Of(backend.Name, backend.Place, members),
-		Fence:        backend.Fence,
-		Ready:        backendReady(backend),
-		Cores:        backend.Cores,
-		Memory:       backend.Memory,
-		Accelerators: backend.Accelerators,
-		Running:      backend.Busy,
+		BackendStatus: backendStatus(backend),
+		Rack:          backend.Rack,
+		Fence:         backend.Fence,
+		Cores:         backend.Cores,
+		Memory:        backend.Memory,
+		Accelerators:  backend.Accelerators,
 	}
 }
 
@@ -127,5 +139,8 @@
 	slices.SortFunc(status.Hosts, func(a, b api.HostStatus) int { return cmp.Compare(a.Name, b.Name) })
 	slices.SortFunc(status.Minions, func(a, b api.MinionStatus) int { return cmp.Compare(a.Name, b.Name) })
 	slices.SortFunc(status.Workers, func(a, b api.WorkerStatus) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(status.Queues, func(a, b api.QueueStatus) int {
+		return cmp.Or(cmp.Compare(a.Owner, b.Owner), cmp.Compare(a.Service, b.Service), cmp.Compare(a.Pool, b.Pool))
+	})
 	slices.SortFunc(status.Owners, func(a, b api.OwnerStatus) int { return cmp.Compare(a.Owner, b.Owner) })
 }
