--- a/entry/pkg/controllers/legacy_controller.go
+++ b/entry/pkg/controllers/legacy_controller.go
@@ -47,6 +47,7 @@
 
 // legacy is the record of one home that has left.
 type legacy struct {
+	place    string
 	floor    int64
 	whole    bool
 	received time.Time
@@ -82,16 +83,18 @@
 
 // HandOver gives the record of this home, and those that it keeps for others, to the first host that takes them.
 func (l *LegacyController) HandOver(ctx context.Context, record ledger.Record) {
-	parts := map[string][]peer.HandoverRequest{l.common.Incarnation: partsOf(l.common.Incarnation, record.Floor, handedEntries(record))}
+	own := peer.HandoverRequest{Incarnation: l.common.Incarnation, Place: l.common.Settings.Place, Floor: record.Floor}
+	records := [][]peer.HandoverRequest{partsOf(own, handedEntries(record))}
 	l.mu.Lock()
 	for incarnation, kept := range l.legacies {
 		if kept.whole {
-			parts[incarnation] = partsOf(incarnation, kept.floor, valuesOf(kept.entries))
+			head := peer.HandoverRequest{Incarnation: incarnation, Place: kept.place, Floor: kept.floor}
+			records = append(records, partsOf(head, valuesOf(kept.entries)))
 		}
 	}
 	l.mu.Unlock()
-	for incarnation, requests := range parts {
-		l.handOver(ctx, incarnation, requests)
+	for _, parts := range records {
+		l.handOver(ctx, parts)
 	}
 }
 
@@ -100,7 +103,7 @@
 	if response := l.look(request); response.Known {
 		return &response.Answer
 	}
-	for i, member := range l.candidates(request.Identity.Incarnation) {
+	for i, member := range l.candidates(request.Identity.Incarnation, request.Identity.Place) {
 		if i == legacyHosts {
 			break
 		}
@@ -118,8 +121,9 @@
 	return peer.Call[peer.LegacyRequest, peer.LegacyResponse](ctx, l.client, member.Address, peer.MethodLegacy, request)
 }
 
-func (l *LegacyController) handOver(ctx context.Context, incarnation string, parts []peer.HandoverRequest) {
-	for _, member := range l.candidates(incarnation) {
+func (l *LegacyController) handOver(ctx context.Context, parts []peer.HandoverRequest) {
+	incarnation := parts[0].Incarnation
+	for _, member := range l.candidates(incarnation, parts[0].Place) {
 		if member.Leaving {
 			continue
 		}
@@ -144,15 +148,24 @@
 }
 
 // candidates returns the other live hosts in the same order at every host, those of the place first.
-func (l *LegacyController) candidates(incarnation string) []blackboard.Member {
+func (l *LegacyController) candidates(incarnation, place string) []blackboard.Member {
 	var members []blackboard.Member
 	for _, member := range l.board.Members.Load().ByName {
 		if member.Alive && member.Name != l.common.Settings.Name {
 			members = append(members, member)
 		}
 	}
-	rank := func(member *blackboard.Member) uint64 { return xxhash.Sum64String(incarnation + "/" + member.Name) }
-	slices.SortFunc(members, func(a, b blackboard.Member) int { return cmp.Compare(rank(&a), rank(&b)) })
+	rank := func(member *blackboard.Member) (away int, order uint64) {
+		if member.Place != place {
+			away = 1
+		}
+		return away, xxhash.Sum64String(incarnation + "/" + member.Name)
+	}
+	slices.SortFunc(members, func(a, b blackboard.Member) int {
+		aAway, aOrder := rank(&a)
+		bAway, bOrder := rank(&b)
+		return cmp.Or(cmp.Compare(aAway, bAway), cmp.Compare(aOrder, bOrder))
+	})
 	return members
 }
 
@@ -168,6 +181,7 @@
 		held = &legacy{entries: map[ledger.ID]peer.HandedEntry{}}
 		l.legacies[part.Incarnation] = held
 	}
+	held.place = part.Place
 	held.floor = part.Floor
 	held.received = l.common.Clock.Now()
 	for _, entry := range part.Entries {
@@ -258,14 +272,14 @@
 	return values
 }
 
-// partsOf cuts a record into messages of bounded size.
-func partsOf(incarnation string, floor int64, entries []peer.HandedEntry) []peer.HandoverRequest {
-	parts := []peer.HandoverRequest{{Incarnation: incarnation, Floor: floor}}
+// partsOf cuts a record into messages of bounded size, each with the same head.
+func partsOf(head peer.HandoverRequest, entries []peer.HandedEntry) []peer.HandoverRequest {
+	parts := []peer.HandoverRequest{head}
 	size := int64(0)
 	for _, entry := range entries {
 		last := &parts[len(parts)-1]
 		if size > handoverPartBytes || len(last.Entries) == handoverPartEntries {
-			parts = append(parts, peer.HandoverRequest{Incarnation: incarnation, Floor: floor})
+			parts = append(parts, head)
 			last = &parts[len(parts)-1]
 			size = 0
 		}
--- a/entry/pkg/controllers/randomised_steps_test.go
+++ b/entry/pkg/controllers/randomised_steps_test.go
@@ -250,7 +250,8 @@
 		t.Skip("not drained")
 	}
 	record := host.submissions.Export()
-	parts := partsOf(host.common.Incarnation, record.Floor, handedEntries(record))
+	head := peer.HandoverRequest{Incarnation: host.common.Incarnation, Place: host.place, Floor: record.Floor}
+	parts := partsOf(head, handedEntries(record))
 	if rapid.IntRange(0, 2).Draw(t, "breaks off") == 0 {
 		parts[0].Last = false
 		parts[0].Entries = parts[0].Entries[:len(parts[0].Entries)/2]
--- a/entry/pkg/peer/messages.go
+++ b/entry/pkg/peer/messages.go
@@ -19,6 +19,7 @@
 // Identity names a submission at its home.
 type Identity struct {
 	Owner       string `json:"owner"`
+	Place       string `json:"plc"`
 	Host        string `json:"host"`
 	Incarnation string `json:"inc"`
 	Window      int64  `json:"win"`
@@ -73,6 +74,7 @@
 // HandoverRequest is one part of a leaving home's record.
 type HandoverRequest struct {
 	Incarnation string        `json:"inc"`
+	Place       string        `json:"plc"`   // of the home
 	Floor       int64         `json:"floor"` // earlier windows are forgotten
 	Entries     []HandedEntry `json:"ents"`
 	Last        bool          `json:"last"` // the record is whole with this part
