--- a/entry/pkg/app/daemon.go
+++ b/entry/pkg/app/daemon.go
@@ -122,7 +122,8 @@
 	loans := controllers.NewLendingController(c, board, engine, dispatcher, peerClient, peerServer)
 	backends := controllers.NewBackendsController(c, board, engine, controllers.NewLender(c, board, loans), dispatcher)
 	members.Observe(backends)
-	hosts := controllers.NewHostsController(c, board, hostlist.New(c.Settings.Platform.Hosts, platformClient), members, backends)
+	hosts := controllers.NewHostsController(c, board, hostlist.New(c.Settings.Platform.Hosts, platformClient), peerClient, peerServer, members, backends)
+	members.ReadHosts(hosts)
 	drains := newDrainRequest(submissions)
 
 	services := []service{dispatcher, submissions, legacies, leases, hosts, configurations, members}
--- a/entry/pkg/controllers/hosts_controller.go
+++ b/entry/pkg/controllers/hosts_controller.go
@@ -3,13 +3,18 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"chervilusher.dev/entry/pkg/blackboard"
 	"chervilusher.dev/entry/pkg/common"
+	"chervilusher.dev/entry/pkg/peer"
 	"chervilusher.dev/lib/platform"
 )
 
+// hostsTimeout bounds one question for a peer's host list.
+const hostsTimeout = 5 * time.Second
+
 // HostReader reads the platform's host list.
 type HostReader interface {
 	Read(ctx context.Context, since int64, wait time.Duration) (*platform.HostList, error)
@@ -25,12 +30,47 @@
 	common    *common.Common
 	board     *blackboard.Board
 	list      HostReader
+	client    *peer.Client
 	observers []HostObserver
 }
 
-// NewHostsController returns the controller.
-func NewHostsController(c *common.Common, board *blackboard.Board, list HostReader, observers ...HostObserver) *HostsController {
-	return &HostsController{common: c.Prefixed("hosts"), board: board, list: list, observers: observers}
+// NewHostsController returns the controller and adds its method to the server of peers.
+func NewHostsController(
+	c *common.Common,
+	board *blackboard.Board,
+	list HostReader,
+	client *peer.Client,
+	server *peer.Server,
+	observers ...HostObserver,
+) *HostsController {
+	controller := &HostsController{common: c.Prefixed("hosts"), board: board, list: list, client: client, observers: observers}
+	peer.Handle(server, peer.MethodHosts, controller.serveHosts)
+	return controller
+}
+
+// Offered takes the host list from a peer, but only while this host has never read one.
+func (h *HostsController) Offered(ctx context.Context, address string, version int64) {
+	if version == 0 || h.board.Hosts.Load().Version > 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, hostsTimeout)
+	defer cancel()
+	response, err := peer.Call[peer.HostsRequest, peer.HostsResponse](ctx, h.client, address, peer.MethodHosts, &peer.HostsRequest{})
+	if err != nil {
+		h.common.Log.WithError(err).Debug("cannot take the host list from a peer")
+		return
+	}
+	if h.board.Hosts.Load().Version > 0 {
+		return
+	}
+	h.common.Log.WithField("peer", address).Info("took the host list from a peer")
+	h.take(&response.List)
+}
+
+func (h *HostsController) serveHosts(context.Context, *peer.HostsRequest) (*peer.HostsResponse, error) {
+	table := h.board.Hosts.Load()
+	list := platform.HostList{Version: table.Version, Full: true, Hosts: slices.Collect(maps.Values(table.ByName))}
+	return &peer.HostsResponse{List: list}, nil
 }
 
 // Serve follows the host list until the context ends.
@@ -52,6 +92,13 @@
 	if err != nil {
 		return err
 	}
+	h.take(list)
+	return nil
+}
+
+// take merges the list into the table and tells the observers of a change.
+func (h *HostsController) take(list *platform.HostList) {
+	current := h.board.Hosts.Load()
 	next := &blackboard.HostTable{Version: list.Version, Read: h.common.Clock.Now(), ByName: current.ByName}
 	changed := list.Full || len(list.Hosts) > 0
 	if changed {
@@ -59,12 +106,11 @@
 	}
 	h.board.Hosts.Store(next)
 	if !changed {
-		return nil
+		return
 	}
 	for _, observer := range h.observers {
 		observer.HostsChanged()
 	}
-	return nil
 }
 
 func mergeHosts(current map[string]platform.Host, list *platform.HostList) map[string]platform.Host {
--- a/entry/pkg/controllers/lending_controller.go
+++ b/entry/pkg/controllers/lending_controller.go
@@ -125,6 +125,11 @@
 		setShares(group, places[group.Name], members, self)
 	}
 	l.keeper.Update(keeping, false, now)
+	for name, member := range members.ByName {
+		if !member.Alive {
+			l.keeper.Gone(name)
+		}
+	}
 	l.borrower.SetLenders(lendersOf(members, self), places)
 	l.borrower.Rehome(func(backend string) string { return l.keeperOf(backend, members) })
 	l.Wake()
--- a/entry/pkg/controllers/members_controller.go
+++ b/entry/pkg/controllers/members_controller.go
@@ -32,9 +32,10 @@
 	pausesTotal = metrics.NewCounter(`chervilusher_own_pauses_total`)
 )
 
-// ConfigurationPeer takes newer configuration from a peer.
-type ConfigurationPeer interface {
-	Offered(ctx context.Context, address string, next int64)
+// PeerReader takes newer state from a peer than this host has.
+type PeerReader interface {
+	// Offered is told the peer's version of the state.
+	Offered(ctx context.Context, address string, version int64)
 }
 
 // MemberObserver is told when the view of the membership has changed.
@@ -47,7 +48,8 @@
 	common        *common.Common
 	board         *blackboard.Board
 	client        *peer.Client
-	configuration ConfigurationPeer
+	configuration PeerReader
+	hosts         PeerReader
 	observers     []MemberObserver
 
 	mu      sync.Mutex
@@ -60,7 +62,7 @@
 	board *blackboard.Board,
 	client *peer.Client,
 	server *peer.Server,
-	configurations ConfigurationPeer,
+	configurations PeerReader,
 ) *MembersController {
 	interval := c.Settings.Lease.Heartbeat.Std()
 	controller := &MembersController{
@@ -80,6 +82,11 @@
 	return controller
 }
 
+// ReadHosts sets what takes the host list from peers; it is to be called before Serve.
+func (m *MembersController) ReadHosts(hosts PeerReader) {
+	m.hosts = hosts
+}
+
 // Observe adds an observer; it is to be called before Serve.
 func (m *MembersController) Observe(observer MemberObserver) {
 	m.observers = append(m.observers, observer)
@@ -125,7 +132,7 @@
 	}
 }
 
-// beatNear calls the hosts of this place whose name is higher: one call serves both ends of a pair.
+// beatNear calls the hosts of this place whose name is higher, since one call serves both ends of a pair, and those that are silent, which may not know this host.
 func (m *MembersController) beatNear(ctx context.Context) {
 	m.mu.Lock()
 	changed, paused := m.tracker.Tick(m.common.Clock.Now())
@@ -137,9 +144,14 @@
 	if changed {
 		m.publish()
 	}
+	interval := m.common.Settings.Lease.Heartbeat.Std()
+	self := m.common.Settings.Name
 	for name, member := range m.board.Members.Load().ByName {
-		if member.Place == m.common.Settings.Place && name > m.common.Settings.Name {
-			go m.beat(ctx, &member, m.common.Settings.Lease.Heartbeat.Std())
+		if member.Place != m.common.Settings.Place || name == self {
+			continue
+		}
+		if name > self || !member.Alive || member.Incarnation == "" {
+			go m.beat(ctx, &member, interval)
 		}
 	}
 }
@@ -173,14 +185,21 @@
 		return
 	}
 	m.heard(answer)
-	m.configuration.Offered(ctx, member.Address, answer.Next)
+	m.offered(ctx, answer)
+}
+
+// offered takes over what the peer has newer.
+func (m *MembersController) offered(ctx context.Context, beat *peer.Beat) {
+	if beat.Address == "" {
+		return
+	}
+	m.configuration.Offered(ctx, beat.Address, beat.Next)
+	m.hosts.Offered(ctx, beat.Address, beat.Hosts)
 }
 
 func (m *MembersController) serveBeat(_ context.Context, beat *peer.Beat) (*peer.Beat, error) {
 	m.heard(beat)
-	if member, ok := m.board.Members.Load().ByName[beat.Name]; ok {
-		go m.configuration.Offered(context.Background(), member.Address, beat.Next)
-	}
+	go m.offered(context.Background(), beat)
 	return m.own(), nil
 }
 
@@ -199,6 +218,8 @@
 		Incarnation: m.common.Incarnation,
 		Leaving:     m.board.Draining.Load(),
 		Next:        m.board.Configuration.Load().State.Next,
+		Hosts:       m.board.Hosts.Load().Version,
+		Address:     m.board.Members.Load().ByName[m.common.Settings.Name].Address,
 	}
 }
 
--- a/entry/pkg/peer/membership.go
+++ b/entry/pkg/peer/membership.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"chervilusher.dev/lib/platform"
+
 	"chervilusher.dev/entry/pkg/lending"
 )
 
@@ -8,6 +10,7 @@
 const (
 	MethodBeat   = "beat"
 	MethodDelta  = "delta"
+	MethodHosts  = "hosts"
 	MethodBorrow = "borrow"
 	MethodPush   = "push"
 )
@@ -18,6 +21,16 @@
 	Incarnation string `json:"i"`
 	Leaving     bool   `json:"l,omitempty"`
 	Next        int64  `json:"c"` // offset of the first configuration record not yet folded
+	Hosts       int64  `json:"h"` // version of the host list
+	Address     string `json:"a"` // of the peer listener, for a host that cannot read the host list
+}
+
+// HostsRequest asks for the host list as last read.
+type HostsRequest struct{}
+
+// HostsResponse is the host list as last read.
+type HostsResponse struct {
+	List platform.HostList `json:"list"`
 }
 
 // DeltaRequest asks for what changed in the configuration from an offset on.
