Bound the search for a back end to keep free, and forget back ends that left

Cause: each look at a queue whose head is a wide task without room looked at every worker while nothing could be kept free; records of back ends that left the list were kept while nothing was ejected. Change: one search in 100 ms for each group; records are pruned once they are twice the group.

--- a/entry/pkg/blackboard/backend.go
+++ b/entry/pkg/blackboard/backend.go
@@ -17,6 +17,7 @@
 	Queue     Queue
 	Capacity  Capacity           // summed from Backends at intervals
 	Synced    time.Time          // when the placement last took in every back end
+	Searched  time.Time          // when a back end was last looked for to be kept free for a wide task
 	Busy      int                // slots that this host's tasks hold
 	Long      map[string]float64 // run time that running long work does in a second, in seconds at a back end of slowness 1, by place
 	ShortPeak map[string]float64 // the same of short work, its recent peak, by place
--- a/entry/pkg/dispatch/cost_test.go
+++ b/entry/pkg/dispatch/cost_test.go
@@ -7,6 +7,7 @@
 
 	"chervilusher.dev/entry/pkg/blackboard"
 	"chervilusher.dev/entry/pkg/dispatch"
+	"chervilusher.dev/lib/api"
 	"chervilusher.dev/lib/platform"
 )
 
@@ -124,3 +125,46 @@
 		})
 	}
 }
+
+// BenchmarkWide measures one submission, one end and one start of tasks of 1, 2, 4 and 8 cores on workers of 16 cores, with a queue that wants more than there is.
+func BenchmarkWide(b *testing.B) {
+	for _, backends := range []int{48, 480, 5500} {
+		b.Run(fmt.Sprintf("workers=%d", backends), func(b *testing.B) {
+			d := newWorkers(backends)
+			var running []dispatch.Start
+			serial := 0
+			submit := func() {
+				serial++
+				job := &blackboard.Job{ID: "wide", Owner: "hokkaido", Deadline: d.now.Add(24 * time.Hour), Left: 1, Done: make(chan struct{})}
+				job.Tasks = []*blackboard.Task{{
+					Job: job, Kind: "wide", Need: api.Need{Cores: float64(int(1) << (serial % 4))},
+					Target: &blackboard.Target{Group: groupName, Role: platform.RoleWorker, Timeout: time.Hour},
+				}}
+				effects, refused := d.engine.Submit(job, d.now)
+				if refused != nil {
+					b.Fatal(refused.Reason)
+				}
+				running = append(running, effects.Starts...)
+			}
+			for range backends*16 + 10_000 {
+				submit()
+			}
+			step := meanRun / time.Duration(backends*4)
+			b.ResetTimer()
+			for i := range b.N {
+				d.now = d.now.Add(step)
+				submit()
+				at := i % len(running)
+				start := running[at]
+				running[at] = running[len(running)-1]
+				running = running[:len(running)-1]
+				effects, _ := d.engine.Finish(start.Task, start.Attempt, dispatch.Outcome{Verdict: dispatch.VerdictDone}, d.now)
+				running = append(running, effects.Starts...)
+				if i%300 == 0 {
+					effects := d.engine.Tick(d.now)
+					running = append(running, effects.Starts...)
+				}
+			}
+		})
+	}
+}
--- a/entry/pkg/dispatch/reserve.go
+++ b/entry/pkg/dispatch/reserve.go
@@ -13,6 +13,9 @@
 // reservedShare bounds how many of a group's back ends are kept free at once.
 const reservedShare = 8
 
+// searchInterval bounds how often all back ends are looked at for one to keep free.
+const searchInterval = 100 * time.Millisecond
+
 // reserve keeps the free slots of one back end for a task that narrower ones would starve.
 func (e *Engine) reserve(group *blackboard.Group, task *blackboard.Task, now time.Time) {
 	if task.Target.Role != platform.RoleWorker || now.Sub(task.Queued) < reservePatience {
@@ -21,6 +24,10 @@
 	if e.reserved[task] != nil || len(e.reserved) >= max(1, len(group.Backends)/reservedShare) {
 		return
 	}
+	if now.Sub(group.Searched) < searchInterval {
+		return
+	}
+	group.Searched = now
 	var best *blackboard.Backend
 	for _, backend := range group.Backends {
 		if !reservable(backend, task, now) {
--- a/entry/pkg/health/health.go
+++ b/entry/pkg/health/health.go
@@ -205,6 +205,9 @@
 // Tick returns the back ends whose pause has ended.
 func (h *Health) Tick(group *blackboard.Group, now time.Time) []*blackboard.Backend {
 	state := h.state(group)
+	if len(state.records) > 2*len(group.Backends) {
+		state.recount(group)
+	}
 	if len(state.paused) == 0 {
 		return nil
 	}
--- a/entry/pkg/health/health_test.go
+++ b/entry/pkg/health/health_test.go
@@ -167,6 +167,20 @@
 	require.Zero(t, ejected(group))
 }
 
+func TestBackendsThatLeftAreForgotten(t *testing.T) {
+	group := newGroup(2)
+	policy := health.New(0.1, 0.5)
+	for i := range 100 {
+		name := fmt.Sprint("gone", i)
+		gone := &blackboard.Backend{Name: name, Slots: 8, Granted: 8}
+		group.Backends[name] = gone
+		policy.Observe(group, gone, dispatch.Outcome{Verdict: dispatch.VerdictNotRun, Busy: true}, epoch)
+		delete(group.Backends, name)
+		policy.Tick(group, epoch)
+	}
+	require.LessOrEqual(t, len(policy.Tick(group, epoch.Add(time.Hour))), 2*len(group.Backends))
+}
+
 // TestInvariantsOfHealth checks the retry budget and the share of the ejected at every step.
 func TestInvariantsOfHealth(t *testing.T) {
 	const retries, eject, reserve = 0.2, 0.3, 10
