--- a/entry/pkg/settings/settings.go
+++ b/entry/pkg/settings/settings.go
@@ -113,7 +113,7 @@
 			Entries: 100_000,
 		},
 		Policy: Policy{
-			Lending:   "fixed",
+			Lending:   "loans",
 			Placement: "fastest",
 			Admission: "predict",
 			Queue:     "fair",
@@ -128,8 +128,8 @@
 		Lease: Lease{
 			Length:    jsontime.Duration(3 * time.Second),
 			Margin:    jsontime.Duration(500 * time.Millisecond),
-			Loan:      jsontime.Duration(time.Second),
-			Heartbeat: jsontime.Duration(200 * time.Millisecond),
+			Loan:      jsontime.Duration(2 * time.Second),
+			Heartbeat: jsontime.Duration(500 * time.Millisecond),
 		},
 		Log: Log{Level: "info", Format: "text"},
 	}
