Let a step of the lending that starts nothing run nothing

Cause: every entry host used a whole core without any work. A step of the lending controller always called the dispatch controller, which tells its observer, the lending controller, so that the next step followed at once. Ruled out: the heartbeats and the tick; perf showed 95 % of the time in LendingController.Serve, woken from DispatchController.Run. Change: a step calls the dispatch controller only if there is something to start or stop.

--- a/entry/pkg/controllers/lending_controller.go
+++ b/entry/pkg/controllers/lending_controller.go
@@ -175,7 +175,10 @@
 	}
 	pushes := l.keeper.Pushes(l.common.Settings.Name, l.common.Clock.Now())
 	l.board.Dispatch.Unlock()
-	l.runner.Run(effects)
+	// The runner wakes this controller, so a step that starts nothing must not call it.
+	if len(effects.Starts)+len(effects.Stops) > 0 {
+		l.runner.Run(effects)
+	}
 	for _, call := range remote {
 		l.calls.Go(func() { l.borrow(ctx, &call) })
 	}
