--- a/entry/pkg/dispatch/engine.go
+++ b/entry/pkg/dispatch/engine.go
@@ -44,11 +44,12 @@
 	group, ok := e.board.Groups[name]
 	if !ok {
 		group = &blackboard.Group{
-			Name:     name,
-			Backends: map[string]*blackboard.Backend{},
-			Queue:    e.policies.NewQueue(e.board.Owners),
-			Long:     map[string]float64{},
-			Rooms:    map[blackboard.RoomKey]*blackboard.Room{},
+			Name:      name,
+			Backends:  map[string]*blackboard.Backend{},
+			Queue:     e.policies.NewQueue(e.board.Owners),
+			Long:      map[string]float64{},
+			ShortPeak: map[string]float64{},
+			Rooms:     map[blackboard.RoomKey]*blackboard.Room{},
 		}
 		e.board.Groups[name] = group
 	}
@@ -63,6 +64,7 @@
 		e.classify(group, task)
 	}
 	if refusal := e.refuse(job, now); refusal != nil {
+		countRefusal(job.Owner, refusal)
 		return Effects{}, refusal
 	}
 	for _, task := range job.Tasks {
@@ -140,6 +142,7 @@
 		if !hasQueued(job) {
 			continue
 		}
+		expiredTotal.Inc()
 		effects.Stops = append(effects.Stops, e.end(job, expired())...)
 	}
 	return effects
@@ -230,6 +233,7 @@
 	e.board.Owners[task.Job.Owner].Running++
 	if task.Tries == 0 {
 		e.policies.Health.Started(group)
+		observeWait(task.Long, now.Sub(task.Queued).Seconds())
 	}
 	task.State = blackboard.TaskStarted
 	task.Attempt++
