Compare the key of an answer with the submission's in the callers' library

Cause: a balancer or proxy that crosses two callers' answers went unnoticed. Change: an answer that names another submission counts as lost and is asked for again under the same handle. Before the change TestAnswerToAnotherSubmissionIsNotDelivered prints 'Should be empty, but was another'; after it the package passes.

--- a/lib/client/client_test.go
+++ b/lib/client/client_test.go
@@ -105,6 +105,20 @@
 	}
 }
 
+func TestAnswerToAnotherSubmissionIsNotDelivered(t *testing.T) {
+	crossed := complete
+	crossed.Key = "another"
+	refusal := overload
+	refusal.Key = "another"
+	entry := newFakeEntry(t, "only", gives(crossed), gives(refusal), gives(complete))
+	caller := newClient(t, clockwork.NewRealClock(), client.Options{}, entry.server.URL)
+	answer, err := caller.Run(t.Context(), job())
+	require.NoError(t, err)
+	require.Empty(t, answer.Key)
+	require.Len(t, entry.handles(), 3)
+	require.Equal(t, entry.handles()[0], entry.handles()[2])
+}
+
 func TestUnreachableHomeIsAskedAgainUnderTheSameHandle(t *testing.T) {
 	entry := newFakeEntry(t, "only", gives(cut), gives(complete))
 	caller := newClient(t, clockwork.NewRealClock(), client.Options{}, entry.server.URL)
--- a/lib/client/exchange.go
+++ b/lib/client/exchange.go
@@ -93,13 +93,18 @@
 
 func (c *Client) ask(ctx context.Context, entry int, call exchange) (*api.Answer, error) {
 	var answer api.Answer
-	if err := c.roundTrip(ctx, entry, call, &answer); err != nil {
-		var refusal *Error
-		if errors.As(err, &refusal) {
-			return &refusal.Answer, nil
-		}
+	err := c.roundTrip(ctx, entry, call, &answer)
+	var refusal *Error
+	if errors.As(err, &refusal) {
+		answer = refusal.Answer
+		err = nil
+	}
+	if err != nil {
 		return nil, err
 	}
+	if answer.Key != "" && answer.Key != call.handle.Key {
+		return nil, errors.Errorf("the answer is to the submission %q", answer.Key)
+	}
 	return &answer, nil
 }
 
