--- a/integration/answers_test.go
+++ b/integration/answers_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"chervilusher.dev/lib/api"
+	"chervilusher.dev/lib/platform"
 	"chervilusher.dev/standin/pkg/minion"
 	"chervilusher.dev/standin/pkg/office"
 )
@@ -176,3 +177,29 @@
 		return running == 0
 	}, patience, pollEvery, "the task that never ends is stopped")
 }
+
+func TestTwoHoldersOfOneWorkerExcludeEachOther(t *testing.T) {
+	f := newFleet(t, plan{places: []string{"x", "x"}, workers: 1, cores: 4, timeout: 5 * time.Second})
+	holder, next := f.entries[0], f.entries[1]
+	require.Eventually(t, func() bool {
+		status, err := holder.status()
+		return err == nil && len(status.Workers) == 1 && status.Workers[0].Keeper != ""
+	}, patience, pollEvery)
+	status, err := holder.status()
+	require.NoError(t, err)
+	if status.Workers[0].Keeper == next.name {
+		holder, next = next, holder
+	}
+	work := func(mark string) api.Task { return poolTask(mark, 50*time.Millisecond) }
+	done := make(chan map[string]*api.Answer, 1)
+	go func() { done <- f.runMany(60, holder, work, "first") }()
+	require.Eventually(t, func() bool { return f.office.Counters("pool").Starts > 4 }, patience, time.Millisecond)
+	holder.signal(syscall.SIGSTOP)
+	require.NoError(t, f.office.Hosts.SetState(holder.name, platform.HostLeaving))
+	answers := f.runMany(20, next, work, "next")
+	f.requireTrue(answers)
+	require.Equal(t, 20, countComplete(answers), "the next holder works while the first one stands still")
+	holder.signal(syscall.SIGCONT)
+	require.NoError(t, f.office.Hosts.SetState(holder.name, platform.HostLive))
+	f.requireTrue(<-done)
+}
