Never say not run of work that a lost host may have run

Change: submissions carry no GetBody, without which net/http repeats nothing that may have left, and a question about an earlier submission counts as sent.

--- a/lib/client/exchange.go
+++ b/lib/client/exchange.go
@@ -42,7 +42,8 @@
 // exchange sends the request, to one entry host after another while no answer comes, always under the same handle.
 func (c *Client) exchange(ctx context.Context, call exchange) (*api.Answer, error) {
 	first := c.firstEntry()
-	lost := &LostError{Cause: errors.New("not tried")}
+	// A question about an earlier submission cannot show that this one was never sent.
+	lost := &LostError{Sent: call.body == nil && call.handle.Key != "", Cause: errors.New("not tried")}
 	for attempt := range c.options.Attempts {
 		entry := (first + attempt) % len(c.options.Entries)
 		answer, err := c.ask(ctx, entry, call)
@@ -153,6 +154,8 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
+	// Without GetBody net/http does not repeat a submission by itself; a repeat that finds no host would look never sent.
+	request.GetBody = nil
 	request.Header.Set("Authorization", "Bearer "+c.options.Token)
 	if call.body != nil {
 		request.Header.Set("Content-Type", "application/json")
