--- a/load/pkg/caller/caller.go
+++ b/load/pkg/caller/caller.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"chervilusher.dev/lib/api"
 	"chervilusher.dev/load/pkg/experiment"
 	"chervilusher.dev/load/pkg/workload"
@@ -20,6 +22,9 @@
 	maxDials        = 4 // hosts tried when connections are refused
 )
 
+// errLost tells that a host which had taken a job does not answer any more.
+var errLost = errors.New("the job's home does not answer")
+
 // Caller sends jobs to the entry hosts of a fleet.
 type Caller struct {
 	settings *experiment.Settings
@@ -132,7 +137,7 @@
 	for !answer.Final() {
 		answer = api.Answer{}
 		if err := c.exchange(ctx, request, &answer); err != nil {
-			return nil, err
+			return nil, errLost
 		}
 	}
 	if job.Resubmit {
--- a/load/pkg/caller/exchange.go
+++ b/load/pkg/caller/exchange.go
@@ -29,6 +29,8 @@
 	if err != nil {
 		return errors.WithStack(err)
 	}
+	// Without GetBody net/http does not repeat a submission by itself; a repeat that finds no host would look never sent.
+	request.GetBody = nil
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set("Authorization", "Bearer "+fleet.Token(sent.owner))
 	if sent.ticket != "" {
