Let work wait at the home when the planned stop of the test begins

Cause: the test had more slots than tasks, so that no queued work and no lease stood behind the stop. Change: 61 tasks on 12 slots and two workers.

--- a/integration/planned_stop_test.go
+++ b/integration/planned_stop_test.go
@@ -19,7 +19,8 @@
 
 func TestPlannedStopUnderLoad(t *testing.T) {
 	const inProgress, unattended, late = 30, 30, 30
-	f := newFleet(t, plan{places: []string{"x", "x", "x"}, minions: 6, slots: 16})
+	// There are fewer slots than tasks, so that work waits at the home when the stop begins.
+	f := newFleet(t, plan{places: []string{"x", "x", "x"}, minions: 3, slots: 4, workers: 2, cores: 2})
 	leaving, staying := f.entries[0], f.entries[1:]
 	never := make([]client.Handle, 0, late+1)
 	for range late + 1 {
@@ -30,7 +31,7 @@
 	for i := range unattended {
 		mark := fmt.Sprintf("unattended-%d", i)
 		handles[mark] = f.mint(leaving)
-		answer := post(t, leaving.url()+"/v1/jobs", handles[mark], job(task("desk", mark, 500*time.Millisecond)))
+		answer := post(t, leaving.url()+"/v1/jobs", handles[mark], unattendedJob(mark))
 		require.Equal(t, api.StateRunning, answer.State)
 	}
 	attended := make(chan map[string]*api.Answer, 1)
@@ -73,7 +74,7 @@
 
 	for mark, handle := range handles {
 		for _, other := range staying {
-			answer := f.once(other, handle, job(task("desk", mark, 500*time.Millisecond)))
+			answer := f.once(other, handle, unattendedJob(mark))
 			requireOwnAnswer(t, answer, mark)
 		}
 	}
@@ -104,7 +105,7 @@
 	f.waitForMembers(len(f.entries))
 	for mark, handle := range handles {
 		for _, through := range f.entries {
-			requireOwnAnswer(f.t, f.once(through, handle, job(task("desk", mark, 500*time.Millisecond))), mark)
+			requireOwnAnswer(f.t, f.once(through, handle, unattendedJob(mark)), mark)
 		}
 	}
 }
@@ -120,6 +121,14 @@
 	}
 }
 
+// unattendedJob goes to the workers or to the minions, by its mark.
+func unattendedJob(mark string) api.Submission {
+	if strings.HasSuffix(mark, "0") {
+		return job(poolTask(mark, 500*time.Millisecond))
+	}
+	return job(task("desk", mark, 500*time.Millisecond))
+}
+
 // answersOf checks that every answer is complete.
 func answersOf(answers map[string]*api.Answer) map[string]*api.Answer {
 	for mark, answer := range answers {
