--- /dev/null
+++ b/entry/pkg/controllers/submission_controller_test.go
@@ -0,0 +1,92 @@
+package controllers
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"chervilusher.dev/entry/pkg/dispatch"
+	"chervilusher.dev/entry/pkg/peer"
+	"chervilusher.dev/lib/api"
+	"chervilusher.dev/lib/platform"
+)
+
+// newHomeWithOneMinion returns a home and a call that submits one task under a key.
+func newHomeWithOneMinion(t *testing.T, clock clockwork.Clock) (*simHost, func(key string) *api.Answer) {
+	t.Helper()
+	home := newSimHost("home", "x", 1, clock)
+	home.takeBackends([]*simBackend{newSimBackend(platform.Host{
+		Name: "m", Group: "minions", Role: platform.RoleMinion, Place: "x", Slots: 1,
+	})})
+	token, _, err := home.tickets.Issue(simOwner)
+	require.NoError(t, err)
+	claims, err := home.tickets.Verify(token)
+	require.NoError(t, err)
+	return home, func(key string) *api.Answer {
+		return home.submit(&peer.SubmitRequest{
+			Identity: peer.Identity{
+				Owner: simOwner, Host: claims.Host, Incarnation: claims.Incarnation, Window: claims.Window, Key: key,
+			},
+			Submission: api.Submission{Tasks: []api.Task{{Service: "plain", Kind: "kind", Payload: json.RawMessage(`"m"`)}}},
+			Digest:     1,
+		})
+	}
+}
+
+func TestWorkIsNotStartedAgainAfterItsDeadline(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	home, submit := newHomeWithOneMinion(t, clock)
+	require.Equal(t, api.StateRunning, submit("k").State)
+	require.Len(t, home.outbox, 1)
+	start := home.outbox[0]
+	home.outbox = nil
+	home.waiting++
+	clock.Advance(time.Minute)
+	home.tick()
+	require.Equal(t, api.StateRunning, submit("k").State, "what has started may go on")
+	home.finish(&start, dispatch.Outcome{Verdict: dispatch.VerdictNotRun, Busy: true})
+	clock.Advance(10 * time.Second)
+	home.tick()
+	require.Empty(t, home.outbox)
+	answer := submit("k")
+	require.Equal(t, api.CodeExpired, answer.Code)
+	require.Equal(t, api.RanNo, answer.Ran)
+}
+
+func TestCallsForAnotherHostOrProcessAreNotServed(t *testing.T) {
+	home, _ := newHomeWithOneMinion(t, clockwork.NewFakeClock())
+	for name, test := range map[string]struct {
+		identity peer.Identity
+		code     api.Code
+	}{
+		"another host":    {peer.Identity{Owner: simOwner, Host: "other", Incarnation: home.common.Incarnation}, api.CodeUnavailable},
+		"another process": {peer.Identity{Owner: simOwner, Host: "home", Incarnation: "earlier"}, api.CodeHomeLost},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, answer := range []*api.Answer{
+				home.submit(&peer.SubmitRequest{Identity: test.identity}),
+				home.submissions.Wait(context.Background(), &peer.WaitRequest{Identity: test.identity}),
+				home.submissions.Cancel(context.Background(), &peer.CancelRequest{Identity: test.identity}),
+			} {
+				require.Equal(t, test.code, answer.Code)
+				require.Equal(t, api.RanUnknown, answer.Ran)
+			}
+		})
+	}
+}
+
+func TestStoppingHomeRefusesWhatIsNewAndJoinsWhatIsNot(t *testing.T) {
+	home, submit := newHomeWithOneMinion(t, clockwork.NewFakeClock())
+	require.Equal(t, api.StateRunning, submit("before").State)
+	home.board.Draining.Store(true)
+	require.Equal(t, api.StateRunning, submit("before").State)
+	refusal := submit("after")
+	require.Equal(t, api.CodeDraining, refusal.Code)
+	require.Equal(t, api.RanNo, refusal.Ran)
+	require.NotZero(t, refusal.RetryAfter)
+	require.Equal(t, 1, home.submissions.Open())
+}
