Offer no slots of back ends that the keeper's host has ejected

A fast, ejected back end is always free; as an offer it made every host give back its slower idle slots and ask again, for grants that leave it out. Change: a keeper's offers leave out what its own host has ejected.

--- a/entry/pkg/lending/keeper.go
+++ b/entry/pkg/lending/keeper.go
@@ -272,7 +272,8 @@
 	offers := make([]Offer, 0, maxOffers)
 	for _, entry := range k.groups[group] {
 		free := entry.free(now)
-		if free <= 0 {
+		// Others have mostly ejected the same back ends; a slot that nobody takes would be offered for ever.
+		if free <= 0 || entry.backend.Ejected {
 			continue
 		}
 		last := len(offers) - 1
