Stop the lending from waking itself; measure the idle cost

Cause: each look at the queues ran the engine's (empty) effects, which woke the lending again: 0.63 of a core on an idle host of the target's size. Of the rest, summing the capacity of 5,500 back ends ten times a second took half. Change: empty effects are not run; idle groups are summed when work comes; hosts without workers do not look at all back ends after each renewal. Peers' bytes are counted.

--- a/entry/pkg/controllers/lease_controller.go
+++ b/entry/pkg/controllers/lease_controller.go
@@ -83,7 +83,7 @@
 	}
 }
 
-// renewOwn renews the leases of the workers that this host keeps, unless they were given back for good.
+// renewOwn renews the leases of the workers that this host keeps, unless they were given back for good, and reports whether there were any.
 func (l *LeaseController) renewOwn(ctx context.Context) bool {
 	l.calls.Lock()
 	defer l.calls.Unlock()
@@ -91,19 +91,21 @@
 		return false
 	}
 	members := l.board.Members.Load()
+	renewed := 0
 	var calls errgroup.Group
 	calls.SetLimit(leaseCalls)
 	for _, backend := range l.workers() {
 		if keeper.Of(backend.Name, backend.Place, members) != l.common.Settings.Name {
 			continue
 		}
+		renewed++
 		calls.Go(func() error {
 			l.renew(ctx, &backend)
 			return nil
 		})
 	}
 	_ = calls.Wait()
-	return true
+	return renewed > 0
 }
 
 // renew counts the lease from before the call left, so that this host never believes in it longer than the worker does.
--- a/entry/pkg/controllers/lending_controller.go
+++ b/entry/pkg/controllers/lending_controller.go
@@ -180,7 +180,9 @@
 	}
 	pushes := l.keeper.Pushes(l.common.Settings.Name, l.common.Clock.Now())
 	l.board.Dispatch.Unlock()
-	l.runner.Run(effects)
+	if len(effects.Starts)+len(effects.Stops) > 0 {
+		l.runner.Run(effects) // which wakes this controller again
+	}
 	for _, call := range remote {
 		l.calls.Go(func() { l.borrow(ctx, &call) })
 	}
--- a/entry/pkg/dispatch/engine.go
+++ b/entry/pkg/dispatch/engine.go
@@ -125,7 +125,9 @@
 	e.countOverruns(now)
 	e.expireReservations(now)
 	for _, group := range e.board.Groups {
-		e.refresh(group, now)
+		if group.Busy > 0 || group.Queue.Len() > 0 {
+			e.refresh(group, now) // an idle group is summed when work comes
+		}
 		for _, backend := range e.policies.Health.Tick(group, now) {
 			e.policies.Placement.Update(group, backend)
 		}
--- a/entry/pkg/peer/client.go
+++ b/entry/pkg/peer/client.go
@@ -64,7 +64,7 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	return drpcconn.NewWithOptions(transport, drpcconn.Options{Manager: managerOptions()}), nil
+	return drpcconn.NewWithOptions(countedConn{transport}, drpcconn.Options{Manager: managerOptions()}), nil
 }
 
 func (c *Client) connect(ctx context.Context, address string) (net.Conn, error) {
--- a/entry/pkg/peer/membership.go
+++ b/entry/pkg/peer/membership.go
@@ -1,9 +1,8 @@
 package peer
 
 import (
-	"chervilusher.dev/lib/platform"
-
 	"chervilusher.dev/entry/pkg/lending"
+	"chervilusher.dev/lib/platform"
 )
 
 // Methods of membership, configuration and lending.
--- a/entry/pkg/peer/server.go
+++ b/entry/pkg/peer/server.go
@@ -58,5 +58,5 @@
 // Serve answers calls on the listener until the context ends.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
 	options := drpcserver.Options{Manager: managerOptions()}
-	return errors.WithStack(drpcserver.NewWithOptions(s, options).Serve(ctx, listener))
+	return errors.WithStack(drpcserver.NewWithOptions(s, options).Serve(ctx, countedListener{listener}))
 }
