--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -70,6 +70,8 @@
 	lag     time.Duration // of the host list
 	keep    time.Duration // of kept answers
 	timeout time.Duration // of the service and the pool
+
+	heartbeat time.Duration // between hosts; zero means the default
 }
 
 // fleet is running daemons and the stand-ins around them.
--- a/integration/keeper_test.go
+++ b/integration/keeper_test.go
@@ -52,6 +52,37 @@
 	}
 }
 
+// TestHeartbeatIntervals measures for some intervals what the hosts send and how soon a lost keeper is replaced in the others' view.
+func TestHeartbeatIntervals(t *testing.T) {
+	for _, interval := range []time.Duration{200 * time.Millisecond, 500 * time.Millisecond, time.Second} {
+		t.Run(interval.String(), func(t *testing.T) {
+			f := newFleet(t, plan{places: []string{"x", "x", "x", "x", "x", "x"}, minions: 12, slots: 2, heartbeat: interval})
+			watched := f.entries[3]
+			time.Sleep(3 * time.Second)
+			sent := watched.metric(`chervilusher_peer_bytes_total{direction="sent"}`)
+			time.Sleep(5 * time.Second)
+			sent = (watched.metric(`chervilusher_peer_bytes_total{direction="sent"}`) - sent) / 5
+
+			lost := f.entries[0]
+			lost.kill()
+			begin := time.Now()
+			require.Eventually(t, func() bool {
+				status, err := watched.status()
+				if err != nil {
+					return false
+				}
+				for _, minion := range status.Minions {
+					if minion.Keeper == lost.name {
+						return false
+					}
+				}
+				return len(status.Minions) > 0
+			}, patience, pollEvery)
+			t.Logf("heartbeat %s: %.0f bytes sent a second, keeper replaced after %s", interval, sent, time.Since(begin).Round(10*time.Millisecond))
+		})
+	}
+}
+
 // keptBy returns the names of the minions whose keeper the host is.
 func (f *fleet) keptBy(host *entry) map[string]bool {
 	f.t.Helper()
