Hope for slots of the usual speed as it is learnt

Hosts learn slowness against the mean of the group, where a minion of speed 1 has 1.1, and a keeper that was not asked lately was asked for at most 1.07.

Not yet run with real processes.

--- a/entry/pkg/lending/borrower.go
+++ b/entry/pkg/lending/borrower.go
@@ -43,7 +43,8 @@
 	local    *Keeper                    // this host's own, whose free slots are seen without asking
 	places   map[string]map[string]bool // of the back ends, by group; hosts elsewhere are not asked
 	blocked  map[string]time.Time
-	looked   time.Time // when idle slots were last looked for
+	usual    map[string]float64 // slowness of the slowest slots granted lately, by group
+	looked   time.Time          // when idle slots were last looked for
 	Counts   Counts
 }
 
@@ -84,6 +85,7 @@
 		lenders:  map[string]*lender{},
 		holders:  map[string]*lender{},
 		blocked:  map[string]time.Time{},
+		usual:    map[string]float64{},
 	}
 }
 
@@ -213,8 +215,11 @@
 			from.unused[holding.Backend] += holding.Slots
 			b.Counts.Granted += holding.Slots
 		}
-		if backend := b.backend(holding.Backend); backend != nil && backend.Slowness == 0 {
-			backend.Slowness = holding.Slowness
+		if backend := b.backend(holding.Backend); backend != nil {
+			b.learnUsual(backend.Group, holding.Slowness)
+			if backend.Slowness == 0 {
+				backend.Slowness = holding.Slowness
+			}
 		}
 	}
 	return slots
--- a/entry/pkg/lending/fleet_test.go
+++ b/entry/pkg/lending/fleet_test.go
@@ -29,6 +29,7 @@
 	betweenPlaces = 500 * time.Microsecond // one way
 	roundTrips    = 7 * time.Millisecond   // of the caller and the minion, which the ideal has too
 	meanWork      = 0.9505                 // seconds
+	fleetScale    = 1.1                    // mean speed: hosts learn slowness against the mean of the group
 )
 
 var fleetSpeeds = []float64{0.5, 0.7, 1, 1, 1.4, 2}
@@ -121,7 +122,7 @@
 	for i := range fleetMinions {
 		minion := &blackboard.Backend{
 			Name: fmt.Sprint("minion", i), Place: fmt.Sprint("place", i%fleetPlaces), Group: "minions",
-			Role: platform.RoleMinion, Slots: fleetSlots, Learnt: 1000, Slowness: 1 / fleetSpeeds[(i/fleetPlaces)%len(fleetSpeeds)],
+			Role: platform.RoleMinion, Slots: fleetSlots, Learnt: 1000, Slowness: fleetScale / fleetSpeeds[(i/fleetPlaces)%len(fleetSpeeds)],
 		}
 		host.group.Backends[minion.Name] = minion
 		switch f.policy {
@@ -351,7 +352,7 @@
 			continue
 		}
 		f.started++
-		took := time.Duration(float64(start.Task.Declared) * start.Backend.Slowness)
+		took := time.Duration(float64(start.Task.Declared) * start.Backend.Slowness / fleetScale)
 		f.after(travel+took, func() {
 			f.busy[start.Backend.Name]--
 			if task := start.Task; !task.Queued.Before(f.from) {
--- a/entry/pkg/lending/plan.go
+++ b/entry/pkg/lending/plan.go
@@ -17,8 +17,13 @@
 	blockedDelay = 50 * time.Millisecond
 	// unknownFree is how many free slots are hoped for at a keeper that has not been asked lately.
 	unknownFree = 1
-	// hopedSlowness is the slowness that is hoped for there: a known slot of usual speed is better, a slow one is not.
-	hopedSlowness = 1.02
+	// firstHope is the slowness that is hoped for at a keeper that has not been asked lately, until grants show what is usual.
+	firstHope = 1.02
+	// hopeMargin is added to the usual slowness, so that a known slot of that speed is better and a slow one is not.
+	hopeMargin = 1.02
+	// usualShare is the share of grants that the usual slowness covers, and usualStep how fast it follows them.
+	usualShare = 0.9
+	usualStep  = 0.05
 	// faster is how much faster a free slot elsewhere must be for an idle one to go back at once.
 	faster = 1.1
 )
@@ -211,7 +216,7 @@
 			lender.offers[group] = b.local.offersOf(group, now)
 		}
 		if !known && lender.told[group] == 0 {
-			sources = append(sources, source{lender: lender, cost: hopedSlowness + penalty, free: unknownFree, hoped: true})
+			sources = append(sources, source{lender: lender, cost: b.hope(group) + penalty, free: unknownFree, hoped: true})
 			continue
 		}
 		for _, offer := range lender.offers[group] {
@@ -224,6 +229,28 @@
 	return sources
 }
 
+// hope returns the slowness that most of the slots granted lately kept within.
+func (b *Borrower) hope(group string) float64 {
+	usual, ok := b.usual[group]
+	if !ok {
+		return firstHope
+	}
+	return usual * hopeMargin
+}
+
+// learnUsual moves the usual slowness towards the quantile of what is granted.
+func (b *Borrower) learnUsual(group string, granted float64) {
+	usual, ok := b.usual[group]
+	switch {
+	case !ok:
+		b.usual[group] = granted
+	case granted > usual:
+		b.usual[group] = usual + usualStep*usualShare
+	default:
+		b.usual[group] = usual - usualStep*(1-usualShare)
+	}
+}
+
 // serves reports whether the lender's place has back ends of the group.
 func (b *Borrower) serves(lender *lender, group string) bool {
 	return b.places == nil || b.places[group][lender.Place]
