Test that an outcome of an earlier attempt is dropped

Cause: a start that reached nothing once took its number back, so that the next start had the same one.

--- a/entry/pkg/controllers/submission_controller_test.go
+++ b/entry/pkg/controllers/submission_controller_test.go
@@ -90,3 +90,27 @@
 	require.NotZero(t, refusal.RetryAfter)
 	require.Equal(t, 1, home.submissions.Open())
 }
+
+func TestOutcomeOfAnEarlierAttemptIsDropped(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	home, submit := newHomeWithOneMinion(t, clock)
+	submit("k")
+	first := home.outbox[0]
+	home.outbox = nil
+	home.waiting++
+	home.finish(&first, dispatch.Outcome{Verdict: dispatch.VerdictNotRun, Error: "refused"})
+	for range 100 {
+		clock.Advance(100 * time.Millisecond)
+		home.tick()
+	}
+	require.Len(t, home.outbox, 1)
+	second := home.outbox[0]
+	require.NotEqual(t, first.ID, second.ID)
+	late := dispatch.Outcome{Verdict: dispatch.VerdictDone, Value: json.RawMessage(`"late"`)}
+	_, stale := home.engine.Finish(first.Task, first.Attempt, late, clock.Now())
+	require.True(t, stale)
+	require.Equal(t, api.StateRunning, submit("k").State)
+	_, stale = home.engine.Finish(second.Task, second.Attempt, dispatch.Outcome{Verdict: dispatch.VerdictDone, Value: json.RawMessage(`"m"`)}, clock.Now())
+	require.False(t, stale)
+	require.JSONEq(t, `"m"`, string(submit("k").Results[0].Value))
+}
