Lease workers only while there is use for them

Ruled out: heartbeats (0.67 KB a second) and the host list (changes only). A longer lease alone was not chosen: the workers of a dead keeper would wait for it to lapse. Change: a keeper takes leases when a host asks for the group of workers, keeps them while slots are lent or were asked for in the last 30 s, and lets the others lapse. A lapsed lease is taken anew, since a worker refuses a renewal under a fence that has lapsed.

--- a/entry/pkg/controllers/lease_controller.go
+++ b/entry/pkg/controllers/lease_controller.go
@@ -27,22 +27,37 @@
 	GiveBack(ctx context.Context, address string, fence int64) error
 }
 
+// LeaseDemand tells which workers have use for a lease.
+type LeaseDemand interface {
+	// WantsLease reports whether work waits for the worker or runs on it; the dispatch lock is held.
+	WantsLease(worker *blackboard.Backend, now time.Time) bool
+	// Wanted receives when a worker without use for a lease has come to have one; it may be nil.
+	Wanted() <-chan struct{}
+}
+
 // LeaseController holds the leases of the workers whose keeper this host is.
 type LeaseController struct {
 	common   *common.Common
 	board    *blackboard.Board
 	leaser   Leaser
 	assigner Assigner
+	demand   LeaseDemand
 	calls    sync.Mutex // held while leases are renewed or given back
 	ended    bool
 }
 
 // NewLeaseController returns the controller.
-func NewLeaseController(c *common.Common, board *blackboard.Board, leaser Leaser, assigner Assigner) *LeaseController {
-	return &LeaseController{common: c.Prefixed("lease"), board: board, leaser: leaser, assigner: assigner}
+func NewLeaseController(
+	c *common.Common,
+	board *blackboard.Board,
+	leaser Leaser,
+	assigner Assigner,
+	demand LeaseDemand,
+) *LeaseController {
+	return &LeaseController{common: c.Prefixed("lease"), board: board, leaser: leaser, assigner: assigner, demand: demand}
 }
 
-// Serve renews the leases until the context ends, and then gives them back.
+// Serve takes and renews the leases that there is use for until the context ends; the others lapse.
 func (l *LeaseController) Serve(ctx context.Context) {
 	ticker := l.common.Clock.NewTicker(l.common.Settings.Lease.Length.Std() / renewalsPerLease)
 	defer ticker.Stop()
@@ -52,6 +67,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.Chan():
+		case <-l.demand.Wanted():
 		}
 	}
 }
@@ -63,10 +79,7 @@
 	l.ended = true
 	var calls errgroup.Group
 	calls.SetLimit(leaseCalls)
-	for _, backend := range l.workers() {
-		if backend.Lease.Fence == 0 {
-			continue
-		}
+	for _, backend := range l.held() {
 		calls.Go(func() error {
 			if err := l.leaser.GiveBack(ctx, backend.Address, backend.Lease.Fence); err != nil {
 				l.common.Log.WithError(err).WithField("worker", backend.Name).Warn("cannot give back a lease; it lapses by itself")
@@ -94,7 +107,7 @@
 	renewed := 0
 	var calls errgroup.Group
 	calls.SetLimit(leaseCalls)
-	for _, backend := range l.workers() {
+	for _, backend := range l.wanting() {
 		if keeper.Of(backend.Name, backend.Place, members) != l.common.Settings.Name {
 			continue
 		}
@@ -114,9 +127,11 @@
 	asked := l.common.Clock.Now()
 	request := platform.LeaseRequest{
 		Holder: l.common.Settings.Name + "/" + l.common.Incarnation,
-		Fence:  worker.Lease.Fence,
 		Length: jsontime.Duration(length),
 	}
+	if worker.Leased(asked) {
+		request.Fence = worker.Lease.Fence
+	}
 	ctx, cancel := context.WithTimeout(ctx, length/renewalsPerLease)
 	defer cancel()
 	lease, held, err := l.leaser.Lease(ctx, worker.Address, request)
@@ -151,8 +166,20 @@
 	}
 }
 
-// workers returns copies of the workers of this place.
-func (l *LeaseController) workers() []blackboard.Backend {
+// held returns copies of the workers that this host has a lease of.
+func (l *LeaseController) held() []blackboard.Backend {
+	now := l.common.Clock.Now()
+	return l.workers(func(worker *blackboard.Backend) bool { return worker.Leased(now) })
+}
+
+// wanting returns copies of the workers that there is use for a lease of.
+func (l *LeaseController) wanting() []blackboard.Backend {
+	now := l.common.Clock.Now()
+	return l.workers(func(worker *blackboard.Backend) bool { return l.demand.WantsLease(worker, now) })
+}
+
+// workers returns copies of the workers of this place that the condition holds for.
+func (l *LeaseController) workers(condition func(worker *blackboard.Backend) bool) []blackboard.Backend {
 	l.board.Dispatch.Lock()
 	defer l.board.Dispatch.Unlock()
 	var workers []blackboard.Backend
@@ -161,7 +188,7 @@
 			continue
 		}
 		for _, backend := range group.Backends {
-			if backend.Place == l.common.Settings.Place {
+			if backend.Place == l.common.Settings.Place && condition(backend) {
 				workers = append(workers, *backend)
 			}
 		}
--- a/entry/pkg/controllers/lending_controller.go
+++ b/entry/pkg/controllers/lending_controller.go
@@ -48,6 +48,8 @@
 	keeper   *lending.Keeper   // the dispatch lock guards it
 	borrower *lending.Borrower // likewise
 	counts   lending.Counts
+	asked    map[string]time.Time // when each group of workers was last asked for; the dispatch lock guards it
+	wanted   chan struct{}
 }
 
 // NewLendingController returns the controller and adds its methods to the server of peers.
@@ -69,6 +71,8 @@
 		runner: runner,
 		client: client,
 		wake:   make(chan struct{}, 1),
+		asked:  map[string]time.Time{},
+		wanted: make(chan struct{}, 1),
 		keeper: slots,
 		borrower: lending.NewBorrower(&board.Dispatch, slots, engine, lending.Options{
 			Host:        c.Settings.Name,
@@ -84,10 +88,7 @@
 
 // Wake lets the controller look at the queues soon; it never blocks.
 func (l *LendingController) Wake() {
-	select {
-	case l.wake <- struct{}{}:
-	default:
-	}
+	wakeUp(l.wake)
 }
 
 // Serve borrows and lends until the context ends.
@@ -173,6 +174,7 @@
 				continue
 			}
 			now := l.common.Clock.Now()
+			l.noteDemand(call.Ask, now)
 			answer := l.keeper.Serve(call.Ask, now)
 			effects.Append(l.answered(&call, answer, now))
 			again = again || len(answer.Granted) > 0
@@ -233,8 +235,10 @@
 }
 
 func (l *LendingController) serveBorrow(_ context.Context, ask *peer.BorrowRequest) (*peer.BorrowResponse, error) {
+	now := l.common.Clock.Now()
 	l.board.Dispatch.Lock()
-	answer := l.keeper.Serve(ask, l.common.Clock.Now())
+	l.noteDemand(ask, now)
+	answer := l.keeper.Serve(ask, now)
 	l.board.Dispatch.Unlock()
 	if len(ask.Returned) > 0 {
 		l.Wake()
--- a/entry/pkg/lending/keeper.go
+++ b/entry/pkg/lending/keeper.go
@@ -121,6 +121,15 @@
 	return pushes
 }
 
+// Lent returns how many slots of a back end are lent out.
+func (k *Keeper) Lent(backend string) int {
+	entry, ok := k.backends[backend]
+	if !ok {
+		return 0
+	}
+	return entry.lent
+}
+
 // Refused takes back what a push lent to a host that did not take it.
 func (k *Keeper) Refused(push *Push) {
 	refusing, ok := k.borrowers[push.Host]
