--- /dev/null
+++ b/entry/pkg/peer/size_bench_test.go
@@ -0,0 +1,64 @@
+package peer
+
+import (
+	"encoding/json"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"chervilusher.dev/entry/pkg/lending"
+	"chervilusher.dev/lib/api"
+)
+
+// BenchmarkSubmitSize reports the bytes of a forwarded submission by its number of tasks.
+func BenchmarkSubmitSize(b *testing.B) {
+	for _, tasks := range []int{1, 29, 290} {
+		b.Run(strconv.Itoa(tasks), func(b *testing.B) {
+			request := &SubmitRequest{
+				Identity: Identity{Owner: "hokkaido", Incarnation: "0123456789abcdef", Window: time.Now().UnixMilli(), Key: "0b1f3f0e-8f0a-4a58-9e6e-2f6c6f3d9a11"},
+				Digest:   1 << 60,
+			}
+			for range tasks {
+				request.Submission.Tasks = append(request.Submission.Tasks, api.Task{
+					Service: "desk", Kind: "stock", Payload: json.RawMessage(`{"work":"100ms","echo":"0123456789"}`),
+				})
+			}
+			measureSize(b, request)
+		})
+	}
+}
+
+// BenchmarkLendingSize reports the bytes of the messages of a loan by the number of back ends in them.
+func BenchmarkLendingSize(b *testing.B) {
+	for _, backends := range []int{1, 8, 64} {
+		holdings := make([]lending.Holding, backends)
+		for i := range holdings {
+			holdings[i] = lending.Holding{Backend: "orders-desk-" + strconv.Itoa(i), Slots: 8, Slowness: 0.9123}
+		}
+		b.Run("ask/"+strconv.Itoa(backends), func(b *testing.B) {
+			measureSize(b, &lending.Ask{
+				Host: "entry-1", Incarnation: "0123456789abcdef", Epoch: 7, Returned: holdings,
+				Demands: []lending.Demand{{Want: lending.Want{Group: "orders-desk"}, Count: 12, Limit: 1.1, Later: 12}},
+			})
+		})
+		b.Run("answer/"+strconv.Itoa(backends), func(b *testing.B) {
+			measureSize(b, &lending.Answer{
+				Granted: holdings, Length: 2 * time.Second,
+				Offers: []lending.Offer{{Group: "orders-desk", Slowness: 0.7, Free: 3}, {Group: "orders-desk", Slowness: 1, Free: 9}},
+			})
+		})
+	}
+}
+
+func measureSize(b *testing.B, message any) {
+	b.Helper()
+	size := 0
+	for b.Loop() {
+		raw, err := encoding{}.Marshal(message)
+		require.NoError(b, err)
+		size = len(raw)
+	}
+	b.ReportMetric(float64(size), "bytes/message")
+}
