Name the record of a home that left after the handover

A newcomer takes legacy for old code. The controller, its messages, its metrics and its log prefix now say handover and record.

--- a/entry/pkg/app/daemon.go
+++ b/entry/pkg/app/daemon.go
@@ -58,7 +58,7 @@
 	dispatcher  *controllers.DispatchController
 	leases      *controllers.LeaseController
 	submissions *controllers.SubmissionController
-	legacies    *controllers.LegacyController
+	handovers   *controllers.HandoverController
 	drains      *drainRequest
 	services    []service
 }
@@ -113,8 +113,8 @@
 	inForce := func() *configuration.State { return board.Configuration.Load().State }
 	recorder := burn.New(c.Settings.Name, c.Clock, inForce)
 	submissions := controllers.NewSubmissionController(c, board, engine, entries, tickets, dispatcher, recorder)
-	legacies := controllers.NewLegacyController(c, board, peerClient, peerServer)
-	routing := controllers.NewRoutingController(c, board, tickets, submissions, peerClient, legacies, peerServer)
+	handovers := controllers.NewHandoverController(c, board, peerClient, peerServer)
+	routing := controllers.NewRoutingController(c, board, tickets, submissions, peerClient, handovers, peerServer)
 	logClient := logservice.New(c.Settings.Platform.Log, platformClient)
 	configurations := controllers.NewConfigurationController(c, board, logClient, peerClient, peerServer)
 	members := controllers.NewMembersController(c, board, peerClient, peerServer, configurations)
@@ -127,7 +127,7 @@
 	members.ReadHosts(hosts)
 	drains := newDrainRequest(submissions)
 
-	services := []service{dispatcher, submissions, legacies, leases, hosts, configurations, members}
+	services := []service{dispatcher, submissions, handovers, leases, hosts, configurations, members}
 	if c.Settings.Policy.Lending == "loans" {
 		dispatcher.Observe(loans.Wake)
 		services = append(services, loans)
@@ -143,7 +143,7 @@
 		dispatcher:  dispatcher,
 		leases:      leases,
 		submissions: submissions,
-		legacies:    legacies,
+		handovers:   handovers,
 		drains:      drains,
 		services:    services,
 	}
--- a/entry/pkg/app/drain.go
+++ b/entry/pkg/app/drain.go
@@ -23,7 +23,7 @@
 	d.finishWork()
 	ctx, cancel := context.WithTimeout(context.Background(), goodbyeTimeout)
 	defer cancel()
-	d.legacies.HandOver(ctx, d.submissions.Export())
+	d.handovers.HandOver(ctx, d.submissions.Export())
 	d.leases.GiveBackAll(ctx)
 	if err := d.callers.Shutdown(ctx); err != nil {
 		d.common.Log.WithError(err).Error("some callers were cut off")
--- a/entry/pkg/controllers/legacy_controller.go
+++ b/entry/pkg/controllers/handover_controller.go
@@ -19,34 +19,34 @@
 )
 
 const (
-	// legacyHosts is how many hosts are asked for the record of a home that does not answer.
-	legacyHosts = 3
-	// legacyTimeout bounds one question for such a record.
-	legacyTimeout = time.Second
+	// recordHosts is how many hosts are asked for the record of a home that does not answer.
+	recordHosts = 3
+	// recordTimeout bounds one question for such a record.
+	recordTimeout = time.Second
 	// handoverPartBytes and handoverPartEntries bound one part of a record that is handed over.
 	handoverPartBytes   = 1 << 20
 	handoverPartEntries = 2000
 )
 
 var (
-	legacyEntries = metrics.NewGauge(`chervilusher_legacy_entries`, nil)
-	legacyBytes   = metrics.NewGauge(`chervilusher_legacy_bytes`, nil)
+	recordEntries = metrics.NewGauge(`chervilusher_handover_entries`, nil)
+	recordBytes   = metrics.NewGauge(`chervilusher_handover_bytes`, nil)
 )
 
-// LegacyController keeps the records of homes that have left, and hands this home's own on when it leaves.
-type LegacyController struct {
+// HandoverController keeps the records of homes that have left, and hands this home's own on when it leaves.
+type HandoverController struct {
 	common *common.Common
 	board  *blackboard.Board
 	client *peer.Client
 
-	mu       sync.Mutex
-	legacies map[string]*legacy // by the home's incarnation
-	entries  int
-	bytes    int64
+	mu      sync.Mutex
+	records map[string]*handedRecord // by the home's incarnation
+	entries int
+	bytes   int64
 }
 
-// legacy is the record of one home that has left.
-type legacy struct {
+// handedRecord is the record of one home that has left.
+type handedRecord struct {
 	place    string
 	floor    int64
 	whole    bool
@@ -55,59 +55,59 @@
 	bytes    int64
 }
 
-// NewLegacyController returns the controller and adds its methods to the server of peers.
-func NewLegacyController(c *common.Common, board *blackboard.Board, client *peer.Client, server *peer.Server) *LegacyController {
-	controller := &LegacyController{common: c.Prefixed("legacy"), board: board, client: client, legacies: map[string]*legacy{}}
+// NewHandoverController returns the controller and adds its methods to the server of peers.
+func NewHandoverController(c *common.Common, board *blackboard.Board, client *peer.Client, server *peer.Server) *HandoverController {
+	controller := &HandoverController{common: c.Prefixed("handover"), board: board, client: client, records: map[string]*handedRecord{}}
 	peer.Handle(server, peer.MethodHandover, func(_ context.Context, part *peer.HandoverRequest) (*peer.HandoverResponse, error) {
 		return &peer.HandoverResponse{Kept: controller.keep(part)}, nil
 	})
-	peer.Handle(server, peer.MethodLegacy, func(_ context.Context, request *peer.LegacyRequest) (*peer.LegacyResponse, error) {
+	peer.Handle(server, peer.MethodRecord, func(_ context.Context, request *peer.RecordRequest) (*peer.RecordResponse, error) {
 		return controller.look(request), nil
 	})
 	return controller
 }
 
 // Serve forgets old records until the context ends.
-func (l *LegacyController) Serve(ctx context.Context) {
-	ticker := l.common.Clock.NewTicker(forgetInterval)
+func (h *HandoverController) Serve(ctx context.Context) {
+	ticker := h.common.Clock.NewTicker(forgetInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.Chan():
-			l.expire()
+			h.expire()
 		}
 	}
 }
 
 // HandOver gives the record of this home, and those that it keeps for others, to the first host that takes them.
-func (l *LegacyController) HandOver(ctx context.Context, record ledger.Record) {
-	own := peer.HandoverRequest{Incarnation: l.common.Incarnation, Place: l.common.Settings.Place, Floor: record.Floor}
+func (h *HandoverController) HandOver(ctx context.Context, record ledger.Record) {
+	own := peer.HandoverRequest{Incarnation: h.common.Incarnation, Place: h.common.Settings.Place, Floor: record.Floor}
 	records := [][]peer.HandoverRequest{partsOf(own, handedEntries(record))}
-	l.mu.Lock()
-	for incarnation, kept := range l.legacies {
+	h.mu.Lock()
+	for incarnation, kept := range h.records {
 		if kept.whole {
 			head := peer.HandoverRequest{Incarnation: incarnation, Place: kept.place, Floor: kept.floor}
 			records = append(records, partsOf(head, valuesOf(kept.entries)))
 		}
 	}
-	l.mu.Unlock()
+	h.mu.Unlock()
 	for _, parts := range records {
-		l.handOver(ctx, parts)
+		h.handOver(ctx, parts)
 	}
 }
 
 // Ask returns what the likely keepers of a home's record know of a submission, or nil.
-func (l *LegacyController) Ask(ctx context.Context, request *peer.LegacyRequest) *api.Answer {
-	if response := l.look(request); response.Known {
+func (h *HandoverController) Ask(ctx context.Context, request *peer.RecordRequest) *api.Answer {
+	if response := h.look(request); response.Known {
 		return &response.Answer
 	}
-	for i, member := range l.candidates(request.Identity.Incarnation, request.Identity.Place) {
-		if i == legacyHosts {
+	for i, member := range h.candidates(request.Identity.Incarnation, request.Identity.Place) {
+		if i == recordHosts {
 			break
 		}
-		response, err := l.ask(ctx, &member, request)
+		response, err := h.ask(ctx, &member, request)
 		if err == nil && response.Known {
 			return &response.Answer
 		}
@@ -115,30 +115,30 @@
 	return nil
 }
 
-func (l *LegacyController) ask(ctx context.Context, member *blackboard.Member, request *peer.LegacyRequest) (*peer.LegacyResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, legacyTimeout)
+func (h *HandoverController) ask(ctx context.Context, member *blackboard.Member, request *peer.RecordRequest) (*peer.RecordResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
-	return peer.Call[peer.LegacyRequest, peer.LegacyResponse](ctx, l.client, member.Address, peer.MethodLegacy, request)
+	return peer.Call[peer.RecordRequest, peer.RecordResponse](ctx, h.client, member.Address, peer.MethodRecord, request)
 }
 
-func (l *LegacyController) handOver(ctx context.Context, parts []peer.HandoverRequest) {
+func (h *HandoverController) handOver(ctx context.Context, parts []peer.HandoverRequest) {
 	incarnation := parts[0].Incarnation
-	for _, member := range l.candidates(incarnation, parts[0].Place) {
+	for _, member := range h.candidates(incarnation, parts[0].Place) {
 		if member.Leaving {
 			continue
 		}
-		if l.send(ctx, &member, parts) {
-			l.common.Log.WithField("to", member.Name).WithField("of", incarnation).Info("kept answers are handed over")
+		if h.send(ctx, &member, parts) {
+			h.common.Log.WithField("to", member.Name).WithField("of", incarnation).Info("kept answers are handed over")
 			return
 		}
 	}
-	l.common.Log.WithField("of", incarnation).Warn("no host takes the kept answers; later questions get unknown")
+	h.common.Log.WithField("of", incarnation).Warn("no host takes the kept answers; later questions get unknown")
 }
 
-func (l *LegacyController) send(ctx context.Context, member *blackboard.Member, parts []peer.HandoverRequest) bool {
+func (h *HandoverController) send(ctx context.Context, member *blackboard.Member, parts []peer.HandoverRequest) bool {
 	for i := range parts {
-		callCtx, cancel := context.WithTimeout(ctx, 2*legacyTimeout)
-		response, err := peer.Call[peer.HandoverRequest, peer.HandoverResponse](callCtx, l.client, member.Address, peer.MethodHandover, &parts[i])
+		callCtx, cancel := context.WithTimeout(ctx, 2*recordTimeout)
+		response, err := peer.Call[peer.HandoverRequest, peer.HandoverResponse](callCtx, h.client, member.Address, peer.MethodHandover, &parts[i])
 		cancel()
 		if err != nil || !response.Kept {
 			return false
@@ -148,10 +148,10 @@
 }
 
 // candidates returns the other live hosts in the same order at every host, those of the place first.
-func (l *LegacyController) candidates(incarnation, place string) []blackboard.Member {
+func (h *HandoverController) candidates(incarnation, place string) []blackboard.Member {
 	var members []blackboard.Member
-	for _, member := range l.board.Members.Load().ByName {
-		if member.Alive && member.Name != l.common.Settings.Name {
+	for _, member := range h.board.Members.Load().ByName {
+		if member.Alive && member.Name != h.common.Settings.Name {
 			members = append(members, member)
 		}
 	}
@@ -170,32 +170,32 @@
 }
 
 // keep takes in one part of a record, unless that would pass the bounds.
-func (l *LegacyController) keep(part *peer.HandoverRequest) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.board.Draining.Load() {
+func (h *HandoverController) keep(part *peer.HandoverRequest) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.board.Draining.Load() {
 		return false
 	}
-	held, ok := l.legacies[part.Incarnation]
+	held, ok := h.records[part.Incarnation]
 	if !ok {
-		held = &legacy{entries: map[ledger.ID]peer.HandedEntry{}}
-		l.legacies[part.Incarnation] = held
+		held = &handedRecord{entries: map[ledger.ID]peer.HandedEntry{}}
+		h.records[part.Incarnation] = held
 	}
 	held.place = part.Place
 	held.floor = part.Floor
-	held.received = l.common.Clock.Now()
+	held.received = h.common.Clock.Now()
 	for _, entry := range part.Entries {
-		if l.entries >= l.common.Settings.Ticket.Entries || l.bytes+answerSize(entry.Answer) > l.common.Settings.Ticket.Bytes {
-			l.drop(part.Incarnation)
+		if h.entries >= h.common.Settings.Ticket.Entries || h.bytes+answerSize(entry.Answer) > h.common.Settings.Ticket.Bytes {
+			h.drop(part.Incarnation)
 			return false
 		}
-		l.add(held, entry)
+		h.add(held, entry)
 	}
 	held.whole = held.whole || part.Last
 	return true
 }
 
-func (l *LegacyController) add(held *legacy, entry peer.HandedEntry) {
+func (h *HandoverController) add(held *handedRecord, entry peer.HandedEntry) {
 	id := ledger.ID{Owner: entry.Owner, Window: entry.Window, Key: entry.Key}
 	if _, known := held.entries[id]; known {
 		return
@@ -203,51 +203,51 @@
 	held.entries[id] = entry
 	size := answerSize(entry.Answer)
 	held.bytes += size
-	l.bytes += size
-	l.entries++
+	h.bytes += size
+	h.entries++
 }
 
-func (l *LegacyController) drop(incarnation string) {
-	held := l.legacies[incarnation]
-	l.bytes -= held.bytes
-	l.entries -= len(held.entries)
-	delete(l.legacies, incarnation)
+func (h *HandoverController) drop(incarnation string) {
+	held := h.records[incarnation]
+	h.bytes -= held.bytes
+	h.entries -= len(held.entries)
+	delete(h.records, incarnation)
 }
 
 // look answers from the records kept here; only a whole record can tell that a submission was never taken.
-func (l *LegacyController) look(request *peer.LegacyRequest) *peer.LegacyResponse {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+func (h *HandoverController) look(request *peer.RecordRequest) *peer.RecordResponse {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	identity := &request.Identity
-	held, ok := l.legacies[identity.Incarnation]
+	held, ok := h.records[identity.Incarnation]
 	if !ok || !held.whole {
-		return &peer.LegacyResponse{}
+		return &peer.RecordResponse{}
 	}
 	entry, found := held.entries[ledgerID(identity)]
 	switch {
 	case found && request.Digest != 0 && entry.Digest != 0 && entry.Digest != request.Digest:
-		return &peer.LegacyResponse{Known: true, Answer: *mismatch()}
+		return &peer.RecordResponse{Known: true, Answer: *mismatch()}
 	case found && entry.Answer != nil:
-		return &peer.LegacyResponse{Known: true, Answer: *entry.Answer}
+		return &peer.RecordResponse{Known: true, Answer: *entry.Answer}
 	case found || identity.Window < held.floor:
-		return &peer.LegacyResponse{Known: true, Answer: *forgotten()}
+		return &peer.RecordResponse{Known: true, Answer: *forgotten()}
 	default:
-		return &peer.LegacyResponse{Known: true, Answer: *neverTaken()}
+		return &peer.RecordResponse{Known: true, Answer: *neverTaken()}
 	}
 }
 
-func (l *LegacyController) expire() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	age := l.common.Settings.Ticket.Window.Std() + l.common.Settings.Ticket.Keep.Std()
-	now := l.common.Clock.Now()
-	for incarnation, held := range l.legacies {
+func (h *HandoverController) expire() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	age := h.common.Settings.Ticket.Window.Std() + h.common.Settings.Ticket.Keep.Std()
+	now := h.common.Clock.Now()
+	for incarnation, held := range h.records {
 		if now.Sub(held.received) > age {
-			l.drop(incarnation)
+			h.drop(incarnation)
 		}
 	}
-	legacyEntries.Set(float64(l.entries))
-	legacyBytes.Set(float64(l.bytes))
+	recordEntries.Set(float64(h.entries))
+	recordBytes.Set(float64(h.bytes))
 }
 
 func handedEntries(record ledger.Record) []peer.HandedEntry {
--- a/entry/pkg/controllers/legacy_controller_test.go
+++ b/entry/pkg/controllers/handover_controller_test.go
@@ -23,7 +23,7 @@
 		host := newSimHost(asker, "x", 1, clockwork.NewFakeClock())
 		host.board.Members.Store(members)
 		var names []string
-		for _, member := range host.legacies.candidates("incarnation", "y") {
+		for _, member := range host.handovers.candidates("incarnation", "y") {
 			require.NotEqual(t, "h7", member.Name, "it is not alive")
 			names = append(names, member.Name)
 		}
--- a/entry/pkg/controllers/randomised_test.go
+++ b/entry/pkg/controllers/randomised_test.go
@@ -106,7 +106,7 @@
 		if host.dead || host.paused || !w.reach(through.name, host.name) {
 			continue
 		}
-		if kept := host.legacies.look(&peer.LegacyRequest{Identity: *identity, Digest: digest}); kept.Known {
+		if kept := host.handovers.look(&peer.RecordRequest{Identity: *identity, Digest: digest}); kept.Known {
 			return &kept.Answer
 		}
 	}
@@ -270,10 +270,10 @@
 	entries, bytes := h.ledger.Size()
 	require.LessOrEqual(panicking{}, entries, simEntries)
 	require.LessOrEqual(panicking{}, bytes, int64(simBytes))
-	h.legacies.mu.Lock()
-	defer h.legacies.mu.Unlock()
-	require.LessOrEqual(panicking{}, h.legacies.entries, simEntries)
-	require.LessOrEqual(panicking{}, h.legacies.bytes, int64(simBytes))
+	h.handovers.mu.Lock()
+	defer h.handovers.mu.Unlock()
+	require.LessOrEqual(panicking{}, h.handovers.entries, simEntries)
+	require.LessOrEqual(panicking{}, h.handovers.bytes, int64(simBytes))
 }
 
 // panicking lets require report into rapid, which takes a panic as a failure and shrinks the run.
--- a/entry/pkg/controllers/routing_controller.go
+++ b/entry/pkg/controllers/routing_controller.go
@@ -32,12 +32,12 @@
 
 // RoutingController takes each submission to its home: this process or another host.
 type RoutingController struct {
-	common   *common.Common
-	board    *blackboard.Board
-	tickets  *ticket.Issuer
-	home     Home
-	client   *peer.Client
-	legacies *LegacyController
+	common    *common.Common
+	board     *blackboard.Board
+	tickets   *ticket.Issuer
+	home      Home
+	client    *peer.Client
+	handovers *HandoverController
 }
 
 // NewRoutingController returns the controller and adds the home's methods to the server of peers.
@@ -47,10 +47,10 @@
 	tickets *ticket.Issuer,
 	home Home,
 	client *peer.Client,
-	legacies *LegacyController,
+	handovers *HandoverController,
 	server *peer.Server,
 ) *RoutingController {
-	routing := &RoutingController{common: c.Prefixed("routing"), board: board, tickets: tickets, home: home, client: client, legacies: legacies}
+	routing := &RoutingController{common: c.Prefixed("routing"), board: board, tickets: tickets, home: home, client: client, handovers: handovers}
 	peer.Handle(server, peer.MethodSubmit, answering(c.Incarnation, home.Submit))
 	peer.Handle(server, peer.MethodWait, answering(c.Incarnation, home.Wait))
 	peer.Handle(server, peer.MethodCancel, answering(c.Incarnation, home.Cancel))
@@ -63,7 +63,7 @@
 		return r.home.Submit(ctx, request)
 	}
 	answer := forward(ctx, r, claims, peer.MethodSubmit, request, request.Wait)
-	return r.orLegacy(ctx, answer, &peer.LegacyRequest{Identity: request.Identity, Digest: request.Digest})
+	return r.orHandedOver(ctx, answer, &peer.RecordRequest{Identity: request.Identity, Digest: request.Digest})
 }
 
 // Wait asks a submission's home for its answer.
@@ -72,7 +72,7 @@
 		return r.home.Wait(ctx, request)
 	}
 	answer := forward(ctx, r, claims, peer.MethodWait, request, request.Wait)
-	return r.orLegacy(ctx, answer, &peer.LegacyRequest{Identity: request.Identity})
+	return r.orHandedOver(ctx, answer, &peer.RecordRequest{Identity: request.Identity})
 }
 
 // Cancel tells a submission's home to cancel it.
@@ -81,16 +81,16 @@
 		return r.home.Cancel(ctx, request)
 	}
 	answer := forward(ctx, r, claims, peer.MethodCancel, request, 0)
-	return r.orLegacy(ctx, answer, &peer.LegacyRequest{Identity: request.Identity})
+	return r.orHandedOver(ctx, answer, &peer.RecordRequest{Identity: request.Identity})
 }
 
-// orLegacy asks the hosts that a leaving home hands its record to, when the home itself does not answer.
-func (r *RoutingController) orLegacy(ctx context.Context, answer *api.Answer, request *peer.LegacyRequest) *api.Answer {
+// orHandedOver asks the hosts that a leaving home hands its record to, when the home itself does not answer.
+func (r *RoutingController) orHandedOver(ctx context.Context, answer *api.Answer, request *peer.RecordRequest) *api.Answer {
 	silent := answer.Code == api.CodeUnavailable && answer.Ran == api.RanUnknown
 	if !silent && answer.Code != api.CodeHomeLost {
 		return answer
 	}
-	if kept := r.legacies.Ask(ctx, request); kept != nil {
+	if kept := r.handovers.Ask(ctx, request); kept != nil {
 		return kept
 	}
 	return answer
--- a/entry/pkg/controllers/simhost_test.go
+++ b/entry/pkg/controllers/simhost_test.go
@@ -46,7 +46,7 @@
 	ledger      *ledger.Ledger
 	tickets     *ticket.Issuer
 	submissions *SubmissionController
-	legacies    *LegacyController
+	handovers   *HandoverController
 	outbox      []dispatch.Start // decided and not yet sent
 	stops       []dispatch.Stop
 	waiting     int // starts whose outcome has not come
@@ -97,7 +97,7 @@
 	h.tickets = ticket.New(loaded.Ticket.Key, name, place, c.Incarnation, limits.Window, clock)
 	inForce := func() *configuration.State { return h.board.Configuration.Load().State }
 	h.submissions = NewSubmissionController(c, h.board, h.engine, h.ledger, h.tickets, h, burn.New(name, clock, inForce))
-	h.legacies = NewLegacyController(c, h.board, nil, peer.NewServer())
+	h.handovers = NewHandoverController(c, h.board, nil, peer.NewServer())
 	return h
 }
 
@@ -120,7 +120,7 @@
 	now := h.common.Clock.Now()
 	h.Run(h.engine.Tick(now))
 	h.ledger.Expire(now)
-	h.legacies.expire()
+	h.handovers.expire()
 }
 
 // takeBackends takes the host list over and gives this host all slots of the minions.
--- a/entry/pkg/peer/messages.go
+++ b/entry/pkg/peer/messages.go
@@ -13,7 +13,7 @@
 	MethodCancel = "cancel"
 
 	MethodHandover = "handover"
-	MethodLegacy   = "legacy"
+	MethodRecord   = "record"
 )
 
 // Identity names a submission at its home.
@@ -85,14 +85,14 @@
 	Kept bool `json:"kept"`
 }
 
-// LegacyRequest asks for a submission of a home that may have left.
-type LegacyRequest struct {
+// RecordRequest asks for a submission of a home that may have left.
+type RecordRequest struct {
 	Identity Identity `json:"id"`
 	Digest   uint64   `json:"sum"` // of a submission that is sent again; zero otherwise
 }
 
-// LegacyResponse carries the answer, if the host has that home's record.
-type LegacyResponse struct {
+// RecordResponse carries the answer, if the host has that home's record.
+type RecordResponse struct {
 	Known  bool       `json:"known"`
 	Answer api.Answer `json:"ans"`
 }
