Count empty asks by cause and let the lending bench learn speeds

Real processes wasted more asks than the bench, which knows all speeds. The counter chervilusher_lending_empty_total{cause} tells whether an empty ask relied on an offer (stale), on none (hoped) or left demand with the keeper (waiting); the bench can run its hosts with the real estimator.

Ruled out: remembered demand counted as waste (none was left), asks of the own keeper (not counted), failed calls (none), a difference between real processes and the bench other than what the hosts know of the speeds.

--- a/entry/pkg/controllers/lending_controller.go
+++ b/entry/pkg/controllers/lending_controller.go
@@ -33,6 +33,9 @@
 	borrowEmpty  = metrics.NewCounter(`chervilusher_lending_calls_total{kind="empty"}`)
 	borrowFailed = metrics.NewCounter(`chervilusher_lending_calls_total{kind="failed"}`)
 	pushCalls    = metrics.NewCounter(`chervilusher_lending_calls_total{kind="push"}`)
+	emptyHoped   = metrics.NewCounter(`chervilusher_lending_empty_total{cause="hoped"}`)
+	emptyStale   = metrics.NewCounter(`chervilusher_lending_empty_total{cause="stale"}`)
+	emptyWaiting = metrics.NewCounter(`chervilusher_lending_empty_total{cause="waiting"}`)
 	slotsUnused  = metrics.NewCounter(`chervilusher_lending_unused_slots_total`)
 )
 
@@ -156,6 +159,9 @@
 	now := l.borrower.Counts
 	borrowCalls.Add(now.Asks - l.counts.Asks)
 	borrowEmpty.Add(now.Empty - l.counts.Empty)
+	emptyHoped.Add(now.Hoped - l.counts.Hoped)
+	emptyStale.Add(now.Stale - l.counts.Stale)
+	emptyWaiting.Add(now.Waiting - l.counts.Waiting)
 	slotsUnused.Add(now.Unused - l.counts.Unused)
 	l.counts = now
 }
--- a/entry/pkg/lending/borrower.go
+++ b/entry/pkg/lending/borrower.go
@@ -52,6 +52,9 @@
 type Counts struct {
 	Asks     int // that went to another host
 	Empty    int // of them, that asked for slots and got none
+	Hoped    int // of the empty ones, that went to a keeper of which nothing was known
+	Stale    int // of the empty ones, that asked for slots that the keeper had offered
+	Waiting  int // of the empty ones, that left demand at the keeper, which answers it by a push
 	Renewals int // of them, that only renewed or gave back
 	Pushes   int // grants that came by themselves
 	Granted  int // slots
@@ -61,6 +64,7 @@
 // lender is the borrower's view of one keeper.
 type lender struct {
 	Lender
+	hoped   bool      // the ask under way relies on no offer
 	calling bool      // an ask is under way; there is one at a time
 	down    time.Time // not asked before this time
 	epoch   uint64
@@ -154,7 +158,7 @@
 		asked += demand.Count
 		from.told[demand.Want.Group] += min(demand.Later, max(0, demand.Count-granted))
 	}
-	b.count(from, asked, granted)
+	b.count(from, ask, asked, granted)
 }
 
 // Failed takes in that an ask got no answer: it may have taken effect, so the next one tells all holdings.
@@ -185,7 +189,7 @@
 	return true
 }
 
-func (b *Borrower) count(from *lender, asked, granted int) {
+func (b *Borrower) count(from *lender, ask *Ask, asked, granted int) {
 	if from.Name == b.options.Host {
 		return
 	}
@@ -195,6 +199,19 @@
 		b.Counts.Renewals++
 	case granted == 0:
 		b.Counts.Empty++
+		b.countCause(from, ask)
+	}
+}
+
+// countCause counts an empty ask by what it relied on.
+func (b *Borrower) countCause(from *lender, ask *Ask) {
+	switch {
+	case slices.ContainsFunc(ask.Demands, func(demand Demand) bool { return demand.Later > 0 }):
+		b.Counts.Waiting++
+	case from.hoped:
+		b.Counts.Hoped++
+	default:
+		b.Counts.Stale++
 	}
 }
 
--- a/entry/pkg/lending/fleet_test.go
+++ b/entry/pkg/lending/fleet_test.go
@@ -12,6 +12,7 @@
 
 	"chervilusher.dev/entry/pkg/blackboard"
 	"chervilusher.dev/entry/pkg/dispatch"
+	"chervilusher.dev/entry/pkg/estimate"
 	"chervilusher.dev/entry/pkg/health"
 	"chervilusher.dev/entry/pkg/keeper"
 	"chervilusher.dev/entry/pkg/placement"
@@ -69,7 +70,11 @@
 	failed  int // tasks that ended without an answer
 	refused int // starts that the minion's own limit refused
 	from    time.Time
-	loss    float64 // share of messages that are lost
+	end     time.Time                // of the arrivals
+	loss    float64                  // share of messages that are lost
+	learns  bool                     // hosts learn the speeds and kinds from the runs
+	used    map[string]time.Time     // last start of each minion
+	gaps    map[string]time.Duration // longest time without a start of each minion, after the warm-up
 }
 
 type fleetHost struct {
@@ -91,7 +96,15 @@
 func (knownSpeed) Rescale(*blackboard.Group, float64)                           {}
 
 func newFleet(t testing.TB, policy string, hosts int, seed int64, options Options, loan time.Duration) *fleet {
-	f := &fleet{t: t, random: rand.New(rand.NewSource(seed)), now: time.Unix(0, 0), busy: map[string]int{}, policy: policy}
+	return buildFleet(&fleet{t: t, policy: policy}, hosts, seed, options, loan)
+}
+
+func buildFleet(f *fleet, hosts int, seed int64, options Options, loan time.Duration) *fleet {
+	f.random = rand.New(rand.NewSource(seed))
+	f.now = time.Unix(0, 0)
+	f.busy = map[string]int{}
+	f.used = map[string]time.Time{}
+	f.gaps = map[string]time.Duration{}
 	members := &blackboard.MemberTable{ByName: map[string]blackboard.Member{}}
 	for i := range hosts {
 		name := fmt.Sprint("host", i)
@@ -105,10 +118,14 @@
 
 func (f *fleet) newHost(name, place string, members *blackboard.MemberTable, hosts int, options Options, loan time.Duration) *fleetHost {
 	host := &fleetHost{name: name, place: place, board: blackboard.New()}
+	var estimator dispatch.Estimator = knownSpeed{}
+	if f.learns {
+		estimator = estimate.New(time.Hour)
+	}
 	host.engine = dispatch.New(&host.board.Dispatch, dispatch.Policies{
 		Placement: placement.NewFastest(),
 		Admission: admitAll{},
-		Estimator: knownSpeed{},
+		Estimator: estimator,
 		Health:    health.New(0.1, 0.5),
 		NewQueue:  func(map[string]*blackboard.Owner) blackboard.Queue { return queue.NewSingle() },
 	}, dispatch.Limits{Long: time.Hour, Share: 1})
@@ -124,6 +141,9 @@
 			Name: fmt.Sprint("minion", i), Place: fmt.Sprint("place", i%fleetPlaces), Group: "minions",
 			Role: platform.RoleMinion, Slots: fleetSlots, Learnt: 1000, Slowness: fleetScale / fleetSpeeds[(i/fleetPlaces)%len(fleetSpeeds)],
 		}
+		if f.learns {
+			minion.Learnt, minion.Slowness = 0, 0
+		}
 		host.group.Backends[minion.Name] = minion
 		switch f.policy {
 		case "central":
@@ -180,6 +200,7 @@
 	rate := load * capacity / meanWork
 	f.from = f.now.Add(warm)
 	end := f.from.Add(length)
+	f.end = end
 	var arrive func()
 	arrive = func() {
 		if f.now.Before(end) {
@@ -225,18 +246,20 @@
 }
 
 func (f *fleet) submit(host *fleetHost) {
-	work := 0.0
+	work, kind := 0.0, "short"
 	switch draw := f.random.Float64(); {
 	case draw < 0.003:
+		kind = "long"
 		work = 20 + 20*f.random.Float64()
 	case draw < 0.1:
+		kind = "medium"
 		work = 2 + 4*f.random.Float64()
 	default:
 		work = 0.05 + 0.95*f.random.Float64()
 	}
 	job := &blackboard.Job{ID: fmt.Sprint(f.order), Owner: "desk", Deadline: f.now.Add(time.Hour), Left: 1, Done: make(chan struct{})}
 	job.Tasks = []*blackboard.Task{{
-		Job: job, Kind: "k", Declared: time.Duration(work * float64(time.Second)),
+		Job: job, Kind: kind, Declared: time.Duration(work * float64(time.Second)),
 		Target: &blackboard.Target{Group: "minions", Role: platform.RoleMinion, Timeout: time.Hour},
 	}}
 	effects, refusal := host.engine.Submit(job, f.now)
@@ -352,7 +375,8 @@
 			continue
 		}
 		f.started++
-		took := time.Duration(float64(start.Task.Declared) * start.Backend.Slowness / fleetScale)
+		f.noteStart(start.Backend.Name)
+		took := time.Duration(float64(start.Task.Declared) / f.speed(start.Backend.Name))
 		f.after(travel+took, func() {
 			f.busy[start.Backend.Name]--
 			if task := start.Task; !task.Queued.Before(f.from) {
@@ -383,6 +407,9 @@
 		counts := host.borrower.Counts
 		sum.Asks += counts.Asks
 		sum.Empty += counts.Empty
+		sum.Hoped += counts.Hoped
+		sum.Stale += counts.Stale
+		sum.Waiting += counts.Waiting
 		sum.Renewals += counts.Renewals
 		sum.Pushes += counts.Pushes
 		sum.Granted += counts.Granted
@@ -398,9 +425,10 @@
 func (f *fleet) report(name string) {
 	counts := f.counts()
 	per := func(count int) float64 { return float64(count) / float64(f.started) }
-	f.t.Logf("%-24s p50 %.2f p99 %.2f p999 %.2f | per start: asks %.3f empty %.3f renewals %.3f pushes %.3f unused %.3f refused %.4f failed %.4f",
+	f.t.Logf("%-24s p50 %.2f p99 %.2f p999 %.2f | per start: asks %.3f empty %.3f (hoped %.3f stale %.3f waiting %.3f) renewals %.3f pushes %.3f unused %.3f refused %.4f failed %.4f",
 		name, f.quantile(0.5), f.quantile(0.99), f.quantile(0.999),
-		per(counts.Asks), per(counts.Empty), per(counts.Renewals), per(counts.Pushes), per(counts.Unused), per(f.refused), per(f.failed))
+		per(counts.Asks), per(counts.Empty),
+		per(counts.Hoped), per(counts.Stale), per(counts.Waiting), per(counts.Renewals), per(counts.Pushes), per(counts.Unused), per(f.refused), per(f.failed))
 }
 
 // TestLoansComeNearACentralQueue holds the targets of the reference fleet: within 15 % of a central queue, and at most 0.1 wasted messages for each start at 70 %.
--- a/entry/pkg/lending/plan.go
+++ b/entry/pkg/lending/plan.go
@@ -164,6 +164,7 @@
 				break
 			}
 			count := min(left, source.free)
+			source.lender.hoped = source.hoped
 			add(asks, source.lender, &want.Want, count, limitAfter(sources, i))
 			left -= count
 		}
