Believe offers for 20 ms and take keepers of chance differences as alike

Cause of the wasted asks: three in four relied on an offer whose slots were gone (0.130 of 0.170 a start). Six hosts are told of the same fast slot for 100 ms, and about 30 starts fall into that time; and learnt speeds differ by chance by some 5 %, so that "5 % slower than the next best keeper" shuts out slots that are as fast.

Change: an offer is believed for 20 ms, and the bound is 1.15 times the next best keeper's slowness. TestWasteOfLearningHosts fails before (wasted 0.21, 0.19, 0.21) and passes after (0.066, 0.053, 0.057; p99 of all three 1.03 or less, p50 0.72).

--- a/entry/pkg/lending/learning_test.go
+++ b/entry/pkg/lending/learning_test.go
@@ -44,6 +44,20 @@
 	return b
 }
 
+// TestWasteOfLearningHosts holds the waste at 70 % when hosts learn the speeds from the runs, which differ by chance, and the response over all seeds.
+func TestWasteOfLearningHosts(t *testing.T) {
+	var all fleet
+	for seed := range int64(3) {
+		f := newLearningFleet(t, seed)
+		f.play(0.7, 40*time.Second, 60*time.Second)
+		f.report(fmt.Sprintf("learnt, 70 %% seed %d", seed))
+		require.LessOrEqual(t, f.wasted(), 0.1)
+		all.ratios = append(all.ratios, f.ratios...)
+	}
+	require.LessOrEqual(t, all.quantile(0.5), 0.83)
+	require.LessOrEqual(t, all.quantile(0.99), 1.15)
+}
+
 // TestFastMinionsAreUsedFromTheStart starts a fleet that knows nothing: no fast minion is left out for what its first runs, measured against few others, made of it.
 func TestFastMinionsAreUsedFromTheStart(t *testing.T) {
 	const seeds = 9
--- a/entry/pkg/lending/plan.go
+++ b/entry/pkg/lending/plan.go
@@ -11,8 +11,10 @@
 const (
 	// usualRun is the run time against which the distance of a keeper is weighed.
 	usualRun = 300 * time.Millisecond
-	// offerAge is how long an offer is believed.
-	offerAge = 100 * time.Millisecond
+	// offerAge is how long an offer is believed; others take the fastest slots within that time.
+	offerAge = 20 * time.Millisecond
+	// alike is how far the learnt slowness of two back ends may differ by chance: a keeper lends slots that much slower than the next best keeper's.
+	alike = 1.15
 	// blockedDelay is how long a group does not ask after slots came that its queue could not use.
 	blockedDelay = 50 * time.Millisecond
 	// unknownFree is how many free slots are hoped for at a keeper that has not been asked lately.
@@ -257,11 +259,11 @@
 	return b.places == nil || b.places[group][lender.Place]
 }
 
-// limitAfter returns the slowness from which on the next best lender is better; zero when there is none.
+// limitAfter returns the slowness from which on the next best lender is clearly better; zero when there is none.
 func limitAfter(sources []source, i int) float64 {
 	for _, next := range sources[i+1:] {
 		if next.lender != sources[i].lender {
-			return max(next.cost, sources[i].slow) * sameSpeed
+			return max(next.cost, sources[i].slow) * alike
 		}
 	}
 	return 0
