--- a/entry/pkg/dispatch/classes_test.go
+++ b/entry/pkg/dispatch/classes_test.go
@@ -31,6 +31,7 @@
 }
 
 func TestLongWorkHoldsUpShortWorkLittle(t *testing.T) {
+	t.Parallel()
 	for _, load := range []float64{0.7, 0.9} {
 		for _, seed := range seeds {
 			with := shortP99(seed, policies{}, load, true)
@@ -66,6 +67,7 @@
 }
 
 func TestBurstOfLongWorkLeavesSlotsToShortWork(t *testing.T) {
+	t.Parallel()
 	for _, seed := range seeds {
 		p99, done := flood(seed, policies{})
 		single, _ := flood(seed, withPlacement(""))
@@ -76,6 +78,7 @@
 }
 
 func TestLongWorkAloneMayTakeEverySlot(t *testing.T) {
+	t.Parallel()
 	d := newDriver(1, referenceFleet, policies{admission: "none"})
 	d.addOwner("hokkaido", 1)
 	for range 2000 {
--- a/entry/pkg/dispatch/crest_test.go
+++ b/entry/pkg/dispatch/crest_test.go
@@ -96,6 +96,7 @@
 }
 
 func TestCrestOfThreeTimesCapacity(t *testing.T) {
+	t.Parallel()
 	for _, deadline := range []time.Duration{3 * time.Second, 10 * time.Second} {
 		for _, seed := range seeds {
 			f := crest(seed, policies{}, 1, deadline)
@@ -112,6 +113,7 @@
 }
 
 func TestCrestOfParallelJobs(t *testing.T) {
+	t.Parallel()
 	for _, seed := range seeds {
 		f := crest(seed, policies{}, 40, 5*time.Second)
 		t.Logf("jobs of 40 tasks, seed %d: %+v", seed, f)
@@ -198,6 +200,7 @@
 
 // TestLittleIsRefusedBelowCapacity runs the reference mix with tight deadlines on one host's share of the fleet, where a few long tasks make much of the load.
 func TestLittleIsRefusedBelowCapacity(t *testing.T) {
+	t.Parallel()
 	for _, load := range []float64{0.7, 0.9} {
 		for _, seed := range seeds {
 			refused, late := refusedBelowCapacity(seed, policies{}, load)
--- a/entry/pkg/dispatch/ejection_test.go
+++ b/entry/pkg/dispatch/ejection_test.go
@@ -38,6 +38,7 @@
 }
 
 func TestBackendsThatFailFastAreEjected(t *testing.T) {
+	t.Parallel()
 	broken := referenceFleet
 	broken.broken = 6
 	for _, load := range []float64{0.3, 0.7, 0.9} {
@@ -51,6 +52,7 @@
 }
 
 func TestWorkThatFailsEverywhereEjectsNobody(t *testing.T) {
+	t.Parallel()
 	for _, seed := range seeds {
 		d := newDriver(seed, referenceFleet, policies{})
 		d.addOwner("hokkaido", 1)
@@ -80,6 +82,7 @@
 const referenceCapacity = 48 * 8 * 1.1
 
 func TestMendedBackendComesBackStepByStep(t *testing.T) {
+	t.Parallel()
 	broken := referenceFleet
 	broken.broken = 6
 	d := newDriver(1, broken, policies{})
@@ -114,6 +117,7 @@
 }
 
 func TestRetryGoesToTheOnlyBackendThatThereIs(t *testing.T) {
+	t.Parallel()
 	d := newDriver(1, fleet{minions: 1, slots: 4}, policies{})
 	d.addOwner("hokkaido", 1)
 	d.minions["minion-0000"].broken = true
--- a/entry/pkg/dispatch/engine_test.go
+++ b/entry/pkg/dispatch/engine_test.go
@@ -51,6 +51,7 @@
 }
 
 func TestWideTaskDoesNotStarveBehindNarrowOnes(t *testing.T) {
+	t.Parallel()
 	d := newWorkers(2)
 	d.stream(steady(80), func() work {
 		return work{owner: "hokkaido", kind: "narrow", deadline: time.Hour, tasks: []time.Duration{500 * time.Millisecond}}
@@ -73,6 +74,7 @@
 }
 
 func TestTaskLargerThanAnyWorkerIsRefused(t *testing.T) {
+	t.Parallel()
 	d := newWorkers(2)
 	job := d.submitWide(17)
 	require.Len(t, d.refused, 1)
@@ -82,6 +84,7 @@
 }
 
 func TestNewWorkerMakesWorkPossibleAtOnce(t *testing.T) {
+	t.Parallel()
 	d := newWorkers(1)
 	d.submitWide(17)
 	require.Len(t, d.refused, 1)
@@ -93,6 +96,7 @@
 }
 
 func TestExpiredWorkNeverStarts(t *testing.T) {
+	t.Parallel()
 	d := newDriver(1, fleet{minions: 1, slots: 1}, policies{admission: "none"})
 	d.addOwner("hokkaido", 1)
 	d.submit(work{owner: "hokkaido", kind: "short", deadline: time.Minute, tasks: []time.Duration{time.Second}})
@@ -104,6 +108,7 @@
 }
 
 func TestOverrunningTaskCountsAsLongAsSoonAsItOverruns(t *testing.T) {
+	t.Parallel()
 	d := newDriver(1, fleet{minions: 1, slots: 8}, policies{admission: "none"})
 	d.addOwner("hokkaido", 1)
 	job := d.submit(work{owner: "hokkaido", kind: "short", deadline: time.Minute, declared: time.Second, tasks: []time.Duration{30 * time.Second}})
@@ -117,6 +122,7 @@
 }
 
 func TestCancelDropsWhatWaitsAndStopsWhatRuns(t *testing.T) {
+	t.Parallel()
 	d := newDriver(1, fleet{minions: 1, slots: 8}, policies{admission: "none"})
 	d.addOwner("hokkaido", 1)
 	tasks := make([]time.Duration, api.MaxTasks)
@@ -137,6 +143,7 @@
 
 // TestBooksBalance drives the engine with random work, outcomes, faults and cancellations, and checks its books at every step.
 func TestBooksBalance(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		size := fleet{minions: rapid.IntRange(1, 6).Draw(t, "minions"), slots: 4}
 		chosen := policies{
--- a/entry/pkg/dispatch/fairness_test.go
+++ b/entry/pkg/dispatch/fairness_test.go
@@ -35,6 +35,7 @@
 }
 
 func TestOwnersShareByWeight(t *testing.T) {
+	t.Parallel()
 	table := []struct {
 		name    string
 		weights map[string]int
@@ -73,6 +74,7 @@
 }
 
 func TestQuotaBoundsRunningTasks(t *testing.T) {
+	t.Parallel()
 	d := newDriver(1, referenceFleet, policies{admission: "none"})
 	d.addOwner("hokkaido", 1)
 	d.addOwner("kerlouan", 1)
@@ -89,6 +91,7 @@
 }
 
 func TestUrgentWorkGoesFirst(t *testing.T) {
+	t.Parallel()
 	for _, seed := range seeds {
 		d := newDriver(seed, referenceFleet, policies{admission: "none"})
 		d.addOwner("kerlouan", 1)
--- a/entry/pkg/dispatch/response_test.go
+++ b/entry/pkg/dispatch/response_test.go
@@ -33,6 +33,7 @@
 }
 
 func TestResponseIsThatOfACentralQueue(t *testing.T) {
+	t.Parallel()
 	table := []struct {
 		load     float64
 		p50, p99 float64
@@ -51,6 +52,7 @@
 }
 
 func TestFastestAnswersNoLaterThanTheBaselines(t *testing.T) {
+	t.Parallel()
 	for _, name := range []string{"least", "robin", "random"} {
 		for _, load := range []float64{0.7, 0.9} {
 			for _, seed := range seeds {
