--- a/entry/pkg/lending/plan.go
+++ b/entry/pkg/lending/plan.go
@@ -14,7 +14,7 @@
 	// offerAge is how long an offer is believed; others take the fastest slots within that time.
 	offerAge = 20 * time.Millisecond
 	// alike is how far the learnt slowness of two back ends may differ by chance: a keeper lends slots that much slower than the next best keeper's.
-	alike = 1.15
+	alike = 1.1
 	// blockedDelay is how long a group does not ask after slots came that its queue could not use.
 	blockedDelay = 50 * time.Millisecond
 	// unknownFree is how many free slots are hoped for at a keeper that has not been asked lately.
