Join logic that stood twice in the entry daemon

Four controllers had the same ticker loop: common.Every. The two ways of submitting read and checked their bodies alike: one generic handler. The shape of a back end stood in dispatch and in placement: Backend.Shape.

--- a/entry/pkg/caller/server.go
+++ b/entry/pkg/caller/server.go
@@ -68,38 +68,35 @@
 }
 
 func (s *Server) submitJob(c echo.Context) error {
-	bearer, err := s.authenticate(c)
-	if err != nil {
-		return err
-	}
-	var submission api.Submission
-	digest, err := decodeBody(c, &submission)
-	if err != nil {
-		return err
-	}
-	if err := checkSubmission(&submission); err != nil {
-		return err
-	}
-	request := &peer.SubmitRequest{Submission: submission, Digest: digest}
-	return s.submit(c, bearer, request, 0)
+	return take(s, c, 0, func(submission *api.Submission) *peer.SubmitRequest {
+		return &peer.SubmitRequest{Submission: *submission}
+	})
 }
 
 func (s *Server) submitRequest(c echo.Context) error {
+	return take(s, c, maxWait, func(single *api.Request) *peer.SubmitRequest {
+		submission := api.Submission{Tasks: []api.Task{single.Task}, Urgent: single.Urgent, Deadline: single.Deadline}
+		return &peer.SubmitRequest{Submission: submission, Idempotent: single.Idempotent}
+	})
+}
+
+// take reads a body of one of the two kinds and submits what it asks for.
+func take[Body any](s *Server, c echo.Context, defaultWait time.Duration, requestOf func(body *Body) *peer.SubmitRequest) error {
 	bearer, err := s.authenticate(c)
 	if err != nil {
 		return err
 	}
-	var single api.Request
-	digest, err := decodeBody(c, &single)
+	var body Body
+	digest, err := decodeBody(c, &body)
 	if err != nil {
 		return err
 	}
-	submission := api.Submission{Tasks: []api.Task{single.Task}, Urgent: single.Urgent, Deadline: single.Deadline}
-	if err := checkSubmission(&submission); err != nil {
+	request := requestOf(&body)
+	if err := checkSubmission(&request.Submission); err != nil {
 		return err
 	}
-	request := &peer.SubmitRequest{Submission: submission, Idempotent: single.Idempotent, Digest: digest}
-	return s.submit(c, bearer, request, maxWait)
+	request.Digest = digest
+	return s.submit(c, bearer, request, defaultWait)
 }
 
 func (s *Server) submit(c echo.Context, bearer blackboard.Bearer, request *peer.SubmitRequest, defaultWait time.Duration) error {
--- a/entry/pkg/certificate/source.go
+++ b/entry/pkg/certificate/source.go
@@ -48,16 +48,7 @@
 
 // Serve reads the files again whenever they change, until the context ends; files that cannot be used leave the old ones in use.
 func (s *Source) Serve(ctx context.Context) {
-	ticker := s.common.Clock.NewTicker(pollInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-			s.Refresh()
-		}
-	}
+	s.common.Every(ctx, pollInterval, s.Refresh)
 }
 
 // Refresh reads the files again if they changed since they were last read.
--- a/entry/pkg/controllers/dispatch_controller.go
+++ b/entry/pkg/controllers/dispatch_controller.go
@@ -78,19 +78,14 @@
 
 // Serve lets deadlines and delays run out until the context ends.
 func (d *DispatchController) Serve(ctx context.Context) {
-	ticker := d.common.Clock.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-			d.board.Dispatch.Lock()
-			effects := d.engine.Tick(d.common.Clock.Now())
-			d.board.Dispatch.Unlock()
-			d.Run(effects)
-		}
-	}
+	d.common.Every(ctx, tickInterval, d.tick)
+}
+
+func (d *DispatchController) tick() {
+	d.board.Dispatch.Lock()
+	effects := d.engine.Tick(d.common.Clock.Now())
+	d.board.Dispatch.Unlock()
+	d.Run(effects)
 }
 
 // AssignAll starts waiting work after grants have changed.
--- a/entry/pkg/controllers/handover_controller.go
+++ b/entry/pkg/controllers/handover_controller.go
@@ -69,16 +69,7 @@
 
 // Serve forgets old records until the context ends.
 func (h *HandoverController) Serve(ctx context.Context) {
-	ticker := h.common.Clock.NewTicker(forgetInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-			h.expire()
-		}
-	}
+	h.common.Every(ctx, forgetInterval, h.expire)
 }
 
 // HandOver gives the record of this home, and those that it keeps for others, to the first host that takes them.
--- a/entry/pkg/controllers/submission_controller.go
+++ b/entry/pkg/controllers/submission_controller.go
@@ -84,21 +84,16 @@
 
 // Serve forgets old windows until the context ends.
 func (s *SubmissionController) Serve(ctx context.Context) {
-	ticker := s.common.Clock.NewTicker(forgetInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-			s.board.Dispatch.Lock()
-			s.ledger.Expire(s.common.Clock.Now())
-			entries, bytes := s.ledger.Size()
-			s.board.Dispatch.Unlock()
-			ledgerEntries.Set(float64(entries))
-			ledgerBytes.Set(float64(bytes))
-		}
-	}
+	s.common.Every(ctx, forgetInterval, s.expire)
+}
+
+func (s *SubmissionController) expire() {
+	s.board.Dispatch.Lock()
+	s.ledger.Expire(s.common.Clock.Now())
+	entries, bytes := s.ledger.Size()
+	s.board.Dispatch.Unlock()
+	ledgerEntries.Set(float64(entries))
+	ledgerBytes.Set(float64(bytes))
 }
 
 // Submit takes a submission, joins it to the one of the same identifier, or refuses it; it then waits for the answer.
--- a/entry/pkg/dispatch/capacity.go
+++ b/entry/pkg/dispatch/capacity.go
@@ -35,14 +35,14 @@
 
 func (e *Engine) sum(group *blackboard.Group, now time.Time) blackboard.Capacity {
 	capacity := blackboard.Capacity{Summed: now, Backends: len(group.Backends), Long: map[string]float64{}}
-	shapes := map[shape]bool{}
+	shapes := map[blackboard.Shape]bool{}
 	var tiers tiers
 	held := map[string]float64{}
 	for _, backend := range group.Backends {
 		if backend.Leaving {
 			continue
 		}
-		if key := shapeOf(backend); !shapes[key] {
+		if key := backend.Shape(); !shapes[key] {
 			shapes[key] = true
 			capacity.Shapes = append(capacity.Shapes, backend)
 		}
@@ -86,24 +86,6 @@
 	return backend.Slowness
 }
 
-type shape struct {
-	place        string
-	slots        int
-	cores        float64
-	memory       int64
-	accelerators int
-}
-
-func shapeOf(backend *blackboard.Backend) shape {
-	return shape{
-		place:        backend.Place,
-		slots:        backend.Slots,
-		cores:        backend.Cores,
-		memory:       backend.Memory,
-		accelerators: backend.Accelerators,
-	}
-}
-
 // nearlyAll is the share of starts that a bound on the slowness has to cover.
 const nearlyAll = 0.99
 
--- a/entry/pkg/placement/fastest.go
+++ b/entry/pkg/placement/fastest.go
@@ -27,7 +27,7 @@
 // index holds a group's back ends in order of expected completion time.
 type index struct {
 	entries    map[*blackboard.Backend]*entry
-	partitions map[shape]*partition
+	partitions map[blackboard.Shape]*partition
 	list       []*partition
 	ejected    map[*entry]struct{}
 	used       *list.List // entries, the one used longest ago first
@@ -92,7 +92,7 @@
 	if !ok {
 		found = &index{
 			entries:    map[*blackboard.Backend]*entry{},
-			partitions: map[shape]*partition{},
+			partitions: map[blackboard.Shape]*partition{},
 			ejected:    map[*entry]struct{}{},
 			used:       list.New(),
 		}
@@ -243,7 +243,7 @@
 }
 
 func (x *index) partition(backend *blackboard.Backend) *partition {
-	key := shapeOf(backend)
+	key := backend.Shape()
 	found, ok := x.partitions[key]
 	if !ok {
 		found = newPartition(key, backend.Role == platform.RoleWorker)
--- a/entry/pkg/placement/partition.go
+++ b/entry/pkg/placement/partition.go
@@ -4,30 +4,8 @@
 	"github.com/tidwall/btree"
 
 	"chervilusher.dev/entry/pkg/blackboard"
-	"chervilusher.dev/lib/platform"
 )
 
-// shape is the place and the size of a back end.
-type shape struct {
-	place        string
-	role         platform.Role
-	slots        int
-	cores        float64
-	memory       int64
-	accelerators int
-}
-
-func shapeOf(backend *blackboard.Backend) shape {
-	return shape{
-		place:        backend.Place,
-		role:         backend.Role,
-		slots:        backend.Slots,
-		cores:        backend.Cores,
-		memory:       backend.Memory,
-		accelerators: backend.Accelerators,
-	}
-}
-
 // partition holds the entries of one shape that have free slots, the one with the lowest key first.
 type partition struct {
 	sample blackboard.Backend // as large and in the same place as all of them
@@ -42,20 +20,20 @@
 	return btree.NewBTreeGOptions(lessEntry, btree.Options{NoLocks: true, Degree: degree})
 }
 
-func newPartition(key shape, wide bool) *partition {
+func newPartition(key blackboard.Shape, wide bool) *partition {
 	made := &partition{
 		sample: blackboard.Backend{
-			Place:        key.place,
-			Role:         key.role,
-			Slots:        key.slots,
-			Cores:        key.cores,
-			Memory:       key.memory,
-			Accelerators: key.accelerators,
+			Place:        key.Place,
+			Role:         key.Role,
+			Slots:        key.Slots,
+			Cores:        key.Cores,
+			Memory:       key.Memory,
+			Accelerators: key.Accelerators,
 		},
 		free: newTree(),
 	}
 	if wide {
-		made.byFree = make([]*btree.BTreeG[*entry], key.slots+1)
+		made.byFree = make([]*btree.BTreeG[*entry], key.Slots+1)
 	}
 	return made
 }
