Plan a task under faults in one place of the stand-ins

Minions and workers worked out run time, failure and value from the same faults with the same lines: Faults.Plan.

--- a/standin/pkg/minion/minion.go
+++ b/standin/pkg/minion/minion.go
@@ -1,7 +1,6 @@
 package minion
 
 import (
-	"encoding/json"
 	"io"
 	"net/http"
 	"sync/atomic"
@@ -136,24 +135,7 @@
 }
 
 func (m *Minion) plan(payload task.Payload) task.Plan {
-	faults := m.faults.Get()
-	speed := m.settings.Speed
-	if faults.Speed > 0 {
-		speed = faults.Speed
-	}
-	plan := task.Plan{
-		Length: payload.RunTime(speed),
-		Fail:   payload.Fail,
-		Hang:   faults.Hang,
-		Mark:   payload.Mark,
-		Free:   func() { m.busy.Add(-1) },
-	}
-	if faults.Fail {
-		plan.Length = 0
-		plan.Fail = "every task fails here"
-	}
-	plan.Value, _ = json.Marshal(task.Value{Echo: payload.Echo, Minion: m.settings.Name})
-	return plan
+	return m.faults.Get().Plan(payload, m.settings.Name, m.settings.Speed, func() { m.busy.Add(-1) })
 }
 
 func (m *Minion) answer(w http.ResponseWriter, r *http.Request, status platform.TaskStatus) {
--- a/standin/pkg/worker/handlers.go
+++ b/standin/pkg/worker/handlers.go
@@ -80,24 +80,7 @@
 }
 
 func (w *Worker) plan(start platform.TaskStart, payload task.Payload) task.Plan {
-	faults := w.faults.Get()
-	speed := w.settings.Speed
-	if faults.Speed > 0 {
-		speed = faults.Speed
-	}
-	plan := task.Plan{
-		Length: payload.RunTime(speed),
-		Fail:   payload.Fail,
-		Hang:   faults.Hang,
-		Mark:   payload.Mark,
-		Free:   func() { w.room.free(start) },
-	}
-	if faults.Fail {
-		plan.Length = 0
-		plan.Fail = "every task fails here"
-	}
-	plan.Value, _ = json.Marshal(task.Value{Echo: payload.Echo, Minion: w.settings.Name})
-	return plan
+	return w.faults.Get().Plan(payload, w.settings.Name, w.settings.Speed, func() { w.room.free(start) })
 }
 
 func (w *Worker) status(out http.ResponseWriter, r *http.Request) {
