--- /dev/null
+++ b/entry/pkg/cell/assign.go
@@ -0,0 +1,140 @@
+package cell
+
+import (
+	"slices"
+	"time"
+
+	"chervilusher.dev/entry/pkg/invariant"
+)
+
+const (
+	// noRoomRetry is when to come back if no worker can ever run the job; workers change at most every few seconds.
+	noRoomRetry = 5 * time.Second
+	// leastRetry keeps callers that were refused from coming back within the same burst.
+	leastRetry = time.Second
+)
+
+// assign starts waiting tasks in the order of their latest start and gives up what cannot be served any more.
+func (c *Cell) assign(now time.Time, effects *Effects) {
+	c.sortWaiting()
+	ends := endTimes{cell: c, now: now}
+	ahead := 0 // tasks of jobs further ahead that wait for room
+	kept := c.waiting[:0]
+	for _, job := range c.waiting {
+		if job.Decided() {
+			continue
+		}
+		if reason := c.hopeless(job, now); reason != "" {
+			c.giveUp(job, reason, now, effects)
+			continue
+		}
+		waiting := job.waiting()
+		if !job.Started() {
+			startable := c.startable(job, now)
+			if missing := waiting - startable; missing > 0 && ends.after(ahead+missing).After(c.latestStart(job)) {
+				kept = append(kept, job)
+				continue
+			}
+		}
+		waiting -= c.startTasks(job, now, effects)
+		ahead += waiting
+		if waiting > 0 {
+			kept = append(kept, job)
+		}
+	}
+	clear(c.waiting[len(kept):])
+	c.waiting = kept
+}
+
+// sortWaiting puts the jobs first that must start first.
+func (c *Cell) sortWaiting() {
+	slices.SortStableFunc(c.waiting, func(a, b *Job) int {
+		if order := c.latestStart(a).Compare(c.latestStart(b)); order != 0 {
+			return order
+		}
+		return int(a.seq - b.seq)
+	})
+}
+
+// latestStart returns when the last task of the job has to start to make its objective.
+func (c *Cell) latestStart(job *Job) time.Time {
+	return job.Objective.Add(-c.speeds.usual(job.Queue, job.longest()))
+}
+
+// hopeless returns why the job is not worth waiting any longer, or "".
+func (c *Cell) hopeless(job *Job, now time.Time) string {
+	if now.Add(c.speeds.usual(job.Queue, job.longest())).After(job.Deadline) {
+		return "it cannot end before its deadline"
+	}
+	if !job.Started() && now.After(c.latestStart(job)) {
+		return "no room in time"
+	}
+	return ""
+}
+
+// startTasks starts those of the job's tasks that find room, the longest first, and returns their number.
+func (c *Cell) startTasks(job *Job, now time.Time, effects *Effects) int {
+	started := 0
+	for _, task := range job.Tasks {
+		if task.state != Waiting {
+			continue
+		}
+		worker := c.place(task, now)
+		if worker == nil {
+			continue
+		}
+		effects.Starts = append(effects.Starts, c.start(task, worker, now))
+		started++
+	}
+	return started
+}
+
+func (c *Cell) start(task *Task, worker *Worker, now time.Time) Start {
+	invariant.Check(task.state == Waiting && task.run == nil, "task_runs_once", "task %s starts beside another run", task.Name)
+	invariant.Check(!task.Job.Decided(), "no_start_after_answer", "job %s", task.Job.ID)
+	invariant.Check(worker.held && len(worker.foreign) == 0, "only_held_workers", "worker %s", worker.ID)
+	invariant.Check(worker.free().Fits(task.Need), "room_holds", "worker %s", worker.ID)
+	task.runs++
+	task.state = Started
+	run := &Run{
+		Task:     task,
+		Number:   task.runs,
+		Worker:   worker,
+		sent:     now,
+		expected: c.speeds.expected(task, worker),
+	}
+	task.run = run
+	worker.runs[runKey{task.Name, run.Number}] = run
+	worker.used = worker.used.Plus(task.Need)
+	lease, _ := worker.Lease(now, c.limits.Lease)
+	return Start{Run: run, Lease: lease}
+}
+
+// canEverRun reports whether some worker of the group is large enough for each task.
+func (c *Cell) canEverRun(job *Job) bool {
+	for _, task := range job.Tasks {
+		if !slices.ContainsFunc(c.sortedWorkers(), func(worker *Worker) bool {
+			return worker.Group == job.Group && worker.held && worker.Capacity.Fits(task.Need)
+		}) {
+			return false
+		}
+	}
+	return true
+}
+
+// startable returns how many of the job's waiting tasks find room now, taking its first one as the size of all.
+func (c *Cell) startable(job *Job, now time.Time) int {
+	need := job.Tasks[0].Need
+	count := 0
+	for _, worker := range c.workers {
+		if worker.Group == job.Group && worker.usable(now) {
+			count += worker.free().Times(need)
+		}
+	}
+	return min(count, job.waiting())
+}
+
+// comeBack returns when a refused caller should come back, given how long it would have had to wait.
+func (c *Cell) comeBack(wait time.Duration) time.Duration {
+	return max(wait, leastRetry)
+}
--- /dev/null
+++ b/entry/pkg/cell/cell.go
@@ -0,0 +1,215 @@
+package cell
+
+import (
+	"slices"
+	"time"
+
+	"chervilusher.dev/entry/pkg/invariant"
+)
+
+// Limits are what the workers' interface promises.
+type Limits struct {
+	Lease time.Duration // longest lease of a run, on the worker's clock
+}
+
+// Cell is the dispatch state of one keeper; its caller serialises all calls.
+type Cell struct {
+	limits  Limits
+	workers map[string]*Worker
+	jobs    map[*Job]struct{} // without an answer
+	waiting []*Job            // with tasks that wait for a start
+	speeds  speeds
+	needs   map[string]*usualNeed // by group
+	nextSeq int64
+}
+
+// Start asks for a task to be started at a worker.
+type Start struct {
+	Run   *Run
+	Lease time.Duration // the lease's end on the worker's clock
+}
+
+// Stop asks for a run to be stopped, or kept from starting.
+type Stop struct {
+	Worker *Worker
+	Task   string
+	Number int
+	Run    *Run // nil for a run that this keeper did not start
+}
+
+// Answered is a job that has got its answer.
+type Answered struct {
+	Job    *Job
+	Answer *Answer
+}
+
+// Ended is a run that has ended, for the log.
+type Ended struct {
+	Run  *Run
+	How  string
+	Took time.Duration
+}
+
+// Effects are what the caller is to carry out.
+type Effects struct {
+	Starts  []Start
+	Stops   []Stop
+	Answers []Answered
+	Ends    []Ended
+}
+
+// New returns a cell without workers.
+func New(limits Limits) *Cell {
+	return &Cell{
+		limits:  limits,
+		workers: map[string]*Worker{},
+		jobs:    map[*Job]struct{}{},
+		speeds:  newSpeeds(),
+		needs:   map[string]*usualNeed{},
+	}
+}
+
+// Submit takes a job in: it starts what it can, and refuses the job when it cannot be served in time.
+func (c *Cell) Submit(job *Job, now time.Time) Effects {
+	var effects Effects
+	c.nextSeq++
+	job.seq = c.nextSeq
+	c.jobs[job] = struct{}{}
+	c.observeNeed(job)
+	if !c.canEverRun(job) {
+		c.answer(job, &Answer{Outcome: Refused, Reason: "no worker has room for a task of this size", Retry: noRoomRetry}, &effects, now)
+		return effects
+	}
+	c.waiting = append(c.waiting, job)
+	if wait := c.predict(job, now); now.Add(wait).After(c.latestStart(job)) {
+		c.answer(job, &Answer{Outcome: Refused, Reason: "it would miss its objective", Retry: c.comeBack(wait)}, &effects, now)
+		return effects
+	}
+	c.assign(now, &effects)
+	return effects
+}
+
+// Immediate reports whether all tasks of the job could start now.
+func (c *Cell) Immediate(job *Job, now time.Time) bool {
+	return c.predict(job, now) <= 0
+}
+
+// Cancel ends the job without an answer to its caller, who has left, and stops what runs.
+func (c *Cell) Cancel(job *Job, reason string, now time.Time) Effects {
+	var effects Effects
+	if job.Decided() {
+		return effects
+	}
+	c.answer(job, &Answer{Outcome: Abandoned, Reason: reason}, &effects, now)
+	c.assign(now, &effects)
+	return effects
+}
+
+// HomeLost cancels the jobs of a home that is gone; with a life, only those of its other lives.
+func (c *Cell) HomeLost(home, exceptLife string, now time.Time) Effects {
+	var effects Effects
+	for _, job := range c.sortedJobs() {
+		if job.Home == home && (exceptLife == "" || job.Life != exceptLife) {
+			c.answer(job, &Answer{Outcome: Abandoned, Reason: "the home is gone"}, &effects, now)
+		}
+	}
+	c.assign(now, &effects)
+	return effects
+}
+
+// Tick lets deadlines and leases run out.
+func (c *Cell) Tick(now time.Time) Effects {
+	var effects Effects
+	for _, worker := range c.sortedWorkers() {
+		if worker.silent && worker.clock.lapsed(now) {
+			c.loseRuns(worker, now, &effects)
+		}
+		c.retryOverdue(worker, now, &effects)
+	}
+	for _, job := range c.sortedJobs() {
+		if !now.Before(job.Deadline) {
+			c.giveUp(job, "the deadline passed", now, &effects)
+		}
+	}
+	c.assign(now, &effects)
+	return effects
+}
+
+// giveUp answers a job that cannot be served.
+func (c *Cell) giveUp(job *Job, reason string, now time.Time, effects *Effects) {
+	if job.Started() {
+		c.answer(job, &Answer{Outcome: Abandoned, Reason: reason}, effects, now)
+		return
+	}
+	c.answer(job, &Answer{Outcome: Refused, Reason: reason, Retry: c.comeBack(c.predict(job, now))}, effects, now)
+}
+
+// answer decides the job and stops what runs of it.
+func (c *Cell) answer(job *Job, answer *Answer, effects *Effects, now time.Time) {
+	invariant.Check(!job.Decided(), "one_answer", "job %s", job.ID)
+	invariant.Check(answer.Outcome != Refused || !job.Started(), "refused_has_not_run", "job %s", job.ID)
+	job.answer = answer
+	delete(c.jobs, job)
+	for _, task := range job.Tasks {
+		switch task.state {
+		case Waiting:
+			task.state = Dropped
+		case Started:
+			c.stop(task.run, now, effects)
+		case Done, Dropped:
+		}
+	}
+	effects.Answers = append(effects.Answers, Answered{Job: job, Answer: answer})
+}
+
+// stop asks the worker to stop the run; its room stays taken until the worker lists the end.
+func (c *Cell) stop(run *Run, now time.Time, effects *Effects) {
+	if run.stopping && now.Sub(run.stopped) < stopAgain {
+		return
+	}
+	run.stopping = true
+	run.stopped = now
+	effects.Stops = append(effects.Stops, Stop{Worker: run.Worker, Task: run.Task.Name, Number: run.Number, Run: run})
+}
+
+// stopAgain is the delay before a stop is sent again whose end was not listed; a stop takes at most 50 ms.
+const stopAgain = 150 * time.Millisecond
+
+// retryOverdue moves runs that take far too long to another worker, and sends lost stops again.
+func (c *Cell) retryOverdue(worker *Worker, now time.Time, effects *Effects) {
+	for _, run := range worker.sortedRuns() {
+		if run.stopping {
+			c.stop(run, now, effects)
+			continue
+		}
+		if !run.overdue(now) || worker.silent {
+			continue
+		}
+		if !worker.health.paused(now) {
+			worker.health.leaveOut(now)
+			c.speeds.observe(run, now.Sub(run.sent))
+		}
+		if c.mayEndElsewhere(run, now) {
+			run.Task.avoid = worker
+			c.stop(run, now, effects)
+		}
+	}
+}
+
+// mayEndElsewhere reports whether the run's task could end in time when it starts anew at another worker.
+func (c *Cell) mayEndElsewhere(run *Run, now time.Time) bool {
+	again := c.speeds.usual(run.Task.Job.Queue, run.Task.Estimate)
+	return run.Task.runs < maxRuns && now.Add(again).Before(run.Task.Job.Deadline)
+}
+
+// maxRuns bounds how often a task is moved away from workers that hang.
+const maxRuns = 3
+
+func (c *Cell) sortedJobs() []*Job {
+	jobs := make([]*Job, 0, len(c.jobs))
+	for job := range c.jobs {
+		jobs = append(jobs, job)
+	}
+	slices.SortFunc(jobs, func(a, b *Job) int { return int(a.seq - b.seq) })
+	return jobs
+}
--- /dev/null
+++ b/entry/pkg/cell/job.go
@@ -0,0 +1,108 @@
+package cell
+
+import "time"
+
+// State is where a task stands.
+type State int
+
+// States of a task.
+const (
+	Waiting State = iota
+	Started       // a start was sent, and its run has not ended yet
+	Done
+	Dropped // it will not start any more
+)
+
+// Job is a set of independent tasks with one answer, whose caller waits at its home.
+type Job struct {
+	ID        string // chosen by the caller
+	Home      string // host that answers the caller
+	Life      string // incarnation of the home
+	Queue     string
+	Group     string // workers that may run it
+	Spec      string
+	Attempts  int // runs of a task that may fail
+	Arrived   time.Time
+	Objective time.Time // until when the answer is worth most
+	Deadline  time.Time // until when the caller waits
+	Patience  time.Time // until when the job may wait for its first start
+	Tasks     []*Task
+
+	answer *Answer
+	seq    int64
+}
+
+// Task is one task of a job.
+type Task struct {
+	Job      *Job
+	Name     string
+	Need     Room
+	Estimate time.Duration // declared by the caller for a worker of usual speed
+
+	state  State
+	runs   int     // starts so far
+	failed int     // runs that ended as failed
+	began  bool    // a run of it has begun for certain
+	run    *Run    // the present run, nil while none may exist
+	avoid  *Worker // where the last run failed
+}
+
+// Outcome is how a job ended.
+type Outcome int
+
+// Outcomes of a job.
+const (
+	Completed Outcome = iota
+	Failed            // a task used its attempts up
+	Refused           // nothing of the job has started or will
+	Abandoned         // some of it ran, and it cannot end in time
+)
+
+// String returns the outcome as logs and metrics name it.
+func (o Outcome) String() string {
+	return [...]string{"completed", "failed", "refused", "abandoned"}[o]
+}
+
+// Answer is the final answer to a job.
+type Answer struct {
+	Outcome Outcome
+	Reason  string
+	Retry   time.Duration // when the caller should come back, after Refused
+}
+
+// Decided reports whether the job has its answer.
+func (j *Job) Decided() bool {
+	return j.answer != nil
+}
+
+// Started reports whether a start was sent that may have been carried out.
+func (j *Job) Started() bool {
+	for _, task := range j.Tasks {
+		if task.began || task.run != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// waiting returns how many tasks wait for a start.
+func (j *Job) waiting() int {
+	count := 0
+	for _, task := range j.Tasks {
+		if task.state == Waiting {
+			count++
+		}
+	}
+	return count
+}
+
+// longest returns the largest estimate among the tasks that have not ended.
+func (j *Job) longest() time.Duration {
+	longest := time.Duration(0)
+	for _, task := range j.Tasks {
+		if task.state == Waiting || task.state == Started {
+			longest = max(longest, task.Estimate)
+		}
+	}
+	return longest
+}
--- /dev/null
+++ b/entry/pkg/cell/room.go
@@ -0,0 +1,48 @@
+package cell
+
+// Room is an amount of each resource, of a worker or of one task.
+type Room struct {
+	Cores        int64 `json:"c"` // thousandths of a core
+	Memory       int64 `json:"m"` // MiB
+	Accelerators int64 `json:"a,omitempty"`
+}
+
+// Fits reports whether the need fits into the room.
+func (r Room) Fits(need Room) bool {
+	return need.Cores <= r.Cores && need.Memory <= r.Memory && need.Accelerators <= r.Accelerators
+}
+
+// Plus returns the sum.
+func (r Room) Plus(other Room) Room {
+	return Room{
+		Cores:        r.Cores + other.Cores,
+		Memory:       r.Memory + other.Memory,
+		Accelerators: r.Accelerators + other.Accelerators,
+	}
+}
+
+// Minus returns the difference.
+func (r Room) Minus(other Room) Room {
+	return Room{
+		Cores:        r.Cores - other.Cores,
+		Memory:       r.Memory - other.Memory,
+		Accelerators: r.Accelerators - other.Accelerators,
+	}
+}
+
+// Times returns how many tasks of that need fit beside each other.
+func (r Room) Times(need Room) int {
+	count := quotient(r.Cores, need.Cores)
+	count = min(count, quotient(r.Memory, need.Memory))
+	return int(max(0, min(count, quotient(r.Accelerators, need.Accelerators))))
+}
+
+// unbounded stands for a resource that the task does not need.
+const unbounded = 1 << 20
+
+func quotient(have, need int64) int64 {
+	if need <= 0 {
+		return unbounded
+	}
+	return have / need
+}
--- /dev/null
+++ b/entry/pkg/cell/worker.go
@@ -0,0 +1,162 @@
+package cell
+
+import "time"
+
+// Worker is one worker as its keeper sees it.
+type Worker struct {
+	ID       string
+	Address  string // host:port
+	Place    string
+	Rack     string
+	Kind     string // workers of one kind are about equally fast
+	Group    string
+	Capacity Room
+	Leaving  bool // it gets no new work
+
+	held     bool // the keeper's token is in force and nothing unknown runs there
+	silent   bool // its last call was not answered
+	used     Room
+	runs     map[runKey]*Run
+	foreign  map[runKey]struct{} // runs that the keeper knows nothing of
+	born     int64
+	acked    int64
+	clock    workerClock
+	slowness average // run time against the estimate, and against the queue's usual
+	health   health
+}
+
+type runKey struct {
+	task   string
+	number int
+}
+
+// Run is one start of a task at a worker.
+type Run struct {
+	Task   *Task
+	Number int
+	Worker *Worker
+
+	sent     time.Time
+	over     bool      // it has ended, or the keeper has given it up
+	unsure   bool      // the start was not answered
+	stopping bool      // a stop was sent
+	stopped  time.Time // when the last stop was sent
+	buried   time.Time // when a stop was first answered
+	expected time.Duration
+}
+
+// HowEnded tells how a run ended.
+type HowEnded int
+
+// Ends of a run.
+const (
+	EndDone HowEnded = iota
+	EndFailed
+	EndStopped
+	EndLapsed // the worker's lease ran out
+)
+
+// String returns the end as logs and metrics name it.
+func (h HowEnded) String() string {
+	return [...]string{"done", "failed", "stopped", "lapsed"}[h]
+}
+
+// RunEntry names a run in a worker's list.
+type RunEntry struct {
+	Task string
+	Run  int
+}
+
+// EndEntry is an ended run in a worker's list.
+type EndEntry struct {
+	Number int64 // rises with each end of one life of the worker
+	Task   string
+	Run    int
+	How    HowEnded
+}
+
+// Report is what a worker tells of itself.
+type Report struct {
+	Born    int64 // start of its present life, in Unix milliseconds
+	Clock   time.Duration
+	Running []RunEntry
+	Ended   []EndEntry
+}
+
+// workerClock relates a worker's steady clock to this host's.
+type workerClock struct {
+	read    time.Duration // the worker's clock
+	at      time.Time     // when the call that read it was sent
+	longest time.Duration // latest lease end that was sent, on the worker's clock
+}
+
+const (
+	// slowestClock is how slow a worker's clock may be against true time; the platform states 2 %.
+	slowestClock = 0.98
+	// lapseMargin covers the time that a worker takes to end what has lapsed.
+	lapseMargin = 60 * time.Millisecond
+)
+
+// known reports whether the clock was read.
+func (c *workerClock) known() bool {
+	return !c.at.IsZero()
+}
+
+// estimate returns the worker's clock at a time.
+func (c *workerClock) estimate(now time.Time) time.Duration {
+	return c.read + now.Sub(c.at)
+}
+
+// lapsed reports whether every lease that was sent has run out for certain.
+func (c *workerClock) lapsed(now time.Time) bool {
+	if !c.known() {
+		return true
+	}
+	least := c.read + time.Duration(slowestClock*float64(now.Sub(c.at)))
+	return least > c.longest+lapseMargin
+}
+
+// free returns the room that no run holds.
+func (w *Worker) free() Room {
+	return w.Capacity.Minus(w.used)
+}
+
+// usable reports whether new runs may start at the worker.
+func (w *Worker) usable(now time.Time) bool {
+	return w.held && len(w.foreign) == 0 && !w.silent && !w.Leaving && !w.health.paused(now)
+}
+
+// Held reports whether the keeper may start tasks there.
+func (w *Worker) Held() bool {
+	return w.held
+}
+
+// Idle reports whether nothing that the keeper knows of runs there.
+func (w *Worker) Idle() bool {
+	return len(w.runs) == 0 && len(w.foreign) == 0
+}
+
+// Acked returns the number of the last end that was taken in.
+func (w *Worker) Acked() int64 {
+	return w.acked
+}
+
+// Lease returns the lease's end on the worker's clock that a call sent now should carry, or false while nothing may be extended.
+func (w *Worker) Lease(now time.Time, length time.Duration) (time.Duration, bool) {
+	if !w.clock.known() || len(w.foreign) > 0 {
+		return 0, false
+	}
+	end := w.clock.estimate(now) + length
+	w.clock.longest = max(w.clock.longest, end)
+	return end, true
+}
+
+// HasForeign reports whether something runs there that the keeper did not start.
+func (w *Worker) HasForeign() bool {
+	return len(w.foreign) > 0
+}
+
+// Unsure reports whether it is not known if the run has begun.
+func (r *Run) Unsure() bool {
+	return r.unsure && !r.over
+}
--- /dev/null
+++ b/entry/pkg/cell/workers.go
@@ -0,0 +1,277 @@
+package cell
+
+import (
+	"time"
+
+	"chervilusher.dev/entry/pkg/invariant"
+)
+
+// Add takes a worker into the cell; it gets no work before Take.
+func (c *Cell) Add(worker *Worker) {
+	worker.runs = map[runKey]*Run{}
+	worker.foreign = map[runKey]struct{}{}
+	c.workers[worker.ID] = worker
+}
+
+// Worker returns the worker of that name, or nil.
+func (c *Cell) Worker(id string) *Worker {
+	return c.workers[id]
+}
+
+// Workers returns the workers in the order of their names.
+func (c *Cell) Workers() []*Worker {
+	return c.sortedWorkers()
+}
+
+// Remove takes a worker out; the ends of its runs are not known.
+func (c *Cell) Remove(id string, now time.Time) Effects {
+	var effects Effects
+	worker, ok := c.workers[id]
+	if !ok {
+		return effects
+	}
+	c.abandonRuns(worker, "the worker is gone", now, &effects)
+	delete(c.workers, id)
+	c.assign(now, &effects)
+	return effects
+}
+
+// Fenced takes in that another keeper has the worker; it stops what this keeper has started there.
+func (c *Cell) Fenced(worker *Worker, now time.Time) Effects {
+	var effects Effects
+	worker.held = false
+	worker.foreign = map[runKey]struct{}{}
+	c.abandonRuns(worker, "another keeper took the worker over", now, &effects)
+	c.assign(now, &effects)
+	return effects
+}
+
+// Silent takes in that a call to the worker was not answered.
+func (c *Cell) Silent(worker *Worker) {
+	worker.silent = true
+}
+
+// Release gives the worker up, which must be idle.
+func (c *Cell) Release(worker *Worker) {
+	invariant.Check(len(worker.runs) == 0, "only_idle_released", "worker %s", worker.ID)
+	worker.held = false
+}
+
+// SetLeaving takes in whether the worker is about to leave.
+func (c *Cell) SetLeaving(worker *Worker, leaving bool) {
+	worker.Leaving = leaving
+}
+
+// Reported takes in a worker's lists, answered to a call that was sent at the given time.
+func (c *Cell) Reported(worker *Worker, report *Report, sent, now time.Time) Effects {
+	var effects Effects
+	worker.silent = false
+	if report.Born != worker.born {
+		c.reborn(worker, report, now, &effects)
+	}
+	if report.Clock > 0 {
+		worker.clock.read = report.Clock
+		worker.clock.at = now
+	}
+	for _, end := range report.Ended {
+		if end.Number <= worker.acked {
+			continue
+		}
+		worker.acked = end.Number
+		key := runKey{end.Task, end.Run}
+		delete(worker.foreign, key)
+		if run, ok := worker.runs[key]; ok {
+			c.ended(run, end.How, now, &effects)
+		}
+	}
+	c.compare(worker, report, sent, now, &effects)
+	worker.held = true
+	c.assign(now, &effects)
+	return effects
+}
+
+// reborn takes in a new life of the worker, in which nothing of before runs.
+func (c *Cell) reborn(worker *Worker, report *Report, now time.Time, effects *Effects) {
+	if worker.born != 0 {
+		c.loseRuns(worker, now, effects)
+	}
+	worker.born = report.Born
+	worker.acked = 0
+	worker.clock = workerClock{}
+	worker.foreign = map[runKey]struct{}{}
+	worker.health = health{}
+}
+
+// compare holds the worker's list of what runs against what the keeper knows.
+func (c *Cell) compare(worker *Worker, report *Report, sent, now time.Time, effects *Effects) {
+	listed := make(map[runKey]struct{}, len(report.Running))
+	worker.foreign = map[runKey]struct{}{}
+	for _, entry := range report.Running {
+		key := runKey{entry.Task, entry.Run}
+		listed[key] = struct{}{}
+		if run, ok := worker.runs[key]; ok {
+			run.unsure = false
+			run.Task.began = true
+			continue
+		}
+		worker.foreign[key] = struct{}{}
+		effects.Stops = append(effects.Stops, Stop{Worker: worker, Task: entry.Task, Number: entry.Run})
+	}
+	for _, run := range worker.sortedRuns() {
+		if _, ok := listed[runKey{run.Task.Name, run.Number}]; ok {
+			continue
+		}
+		if run.stopping && run.buried.Before(sent) && !run.buried.IsZero() {
+			c.notRun(run, now, effects)
+		}
+	}
+}
+
+// StartResult is what became of the call that starts a run.
+type StartResult int
+
+// Results of a start.
+const (
+	StartTaken     StartResult = iota
+	StartRejected              // it will not run
+	StartUnhealthy             // the worker is unhealthy and has done nothing
+	StartUnsure                // no answer; it may run
+)
+
+// String returns the result as logs and metrics name it.
+func (r StartResult) String() string {
+	return [...]string{"taken", "rejected", "unhealthy", "unsure"}[r]
+}
+
+// StartAnswered takes in the answer to a start.
+func (c *Cell) StartAnswered(run *Run, result StartResult, now time.Time) Effects {
+	var effects Effects
+	if run.over {
+		return effects
+	}
+	switch result {
+	case StartTaken:
+		run.Task.began = true
+	case StartRejected:
+		c.notRun(run, now, &effects)
+	case StartUnhealthy:
+		run.Worker.health.leaveOut(now)
+		c.notRun(run, now, &effects)
+	case StartUnsure:
+		run.unsure = true
+		run.Worker.health.leaveOut(now)
+		c.stop(run, now, &effects)
+	}
+	c.assign(now, &effects)
+	return effects
+}
+
+// StopAnswered takes in that the worker has stopped a run or will never start it; the next list tells which.
+func (c *Cell) StopAnswered(run *Run, now time.Time) {
+	if run.buried.IsZero() {
+		run.buried = now
+	}
+}
+
+// ended takes in a listed end.
+func (c *Cell) ended(run *Run, how HowEnded, now time.Time, effects *Effects) {
+	task := run.Task
+	task.began = true
+	c.release(run)
+	took := now.Sub(run.sent)
+	effects.Ends = append(effects.Ends, Ended{Run: run, How: how.String(), Took: took})
+	switch how {
+	case EndDone:
+		run.Worker.health.good()
+		if !run.stopping {
+			c.speeds.observe(run, took)
+		}
+	case EndFailed:
+		run.Worker.health.failed(now)
+	case EndStopped, EndLapsed:
+	}
+	if task.Job.Decided() {
+		task.state = Dropped
+		return
+	}
+	switch how {
+	case EndDone:
+		task.state = Done
+		c.complete(task.Job, now, effects)
+	case EndFailed:
+		task.failed++
+		task.avoid = run.Worker
+		if task.failed >= task.Job.Attempts {
+			task.state = Dropped
+			c.answer(task.Job, &Answer{Outcome: Failed, Reason: "a task failed on each attempt"}, effects, now)
+			return
+		}
+		c.again(task)
+	case EndStopped, EndLapsed:
+		task.avoid = run.Worker
+		c.again(task)
+	}
+}
+
+// complete answers the job when its last task is done.
+func (c *Cell) complete(job *Job, now time.Time, effects *Effects) {
+	for _, task := range job.Tasks {
+		if task.state != Done {
+			return
+		}
+	}
+	c.answer(job, &Answer{Outcome: Completed}, effects, now)
+}
+
+// again lets the task wait for another start.
+func (c *Cell) again(task *Task) {
+	task.state = Waiting
+	for _, job := range c.waiting {
+		if job == task.Job {
+			return
+		}
+	}
+	c.waiting = append(c.waiting, task.Job)
+}
+
+// notRun takes in that a run never began and never will.
+func (c *Cell) notRun(run *Run, now time.Time, effects *Effects) {
+	c.release(run)
+	effects.Ends = append(effects.Ends, Ended{Run: run, How: "not run", Took: now.Sub(run.sent)})
+	task := run.Task
+	if task.Job.Decided() {
+		task.state = Dropped
+		return
+	}
+	c.again(task)
+}
+
+// release gives the run's room back.
+func (c *Cell) release(run *Run) {
+	worker := run.Worker
+	delete(worker.runs, runKey{run.Task.Name, run.Number})
+	worker.used = worker.used.Minus(run.Task.Need)
+	invariant.Check(worker.used.Cores >= 0, "room_balances", "worker %s", worker.ID)
+	run.over = true
+	run.Task.run = nil
+}
+
+// loseRuns takes in that nothing of this keeper's runs at the worker any more.
+func (c *Cell) loseRuns(worker *Worker, now time.Time, effects *Effects) {
+	for _, run := range worker.sortedRuns() {
+		c.ended(run, EndLapsed, now, effects)
+	}
+}
+
+// abandonRuns gives up the jobs whose tasks ran at a worker that this keeper cannot see any more.
+func (c *Cell) abandonRuns(worker *Worker, reason string, now time.Time, effects *Effects) {
+	for _, run := range worker.sortedRuns() {
+		c.release(run)
+		job := run.Task.Job
+		run.Task.state = Dropped
+		run.Task.began = true
+		if !job.Decided() {
+			c.answer(job, &Answer{Outcome: Abandoned, Reason: reason}, effects, now)
+		}
+	}
+}
--- /dev/null
+++ b/entry/pkg/cellhost/board.go
@@ -0,0 +1,115 @@
+package cellhost
+
+import (
+	"sync/atomic"
+	"time"
+
+	"chervilusher.dev/entry/pkg/blackboard"
+	"chervilusher.dev/entry/pkg/cell"
+	"chervilusher.dev/entry/pkg/peer"
+	"chervilusher.dev/entry/pkg/queues"
+)
+
+// Board is what the controllers of a host share.
+type Board struct {
+	Draining atomic.Bool
+	queues   atomic.Pointer[queues.Table]
+	view     atomic.Pointer[View]
+	workers  atomic.Pointer[map[string]WorkerInfo]
+	claims   atomic.Pointer[[]peer.Claim]
+}
+
+// Neighbour is a host as its heartbeats show it.
+type Neighbour struct {
+	blackboard.Member
+	Claims  []peer.Claim
+	Keeping map[string]bool // workers that a leaving host has not given up yet
+	Loads   []cell.Load
+	Ahead   time.Duration // this host's clock less the other's, at most the delay of one heartbeat too large
+	Timed   bool          // Ahead is known
+}
+
+// View is what this host knows of all hosts, itself among them; it is not changed after it was stored.
+type View struct {
+	Hosts    map[string]Neighbour
+	Isolated bool // less than half of the other hosts are heard
+}
+
+// Table returns the view in the form that the choice of a keeper takes.
+func (v *View) Table() *blackboard.MemberTable {
+	table := &blackboard.MemberTable{ByName: make(map[string]blackboard.Member, len(v.Hosts))}
+	for name := range v.Hosts {
+		table.ByName[name] = v.Hosts[name].Member
+	}
+	return table
+}
+
+// WorkerInfo is a worker as the directory shows it.
+type WorkerInfo struct {
+	ID       string
+	Address  string // host:port
+	Place    string
+	Rack     string
+	Kind     string
+	Group    string
+	Capacity cell.Room
+	Leaving  bool
+}
+
+// NewBoard returns an empty board.
+func NewBoard() *Board {
+	board := &Board{}
+	board.view.Store(&View{})
+	board.workers.Store(&map[string]WorkerInfo{})
+	board.claims.Store(&[]peer.Claim{})
+	return board
+}
+
+// Queues returns the queues in force, or nil before any were read.
+func (b *Board) Queues() *queues.Table {
+	return b.queues.Load()
+}
+
+// View returns what is known of the hosts.
+func (b *Board) View() *View {
+	return b.view.Load()
+}
+
+// Workers returns the workers by name.
+func (b *Board) Workers() map[string]WorkerInfo {
+	return *b.workers.Load()
+}
+
+// Claims returns the cells that this host keeps.
+func (b *Board) Claims() []peer.Claim {
+	return *b.claims.Load()
+}
+
+// Claimant returns the live host that keeps the cell, and its claim.
+func (v *View) Claimant(cellName string) (host string, claim peer.Claim, found bool) {
+	for name := range v.Hosts {
+		neighbour := v.Hosts[name]
+		if !neighbour.Alive || neighbour.Leaving {
+			continue
+		}
+		for _, other := range neighbour.Claims {
+			if other.Cell == cellName && (!found || v.outranks(cellName, name, other, host, claim)) {
+				host, claim, found = name, other, true
+			}
+		}
+	}
+	return host, claim, found
+}
+
+// outranks reports whether the first host's claim goes before the second's: a host of the cell's own place goes before others, and a later claim before an earlier one.
+func (v *View) outranks(cellName, first string, firstClaim peer.Claim, second string, secondClaim peer.Claim) bool {
+	firstNear := v.Hosts[first].Place == cellName
+	secondNear := v.Hosts[second].Place == cellName
+	if firstNear != secondNear {
+		return firstNear
+	}
+	if firstClaim.Epoch != secondClaim.Epoch {
+		return firstClaim.Epoch > secondClaim.Epoch
+	}
+	return first > second
+}
--- /dev/null
+++ b/entry/pkg/cellhost/home.go
@@ -0,0 +1,241 @@
+package cellhost
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
+
+	"chervilusher.dev/entry/pkg/cell"
+	"chervilusher.dev/entry/pkg/common"
+	"chervilusher.dev/entry/pkg/peer"
+	"chervilusher.dev/entry/pkg/queues"
+)
+
+const (
+	// callerDelay is taken off a job's objective, which callers count on their side; callers are 3 ms away.
+	callerDelay = 8 * time.Millisecond
+	// noKeeperRetry is when to come back while no keeper is known; another host follows a dead one within it.
+	noKeeperRetry = time.Second
+	// answerMargin lets a keeper's answer at the deadline arrive before the home gives up itself.
+	answerMargin = 20 * time.Millisecond
+)
+
+// errKeeperGone says that a keeper became silent while it ran a job.
+var errKeeperGone = errors.New("the keeper is gone")
+
+// Submission is a job of a caller who waits for its answer.
+type Submission struct {
+	ID       string
+	Queue    *queues.Queue
+	Version  int64 // of the configuration that the queue was found in
+	Spec     string
+	Tasks    []SubmittedTask
+	Arrived  time.Time
+	Deadline time.Time
+}
+
+// SubmittedTask is one task of a submission.
+type SubmittedTask struct {
+	Name     string
+	Need     cell.Room
+	Estimate time.Duration
+}
+
+// HomeController finds a keeper for each caller's job and waits for its answer.
+type HomeController struct {
+	common  *common.Common
+	options Options
+	board   *Board
+	client  *peer.Client
+	keeper  *KeeperController
+
+	mu    sync.Mutex
+	calls map[*keeperCall]struct{}
+	open  map[string]context.CancelFunc // by the job's identifier
+}
+
+// keeperCall is a call to a keeper that has not been answered.
+type keeperCall struct {
+	host, life string
+	cancel     context.CancelCauseFunc
+}
+
+// NewHomeController returns a home without jobs.
+func NewHomeController(c *common.Common, options Options, board *Board, client *peer.Client, own *KeeperController) *HomeController {
+	return &HomeController{
+		common:  c.Prefixed("home"),
+		options: options,
+		board:   board,
+		client:  client,
+		keeper:  own,
+		calls:   map[*keeperCall]struct{}{},
+		open:    map[string]context.CancelFunc{},
+	}
+}
+
+// Serve runs the job and returns its answer, or nil when the caller has left or cancelled it.
+func (h *HomeController) Serve(ctx context.Context, submission *Submission) *cell.Answer {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if !h.begin(submission.ID, cancel) {
+		return &cell.Answer{Outcome: cell.Abandoned, Reason: "the job runs here already, for an earlier request"}
+	}
+	defer h.end(submission.ID)
+	route := &route{home: h, submission: submission, request: h.request(submission)}
+	answer := route.run(ctx)
+	if ctx.Err() != nil && answer.Outcome != cell.Completed {
+		h.log(route, &cell.Answer{Outcome: cell.Abandoned, Reason: "the caller left"})
+		return nil
+	}
+	h.log(route, answer)
+	return answer
+}
+
+// begin notes an open job, and reports false when one of that identifier is open.
+func (h *HomeController) begin(id string, cancel context.CancelFunc) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if _, ok := h.open[id]; ok {
+		return false
+	}
+	h.open[id] = cancel
+	return true
+}
+
+func (h *HomeController) end(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.open, id)
+}
+
+// Cancel stops an open job, and reports whether there was one.
+func (h *HomeController) Cancel(id string) bool {
+	h.mu.Lock()
+	cancel, ok := h.open[id]
+	h.mu.Unlock()
+	if ok {
+		cancel()
+	}
+	return ok
+}
+
+// Open returns how many callers wait.
+func (h *HomeController) Open() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.open)
+}
+
+func (h *HomeController) log(route *route, answer *cell.Answer) {
+	took := h.common.Clock.Since(route.submission.Arrived)
+	queue := route.submission.Queue.Name
+	metrics.GetOrCreateCounter(fmt.Sprintf(`chervilusher_cell_answers_total{outcome=%q}`, answer.Outcome)).Inc()
+	metrics.GetOrCreateHistogram(fmt.Sprintf(`chervilusher_cell_answer_seconds{outcome=%q}`, answer.Outcome)).Update(took.Seconds())
+	h.common.Log.WithField("job", route.submission.ID).
+		WithField("queue", queue).
+		WithField("version", route.submission.Version).
+		WithField("tasks", len(route.submission.Tasks)).
+		WithField("outcome", answer.Outcome.String()).
+		WithField("reason", answer.Reason).
+		WithField("tried", route.tried).
+		WithField("objective", time.Duration(route.request.Objective-route.request.Arrived).String()).
+		WithField("took", took.String()).
+		Info("job answered")
+}
+
+func (h *HomeController) request(submission *Submission) *peer.RunRequest {
+	longest := time.Duration(0)
+	request := &peer.RunRequest{
+		ID:       submission.ID,
+		Home:     h.options.Name,
+		Life:     h.common.Incarnation,
+		Queue:    submission.Queue.Name,
+		Group:    submission.Queue.Group,
+		Spec:     submission.Spec,
+		Attempts: max(1, submission.Queue.Attempts),
+		Arrived:  submission.Arrived.UnixNano(),
+		Deadline: submission.Deadline.UnixNano(),
+	}
+	for _, task := range submission.Tasks {
+		longest = max(longest, task.Estimate)
+		request.Tasks = append(request.Tasks, peer.RunTask{Name: task.Name, Need: task.Need, Estimate: int64(task.Estimate)})
+	}
+	objective := time.Duration(submission.Queue.Stretch*float64(longest)) + submission.Queue.Objective - callerDelay
+	request.Objective = submission.Arrived.Add(objective).UnixNano()
+	return request
+}
+
+// HostGone breaks off the calls to a keeper that is silent or has started anew.
+func (h *HomeController) HostGone(name, life string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for call := range h.calls {
+		if call.host == name && (life == "" || call.life != life) {
+			call.cancel(errKeeperGone)
+		}
+	}
+}
+
+// call asks the keeper to run the job.
+func (h *HomeController) call(ctx context.Context, keeper *Neighbour, request *peer.RunRequest) (*peer.RunResponse, error) {
+	if keeper.Name == h.options.Name {
+		return h.keeper.Run(ctx, request)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	call := &keeperCall{host: keeper.Name, life: keeper.Incarnation, cancel: cancel}
+	h.mu.Lock()
+	h.calls[call] = struct{}{}
+	h.mu.Unlock()
+	defer func() {
+		h.mu.Lock()
+		delete(h.calls, call)
+		h.mu.Unlock()
+	}()
+	response, err := peer.Call[peer.RunRequest, peer.RunResponse](ctx, h.client, keeper.Address, peer.MethodRun, request)
+	if err != nil && errors.Is(context.Cause(ctx), errKeeperGone) {
+		return nil, errKeeperGone
+	}
+	return response, err
+}
+
+// keepers returns the live keepers of all cells, this place's first and then those with the most room for the group.
+func (h *HomeController) keepers(group string) []Neighbour {
+	view := h.board.View()
+	own, _, hasOwn := view.Claimant(h.options.Place)
+	var found []Neighbour
+	if hasOwn {
+		found = append(found, view.Hosts[own])
+	}
+	var others []Neighbour
+	for place := range placesOf(h.board.Workers()) {
+		name, _, ok := view.Claimant(place)
+		if !ok || name == own || slices.ContainsFunc(others, func(other Neighbour) bool { return other.Name == name }) {
+			continue
+		}
+		others = append(others, view.Hosts[name])
+	}
+	slices.SortFunc(others, func(a, b Neighbour) int {
+		if order := cmp.Compare(free(&b, group), free(&a, group)); order != 0 {
+			return order
+		}
+		return cmp.Compare(a.Name, b.Name)
+	})
+	return append(found, others...)
+}
+
+// free returns how many usual tasks of the group the keeper could start when it was last heard.
+func free(keeper *Neighbour, group string) int {
+	for _, load := range keeper.Loads {
+		if load.Group == group {
+			return load.Free
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/entry/pkg/cellhost/keeper.go
@@ -0,0 +1,284 @@
+package cellhost
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
+
+	"chervilusher.dev/entry/pkg/cell"
+	"chervilusher.dev/entry/pkg/common"
+	"chervilusher.dev/entry/pkg/peer"
+)
+
+var (
+	cellStarts    = metrics.NewCounter(`chervilusher_cell_starts_total`)
+	cellStops     = metrics.NewCounter(`chervilusher_cell_stops_total`)
+	cellRunTimes  = metrics.NewHistogram(`chervilusher_cell_run_seconds`)
+	cellFences    = metrics.NewCounter(`chervilusher_cell_fenced_total`)
+	cellStartTime = metrics.NewHistogram(`chervilusher_cell_start_call_seconds`)
+)
+
+const (
+	// startTimeout bounds a start call; the shortest tasks run for about half of it.
+	startTimeout = 120 * time.Millisecond
+	// stopTries is how often a stop is sent before the cell sends it again by itself.
+	stopTries = 3
+)
+
+// KeeperController carries out the decisions of the cell that this host keeps.
+type KeeperController struct {
+	common  *common.Common
+	options Options
+	board   *Board
+	workers WorkerClient
+
+	mu       sync.Mutex
+	cell     *cell.Cell
+	loops    map[string]*workerLoop // by worker
+	waiters  map[*cell.Job]chan *cell.Answer
+	draining bool
+}
+
+// NewKeeperController returns a keeper without workers and adds its method to the server of peers.
+func NewKeeperController(c *common.Common, options Options, board *Board, workers WorkerClient, server *peer.Server) *KeeperController {
+	controller := &KeeperController{
+		common:  c.Prefixed("keeper"),
+		options: options,
+		board:   board,
+		workers: workers,
+		cell:    cell.New(cell.Limits{Lease: options.Lease}),
+		loops:   map[string]*workerLoop{},
+		waiters: map[*cell.Job]chan *cell.Answer{},
+	}
+	peer.Handle(server, peer.MethodRun, controller.Run)
+	return controller
+}
+
+// Serve lets deadlines and leases run out until the context ends.
+func (k *KeeperController) Serve(ctx context.Context) {
+	k.common.Every(ctx, tickInterval, func() { k.do(k.cell.Tick) })
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, loop := range k.loops {
+		loop.cancel()
+	}
+}
+
+// do makes a decision under the lock and carries out its effects.
+func (k *KeeperController) do(decide func(now time.Time) cell.Effects) {
+	k.mu.Lock()
+	effects := decide(k.common.Clock.Now())
+	k.mu.Unlock()
+	k.carry(&effects)
+}
+
+// Run runs a job and waits for its outcome; the end of the context cancels the job.
+func (k *KeeperController) Run(ctx context.Context, request *peer.RunRequest) (*peer.RunResponse, error) {
+	job, reason := k.job(request)
+	if job == nil {
+		k.common.Log.WithField("job", request.ID).WithField("home", request.Home).WithField("reason", reason).Warn("job declined")
+		return &peer.RunResponse{Declined: true, Reason: reason}, nil
+	}
+	answered, taken := k.submit(job, request.NowOnly)
+	if !taken {
+		return &peer.RunResponse{Declined: true, Reason: "no room at once"}, nil
+	}
+	select {
+	case answer := <-answered:
+		return &peer.RunResponse{Outcome: answer.Outcome, Reason: answer.Reason, Retry: int64(answer.Retry)}, nil
+	case <-ctx.Done():
+		k.do(func(now time.Time) cell.Effects { return k.cell.Cancel(job, "the caller left", now) })
+		return nil, errors.WithStack(ctx.Err())
+	}
+}
+
+func (k *KeeperController) submit(job *cell.Job, nowOnly bool) (answered chan *cell.Answer, taken bool) {
+	answered = make(chan *cell.Answer, 1)
+	k.mu.Lock()
+	now := k.common.Clock.Now()
+	if k.draining || (nowOnly && !k.cell.Immediate(job, now)) {
+		k.mu.Unlock()
+		return nil, false
+	}
+	k.waiters[job] = answered
+	effects := k.cell.Submit(job, now)
+	k.mu.Unlock()
+	k.carry(&effects)
+	return answered, true
+}
+
+// job translates a request into this host's time, or returns why it cannot be taken.
+func (k *KeeperController) job(request *peer.RunRequest) (job *cell.Job, reason string) {
+	home, known := k.board.View().Hosts[request.Home]
+	switch {
+	case !known || !home.Timed || home.Incarnation != request.Life:
+		return nil, "the home was not heard yet"
+	case request.Keeper != k.common.Incarnation:
+		return nil, "the request is for an earlier process"
+	case len(request.Tasks) == 0:
+		return nil, "the job has no tasks"
+	}
+	at := func(nanoseconds int64) time.Time { return time.Unix(0, nanoseconds).Add(home.Ahead) }
+	job = &cell.Job{
+		ID:        request.ID,
+		Home:      request.Home,
+		Life:      request.Life,
+		Queue:     request.Queue,
+		Group:     request.Group,
+		Spec:      request.Spec,
+		Attempts:  request.Attempts,
+		Arrived:   at(request.Arrived),
+		Objective: at(request.Objective),
+		Deadline:  at(request.Deadline),
+	}
+	if !k.common.Clock.Now().Before(job.Deadline) {
+		return nil, "the request came after its deadline"
+	}
+	for _, task := range request.Tasks {
+		job.Tasks = append(job.Tasks, &cell.Task{
+			Job:      job,
+			Name:     task.Name,
+			Need:     task.Need,
+			Estimate: time.Duration(task.Estimate),
+		})
+	}
+	return job, ""
+}
+
+// HostGone cancels the jobs of a home that is silent or has started anew.
+func (k *KeeperController) HostGone(name, life string) {
+	k.do(func(now time.Time) cell.Effects { return k.cell.HomeLost(name, life, now) })
+}
+
+// carry starts, stops and answers without waiting.
+func (k *KeeperController) carry(effects *cell.Effects) {
+	for i := range effects.Starts {
+		start := effects.Starts[i]
+		go k.start(start)
+	}
+	for i := range effects.Stops {
+		stop := effects.Stops[i]
+		go k.stop(stop)
+	}
+	for i := range effects.Ends {
+		k.logEnd(&effects.Ends[i])
+	}
+	for _, answered := range effects.Answers {
+		k.deliver(answered)
+	}
+}
+
+func (k *KeeperController) deliver(answered cell.Answered) {
+	k.mu.Lock()
+	waiter := k.waiters[answered.Job]
+	delete(k.waiters, answered.Job)
+	k.mu.Unlock()
+	if waiter != nil {
+		waiter <- answered.Answer
+	}
+}
+
+func (k *KeeperController) logEnd(end *cell.Ended) {
+	cellRunTimes.Update(end.Took.Seconds())
+	if end.How == cell.EndDone.String() {
+		return
+	}
+	k.common.Log.WithField("task", end.Run.Task.Name).WithField("run", end.Run.Number).
+		WithField("worker", end.Run.Worker.ID).WithField("how", end.How).WithField("took", end.Took.String()).Info("run ended")
+}
+
+func (k *KeeperController) start(start cell.Start) {
+	run := start.Run
+	loop := k.loop(run.Worker.ID)
+	if loop == nil {
+		k.do(func(now time.Time) cell.Effects { return k.cell.StartAnswered(run, cell.StartRejected, now) })
+		return
+	}
+	cellStarts.Inc()
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	began := k.common.Clock.Now()
+	result, err := k.workers.Start(ctx, loop.target, StartCall{
+		Token: loop.token.Load(),
+		Task:  run.Task.Name,
+		Run:   run.Number,
+		Spec:  run.Task.Job.Spec,
+		Lease: start.Lease,
+	})
+	cellStartTime.Update(k.common.Clock.Since(began).Seconds())
+	if result != cell.StartTaken {
+		k.common.Log.WithField("job", run.Task.Job.ID).WithField("task", run.Task.Name).WithField("run", run.Number).
+			WithField("worker", run.Worker.ID).WithField("result", result.String()).WithError(err).Warn("start not taken")
+	}
+	k.do(func(now time.Time) cell.Effects { return k.cell.StartAnswered(run, result, now) })
+	if errors.Is(err, ErrFenced) || errors.Is(err, ErrOtherLife) {
+		loop.look()
+	}
+}
+
+// stop sends a stop until it is answered; the cell sends it again as long as the run is not listed as ended.
+func (k *KeeperController) stop(stop cell.Stop) {
+	loop := k.loop(stop.Worker.ID)
+	if loop == nil {
+		return
+	}
+	cellStops.Inc()
+	for range stopTries {
+		if k.stopOnce(loop, stop) {
+			return
+		}
+	}
+}
+
+func (k *KeeperController) stopOnce(loop *workerLoop, stop cell.Stop) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	err := k.workers.Stop(ctx, loop.target, StopCall{Token: loop.token.Load(), Task: stop.Task, Run: stop.Number})
+	if err != nil {
+		k.common.Log.WithField("task", stop.Task).WithField("worker", stop.Worker.ID).WithError(err).Warn("cannot stop a run")
+		return errors.Is(err, ErrFenced) || errors.Is(err, ErrOtherLife)
+	}
+	if stop.Run == nil {
+		return true
+	}
+	k.mu.Lock()
+	k.cell.StopAnswered(stop.Run, k.common.Clock.Now())
+	unsure := stop.Run.Unsure()
+	k.mu.Unlock()
+	if unsure {
+		loop.look()
+	}
+	return true
+}
+
+func (k *KeeperController) loop(worker string) *workerLoop {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.loops[worker]
+}
+
+// Loads tells what the cell has room for.
+func (k *KeeperController) Loads() []cell.Load {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.cell.Loads(k.common.Clock.Now())
+}
+
+// Keeping returns the workers that a leaving keeper has not given up yet.
+func (k *KeeperController) Keeping() []string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.draining {
+		return nil
+	}
+	names := make([]string, 0, len(k.loops))
+	for name := range k.loops {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/entry/pkg/cellhost/options.go
@@ -0,0 +1,46 @@
+package cellhost
+
+import "time"
+
+// Options are the times that the parts keep to.
+type Options struct {
+	Name  string // of this host, unique among all hosts
+	Place string
+	Lease time.Duration // longest lease of a run, a promise of the workers' interface
+
+	Pulse   time.Duration // between two heartbeats
+	Suspect time.Duration // a host that was silent for this long does not count as alive
+}
+
+const (
+	// DefaultPulse costs each pair of hosts ten small calls a second.
+	DefaultPulse = 100 * time.Millisecond
+	// DefaultSuspect leaves room for a host whose processor stands still for a tenth of a second at a time; together
+	// with the lease it stays under the 1.3 s after which a caller sends a broken job again.
+	DefaultSuspect = 500 * time.Millisecond
+
+	// tickInterval is how often deadlines, leases and overdue runs are looked at.
+	tickInterval = 10 * time.Millisecond
+	// holdWait is how long a worker holds the answer back until a run ends; a lease of 1 s outlasts two of them.
+	holdWait = 400 * time.Millisecond
+	// foreignWait is holdWait while runs of an earlier keeper are being stopped, which takes at most 50 ms.
+	foreignWait = 50 * time.Millisecond
+	// callTimeout bounds a call to a worker beyond the time that it holds the answer back.
+	callTimeout = 250 * time.Millisecond
+	// firstBackoff and lastBackoff bound the delay after a failed call to a worker.
+	firstBackoff = 50 * time.Millisecond
+	lastBackoff  = 500 * time.Millisecond
+	// duelDelay lets heartbeats tell of the winner before a fenced worker is taken back.
+	duelDelay = 300 * time.Millisecond
+	// isolatedDelay is duelDelay, and the delay before a claim, of a host that hears less than half of the others.
+	isolatedDelay = 10 * time.Second
+	// claimDelay lets the heartbeats of a keeper arrive before another host claims its cell.
+	claimDelay = 150 * time.Millisecond
+	// startDelay is claimDelay of a host that has just started and may not have heard of the keeper.
+	startDelay = time.Second
+	// foreignDelay is claimDelay where no host of the place is alive.
+	foreignDelay = 2 * time.Second
+	// removalGrace is how long a worker stays in use that the directory does not show any more; the platform puts
+	// entries back within 2 s after an outage.
+	removalGrace = 2500 * time.Millisecond
+)
--- /dev/null
+++ b/entry/pkg/cellhost/queues.go
@@ -0,0 +1,78 @@
+package cellhost
+
+import (
+	"context"
+	"sync"
+
+	"chervilusher.dev/entry/pkg/common"
+	"chervilusher.dev/entry/pkg/peer"
+	"chervilusher.dev/entry/pkg/queues"
+)
+
+// QueuesController keeps the newest queues that the store or a peer has shown; it never goes back to older ones.
+type QueuesController struct {
+	common *common.Common
+	board  *Board
+	client *peer.Client
+
+	mu     sync.Mutex
+	asking bool
+}
+
+// NewQueuesController returns the controller and adds its method to the server of peers.
+func NewQueuesController(c *common.Common, board *Board, client *peer.Client, server *peer.Server) *QueuesController {
+	controller := &QueuesController{common: c.Prefixed("queues"), board: board, client: client}
+	peer.Handle(server, peer.MethodQueues, controller.serveQueues)
+	return controller
+}
+
+// Take puts the queues in force if they are newer; the source is for the log.
+func (q *QueuesController) Take(table *queues.Table, source string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	current := q.board.Queues()
+	if current != nil && table.Version <= current.Version {
+		return
+	}
+	q.board.queues.Store(table)
+	q.common.Log.WithField("version", table.Version).WithField("queues", len(table.Queues)).WithField("source", source).Info("configuration in force")
+}
+
+// Offered takes the queues from a peer that has newer ones.
+func (q *QueuesController) Offered(ctx context.Context, address string, version int64) {
+	current := q.board.Queues()
+	if version == 0 || (current != nil && version <= current.Version) || !q.begin() {
+		return
+	}
+	defer q.end()
+	response, err := peer.Call[peer.QueuesRequest, peer.QueuesResponse](ctx, q.client, address, peer.MethodQueues, &peer.QueuesRequest{})
+	if err != nil {
+		q.common.Log.WithField("peer", address).WithError(err).Warn("cannot take the configuration from a peer")
+		return
+	}
+	q.Take(queues.New(response.Version, response.Queues), "peer "+address)
+}
+
+func (q *QueuesController) begin() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.asking {
+		return false
+	}
+	q.asking = true
+	return true
+}
+
+func (q *QueuesController) end() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.asking = false
+}
+
+func (q *QueuesController) serveQueues(context.Context, *peer.QueuesRequest) (*peer.QueuesResponse, error) {
+	table := q.board.Queues()
+	if table == nil {
+		return &peer.QueuesResponse{}, nil
+	}
+	return &peer.QueuesResponse{Version: table.Version, Queues: table.Queues}, nil
+}
--- /dev/null
+++ b/entry/pkg/cellhost/worker_loop.go
@@ -0,0 +1,145 @@
+package cellhost
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"chervilusher.dev/entry/pkg/cell"
+)
+
+// workerLoop keeps one worker: it renews its lease and reads its lists.
+type workerLoop struct {
+	keeper *KeeperController
+	worker *cell.Worker
+	target Target
+	epoch  int64        // of the claim under which the worker is kept
+	token  atomic.Int64 // epoch, or higher after a duel
+	ctx    context.Context
+	cancel context.CancelFunc
+	raised int
+	answer bool // the last call was answered
+}
+
+func newWorkerLoop(k *KeeperController, worker *cell.Worker, epoch int64) *workerLoop {
+	ctx, cancel := context.WithCancel(context.Background())
+	loop := &workerLoop{
+		keeper: k,
+		worker: worker,
+		target: Target{ID: worker.ID, Address: worker.Address},
+		epoch:  epoch,
+		ctx:    ctx,
+		cancel: cancel,
+		answer: true,
+	}
+	loop.token.Store(epoch)
+	return loop
+}
+
+// serve holds the worker until the loop is cancelled.
+func (l *workerLoop) serve() {
+	backoff := firstBackoff
+	for l.ctx.Err() == nil {
+		err := l.hold(l.wait())
+		switch {
+		case err == nil:
+			backoff = firstBackoff
+			l.raised = 0
+		case l.ctx.Err() != nil:
+		case errors.Is(err, ErrFenced):
+			l.fenced()
+		default:
+			l.unanswered(err)
+			l.sleep(backoff)
+			backoff = min(2*backoff, lastBackoff)
+		}
+	}
+}
+
+// wait returns how long the worker may hold the next answer back.
+func (l *workerLoop) wait() time.Duration {
+	l.keeper.mu.Lock()
+	defer l.keeper.mu.Unlock()
+	switch {
+	case !l.worker.Held():
+		return 0
+	case l.worker.HasForeign():
+		return foreignWait
+	default:
+		return holdWait
+	}
+}
+
+// hold makes one call and takes its answer in.
+func (l *workerLoop) hold(wait time.Duration) error {
+	k := l.keeper
+	k.mu.Lock()
+	sent := k.common.Clock.Now()
+	call := HoldCall{Token: l.token.Load(), Ack: l.worker.Acked(), Wait: wait}
+	if l.worker.Held() {
+		call.Lease, _ = l.worker.Lease(sent, k.options.Lease)
+	}
+	k.mu.Unlock()
+	ctx, cancel := context.WithTimeout(l.ctx, wait+callTimeout)
+	defer cancel()
+	report, err := k.workers.Hold(ctx, l.target, call)
+	if err != nil {
+		return err
+	}
+	if l.ctx.Err() != nil {
+		return errors.WithStack(l.ctx.Err())
+	}
+	k.do(func(now time.Time) cell.Effects {
+		if l.ctx.Err() != nil || call.Token != l.token.Load() {
+			return cell.Effects{}
+		}
+		return k.cell.Reported(l.worker, report, sent, now)
+	})
+	if !l.answer {
+		l.answer = true
+		k.common.Log.WithField("worker", l.target.ID).Info("worker answers again")
+	}
+	return nil
+}
+
+// look reads the lists at once, beside a call that waits.
+func (l *workerLoop) look() {
+	if err := l.hold(0); err != nil && l.ctx.Err() == nil {
+		l.keeper.common.Log.WithField("worker", l.target.ID).WithError(err).Debug("look failed")
+	}
+}
+
+// fenced gives up what runs at the worker, and takes it back with a higher token if no other keeper shows up.
+func (l *workerLoop) fenced() {
+	k := l.keeper
+	cellFences.Inc()
+	k.do(func(now time.Time) cell.Effects { return k.cell.Fenced(l.worker, now) })
+	delay := duelDelay
+	if k.board.View().Isolated {
+		delay = isolatedDelay
+	}
+	k.common.Log.WithField("worker", l.target.ID).WithField("token", l.token.Load()).WithField("delay", delay.String()).Warn("fenced by another keeper")
+	l.sleep(delay)
+	l.token.Store(raise(l.token.Load(), l.raised, k.common.Clock.Now()))
+	l.raised++
+}
+
+func (l *workerLoop) unanswered(err error) {
+	k := l.keeper
+	k.mu.Lock()
+	k.cell.Silent(l.worker)
+	k.mu.Unlock()
+	if l.answer {
+		l.answer = false
+		k.common.Log.WithField("worker", l.target.ID).WithError(err).Warn("worker does not answer")
+	}
+}
+
+func (l *workerLoop) sleep(delay time.Duration) {
+	select {
+	case <-l.ctx.Done():
+	case <-l.keeper.common.Clock.After(delay):
+	}
+}
--- /dev/null
+++ b/entry/pkg/dialer/doc.go
@@ -0,0 +1,2 @@
+// Package dialer opens TCP connections that notice when the other end is silent.
+package dialer
--- a/entry/pkg/membership/tracker.go
+++ b/entry/pkg/membership/tracker.go
@@ -9,7 +9,7 @@
 // Options tune a tracker.
 type Options struct {
 	Self     string
-	Place    string
+	Place    string        // hosts of other places are not suspected for silence; empty suspects any host
 	Interval time.Duration // between heartbeats
 	Suspect  time.Duration // a host of the same place that was silent for this long is not alive
 	Confirm  int           // heartbeats without a gap until a suspected host is alive again
@@ -75,7 +75,7 @@
 	entry.member.Heard = now
 	entry.told = leaving
 	entry.member.Leaving = entry.listed || entry.told
-	if entry.streak >= t.options.Confirm || entry.member.Place != t.options.Place {
+	if entry.streak >= t.options.Confirm || !t.near(&entry.member) {
 		entry.member.Alive = true
 	}
 	return changed(&before, &entry.member)
@@ -84,7 +84,7 @@
 // Missed takes in that a host of another place did not answer, and reports whether the view has changed.
 func (t *Tracker) Missed(name string) bool {
 	entry, ok := t.members[name]
-	if !ok || entry.member.Place == t.options.Place || !entry.member.Alive {
+	if !ok || t.near(&entry.member) || !entry.member.Alive {
 		return false
 	}
 	entry.member.Alive = false
@@ -101,7 +101,7 @@
 	}
 	t.ticked = now
 	for name, entry := range t.members {
-		if name == t.options.Self || entry.member.Place != t.options.Place || !entry.member.Alive {
+		if name == t.options.Self || !t.near(&entry.member) || !entry.member.Alive {
 			continue
 		}
 		if now.Sub(entry.member.Heard) > t.options.Suspect {
@@ -129,3 +129,8 @@
 func changed(before, after *blackboard.Member) bool {
 	return before.Alive != after.Alive || before.Leaving != after.Leaving || before.Incarnation != after.Incarnation
 }
+
+// near reports whether the host sends heartbeats often enough that its silence tells.
+func (t *Tracker) near(member *blackboard.Member) bool {
+	return t.options.Place == "" || member.Place == t.options.Place
+}
--- /dev/null
+++ b/entry/pkg/peer/cell.go
@@ -0,0 +1,72 @@
+package peer
+
+import (
+	"chervilusher.dev/entry/pkg/cell"
+	"chervilusher.dev/entry/pkg/queues"
+)
+
+// Methods between the hosts of cells.
+const (
+	MethodPulse  = "cell/pulse"
+	MethodRun    = "cell/run"
+	MethodQueues = "cell/queues"
+)
+
+// Claim says that a host keeps a cell.
+type Claim struct {
+	Cell  string `json:"c"`
+	Epoch int64  `json:"e"` // rises with each claim of a cell
+}
+
+// Pulse is a heartbeat between the hosts of cells; both sides of a call tell the same of themselves.
+type Pulse struct {
+	Name        string      `json:"n"`
+	Incarnation string      `json:"i"`
+	Leaving     bool        `json:"l,omitempty"`
+	Clock       int64       `json:"t"` // of the sender, in nanoseconds; it goes on while the sender is suspended
+	Queues      int64       `json:"q"` // version of the queues in force
+	Claims      []Claim     `json:"c,omitempty"`
+	Keeping     []string    `json:"k,omitempty"` // of a leaving keeper: the workers that it has not given up yet
+	Loads       []cell.Load `json:"o,omitempty"`
+}
+
+// RunTask is one task of a job.
+type RunTask struct {
+	Name     string    `json:"n"`
+	Need     cell.Room `json:"r"`
+	Estimate int64     `json:"e"` // nanoseconds at a worker of usual speed
+}
+
+// RunRequest asks a keeper to run a job; its times are nanoseconds on the home's clock.
+type RunRequest struct {
+	ID        string    `json:"id"`
+	Home      string    `json:"h"`
+	Life      string    `json:"l"` // incarnation of the home
+	Keeper    string    `json:"k"` // incarnation of the keeper that is meant
+	Queue     string    `json:"q"`
+	Group     string    `json:"g"`
+	Spec      string    `json:"s"`
+	Attempts  int       `json:"a"`
+	Arrived   int64     `json:"t"`
+	Objective int64     `json:"o"`
+	Deadline  int64     `json:"d"`
+	Tasks     []RunTask `json:"ts"`
+	NowOnly   bool      `json:"now,omitempty"` // decline the job unless all tasks can start at once
+}
+
+// RunResponse is what became of the job.
+type RunResponse struct {
+	Declined bool         `json:"no,omitempty"` // nothing was started; another cell may take the job
+	Outcome  cell.Outcome `json:"o"`
+	Reason   string       `json:"r,omitempty"`
+	Retry    int64        `json:"w,omitempty"` // nanoseconds until the caller should come back
+}
+
+// QueuesRequest asks for the queues in force.
+type QueuesRequest struct{}
+
+// QueuesResponse holds the queues in force.
+type QueuesResponse struct {
+	Version int64          `json:"version"`
+	Queues  []queues.Queue `json:"queues"`
+}
--- a/entry/pkg/peer/client.go
+++ b/entry/pkg/peer/client.go
@@ -11,11 +11,15 @@
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcpool"
 	"storj.io/drpc/drpcwire"
+
+	"chervilusher.dev/entry/pkg/dialer"
 )
 
 const (
 	// dialTimeout bounds how long a connection to another host takes.
 	dialTimeout = time.Second
+	// silenceTimeout is how long sent data may stay without acknowledgement until the connection counts as broken.
+	silenceTimeout = time.Second
 	// idleExpiration is how long an unused connection is kept.
 	idleExpiration = time.Minute
 	// idlePerHost bounds the unused connections to one host.
@@ -24,6 +28,29 @@
 	maxMessageBytes = 64 << 20
 )
 
+// ErrUnreached says that no connection could be made, so that the call has not taken effect.
+var ErrUnreached = errors.New("the host cannot be reached")
+
+// unreachedError is the cause of ErrUnreached.
+type unreachedError struct {
+	cause error
+}
+
+// Error implements error.
+func (e *unreachedError) Error() string {
+	return e.cause.Error()
+}
+
+// Is makes the error count as ErrUnreached.
+func (e *unreachedError) Is(target error) bool {
+	return target == ErrUnreached //nolint:errorlint // errors.Is compares one level at a time
+}
+
+// Unwrap returns the cause.
+func (e *unreachedError) Unwrap() error {
+	return e.cause
+}
+
 // TLSSource gives the TLS configuration of each new connection.
 type TLSSource interface {
 	Client() *tls.Config
@@ -62,19 +89,19 @@
 func (c *Client) dial(ctx context.Context, address string) (drpcpool.Conn, error) {
 	transport, err := c.connect(ctx, address)
 	if err != nil {
-		return nil, errors.WithStack(err)
+		return nil, &unreachedError{err}
 	}
 	return drpcconn.NewWithOptions(countedConn{transport}, drpcconn.Options{Manager: managerOptions()}), nil
 }
 
 func (c *Client) connect(ctx context.Context, address string) (net.Conn, error) {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	plain := dialer.New(dialTimeout, silenceTimeout)
 	if c.secure == nil {
-		return dialer.DialContext(ctx, "tcp", address)
+		return plain.DialContext(ctx, "tcp", address)
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	secured := &tls.Dialer{NetDialer: dialer, Config: c.secure.Client()}
+	secured := &tls.Dialer{NetDialer: plain, Config: c.secure.Client()}
 	return secured.DialContext(ctx, "tcp", address)
 }
 
--- /dev/null
+++ b/entry/pkg/queues/doc.go
@@ -0,0 +1,2 @@
+// Package queues finds the queue that a request is for.
+package queues
