Divide a large place into cells and keep heartbeats to a star

Ruled out: too slow decisions (sapporo's keeper carries the same load with a fifth of a core).

Change: a place has a cell for each 48 workers, the keeper of its first cell decides how many; the host that carries the least for its size follows a lost keeper; a job that finds no room at once is offered to other cells by the keeper instead of its home; heartbeats go between keepers and the hosts of their place; only keepers read the directory often. A worker that belongs to another cell is given up when nothing runs there.

--- a/entry/pkg/cell/assign.go
+++ b/entry/pkg/cell/assign.go
@@ -28,6 +28,11 @@
 			c.giveUp(job, reason, now, effects)
 			continue
 		}
+		if job.earlier != nil && job.earlier.running() {
+			kept = append(kept, job)
+			continue
+		}
+		job.earlier = nil
 		waiting := job.waiting()
 		if !job.Started() {
 			startable := c.startable(job, now)
--- a/entry/pkg/cell/cell.go
+++ b/entry/pkg/cell/cell.go
@@ -18,6 +18,7 @@
 	workers map[string]*Worker
 	jobs    map[*Job]struct{} // without an answer
 	waiting []*Job            // with tasks that wait for a start
+	byID    map[string]*Job   // the last job of each identifier that has no answer or still runs
 	speeds  speeds
 	needs   map[string]*usualNeed // by group
 	nextSeq int64
@@ -65,6 +66,7 @@
 		workers: map[string]*Worker{},
 		jobs:    map[*Job]struct{}{},
 		speeds:  newSpeeds(),
+		byID:    map[string]*Job{},
 		needs:   map[string]*usualNeed{},
 	}
 }
@@ -76,6 +78,7 @@
 	job.seq = c.nextSeq
 	c.jobs[job] = struct{}{}
 	c.observeNeed(job)
+	c.replace(job, now, &effects)
 	if !c.canEverRun(job) {
 		c.answer(job, &Answer{Outcome: Refused, Reason: "no worker has room for a task of this size", Retry: noRoomRetry}, &effects, now)
 		return effects
@@ -89,6 +92,24 @@
 	return effects
 }
 
+// replace gives up an earlier job of the same identifier, whose caller has sent it anew; the new one waits until nothing of it runs.
+func (c *Cell) replace(job *Job, now time.Time, effects *Effects) {
+	if earlier, ok := c.byID[job.ID]; ok {
+		job.earlier = earlier
+		if !earlier.Decided() {
+			c.answer(earlier, &Answer{Outcome: Abandoned, Reason: "the caller sent the job anew"}, effects, now)
+		}
+	}
+	c.byID[job.ID] = job
+}
+
+// forget drops a job that has its answer and of which nothing runs.
+func (c *Cell) forget(job *Job) {
+	if job.Decided() && !job.running() && c.byID[job.ID] == job {
+		delete(c.byID, job.ID)
+	}
+}
+
 // Immediate reports whether all tasks of the job could start now.
 func (c *Cell) Immediate(job *Job, now time.Time) bool {
 	return c.predict(job, now) <= 0
@@ -159,6 +180,7 @@
 		case Done, Dropped:
 		}
 	}
+	c.forget(job)
 	effects.Answers = append(effects.Answers, Answered{Job: job, Answer: answer})
 }
 
--- a/entry/pkg/cell/job.go
+++ b/entry/pkg/cell/job.go
@@ -28,8 +28,9 @@
 	Patience  time.Time // until when the job may wait for its first start
 	Tasks     []*Task
 
-	answer *Answer
-	seq    int64
+	earlier *Job // of the same identifier; this one waits until nothing of it runs
+	answer  *Answer
+	seq     int64
 }
 
 // Task is one task of a job.
@@ -85,6 +86,16 @@
 	return false
 }
 
+// running reports whether a run of the job may exist.
+func (j *Job) running() bool {
+	for _, task := range j.Tasks {
+		if task.run != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // waiting returns how many tasks wait for a start.
 func (j *Job) waiting() int {
 	count := 0
--- a/entry/pkg/cell/workers.go
+++ b/entry/pkg/cell/workers.go
@@ -254,6 +254,7 @@
 	invariant.Check(worker.used.Cores >= 0, "room_balances", "worker %s", worker.ID)
 	run.over = true
 	run.Task.run = nil
+	c.forget(run.Task.Job)
 }
 
 // loseRuns takes in that nothing of this keeper's runs at the worker any more.
--- a/entry/pkg/cellhost/board.go
+++ b/entry/pkg/cellhost/board.go
@@ -23,7 +23,7 @@
 type Neighbour struct {
 	blackboard.Member
 	Claims  []peer.Claim
-	Keeping map[string]bool // workers that a leaving host has not given up yet
+	Keeping map[string]bool // workers of other keepers that the host has not given up yet
 	Loads   []cell.Load
 	Ahead   time.Duration // this host's clock less the other's, at most the delay of one heartbeat too large
 	Timed   bool          // Ahead is known
@@ -35,6 +35,11 @@
 	Isolated bool // less than half of the other hosts are heard
 }
 
+// Keeps reports whether the host keeps a cell.
+func (n *Neighbour) Keeps() bool {
+	return len(n.Claims) > 0
+}
+
 // Table returns the view in the form that the choice of a keeper takes.
 func (v *View) Table() *blackboard.MemberTable {
 	table := &blackboard.MemberTable{ByName: make(map[string]blackboard.Member, len(v.Hosts))}
@@ -86,14 +91,14 @@
 }
 
 // Claimant returns the live host that keeps the cell, and its claim.
-func (v *View) Claimant(cellName string) (host string, claim peer.Claim, found bool) {
+func (v *View) Claimant(wanted peer.CellKey) (host string, claim peer.Claim, found bool) {
 	for name := range v.Hosts {
 		neighbour := v.Hosts[name]
 		if !neighbour.Alive || neighbour.Leaving {
 			continue
 		}
 		for _, other := range neighbour.Claims {
-			if other.Cell == cellName && (!found || v.outranks(cellName, name, other, host, claim)) {
+			if other.Cell == wanted && (!found || v.outranks(name, other, host, claim)) {
 				host, claim, found = name, other, true
 			}
 		}
@@ -101,10 +106,10 @@
 	return host, claim, found
 }
 
-// outranks reports whether the first host's claim goes before the second's: a host of the cell's own place goes before others, and a later claim before an earlier one.
-func (v *View) outranks(cellName, first string, firstClaim peer.Claim, second string, secondClaim peer.Claim) bool {
-	firstNear := v.Hosts[first].Place == cellName
-	secondNear := v.Hosts[second].Place == cellName
+// outranks reports whether the first host's claim of a cell goes before the second's: a host of the cell's own place goes before others, and a later claim before an earlier one.
+func (v *View) outranks(first string, firstClaim peer.Claim, second string, secondClaim peer.Claim) bool {
+	firstNear := v.Hosts[first].Place == firstClaim.Cell.Place
+	secondNear := v.Hosts[second].Place == secondClaim.Cell.Place
 	if firstNear != secondNear {
 		return firstNear
 	}
@@ -113,3 +118,8 @@
 	}
 	return first > second
 }
+
+// Keeps reports whether this host keeps a cell.
+func (b *Board) Keeps() bool {
+	return len(b.Claims()) > 0
+}
--- a/entry/pkg/cellhost/claims.go
+++ b/entry/pkg/cellhost/claims.go
@@ -9,7 +9,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"chervilusher.dev/entry/pkg/common"
-	"chervilusher.dev/entry/pkg/keeper"
 	"chervilusher.dev/entry/pkg/peer"
 )
 
@@ -19,26 +18,38 @@
 // hostBits are the low bits of an epoch, which tell hosts apart that claim in the same millisecond.
 const hostBits = 10
 
-// ClaimsController decides which cells this host keeps: a keeper stays while it lives, and without one the best live host of the place follows.
+// ClaimsController decides which cells this host keeps: a keeper stays while it lives, and without one the live host of the place follows that has the most to spare.
 type ClaimsController struct {
 	common    *common.Common
 	options   Options
 	board     *Board
 	keeper    *KeeperController
+	directory *DirectoryController
 	started   time.Time
-	unclaimed map[string]time.Time // since when a cell has no live keeper
-	epoch     int64                // the last one
+	unclaimed map[peer.CellKey]time.Time // since when a cell has no live keeper
+	claimed   map[peer.CellKey]time.Time // when this host took a cell that it does not use yet
+	cells     map[string]int             // last known number of cells, by place
+	epoch     int64                      // the last one
 }
 
 // NewClaimsController returns a controller that claims nothing yet.
-func NewClaimsController(c *common.Common, options Options, board *Board, workers *KeeperController) *ClaimsController {
+func NewClaimsController(
+	c *common.Common,
+	options Options,
+	board *Board,
+	workers *KeeperController,
+	directory *DirectoryController,
+) *ClaimsController {
 	return &ClaimsController{
 		common:    c.Prefixed("claims"),
 		options:   options,
 		board:     board,
 		keeper:    workers,
+		directory: directory,
 		started:   c.Clock.Now(),
-		unclaimed: map[string]time.Time{},
+		unclaimed: map[peer.CellKey]time.Time{},
+		claimed:   map[peer.CellKey]time.Time{},
+		cells:     map[string]int{},
 	}
 }
 
@@ -50,55 +61,122 @@
 func (c *ClaimsController) tick() {
 	now := c.common.Clock.Now()
 	view := c.board.View()
-	workers := c.board.Workers()
+	perPlace := countPlaces(c.board.Workers())
+	for place, workers := range perPlace {
+		c.cells[place] = c.divide(place, workers, view)
+	}
+	claims := c.claims(view, now)
+	c.board.claims.Store(&claims)
+	c.keeper.Sync(c.usable(claims, now), c.cells, c.board.Workers(), view, c.board.Draining.Load())
+}
+
+// divide returns into how many cells a place is divided: the keeper of its first cell decides.
+func (c *ClaimsController) divide(place string, workers int, view *View) int {
+	before := max(1, c.cells[place])
+	host, claim, found := view.Claimant(peer.CellKey{Place: place})
+	switch {
+	case found && host != c.options.Name:
+		return max(1, claim.Of)
+	case found:
+		return cellsFor(workers, before)
+	default:
+		return before
+	}
+}
+
+// cellsFor returns how many cells so many workers need; hysteresis keeps workers from moving to and fro when some come and go.
+func cellsFor(workers, before int) int {
+	needed := max(1, (workers+workersPerCell-1)/workersPerCell)
+	if needed >= before {
+		return needed
+	}
+	withSlack := workers + cellSlack
+	return max(needed, min(before, (withSlack+workersPerCell-1)/workersPerCell))
+}
+
+// claims returns the cells that this host keeps from now on.
+func (c *ClaimsController) claims(view *View, now time.Time) []peer.Claim {
 	var claims []peer.Claim
-	for _, cellName := range cellsOf(workers, c.board.Claims()) {
-		if claim, keeps := c.decide(cellName, view, now); keeps {
+	following := c.followers(view)
+	for _, key := range c.keys() {
+		if claim, keeps := c.decide(key, view, following[key], now); keeps {
+			claim.Of = c.cells[key.Place]
 			claims = append(claims, claim)
 		}
 	}
-	c.board.claims.Store(&claims)
-	c.keeper.Sync(claims, workers, view, c.board.Draining.Load())
+	return claims
+}
+
+// keys returns the cells of all places in their order.
+func (c *ClaimsController) keys() []peer.CellKey {
+	var keys []peer.CellKey
+	for place, count := range c.cells {
+		for index := range count {
+			keys = append(keys, peer.CellKey{Place: place, Index: index})
+		}
+	}
+	slices.SortFunc(keys, func(a, b peer.CellKey) int {
+		if order := strings.Compare(a.Place, b.Place); order != 0 {
+			return order
+		}
+		return a.Index - b.Index
+	})
+	return keys
 }
 
 // decide returns this host's claim of the cell, if it keeps or takes it.
-func (c *ClaimsController) decide(cellName string, view *View, now time.Time) (peer.Claim, bool) {
-	log := c.common.Log.WithField("cell", cellName)
-	mine, keeps := claimOf(c.board.Claims(), cellName)
+func (c *ClaimsController) decide(key peer.CellKey, view *View, follower string, now time.Time) (peer.Claim, bool) {
+	log := c.common.Log.WithField("cell", key)
+	mine, keeps := claimOf(c.board.Claims(), key)
 	if keeps && c.board.Draining.Load() {
 		return mine, true
 	}
-	host, claim, found := view.Claimant(cellName)
+	host, claim, found := view.Claimant(key)
 	switch {
-	case keeps && found && host != c.options.Name && view.outranks(cellName, host, claim, c.options.Name, mine):
+	case keeps && found && host != c.options.Name && view.outranks(host, claim, c.options.Name, mine):
 		log.WithField("keeper", host).WithField("epoch", claim.Epoch).WithField("own", mine.Epoch).Warn("gave the cell up to another keeper")
 		return peer.Claim{}, false
 	case keeps:
 		return mine, true
 	case found:
-		delete(c.unclaimed, cellName)
+		delete(c.unclaimed, key)
 		return peer.Claim{}, false
 	}
-	since, waiting := c.unclaimed[cellName]
+	since, waiting := c.unclaimed[key]
 	if !waiting {
 		since = now
-		c.unclaimed[cellName] = now
+		c.unclaimed[key] = now
 	}
-	if c.board.Draining.Load() || now.Sub(since) < c.delay(cellName, view, now) || c.follower(cellName, view) != c.options.Name {
+	if c.board.Draining.Load() || now.Sub(since) < c.delay(key.Place, view, now) || follower != c.options.Name {
 		return peer.Claim{}, false
 	}
-	delete(c.unclaimed, cellName)
-	claimed := peer.Claim{Cell: cellName, Epoch: c.newEpoch(now)}
-	log.WithField("epoch", claimed.Epoch).WithField("unclaimed", now.Sub(since).String()).Info("took the cell")
-	return claimed, true
+	delete(c.unclaimed, key)
+	c.claimed[key] = now
+	taken := peer.Claim{Cell: key, Epoch: c.newEpoch(now)}
+	log.WithField("epoch", taken.Epoch).WithField("unclaimed", now.Sub(since).String()).Info("took the cell")
+	return taken, true
+}
+
+// usable returns the claims whose workers may be used: a draining worker must be known as such before it gets work from a new keeper.
+func (c *ClaimsController) usable(claims []peer.Claim, now time.Time) []peer.Claim {
+	var usable []peer.Claim
+	for _, claim := range claims {
+		since, fresh := c.claimed[claim.Cell]
+		if fresh && c.directory.LastRead().Before(since) && now.Sub(since) < freshDelay {
+			continue
+		}
+		delete(c.claimed, claim.Cell)
+		usable = append(usable, claim)
+	}
+	return usable
 }
 
 // delay returns how long a cell must be without a keeper before this host claims it.
-func (c *ClaimsController) delay(cellName string, view *View, now time.Time) time.Duration {
+func (c *ClaimsController) delay(place string, view *View, now time.Time) time.Duration {
 	switch {
 	case view.Isolated:
 		return isolatedDelay
-	case !hasLiveHost(view, cellName):
+	case !hasLiveHost(view, place):
 		return foreignDelay
 	case now.Sub(c.started) < startDelay:
 		return startDelay
@@ -107,18 +185,43 @@
 	}
 }
 
-// follower returns the host that is to claim a cell without a keeper.
-func (c *ClaimsController) follower(cellName string, view *View) string {
-	table := view.Table()
-	if host := keeper.Of(cellName, cellName, table); host != "" {
-		return host
+// followers returns the host that is to claim each cell without a keeper: the one that would carry the least for its size.
+func (c *ClaimsController) followers(view *View) map[peer.CellKey]string {
+	carried := map[string]int{}
+	for name := range view.Hosts {
+		neighbour := view.Hosts[name]
+		carried[name] = len(neighbour.Claims)
 	}
-	for _, place := range livePlaces(view) {
-		if host := keeper.Of(cellName, place, table); host != "" {
-			return host
+	followers := map[peer.CellKey]string{}
+	for _, key := range c.keys() {
+		if _, _, found := view.Claimant(key); found {
+			continue
+		}
+		if host := leastLoaded(key, view, carried); host != "" {
+			followers[key] = host
+			carried[host]++
 		}
 	}
-	return ""
+	return followers
+}
+
+// leastLoaded returns the live host of the cell's place, or of any place without one, that keeps the fewest cells for its size.
+func leastLoaded(key peer.CellKey, view *View, carried map[string]int) string {
+	near := hasLiveHost(view, key.Place)
+	best := ""
+	bestLoad, bestScore := 0.0, uint64(0)
+	for name := range view.Hosts {
+		neighbour := view.Hosts[name]
+		if !neighbour.Alive || neighbour.Leaving || (near && neighbour.Place != key.Place) {
+			continue
+		}
+		load := float64(carried[name]+1) / float64(neighbour.Size)
+		score := xxhash.Sum64String(name + "\x00" + key.Place)
+		if best == "" || load < bestLoad || (load == bestLoad && score > bestScore) {
+			best, bestLoad, bestScore = name, load, score
+		}
+	}
+	return best
 }
 
 // newEpoch returns an epoch that is above all that were made before, by the clock.
@@ -132,42 +235,43 @@
 	return epoch
 }
 
-func claimOf(claims []peer.Claim, cellName string) (peer.Claim, bool) {
+func claimOf(claims []peer.Claim, key peer.CellKey) (peer.Claim, bool) {
 	for _, claim := range claims {
-		if claim.Cell == cellName {
+		if claim.Cell == key {
 			return claim, true
 		}
 	}
 	return peer.Claim{}, false
 }
 
-func cellsOf(workers map[string]WorkerInfo, claims []peer.Claim) []string {
-	var names []string
-	for place := range placesOf(workers) {
-		names = append(names, place)
-	}
-	for _, claim := range claims {
-		if !slices.Contains(names, claim.Cell) {
-			names = append(names, claim.Cell)
+// cellOf returns the cell that a worker belongs to; when a place gets one more cell, only its share of workers moves there.
+func cellOf(worker, place string, cells int) peer.CellKey {
+	best := 0
+	bestScore := uint64(0)
+	for index := range cells {
+		score := xxhash.Sum64String(worker + "\x00" + string(rune('a'+index)))
+		if index == 0 || score > bestScore {
+			best, bestScore = index, score
 		}
 	}
-	slices.Sort(names)
-	return names
+	return peer.CellKey{Place: place, Index: best}
 }
 
-func hasLiveHost(view *View, place string) bool {
-	return slices.Contains(livePlaces(view), place)
+func countPlaces(workers map[string]WorkerInfo) map[string]int {
+	counts := map[string]int{}
+	for _, worker := range workers {
+		counts[worker.Place]++
+	}
+	return counts
 }
 
-// livePlaces returns the places with live hosts that stay, in the order of their names.
-func livePlaces(view *View) []string {
-	var places []string
+// hasLiveHost reports whether a host of the place lives and stays.
+func hasLiveHost(view *View, place string) bool {
 	for name := range view.Hosts {
 		neighbour := view.Hosts[name]
-		if neighbour.Alive && !neighbour.Leaving && !slices.Contains(places, neighbour.Place) {
-			places = append(places, neighbour.Place)
+		if neighbour.Place == place && neighbour.Alive && !neighbour.Leaving {
+			return true
 		}
 	}
-	slices.SortFunc(places, strings.Compare)
-	return places
+	return false
 }
--- a/entry/pkg/cellhost/directory.go
+++ b/entry/pkg/cellhost/directory.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"chervilusher.dev/entry/pkg/common"
@@ -17,6 +18,7 @@
 	mu      sync.Mutex
 	workers map[string]WorkerInfo
 	removed map[string]time.Time
+	read    atomic.Int64 // when the directory was last read, in Unix nanoseconds
 }
 
 // NewDirectoryController returns a controller without workers.
@@ -51,6 +53,16 @@
 	}
 }
 
+// Read takes in that the directory was read up to a time.
+func (d *DirectoryController) Read(at time.Time) {
+	d.read.Store(at.UnixNano())
+}
+
+// LastRead returns when the directory was last read.
+func (d *DirectoryController) LastRead() time.Time {
+	return time.Unix(0, d.read.Load())
+}
+
 // Drop takes in that the directory does not show a worker any more.
 func (d *DirectoryController) Drop(id string) {
 	d.mu.Lock()
--- a/entry/pkg/cellhost/home.go
+++ b/entry/pkg/cellhost/home.go
@@ -24,10 +24,15 @@
 	noKeeperRetry = time.Second
 	// answerMargin lets a keeper's answer at the deadline arrive before the home gives up itself.
 	answerMargin = 20 * time.Millisecond
+	// maxSpills bounds how many other keepers are asked for room at once; each takes about a millisecond.
+	maxSpills = 2
 )
 
-// errKeeperGone says that a keeper became silent while it ran a job.
-var errKeeperGone = errors.New("the keeper is gone")
+// Causes for which a call to a keeper is broken off.
+var (
+	errKeeperGone = errors.New("the keeper is gone")
+	errOriginGone = errors.New("the caller's host is gone")
+)
 
 // Submission is a job of a caller who waits for its answer.
 type Submission struct {
@@ -63,6 +68,7 @@
 // keeperCall is a call to a keeper that has not been answered.
 type keeperCall struct {
 	host, life string
+	origin     string // the host whose caller's job it is
 	cancel     context.CancelCauseFunc
 }
 
@@ -171,7 +177,7 @@
 	return request
 }
 
-// HostGone breaks off the calls to a keeper that is silent or has started anew.
+// HostGone breaks off the calls to a keeper, and those for a caller's host, that is silent or has started anew.
 func (h *HomeController) HostGone(name, life string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -179,17 +185,20 @@
 		if call.host == name && (life == "" || call.life != life) {
 			call.cancel(errKeeperGone)
 		}
+		if call.origin == name {
+			call.cancel(errOriginGone)
+		}
 	}
 }
 
 // call asks the keeper to run the job.
-func (h *HomeController) call(ctx context.Context, keeper *Neighbour, request *peer.RunRequest) (*peer.RunResponse, error) {
+func (h *HomeController) call(ctx context.Context, origin string, keeper *Neighbour, request *peer.RunRequest) (*peer.RunResponse, error) {
 	if keeper.Name == h.options.Name {
 		return h.keeper.Run(ctx, request)
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	call := &keeperCall{host: keeper.Name, life: keeper.Incarnation, cancel: cancel}
+	call := &keeperCall{host: keeper.Name, life: keeper.Incarnation, origin: origin, cancel: cancel}
 	h.mu.Lock()
 	h.calls[call] = struct{}{}
 	h.mu.Unlock()
@@ -205,29 +214,41 @@
 	return response, err
 }
 
-// keepers returns the live keepers of all cells, this place's first and then those with the most room for the group.
-func (h *HomeController) keepers(group string) []Neighbour {
+// Spill offers a job that finds no room here at once to the keepers that had the most room when they were last heard.
+func (h *HomeController) Spill(ctx context.Context, origin string, request *peer.RunRequest) (*peer.RunResponse, bool) {
+	others := slices.DeleteFunc(h.keepers(), func(other Neighbour) bool {
+		return other.Name == h.options.Name || free(&other, request.Group) < len(request.Tasks)
+	})
+	slices.SortFunc(others, func(a, b Neighbour) int {
+		return cmp.Compare(free(&b, request.Group), free(&a, request.Group))
+	})
+	for i := range others[:min(len(others), maxSpills)] {
+		spilt := *request
+		spilt.Keeper = others[i].Incarnation
+		response, err := h.call(ctx, origin, &others[i], &spilt)
+		switch {
+		case err == nil && !response.Declined && response.Outcome != cell.Refused:
+			return response, true
+		case err == nil, errors.Is(err, peer.ErrUnreached):
+		default:
+			h.common.Log.WithField("job", request.ID).WithField("keeper", others[i].Name).WithError(err).Warn("lost the keeper of a job")
+			return &peer.RunResponse{Outcome: cell.Abandoned, Reason: "lost the keeper: " + errors.Cause(err).Error()}, true
+		}
+	}
+	return nil, false
+}
+
+// keepers returns the live keepers that this host hears.
+func (h *HomeController) keepers() []Neighbour {
 	view := h.board.View()
-	own, _, hasOwn := view.Claimant(h.options.Place)
 	var found []Neighbour
-	if hasOwn {
-		found = append(found, view.Hosts[own])
-	}
-	var others []Neighbour
-	for place := range placesOf(h.board.Workers()) {
-		name, _, ok := view.Claimant(place)
-		if !ok || name == own || slices.ContainsFunc(others, func(other Neighbour) bool { return other.Name == name }) {
-			continue
+	for name := range view.Hosts {
+		neighbour := view.Hosts[name]
+		if neighbour.Alive && !neighbour.Leaving && neighbour.Keeps() && neighbour.Timed {
+			found = append(found, neighbour)
 		}
-		others = append(others, view.Hosts[name])
 	}
-	slices.SortFunc(others, func(a, b Neighbour) int {
-		if order := cmp.Compare(free(&b, group), free(&a, group)); order != 0 {
-			return order
-		}
-		return cmp.Compare(a.Name, b.Name)
-	})
-	return append(found, others...)
+	return found
 }
 
 // free returns how many usual tasks of the group the keeper could start when it was last heard.
--- a/entry/pkg/cellhost/keeper.go
+++ b/entry/pkg/cellhost/keeper.go
@@ -41,6 +41,13 @@
 	loops    map[string]*workerLoop // by worker
 	waiters  map[*cell.Job]chan *cell.Answer
 	draining bool
+	others   Spiller
+}
+
+// Spiller offers a job that finds no room at once to other keepers.
+type Spiller interface {
+	// Spill returns false when no other keeper took the job, of which nothing has run then.
+	Spill(ctx context.Context, origin string, request *peer.RunRequest) (*peer.RunResponse, bool)
 }
 
 // NewKeeperController returns a keeper without workers and adds its method to the server of peers.
@@ -58,6 +65,11 @@
 	return controller
 }
 
+// SpillTo sets who offers jobs to other keepers; it is to be called before Serve.
+func (k *KeeperController) SpillTo(others Spiller) {
+	k.others = others
+}
+
 // Serve lets deadlines and leases run out until the context ends.
 func (k *KeeperController) Serve(ctx context.Context) {
 	k.common.Every(ctx, tickInterval, func() { k.do(k.cell.Tick) })
@@ -83,10 +95,19 @@
 		k.common.Log.WithField("job", request.ID).WithField("home", request.Home).WithField("reason", reason).Warn("job declined")
 		return &peer.RunResponse{Declined: true, Reason: reason}, nil
 	}
-	answered, taken := k.submit(job, request.NowOnly)
-	if !taken {
+	answered := k.submit(job, true)
+	if answered == nil && request.NowOnly {
 		return &peer.RunResponse{Declined: true, Reason: "no room at once"}, nil
 	}
+	if answered == nil {
+		if response, taken := k.others.Spill(ctx, request.Home, k.restate(request, job)); taken {
+			return response, nil
+		}
+		answered = k.submit(job, false)
+	}
+	if answered == nil {
+		return &peer.RunResponse{Declined: true, Reason: "the keeper is leaving"}, nil
+	}
 	select {
 	case answer := <-answered:
 		return &peer.RunResponse{Outcome: answer.Outcome, Reason: answer.Reason, Retry: int64(answer.Retry)}, nil
@@ -96,19 +117,32 @@
 	}
 }
 
-func (k *KeeperController) submit(job *cell.Job, nowOnly bool) (answered chan *cell.Answer, taken bool) {
-	answered = make(chan *cell.Answer, 1)
+// submit hands the job to the cell; it returns nil when the host is leaving, or with nowOnly when not all tasks can start at once.
+func (k *KeeperController) submit(job *cell.Job, nowOnly bool) chan *cell.Answer {
+	answered := make(chan *cell.Answer, 1)
 	k.mu.Lock()
 	now := k.common.Clock.Now()
 	if k.draining || (nowOnly && !k.cell.Immediate(job, now)) {
 		k.mu.Unlock()
-		return nil, false
+		return nil
 	}
 	k.waiters[job] = answered
 	effects := k.cell.Submit(job, now)
 	k.mu.Unlock()
 	k.carry(&effects)
-	return answered, true
+	return answered
+}
+
+// restate returns the request in this host's name and time, for another keeper.
+func (k *KeeperController) restate(request *peer.RunRequest, job *cell.Job) *peer.RunRequest {
+	restated := *request
+	restated.Home = k.options.Name
+	restated.Life = k.common.Incarnation
+	restated.Arrived = job.Arrived.UnixNano()
+	restated.Objective = job.Objective.UnixNano()
+	restated.Deadline = job.Deadline.UnixNano()
+	restated.NowOnly = true
+	return &restated
 }
 
 // job translates a request into this host's time, or returns why it cannot be taken.
@@ -268,16 +302,15 @@
 	return k.cell.Loads(k.common.Clock.Now())
 }
 
-// Keeping returns the workers that a leaving keeper has not given up yet.
+// Keeping returns the workers of other keepers that this one has not given up yet.
 func (k *KeeperController) Keeping() []string {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !k.draining {
-		return nil
-	}
-	names := make([]string, 0, len(k.loops))
-	for name := range k.loops {
-		names = append(names, name)
+	var names []string
+	for name, loop := range k.loops {
+		if !loop.released.IsZero() {
+			names = append(names, name)
+		}
 	}
 	slices.Sort(names)
 	return names
--- a/entry/pkg/cellhost/keeper_sync.go
+++ b/entry/pkg/cellhost/keeper_sync.go
@@ -7,38 +7,41 @@
 	"chervilusher.dev/entry/pkg/peer"
 )
 
-// Sync makes the workers of the claimed cells those that this host keeps; a draining host only gives up what is idle.
-func (k *KeeperController) Sync(claims []peer.Claim, workers map[string]WorkerInfo, view *View, draining bool) {
+// Sync makes the workers of the claimed cells those that this host keeps. Others are given up once nothing runs there.
+func (k *KeeperController) Sync(claims []peer.Claim, cells map[string]int, workers map[string]WorkerInfo, view *View, draining bool) {
 	k.mu.Lock()
 	k.draining = draining
 	k.mu.Unlock()
-	if draining {
-		k.giveUpIdle()
-		return
-	}
-	kept := keptByLeaving(view, k.options.Name)
+	elsewhere := keptElsewhere(view, k.options.Name)
 	wanted := map[string]bool{}
-	for id, info := range workers {
-		claim, claimed := claimOf(claims, info.Place)
-		if !claimed || kept[id] {
-			continue
+	if !draining {
+		for id, info := range workers {
+			claim, claimed := claimOf(claims, cellOf(id, info.Place, max(1, cells[info.Place])))
+			if !claimed {
+				continue
+			}
+			wanted[id] = true
+			if !elsewhere[id] {
+				k.keep(info, claim.Epoch)
+			}
 		}
-		wanted[id] = true
-		k.keep(info, claim.Epoch)
 	}
+	now := k.common.Clock.Now()
 	for _, id := range k.kept() {
-		if !wanted[id] {
-			k.drop(id)
+		if wanted[id] {
+			continue
 		}
+		_, listed := workers[id]
+		k.release(id, listed, now)
 	}
 }
 
-// keptByLeaving returns the workers that leaving hosts have not given up yet.
-func keptByLeaving(view *View, self string) map[string]bool {
+// keptElsewhere returns the workers that other hosts have not given up yet to the keeper that they belong to.
+func keptElsewhere(view *View, self string) map[string]bool {
 	kept := map[string]bool{}
 	for name := range view.Hosts {
 		neighbour := view.Hosts[name]
-		if name == self || !neighbour.Alive || !neighbour.Leaving {
+		if name == self || !neighbour.Alive {
 			continue
 		}
 		for id := range neighbour.Keeping {
@@ -48,11 +51,27 @@
 	return kept
 }
 
+// release lets no more task start at a worker, and gives it up once nothing runs there.
+func (k *KeeperController) release(id string, listed bool, now time.Time) {
+	k.mu.Lock()
+	loop := k.loops[id]
+	if loop.released.IsZero() {
+		loop.released = now
+	}
+	k.cell.SetLeaving(loop.worker, true)
+	over := !listed || loop.worker.Idle() || now.Sub(loop.released) > releaseTimeout
+	k.mu.Unlock()
+	if over {
+		k.drop(id)
+	}
+}
+
 // keep starts to keep a worker, or takes in that its entry has changed.
 func (k *KeeperController) keep(info WorkerInfo, epoch int64) {
 	k.mu.Lock()
 	loop, ok := k.loops[info.ID]
 	if ok && loop.target.Address == info.Address && loop.epoch == epoch {
+		loop.released = time.Time{}
 		k.cell.SetLeaving(loop.worker, info.Leaving)
 		k.mu.Unlock()
 		return
@@ -90,20 +109,6 @@
 	k.carry(&effects)
 }
 
-// giveUpIdle lets no more task start, and gives up the workers that nothing runs at.
-func (k *KeeperController) giveUpIdle() {
-	for _, id := range k.kept() {
-		k.mu.Lock()
-		loop := k.loops[id]
-		k.cell.SetLeaving(loop.worker, true)
-		idle := loop.worker.Idle()
-		k.mu.Unlock()
-		if idle {
-			k.drop(id)
-		}
-	}
-}
-
 func (k *KeeperController) kept() []string {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/entry/pkg/cellhost/members.go
+++ b/entry/pkg/cellhost/members.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"maps"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -48,6 +48,8 @@
 	mu      sync.Mutex
 	tracker *membership.Tracker
 	told    map[string]told
+	listed  map[string]bool // hosts that keep a cell, by the directory
+	ticks   int
 }
 
 // told is what a host last said of itself.
@@ -71,14 +73,17 @@
 		board:   board,
 		client:  client,
 		queues:  queues,
-		tracker: membership.New(membership.Options{
-			Self:     options.Name,
-			Interval: options.Pulse,
-			Suspect:  options.Suspect,
-			Confirm:  confirmPulses,
-		}),
-		told: map[string]told{},
+		told:    map[string]told{},
+		listed:  map[string]bool{},
 	}
+	controller.tracker = membership.New(membership.Options{
+		Self:     options.Name,
+		Place:    options.Place,
+		Interval: options.Pulse,
+		Suspect:  options.Suspect,
+		Confirm:  confirmPulses,
+		Near:     controller.isNear,
+	})
 	peer.Handle(server, peer.MethodPulse, controller.servePulse)
 	return controller
 }
@@ -89,9 +94,10 @@
 	m.gone = gone
 }
 
-// SetHosts takes the hosts over from the directory.
-func (m *MembersController) SetHosts(hosts []blackboard.Member) {
+// SetHosts takes the hosts over from the directory, and which of them keep cells.
+func (m *MembersController) SetHosts(hosts []blackboard.Member, keepers map[string]bool) {
 	m.mu.Lock()
+	m.listed = keepers
 	m.tracker.SetHosts(hosts, m.common.Clock.Now())
 	m.mu.Unlock()
 	m.publish()
@@ -112,19 +118,57 @@
 	if changed {
 		m.publish()
 	}
-	for name, neighbour := range m.board.View().Hosts {
-		if m.isCalled(name, &neighbour) {
-			go m.pulse(ctx, name, neighbour.Address)
+	m.ticks++
+	far := m.ticks%int(farInterval/DefaultPulse) == 0
+	for _, neighbour := range m.called(far) {
+		go m.pulse(ctx, neighbour.Name, neighbour.Address)
+	}
+}
+
+// called returns the hosts that get a heartbeat now: the near ones that wait for it, and one of the others in turn.
+func (m *MembersController) called(far bool) []Neighbour {
+	view := m.board.View()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var called, others []Neighbour
+	for name, neighbour := range view.Hosts {
+		switch {
+		case name == m.options.Name:
+		case !m.isNear(&neighbour.Member):
+			others = append(others, neighbour)
+		case m.calls(&neighbour):
+			called = append(called, neighbour)
 		}
 	}
+	if far && len(others) > 0 {
+		called = append(called, others[rand.IntN(len(others))])
+	}
+	return called
 }
 
-// isCalled reports whether this host calls the other: one call serves both ends, so the lower name calls, and both call a silent one.
-func (m *MembersController) isCalled(name string, other *Neighbour) bool {
-	if name == m.options.Name {
-		return false
+// isNear reports whether the host and this one send each other heartbeats at the usual pace: the keepers among
+// themselves and with the hosts of their place, and in a small fleet all. The caller holds the lock.
+func (m *MembersController) isNear(member *blackboard.Member) bool {
+	if len(m.board.View().Hosts) <= meshHosts {
+		return true
+	}
+	self := len(m.board.Claims()) > 0
+	other := m.listed[member.Name]
+	if said, ok := m.told[member.Name]; ok && said.pulse.Incarnation == member.Incarnation {
+		other = len(said.pulse.Claims) > 0
 	}
-	return m.options.Name < name || !other.Alive || other.Incarnation == ""
+	if member.Place == m.options.Place {
+		return self || other
+	}
+	return self && other
+}
+
+// calls reports whether this host calls the near one: one call serves both ends, so of each pair one calls, and both do when the other's calls stay away.
+func (m *MembersController) calls(other *Neighbour) bool {
+	if m.options.Name < other.Name || !other.Alive || other.Incarnation == "" {
+		return true
+	}
+	return m.common.Clock.Since(other.Heard) > 2*m.options.Pulse
 }
 
 func (m *MembersController) pulse(ctx context.Context, name, address string) {
@@ -134,6 +178,12 @@
 	answer, err := peer.Call[peer.Pulse, peer.Pulse](ctx, m.client, address, peer.MethodPulse, m.own())
 	if err != nil {
 		pulsesFailed.Inc()
+		m.mu.Lock()
+		changed := m.tracker.Missed(name)
+		m.mu.Unlock()
+		if changed {
+			m.publish()
+		}
 		m.common.Log.WithField("peer", name).WithError(err).Debug("heartbeat failed")
 		return
 	}
@@ -212,7 +262,7 @@
 func (m *MembersController) view() *View {
 	members := m.tracker.Table().ByName
 	view := &View{Hosts: make(map[string]Neighbour, len(members))}
-	heard := 0
+	near, heard, mates, heardMates := 0, 0, 0, 0
 	for name, member := range members {
 		neighbour := Neighbour{Member: member}
 		said, ok := m.told[name]
@@ -228,12 +278,17 @@
 			neighbour.Claims = m.board.Claims()
 			neighbour.Leaving = m.board.Draining.Load()
 			neighbour.Timed = true
-		} else if member.Alive && member.Incarnation != "" {
-			heard++
+		} else if m.isNear(&member) {
+			isHeard := member.Alive && member.Incarnation != ""
+			near++
+			heard += count(isHeard)
+			mates += count(member.Place == m.options.Place)
+			heardMates += count(isHeard && member.Place == m.options.Place)
 		}
 		view.Hosts[name] = neighbour
 	}
-	view.Isolated = 2*heard < len(members)-1
+	// A place that is cut off from all others as a whole goes on by itself.
+	view.Isolated = 2*heard < near && (mates == 0 || heardMates == 0)
 	return view
 }
 
@@ -245,24 +300,25 @@
 	return set
 }
 
+// count returns 1 for true.
+func count(holds bool) int {
+	if holds {
+		return 1
+	}
+	return 0
+}
+
 // Ready reports whether jobs that come now can be served: some live host keeps a cell.
 func (b *Board) Ready() bool {
 	if b.Draining.Load() || b.Queues() == nil {
 		return false
 	}
 	view := b.View()
-	for place := range maps.Values(placesOf(b.Workers())) {
-		if _, _, found := view.Claimant(place); found {
+	for name := range view.Hosts {
+		neighbour := view.Hosts[name]
+		if neighbour.Alive && !neighbour.Leaving && neighbour.Keeps() {
 			return true
 		}
 	}
 	return false
 }
-
-func placesOf(workers map[string]WorkerInfo) map[string]string {
-	places := map[string]string{}
-	for _, worker := range workers {
-		places[worker.Place] = worker.Place
-	}
-	return places
-}
--- a/entry/pkg/cellhost/options.go
+++ b/entry/pkg/cellhost/options.go
@@ -38,6 +38,19 @@
 	claimDelay = 150 * time.Millisecond
 	// startDelay is claimDelay of a host that has just started and may not have heard of the keeper.
 	startDelay = time.Second
+	// farInterval is how often the pulses to hosts go out that are not near, one of them at a time.
+	farInterval = 2 * DefaultPulse
+	// meshHosts is the size of a fleet in which all hosts send each other heartbeats; ten hosts do so for 1 % of a core.
+	meshHosts = 12
+	// workersPerCell bounds the workers of a cell; keeping 48 takes about a tenth of a core when all are busy.
+	workersPerCell = 48
+	// cellSlack is by how many workers a place must fall short before it gets fewer cells.
+	cellSlack = workersPerCell * 2 / 5
+	// freshDelay bounds how long a new keeper waits for a reading of the directory that is younger than its claim.
+	freshDelay = time.Second
+	// releaseTimeout bounds how long a worker that belongs to another cell is kept until its runs have ended; callers
+	// of the usual jobs wait for 1.5 s.
+	releaseTimeout = 3 * time.Second
 	// foreignDelay is claimDelay where no host of the place is alive.
 	foreignDelay = 2 * time.Second
 	// removalGrace is how long a worker stays in use that the directory does not show any more; the platform puts
--- a/entry/pkg/cellhost/route.go
+++ b/entry/pkg/cellhost/route.go
@@ -1,7 +1,11 @@
 package cellhost
 
 import (
+	"cmp"
 	"context"
+	"math"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -16,49 +20,43 @@
 	submission *Submission
 	request    *peer.RunRequest
 	tried      []string // keepers that were asked
-	refusal    *cell.Answer
 }
 
-// run asks the keepers for room at once, this place's first, and then lets the job wait in this place.
+// run hands the job to a keeper of this place, or to another one where this place has none that takes it.
 func (r *route) run(ctx context.Context) *cell.Answer {
 	ctx, cancel := context.WithTimeout(ctx, r.submission.Deadline.Add(answerMargin).Sub(r.home.common.Clock.Now()))
 	defer cancel()
-	keepers := r.home.keepers(r.submission.Queue.Group)
-	if len(keepers) == 0 {
-		return &cell.Answer{Outcome: cell.Refused, Reason: "no keeper of workers is known", Retry: noKeeperRetry}
-	}
-	for i := range keepers {
-		if i > 0 && free(&keepers[i], r.submission.Queue.Group) < len(r.submission.Tasks) {
-			continue
-		}
-		if answer := r.try(ctx, &keepers[i], true); answer != nil {
+	for _, keeper := range r.order(r.home.keepers()) {
+		if answer := r.try(ctx, &keeper); answer != nil {
 			return answer
 		}
 	}
+	return &cell.Answer{Outcome: cell.Refused, Reason: "no keeper of workers took the job", Retry: noKeeperRetry}
+}
+
+// order puts the keepers of this place first, each group by chance weighted with the room that the keepers told of, so that not all homes turn to the same one.
+func (r *route) order(keepers []Neighbour) []Neighbour {
+	keys := make(map[string]float64, len(keepers))
 	for i := range keepers {
-		if answer := r.try(ctx, &keepers[i], false); answer != nil {
-			return answer
-		}
-		if r.refusal != nil {
-			return r.refusal
+		room := float64(free(&keepers[i], r.submission.Queue.Group) + 1)
+		keys[keepers[i].Name] = math.Pow(rand.Float64(), 1/room)
+		if keepers[i].Place == r.home.options.Place {
+			keys[keepers[i].Name]++
 		}
 	}
-	return &cell.Answer{Outcome: cell.Refused, Reason: "no keeper took the job", Retry: noKeeperRetry}
+	slices.SortFunc(keepers, func(a, b Neighbour) int { return cmp.Compare(keys[b.Name], keys[a.Name]) })
+	return keepers
 }
 
 // try asks one keeper, and returns nil when another may be asked because nothing has run.
-func (r *route) try(ctx context.Context, keeper *Neighbour, nowOnly bool) *cell.Answer {
+func (r *route) try(ctx context.Context, keeper *Neighbour) *cell.Answer {
 	r.tried = append(r.tried, keeper.Name)
 	request := *r.request
 	request.Keeper = keeper.Incarnation
-	request.NowOnly = nowOnly
-	response, err := r.home.call(ctx, keeper, &request)
+	response, err := r.home.call(ctx, r.home.options.Name, keeper, &request)
 	switch {
 	case err == nil && response.Declined:
 		return nil
-	case err == nil && response.Outcome == cell.Refused:
-		r.refusal = &cell.Answer{Outcome: cell.Refused, Reason: response.Reason, Retry: time.Duration(response.Retry)}
-		return nil
 	case err == nil:
 		return &cell.Answer{Outcome: response.Outcome, Reason: response.Reason, Retry: time.Duration(response.Retry)}
 	case errors.Is(err, peer.ErrUnreached):
--- a/entry/pkg/cellhost/worker_loop.go
+++ b/entry/pkg/cellhost/worker_loop.go
@@ -21,6 +21,8 @@
 	cancel context.CancelFunc
 	raised int
 	answer bool // the last call was answered
+
+	released time.Time // since when the worker is to be given up; the keeper's lock guards it
 }
 
 func newWorkerLoop(k *KeeperController, worker *cell.Worker, epoch int64) *workerLoop {
--- a/entry/pkg/membership/tracker.go
+++ b/entry/pkg/membership/tracker.go
@@ -9,10 +9,12 @@
 // Options tune a tracker.
 type Options struct {
 	Self     string
-	Place    string        // hosts of other places are not suspected for silence; empty suspects any host
+	Place    string
 	Interval time.Duration // between heartbeats
 	Suspect  time.Duration // a host of the same place that was silent for this long is not alive
 	Confirm  int           // heartbeats without a gap until a suspected host is alive again
+	// Near tells the hosts whose silence counts; nil means those of the same place.
+	Near func(member *blackboard.Member) bool
 }
 
 // Tracker holds what the heartbeats tell of each entry host of the host list.
@@ -28,6 +30,7 @@
 	told    bool // as leaving, by itself
 	streak  int  // heartbeats without a gap
 	retired string
+	near    bool // at the last tick
 }
 
 // New returns a tracker that knows no hosts.
@@ -45,6 +48,7 @@
 			entry = &tracked{member: host}
 			entry.member.Alive = true
 			entry.member.Heard = now
+			entry.near = t.near(&host)
 		}
 		entry.member.Name = host.Name
 		entry.member.Address = host.Address
@@ -101,7 +105,12 @@
 	}
 	t.ticked = now
 	for name, entry := range t.members {
-		if name == t.options.Self || !t.near(&entry.member) || !entry.member.Alive {
+		wasNear := entry.near
+		entry.near = t.near(&entry.member)
+		if entry.near && !wasNear {
+			entry.member.Heard = now // its heartbeats came at another pace before
+		}
+		if name == t.options.Self || !entry.near || !entry.member.Alive {
 			continue
 		}
 		if now.Sub(entry.member.Heard) > t.options.Suspect {
@@ -132,5 +141,8 @@
 
 // near reports whether the host sends heartbeats often enough that its silence tells.
 func (t *Tracker) near(member *blackboard.Member) bool {
-	return t.options.Place == "" || member.Place == t.options.Place
+	if t.options.Near != nil {
+		return t.options.Near(member)
+	}
+	return member.Place == t.options.Place
 }
--- a/entry/pkg/peer/cell.go
+++ b/entry/pkg/peer/cell.go
@@ -12,10 +12,17 @@
 	MethodQueues = "cell/queues"
 )
 
+// CellKey names a cell: the workers of a place are divided among so many cells as its first one's claim says.
+type CellKey struct {
+	Place string `json:"p"`
+	Index int    `json:"x"`
+}
+
 // Claim says that a host keeps a cell.
 type Claim struct {
-	Cell  string `json:"c"`
-	Epoch int64  `json:"e"` // rises with each claim of a cell
+	Cell  CellKey `json:"c"`
+	Of    int     `json:"o"` // cells that the place is divided into; that of the first cell decides
+	Epoch int64   `json:"e"` // rises with each claim of a cell
 }
 
 // Pulse is a heartbeat between the hosts of cells; both sides of a call tell the same of themselves.
@@ -26,7 +33,7 @@
 	Clock       int64       `json:"t"` // of the sender, in nanoseconds; it goes on while the sender is suspended
 	Queues      int64       `json:"q"` // version of the queues in force
 	Claims      []Claim     `json:"c,omitempty"`
-	Keeping     []string    `json:"k,omitempty"` // of a leaving keeper: the workers that it has not given up yet
+	Keeping     []string    `json:"k,omitempty"` // workers of other keepers that this one has not given up yet
 	Loads       []cell.Load `json:"o,omitempty"`
 }
 
@@ -51,7 +58,7 @@
 	Objective int64     `json:"o"`
 	Deadline  int64     `json:"d"`
 	Tasks     []RunTask `json:"ts"`
-	NowOnly   bool      `json:"now,omitempty"` // decline the job unless all tasks can start at once
+	NowOnly   bool      `json:"now,omitempty"` // decline the job unless all tasks can start at once, and pass it to no other keeper
 }
 
 // RunResponse is what became of the job.
