--- a/entry/pkg/cell/assign.go
+++ b/entry/pkg/cell/assign.go
@@ -8,10 +8,10 @@
 )
 
 const (
-	// noRoomRetry is when to come back if no worker can ever run the job; workers change at most every few seconds.
-	noRoomRetry = 5 * time.Second
 	// leastRetry keeps callers that were refused from coming back within the same burst.
 	leastRetry = time.Second
+	// mostRetry bounds it, for instance while no worker is large enough; workers come and go every few seconds.
+	mostRetry = 5 * time.Second
 )
 
 // assign starts waiting tasks in the order of their latest start and gives up what cannot be served any more.
@@ -140,6 +140,6 @@
 }
 
 // comeBack returns when a refused caller should come back, given how long it would have had to wait.
-func (c *Cell) comeBack(wait time.Duration) time.Duration {
-	return max(wait, leastRetry)
+func comeBack(wait time.Duration) time.Duration {
+	return min(max(wait, leastRetry), mostRetry)
 }
--- a/entry/pkg/cell/cell.go
+++ b/entry/pkg/cell/cell.go
@@ -80,12 +80,12 @@
 	c.observeNeed(job)
 	c.replace(job, now, &effects)
 	if !c.canEverRun(job) {
-		c.answer(job, &Answer{Outcome: Refused, Reason: "no worker has room for a task of this size", Retry: noRoomRetry}, &effects, now)
+		c.giveUp(job, "no worker has room for a task of this size", now, &effects)
 		return effects
 	}
 	c.waiting = append(c.waiting, job)
 	if wait := c.predict(job, now); now.Add(wait).After(c.latestStart(job)) {
-		c.answer(job, &Answer{Outcome: Refused, Reason: "it would miss its objective", Retry: c.comeBack(wait)}, &effects, now)
+		c.giveUp(job, "it would miss its objective", now, &effects)
 		return effects
 	}
 	c.assign(now, &effects)
@@ -95,7 +95,7 @@
 // replace gives up an earlier job of the same identifier, whose caller has sent it anew; the new one waits until nothing of it runs.
 func (c *Cell) replace(job *Job, now time.Time, effects *Effects) {
 	if earlier, ok := c.byID[job.ID]; ok {
-		job.earlier = earlier
+		job.follow(earlier)
 		if !earlier.Decided() {
 			c.answer(earlier, &Answer{Outcome: Abandoned, Reason: "the caller sent the job anew"}, effects, now)
 		}
@@ -103,10 +103,10 @@
 	c.byID[job.ID] = job
 }
 
-// forget drops a job that has its answer and of which nothing runs.
-func (c *Cell) forget(job *Job) {
-	if job.Decided() && !job.running() && c.byID[job.ID] == job {
-		delete(c.byID, job.ID)
+// forget drops the identifier of a job that has its answer and of which nothing runs.
+func (c *Cell) forget(id string) {
+	if last, ok := c.byID[id]; ok && last.Decided() && !last.running() {
+		delete(c.byID, id)
 	}
 }
 
@@ -162,7 +162,7 @@
 		c.answer(job, &Answer{Outcome: Abandoned, Reason: reason}, effects, now)
 		return
 	}
-	c.answer(job, &Answer{Outcome: Refused, Reason: reason, Retry: c.comeBack(c.predict(job, now))}, effects, now)
+	c.answer(job, &Answer{Outcome: Refused, Reason: reason, Retry: comeBack(c.predict(job, now))}, effects, now)
 }
 
 // answer decides the job and stops what runs of it.
@@ -180,7 +180,7 @@
 		case Done, Dropped:
 		}
 	}
-	c.forget(job)
+	c.forget(job.ID)
 	effects.Answers = append(effects.Answers, Answered{Job: job, Answer: answer})
 }
 
--- /dev/null
+++ b/entry/pkg/cell/cell_test.go
@@ -0,0 +1,210 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	short    = 50 * time.Millisecond
+	usual    = 140 * time.Millisecond // objective of a short task
+	patient  = 1500 * time.Millisecond
+	veryLong = time.Hour
+)
+
+func TestJobIsCompletedWhenAllTasksAreDone(t *testing.T) {
+	o := newOffice(t)
+	o.addWorkers(2, 16, 1)
+	job := o.job(4, 7, short, usual, patient)
+	o.submit(job)
+	require.Equal(t, "none", o.outcome(job))
+	o.pass(60 * time.Millisecond)
+	require.Equal(t, "completed", o.outcome(job))
+}
+
+func TestJobThatFitsNowhereIsRefusedAtOnce(t *testing.T) {
+	o := newOffice(t)
+	o.addWorkers(2, 16, 1)
+	job := o.job(1, 17, short, usual, patient)
+	o.submit(job)
+	require.Equal(t, "refused", o.outcome(job))
+	require.Positive(t, o.answers[job.ID].Retry)
+}
+
+func TestFullCellRefusesAtOnceWhatWouldMissItsObjective(t *testing.T) {
+	o := newOffice(t)
+	o.addWorkers(2, 16, 1)
+	long := o.job(4, 7, time.Second, 2*time.Second, 6*time.Second)
+	o.submit(long)
+	job := o.job(2, 7, short, usual, patient)
+	o.submit(job)
+	require.Equal(t, "refused", o.outcome(job))
+	require.Positive(t, o.answers[job.ID].Retry)
+	o.pass(1100 * time.Millisecond)
+	require.Equal(t, "completed", o.outcome(long))
+}
+
+func TestJobWaitsForRoomThatComesInTime(t *testing.T) {
+	o := newOffice(t)
+	o.addWorkers(2, 16, 1)
+	first := o.job(4, 7, short, usual, patient)
+	second := o.job(4, 7, short, usual, patient)
+	o.submit(first)
+	o.submit(second)
+	require.Equal(t, "none", o.outcome(second))
+	o.pass(120 * time.Millisecond)
+	require.Equal(t, "completed", o.outcome(second))
+}
+
+func TestFailedOnlyWhenAttemptsAreUsedUp(t *testing.T) {
+	o := newOffice(t)
+	o.addWorkers(3, 16, 1)
+	o.script = func(task string, run int) (bool, bool, bool) { return false, task == "j0001.0" && run == 1, false }
+	once := o.job(2, 7, short, usual, patient)
+	o.submit(once)
+	o.pass(150 * time.Millisecond)
+	require.Equal(t, "completed", o.outcome(once))
+	o.script = func(task string, _ int) (bool, bool, bool) { return false, task == "j0002.0", false }
+	always := o.job(2, 7, short, usual, patient)
+	o.submit(always)
+	o.pass(150 * time.Millisecond)
+	require.Equal(t, "failed", o.outcome(always))
+}
+
+func TestUnansweredStartIsStoppedBeforeTheTaskStartsAnew(t *testing.T) {
+	o := newOffice(t)
+	o.addWorkers(2, 16, 1)
+	o.script = func(_ string, run int) (bool, bool, bool) { return false, false, run == 1 }
+	job := o.job(1, 7, short, patient, patient)
+	o.submit(job)
+	o.pass(300 * time.Millisecond)
+	require.Equal(t, "completed", o.outcome(job))
+	o.script = func(string, int) (bool, bool, bool) { return false, false, false }
+	o.pass(3 * time.Second) // the lost start arrives and must do nothing
+	for _, sim := range o.workers {
+		require.Empty(t, sim.running)
+	}
+}
+
+func TestTaskOfASilentWorkerStartsAnewOnlyAfterItsLease(t *testing.T) {
+	o := newOffice(t)
+	o.addWorkers(1, 16, 1)
+	job := o.job(1, 7, 500*time.Millisecond, 5*time.Second, 6*time.Second)
+	o.submit(job)
+	o.workers["w00"].silent = true
+	o.addWorkers(1, 16, 1)
+	o.pass(900 * time.Millisecond)
+	require.Empty(t, o.workers["w01"].running, "the silent worker may still run the task")
+	o.pass(900 * time.Millisecond)
+	require.Equal(t, "completed", o.outcome(job))
+}
+
+func TestHangingRunIsMovedAndItsWorkerLeftOut(t *testing.T) {
+	o := newOffice(t)
+	o.addWorkers(2, 16, 1)
+	o.script = func(_ string, run int) (bool, bool, bool) { return run == 1, false, false }
+	job := o.job(1, 7, short, usual, patient)
+	o.submit(job)
+	o.pass(500 * time.Millisecond)
+	require.Equal(t, "completed", o.outcome(job))
+}
+
+func TestWorkerThatFailsInARowIsLeftOut(t *testing.T) {
+	o := newOffice(t)
+	o.addWorkers(1, 16, 1)
+	o.script = func(string, int) (bool, bool, bool) { return false, true, false }
+	for range failuresToPause {
+		o.submit(o.job(1, 7, short, usual, patient))
+		o.pass(short + 10*time.Millisecond)
+	}
+	require.False(t, o.cell.Worker("w00").usable(o.now))
+	o.pass(longestPause)
+	require.True(t, o.cell.Worker("w00").usable(o.now))
+}
+
+func TestRunsOfAnEarlierKeeperAreStoppedBeforeAnythingStarts(t *testing.T) {
+	o := newOffice(t)
+	o.addWorkers(1, 16, 1)
+	sim := o.workers["w00"]
+	sim.running[runKey{"orphan.0", 1}] = &simRun{need: Room{Cores: 10000}, until: o.now.Add(veryLong)}
+	sim.lease = sim.clock(o.now) + time.Second
+	worker := &Worker{ID: "w00", Group: "desk", Capacity: sim.capacity}
+	o.cell.Add(worker)
+	o.hold("w00")
+	require.True(t, worker.HasForeign())
+	require.Empty(t, sim.running, "the orphan was not stopped")
+	require.False(t, worker.usable(o.now), "its room is not known to be free before its end is listed")
+	o.hold("w00")
+	job := o.job(1, 10, short, usual, patient)
+	o.submit(job)
+	o.pass(100 * time.Millisecond)
+	require.Equal(t, "completed", o.outcome(job))
+}
+
+func TestNoLeaseIsRenewedWhileSomethingUnknownRuns(t *testing.T) {
+	worker := &Worker{foreign: map[runKey]struct{}{{"orphan.0", 1}: {}}}
+	worker.clock.at = time.Unix(1, 0)
+	_, renews := worker.Lease(time.Unix(2, 0), time.Second)
+	require.False(t, renews)
+}
+
+func TestFencedWorkerGivesUpItsJobsAndGetsNoMore(t *testing.T) {
+	o := newOffice(t)
+	o.addWorkers(1, 16, 1)
+	job := o.job(1, 7, short, usual, patient)
+	o.submit(job)
+	effects := o.cell.Fenced(o.cell.Worker("w00"), o.now)
+	o.carry(&effects)
+	require.Equal(t, "abandoned", o.outcome(job))
+	next := o.job(1, 7, short, usual, patient)
+	o.submit(next)
+	require.Equal(t, "refused", o.outcome(next))
+}
+
+func TestLostHomeStopsItsJobsAtOnce(t *testing.T) {
+	o := newOffice(t)
+	o.addWorkers(1, 16, 1)
+	job := o.job(2, 7, 500*time.Millisecond, time.Second, patient)
+	o.submit(job)
+	effects := o.cell.HomeLost("home", "", o.now)
+	o.carry(&effects)
+	require.Empty(t, o.workers["w00"].running)
+}
+
+func TestJobSentAnewWaitsUntilTheEarlierOneIsGone(t *testing.T) {
+	o := newOffice(t)
+	o.addWorkers(2, 16, 1)
+	o.submit(o.jobNamed("again", 1, 7, 300*time.Millisecond, time.Second, patient))
+	o.workers["w00"].silent = true
+	o.workers["w01"].silent = true
+	again := o.jobNamed("again", 1, 7, short, 2*time.Second, 2*time.Second)
+	o.submit(again)
+	o.pass(100 * time.Millisecond)
+	o.workers["w00"].silent = false
+	o.workers["w01"].silent = false
+	o.pass(700 * time.Millisecond)
+	require.Equal(t, "completed", o.outcome(again))
+}
+
+func TestLeavingWorkerGetsNoMoreWork(t *testing.T) {
+	o := newOffice(t)
+	o.addWorkers(1, 16, 1)
+	o.cell.SetLeaving(o.cell.Worker("w00"), true)
+	job := o.job(1, 7, short, usual, patient)
+	o.submit(job)
+	o.pass(200 * time.Millisecond)
+	require.Equal(t, "refused", o.outcome(job))
+}
+
+func TestDeadlineStopsWhatRuns(t *testing.T) {
+	o := newOffice(t)
+	o.addWorkers(1, 16, 1)
+	o.script = func(string, int) (bool, bool, bool) { return true, false, false }
+	job := o.job(1, 7, short, usual, 300*time.Millisecond)
+	o.submit(job)
+	o.pass(400 * time.Millisecond)
+	require.Equal(t, "abandoned", o.outcome(job))
+	require.Empty(t, o.workers["w00"].running)
+}
--- a/entry/pkg/cell/job.go
+++ b/entry/pkg/cell/job.go
@@ -29,6 +29,7 @@
 	Tasks     []*Task
 
 	earlier *Job // of the same identifier; this one waits until nothing of it runs
+	began   bool // something of the earlier one has run
 	answer  *Answer
 	seq     int64
 }
@@ -78,6 +79,9 @@
 
 // Started reports whether a start was sent that may have been carried out.
 func (j *Job) Started() bool {
+	if j.began {
+		return true
+	}
 	for _, task := range j.Tasks {
 		if task.began || task.run != nil {
 			return true
@@ -86,8 +90,20 @@
 	return false
 }
 
-// running reports whether a run of the job may exist.
+// follow makes the job wait for an earlier one of the same identifier and go on with its numbers, since workers refuse a run whose number they have seen.
+func (j *Job) follow(earlier *Job) {
+	j.earlier = earlier
+	j.began = earlier.Started()
+	for i := range min(len(j.Tasks), len(earlier.Tasks)) {
+		j.Tasks[i].runs = earlier.Tasks[i].runs
+	}
+}
+
+// running reports whether a run of the job, or of an earlier one of its identifier, may exist.
 func (j *Job) running() bool {
+	if j.earlier != nil && j.earlier.running() {
+		return true
+	}
 	for _, task := range j.Tasks {
 		if task.run != nil {
 			return true
--- /dev/null
+++ b/entry/pkg/cell/sim_test.go
@@ -0,0 +1,321 @@
+package cell
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// simWorker does what the workers' interface promises: runs under one lease, ends that stay listed until they are
+// acknowledged, and starts that are refused after their lease or below a stopped run.
+type simWorker struct {
+	capacity Room
+	speed    float64 // run time against the estimate
+	drift    float64 // speed of its clock against true time
+	epoch    time.Time
+	born     int64
+	lease    time.Duration
+	running  map[runKey]*simRun
+	ends     []EndEntry
+	number   int64
+	barred   map[string]int // highest run that was stopped or has ended, by task
+	down     bool
+	silent   bool
+}
+
+type simRun struct {
+	need  Room
+	until time.Time
+	hangs bool
+	fails bool
+}
+
+func newSimWorker(capacity Room, speed, drift float64, now time.Time) *simWorker {
+	worker := &simWorker{capacity: capacity, speed: speed, drift: drift}
+	worker.birth(now)
+	return worker
+}
+
+func (w *simWorker) birth(now time.Time) {
+	w.epoch = now
+	w.born++
+	w.lease = 0
+	w.running = map[runKey]*simRun{}
+	w.ends = nil
+	w.number = 0
+	w.barred = map[string]int{}
+}
+
+func (w *simWorker) clock(now time.Time) time.Duration {
+	return time.Duration(w.drift * float64(now.Sub(w.epoch)))
+}
+
+// advance ends the runs whose time has come.
+func (w *simWorker) advance(now time.Time) {
+	lapsed := w.clock(now) > w.lease
+	keys := make([]runKey, 0, len(w.running))
+	for key := range w.running {
+		keys = append(keys, key)
+	}
+	slices.SortFunc(keys, func(a, b runKey) int { return w.running[a].until.Compare(w.running[b].until) })
+	for _, key := range keys {
+		run := w.running[key]
+		switch {
+		case !run.hangs && !run.until.After(now) && run.fails:
+			w.end(key, EndFailed)
+		case !run.hangs && !run.until.After(now):
+			w.end(key, EndDone)
+		case lapsed:
+			w.end(key, EndLapsed)
+		}
+	}
+}
+
+func (w *simWorker) end(key runKey, how HowEnded) {
+	delete(w.running, key)
+	w.number++
+	w.ends = append(w.ends, EndEntry{Number: w.number, Task: key.task, Run: key.number, How: how})
+	w.barred[key.task] = max(w.barred[key.task], key.number)
+}
+
+func (w *simWorker) start(key runKey, need Room, estimate, lease time.Duration, hangs, fails bool, now time.Time) StartResult {
+	w.advance(now)
+	if _, ok := w.running[key]; ok {
+		return StartTaken
+	}
+	if w.clock(now) > lease || key.number <= w.barred[key.task] {
+		return StartRejected
+	}
+	w.lease = max(w.lease, min(lease, w.clock(now)+time.Second))
+	w.running[key] = &simRun{need: need, until: now.Add(time.Duration(w.speed * float64(estimate))), hangs: hangs, fails: fails}
+	return StartTaken
+}
+
+func (w *simWorker) stop(key runKey, now time.Time) {
+	w.advance(now)
+	if _, ok := w.running[key]; ok {
+		w.end(key, EndStopped)
+		return
+	}
+	w.barred[key.task] = max(w.barred[key.task], key.number)
+}
+
+func (w *simWorker) hold(ack int64, lease time.Duration, now time.Time) *Report {
+	w.advance(now)
+	w.lease = max(w.lease, min(lease, w.clock(now)+time.Second))
+	w.ends = slices.DeleteFunc(w.ends, func(end EndEntry) bool { return end.Number <= ack })
+	report := &Report{Born: w.born, Clock: w.clock(now), Ended: slices.Clone(w.ends)}
+	for key := range w.running {
+		report.Running = append(report.Running, RunEntry{Task: key.task, Run: key.number})
+	}
+	return report
+}
+
+// used returns the room of all that runs there.
+func (w *simWorker) used() Room {
+	var used Room
+	for _, run := range w.running {
+		used = used.Plus(run.need)
+	}
+	return used
+}
+
+// office is a cell, its workers, and calls to them that take effect when the test says so.
+type office struct {
+	t       require.TestingT
+	now     time.Time
+	cell    *Cell
+	workers map[string]*simWorker
+	answers map[string]*Answer
+	late    []lateStart
+	jobs    int
+	served  map[*Job]bool // jobs of which something has run
+	script  func(task string, run int) (hangs, fails, lost bool)
+}
+
+// lateStart is a start whose answer was lost and that takes effect later.
+type lateStart struct {
+	start Start
+	at    time.Time
+	born  int64
+}
+
+const simLease = time.Second
+
+func newOffice(t require.TestingT) *office {
+	return &office{
+		t:       t,
+		now:     time.Unix(1_000_000, 0),
+		cell:    New(Limits{Lease: simLease}),
+		workers: map[string]*simWorker{},
+		answers: map[string]*Answer{},
+		served:  map[*Job]bool{},
+		script:  func(string, int) (bool, bool, bool) { return false, false, false },
+	}
+}
+
+// addWorkers adds equal workers of so many cores and takes them.
+func (o *office) addWorkers(count int, cores int64, speed float64) {
+	for range count {
+		id := fmt.Sprintf("w%02d", len(o.workers))
+		capacity := Room{Cores: cores * 1000, Memory: 1 << 20}
+		o.workers[id] = newSimWorker(capacity, speed, 1, o.now)
+		o.cell.Add(&Worker{ID: id, Kind: fmt.Sprint(speed), Group: "desk", Capacity: capacity})
+		o.hold(id)
+	}
+}
+
+// hold makes one call to a worker, as its keeper's loop does.
+func (o *office) hold(id string) {
+	worker, sim := o.cell.Worker(id), o.workers[id]
+	if sim.down || sim.silent {
+		o.cell.Silent(worker)
+		return
+	}
+	lease := time.Duration(0)
+	if worker.Held() {
+		lease, _ = worker.Lease(o.now, simLease)
+	}
+	report := sim.hold(worker.Acked(), lease, o.now)
+	effects := o.cell.Reported(worker, report, o.now.Add(time.Nanosecond), o.now)
+	o.carry(&effects)
+}
+
+// job makes a job of equal tasks.
+func (o *office) job(tasks int, cores int64, estimate, objective, deadline time.Duration) *Job {
+	o.jobs++
+	return o.jobNamed(fmt.Sprintf("j%04d", o.jobs), tasks, cores, estimate, objective, deadline)
+}
+
+func (o *office) jobNamed(id string, tasks int, cores int64, estimate, objective, deadline time.Duration) *Job {
+	job := &Job{
+		ID:        id,
+		Home:      "home",
+		Life:      "life",
+		Queue:     "queue",
+		Group:     "desk",
+		Attempts:  2,
+		Arrived:   o.now,
+		Objective: o.now.Add(objective),
+		Deadline:  o.now.Add(deadline),
+	}
+	for index := range tasks {
+		job.Tasks = append(job.Tasks, &Task{
+			Job:      job,
+			Name:     fmt.Sprintf("%s.%d", id, index),
+			Need:     Room{Cores: cores * 1000, Memory: 1},
+			Estimate: estimate,
+		})
+	}
+	return job
+}
+
+func (o *office) submit(job *Job) {
+	effects := o.cell.Submit(job, o.now)
+	o.carry(&effects)
+}
+
+func (o *office) carry(effects *Effects) {
+	for _, answered := range effects.Answers {
+		id := answered.Job.ID
+		o.answers[id] = answered.Answer
+		if answered.Answer.Outcome == Refused {
+			require.False(o.t, o.served[answered.Job], "job %s was refused, but something of it has run", id)
+		}
+	}
+	for _, start := range effects.Starts {
+		o.start(start)
+	}
+	for _, stop := range effects.Stops {
+		sim := o.workers[stop.Worker.ID]
+		if sim.down || sim.silent {
+			continue
+		}
+		sim.stop(runKey{stop.Task, stop.Number}, o.now)
+		if stop.Run != nil {
+			o.cell.StopAnswered(stop.Run, o.now)
+		}
+	}
+}
+
+func (o *office) start(start Start) {
+	run := start.Run
+	sim := o.workers[run.Worker.ID]
+	_, _, lost := o.script(run.Task.Name, run.Number)
+	var effects Effects
+	if lost || sim.silent || sim.down {
+		if !sim.down {
+			o.late = append(o.late, lateStart{start: start, at: o.now.Add(2 * time.Second), born: sim.born})
+		}
+		effects = o.cell.StartAnswered(run, StartUnsure, o.now)
+	} else {
+		effects = o.cell.StartAnswered(run, o.apply(start), o.now)
+	}
+	o.carry(&effects)
+}
+
+// apply carries a start out at the worker, and checks what must hold there.
+func (o *office) apply(start Start) StartResult {
+	run := start.Run
+	sim := o.workers[run.Worker.ID]
+	key := runKey{run.Task.Name, run.Number}
+	hangs, fails, _ := o.script(run.Task.Name, run.Number)
+	_, already := sim.running[key]
+	result := sim.start(key, run.Task.Need, run.Task.Estimate, start.Lease, hangs, fails, o.now)
+	if result != StartTaken || already {
+		return result
+	}
+	o.served[run.Task.Job] = true
+	require.True(o.t, sim.capacity.Fits(sim.used()), "worker %s has more work than room", run.Worker.ID)
+	for id, other := range o.workers {
+		if other.down {
+			continue
+		}
+		for running := range other.running {
+			require.False(o.t, running.task == key.task && running != key, "task %s runs twice, at %s too", key.task, id)
+			require.False(o.t, running == key && id != run.Worker.ID, "run %v runs twice, at %s too", key, id)
+		}
+	}
+	return result
+}
+
+// pass lets time go by in small steps, in which workers are held and late starts arrive.
+func (o *office) pass(length time.Duration) {
+	const step = 5 * time.Millisecond
+	for end := o.now.Add(length); o.now.Before(end); {
+		o.now = o.now.Add(step)
+		o.arriveLate()
+		for _, worker := range o.cell.Workers() {
+			sim := o.workers[worker.ID]
+			sim.advance(o.now)
+			if !worker.Idle() || o.now.UnixMilli()%200 < step.Milliseconds() {
+				o.hold(worker.ID)
+			}
+		}
+		effects := o.cell.Tick(o.now)
+		o.carry(&effects)
+	}
+}
+
+func (o *office) arriveLate() {
+	o.late = slices.DeleteFunc(o.late, func(late lateStart) bool {
+		if late.at.After(o.now) {
+			return false
+		}
+		// A worker that has started anew since cannot tell; its keeper stops what it finds there.
+		if sim := o.workers[late.start.Run.Worker.ID]; !sim.down && sim.born == late.born {
+			o.apply(late.start)
+		}
+		return true
+	})
+}
+
+func (o *office) outcome(job *Job) string {
+	answer, ok := o.answers[job.ID]
+	if !ok {
+		return "none"
+	}
+	return answer.Outcome.String()
+}
--- a/entry/pkg/cell/worker.go
+++ b/entry/pkg/cell/worker.go
@@ -15,6 +15,7 @@
 
 	held     bool // the keeper's token is in force and nothing unknown runs there
 	silent   bool // its last call was not answered
+	stale    bool // it has rejected a start, so that what is known of it may be wrong until its next report
 	used     Room
 	runs     map[runKey]*Run
 	foreign  map[runKey]struct{} // runs that the keeper knows nothing of
@@ -38,6 +39,7 @@
 
 	sent     time.Time
 	over     bool      // it has ended, or the keeper has given it up
+	taken    time.Time // when the worker's answer to the start came
 	unsure   bool      // the start was not answered
 	stopping bool      // a stop was sent
 	stopped  time.Time // when the last stop was sent
@@ -81,6 +83,7 @@
 	Clock   time.Duration
 	Running []RunEntry
 	Ended   []EndEntry
+	Partial bool // more ends are to come
 }
 
 // workerClock relates a worker's steady clock to this host's.
@@ -123,7 +126,7 @@
 
 // usable reports whether new runs may start at the worker.
 func (w *Worker) usable(now time.Time) bool {
-	return w.held && len(w.foreign) == 0 && !w.silent && !w.Leaving && !w.health.paused(now)
+	return w.held && len(w.foreign) == 0 && !w.silent && !w.stale && !w.Leaving && !w.health.paused(now)
 }
 
 // Held reports whether the keeper may start tasks there.
--- a/entry/pkg/cell/workers.go
+++ b/entry/pkg/cell/workers.go
@@ -66,8 +66,9 @@
 func (c *Cell) Reported(worker *Worker, report *Report, sent, now time.Time) Effects {
 	var effects Effects
 	worker.silent = false
+	worker.stale = false
 	if report.Born != worker.born {
-		c.reborn(worker, report, now, &effects)
+		worker.reborn(report)
 	}
 	if report.Clock > 0 {
 		worker.clock.read = report.Clock
@@ -90,16 +91,12 @@
 	return effects
 }
 
-// reborn takes in a new life of the worker, in which nothing of before runs.
-func (c *Cell) reborn(worker *Worker, report *Report, now time.Time, effects *Effects) {
-	if worker.born != 0 {
-		c.loseRuns(worker, now, effects)
-	}
-	worker.born = report.Born
-	worker.acked = 0
-	worker.clock = workerClock{}
-	worker.foreign = map[runKey]struct{}{}
-	worker.health = health{}
+// reborn takes in a new life of the worker; which runs were lost with the last one, its lists tell.
+func (w *Worker) reborn(report *Report) {
+	w.born = report.Born
+	w.acked = 0
+	w.clock = workerClock{}
+	w.health = health{}
 }
 
 // compare holds the worker's list of what runs against what the keeper knows.
@@ -110,8 +107,7 @@
 		key := runKey{entry.Task, entry.Run}
 		listed[key] = struct{}{}
 		if run, ok := worker.runs[key]; ok {
-			run.unsure = false
-			run.Task.began = true
+			run.confirm(now)
 			continue
 		}
 		worker.foreign[key] = struct{}{}
@@ -121,8 +117,11 @@
 		if _, ok := listed[runKey{run.Task.Name, run.Number}]; ok {
 			continue
 		}
-		if run.stopping && run.buried.Before(sent) && !run.buried.IsZero() {
+		switch {
+		case run.taken.IsZero() && !run.buried.IsZero() && run.buried.Before(sent):
 			c.notRun(run, now, effects)
+		case !run.taken.IsZero() && run.taken.Before(sent) && !report.Partial:
+			c.ended(run, EndLapsed, now, effects) // it was lost with an earlier life of the worker
 		}
 	}
 }
@@ -151,8 +150,9 @@
 	}
 	switch result {
 	case StartTaken:
-		run.Task.began = true
+		run.confirm(now)
 	case StartRejected:
+		run.Worker.stale = true
 		c.notRun(run, now, &effects)
 	case StartUnhealthy:
 		run.Worker.health.leaveOut(now)
@@ -166,6 +166,15 @@
 	return effects
 }
 
+// confirm takes in that the run has begun.
+func (r *Run) confirm(now time.Time) {
+	r.unsure = false
+	r.Task.began = true
+	if r.taken.IsZero() {
+		r.taken = now
+	}
+}
+
 // StopAnswered takes in that the worker has stopped a run or will never start it; the next list tells which.
 func (c *Cell) StopAnswered(run *Run, now time.Time) {
 	if run.buried.IsZero() {
@@ -254,7 +263,7 @@
 	invariant.Check(worker.used.Cores >= 0, "room_balances", "worker %s", worker.ID)
 	run.over = true
 	run.Task.run = nil
-	c.forget(run.Task.Job)
+	c.forget(run.Task.Job.ID)
 }
 
 // loseRuns takes in that nothing of this keeper's runs at the worker any more.
--- a/entry/pkg/cellhost/keeper.go
+++ b/entry/pkg/cellhost/keeper.go
@@ -249,7 +249,7 @@
 			WithField("worker", run.Worker.ID).WithField("result", result.String()).WithError(err).Warn("start not taken")
 	}
 	k.do(func(now time.Time) cell.Effects { return k.cell.StartAnswered(run, result, now) })
-	if errors.Is(err, ErrFenced) || errors.Is(err, ErrOtherLife) {
+	if result == cell.StartRejected {
 		loop.look()
 	}
 }
