--- a/entry/pkg/cellhost/claims.go
+++ b/entry/pkg/cellhost/claims.go
@@ -25,6 +25,7 @@
 	board     *Board
 	keeper    *KeeperController
 	directory *DirectoryController
+	members   *MembersController
 	started   time.Time
 	unclaimed map[peer.CellKey]time.Time // since when a cell has no live keeper
 	claimed   map[peer.CellKey]time.Time // when this host took a cell that it does not use yet
@@ -39,6 +40,7 @@
 	board *Board,
 	workers *KeeperController,
 	directory *DirectoryController,
+	members *MembersController,
 ) *ClaimsController {
 	return &ClaimsController{
 		common:    c.Prefixed("claims"),
@@ -46,6 +48,7 @@
 		board:     board,
 		keeper:    workers,
 		directory: directory,
+		members:   members,
 		started:   c.Clock.Now(),
 		unclaimed: map[peer.CellKey]time.Time{},
 		claimed:   map[peer.CellKey]time.Time{},
@@ -66,8 +69,25 @@
 		c.cells[place] = c.divide(place, workers, view)
 	}
 	claims := c.claims(view, now)
+	changed := !slices.Equal(claims, c.board.Claims())
 	c.board.claims.Store(&claims)
-	c.keeper.Sync(c.usable(claims, now), c.cells, c.board.Workers(), view, c.board.Draining.Load())
+	if changed {
+		c.members.Wake()
+	}
+	c.keeper.Sync(c.usable(claims, now), c.cells, c.board.Workers(), view, c.isFollowed(claims, view))
+}
+
+// isFollowed reports whether this host is leaving and another one has claimed each of its cells.
+func (c *ClaimsController) isFollowed(claims []peer.Claim, view *View) bool {
+	if !c.board.Draining.Load() {
+		return false
+	}
+	for _, claim := range claims {
+		if host, _, found := view.Claimant(claim.Cell); !found || host == c.options.Name {
+			return false
+		}
+	}
+	return true
 }
 
 // divide returns into how many cells a place is divided: the keeper of its first cell decides.
@@ -147,7 +167,7 @@
 		since = now
 		c.unclaimed[key] = now
 	}
-	if c.board.Draining.Load() || now.Sub(since) < c.delay(key.Place, view, now) || follower != c.options.Name {
+	if c.board.Draining.Load() || now.Sub(since) < c.delay(key, view, now) || follower != c.options.Name {
 		return peer.Claim{}, false
 	}
 	delete(c.unclaimed, key)
@@ -172,11 +192,13 @@
 }
 
 // delay returns how long a cell must be without a keeper before this host claims it.
-func (c *ClaimsController) delay(place string, view *View, now time.Time) time.Duration {
+func (c *ClaimsController) delay(key peer.CellKey, view *View, now time.Time) time.Duration {
 	switch {
+	case view.Leaver(key):
+		return 0
 	case view.Isolated:
 		return isolatedDelay
-	case !hasLiveHost(view, place):
+	case !hasLiveHost(view, key.Place):
 		return foreignDelay
 	case now.Sub(c.started) < startDelay:
 		return startDelay
--- a/entry/pkg/cellhost/home.go
+++ b/entry/pkg/cellhost/home.go
@@ -238,13 +238,13 @@
 	return nil, false
 }
 
-// keepers returns the live keepers that this host hears.
+// keepers returns the live keepers that this host hears, the leaving ones among them, which still have room.
 func (h *HomeController) keepers() []Neighbour {
 	view := h.board.View()
 	var found []Neighbour
 	for name := range view.Hosts {
 		neighbour := view.Hosts[name]
-		if neighbour.Alive && !neighbour.Leaving && neighbour.Keeps() && neighbour.Timed {
+		if neighbour.Alive && neighbour.Keeps() && neighbour.Timed {
 			found = append(found, neighbour)
 		}
 	}
--- a/entry/pkg/cellhost/keeper.go
+++ b/entry/pkg/cellhost/keeper.go
@@ -40,7 +40,7 @@
 	cell     *cell.Cell
 	loops    map[string]*workerLoop // by worker
 	waiters  map[*cell.Job]chan *cell.Answer
-	draining bool
+	followed time.Time // since when another host follows this leaving one
 	others   Spiller
 }
 
@@ -117,12 +117,12 @@
 	}
 }
 
-// submit hands the job to the cell; it returns nil when the host is leaving, or with nowOnly when not all tasks can start at once.
+// submit hands the job to the cell; it returns nil with nowOnly when not all tasks can start at once, and without it when another host follows this one.
 func (k *KeeperController) submit(job *cell.Job, nowOnly bool) chan *cell.Answer {
 	answered := make(chan *cell.Answer, 1)
 	k.mu.Lock()
 	now := k.common.Clock.Now()
-	if k.draining || (nowOnly && !k.cell.Immediate(job, now)) {
+	if nowOnly && !k.cell.Immediate(job, now) || !nowOnly && !k.followed.IsZero() {
 		k.mu.Unlock()
 		return nil
 	}
@@ -302,13 +302,13 @@
 	return k.cell.Loads(k.common.Clock.Now())
 }
 
-// Keeping returns the workers of other keepers that this one has not given up yet.
+// Keeping returns the workers that belong to other keepers, or will when this host has left, and that it has not given up yet.
 func (k *KeeperController) Keeping() []string {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	var names []string
 	for name, loop := range k.loops {
-		if !loop.released.IsZero() {
+		if k.board.Draining.Load() || !loop.released.IsZero() {
 			names = append(names, name)
 		}
 	}
--- a/entry/pkg/cellhost/keeper_sync.go
+++ b/entry/pkg/cellhost/keeper_sync.go
@@ -3,30 +3,30 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"chervilusher.dev/entry/pkg/cell"
 	"chervilusher.dev/entry/pkg/peer"
 )
 
-// Sync makes the workers of the claimed cells those that this host keeps. Others are given up once nothing runs there.
-func (k *KeeperController) Sync(claims []peer.Claim, cells map[string]int, workers map[string]WorkerInfo, view *View, draining bool) {
-	k.mu.Lock()
-	k.draining = draining
-	k.mu.Unlock()
+// Sync makes the workers of the claimed cells those that this host keeps, and gives the others up once nothing runs
+// there. A leaving host that is followed gives all of them up, one half after the other, so that the place is not
+// without room while they change hands.
+func (k *KeeperController) Sync(claims []peer.Claim, cells map[string]int, workers map[string]WorkerInfo, view *View, followed bool) {
+	now := k.common.Clock.Now()
+	stage := k.stage(followed, now)
 	elsewhere := keptElsewhere(view, k.options.Name)
 	wanted := map[string]bool{}
-	if !draining {
-		for id, info := range workers {
-			claim, claimed := claimOf(claims, cellOf(id, info.Place, max(1, cells[info.Place])))
-			if !claimed {
-				continue
-			}
-			wanted[id] = true
-			if !elsewhere[id] {
-				k.keep(info, claim.Epoch)
-			}
+	for id, info := range workers {
+		claim, claimed := claimOf(claims, cellOf(id, info.Place, max(1, cells[info.Place])))
+		if !claimed || stage == handsAll || (stage == handsHalf && isFirstHalf(id)) {
+			continue
+		}
+		wanted[id] = true
+		if !elsewhere[id] && stage == handsNone {
+			k.keep(info, claim.Epoch)
 		}
 	}
-	now := k.common.Clock.Now()
 	for _, id := range k.kept() {
 		if wanted[id] {
 			continue
@@ -36,6 +36,36 @@
 	}
 }
 
+// stage is how far a leaving keeper has handed its workers over.
+type stage int
+
+const (
+	handsNone stage = iota
+	handsHalf
+	handsAll
+)
+
+func (k *KeeperController) stage(followed bool, now time.Time) stage {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	switch {
+	case !followed:
+		k.followed = time.Time{}
+		return handsNone
+	case k.followed.IsZero():
+		k.followed = now
+		return handsHalf
+	case now.Sub(k.followed) < halfTime:
+		return handsHalf
+	default:
+		return handsAll
+	}
+}
+
+func isFirstHalf(worker string) bool {
+	return xxhash.Sum64String(worker)&1 == 0
+}
+
 // keptElsewhere returns the workers that other hosts have not given up yet to the keeper that they belong to.
 func keptElsewhere(view *View, self string) map[string]bool {
 	kept := map[string]bool{}
--- a/entry/pkg/cellhost/members.go
+++ b/entry/pkg/cellhost/members.go
@@ -4,9 +4,11 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
 
 	"chervilusher.dev/entry/pkg/blackboard"
 	"chervilusher.dev/entry/pkg/cell"
@@ -50,6 +52,7 @@
 	told    map[string]told
 	listed  map[string]bool // hosts that keep a cell, by the directory
 	ticks   int
+	wake    chan struct{}
 }
 
 // told is what a host last said of itself.
@@ -75,6 +78,7 @@
 		queues:  queues,
 		told:    map[string]told{},
 		listed:  map[string]bool{},
+		wake:    make(chan struct{}, 1),
 	}
 	controller.tracker = membership.New(membership.Options{
 		Self:     options.Name,
@@ -103,12 +107,32 @@
 	m.publish()
 }
 
+// Wake sends heartbeats to all near hosts at once, since something has changed that they should know.
+func (m *MembersController) Wake() {
+	select {
+	case m.wake <- struct{}{}:
+	default: // it is awake already
+	}
+}
+
 // Serve sends heartbeats until the context ends.
 func (m *MembersController) Serve(ctx context.Context) {
-	m.common.Every(ctx, m.options.Pulse, func() { m.tick(ctx) })
+	ticker := m.common.Clock.NewTicker(m.options.Pulse)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+			m.tick()
+			m.send(ctx, false)
+		case <-m.wake:
+			m.send(ctx, true)
+		}
+	}
 }
 
-func (m *MembersController) tick(ctx context.Context) {
+func (m *MembersController) tick() {
 	m.mu.Lock()
 	changed, paused := m.tracker.Tick(m.common.Clock.Now())
 	m.mu.Unlock()
@@ -119,14 +143,17 @@
 		m.publish()
 	}
 	m.ticks++
-	far := m.ticks%int(farInterval/DefaultPulse) == 0
-	for _, neighbour := range m.called(far) {
+}
+
+func (m *MembersController) send(ctx context.Context, all bool) {
+	for _, neighbour := range m.called(all) {
 		go m.pulse(ctx, neighbour.Name, neighbour.Address)
 	}
 }
 
-// called returns the hosts that get a heartbeat now: the near ones that wait for it, and one of the others in turn.
-func (m *MembersController) called(far bool) []Neighbour {
+// called returns the hosts that get a heartbeat now: the near ones that wait for it, or all of them, and now and then one of the others.
+func (m *MembersController) called(all bool) []Neighbour {
+	far := !all && m.ticks%int(farInterval/DefaultPulse) == 0
 	view := m.board.View()
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -136,7 +163,7 @@
 		case name == m.options.Name:
 		case !m.isNear(&neighbour.Member):
 			others = append(others, neighbour)
-		case m.calls(&neighbour):
+		case all || m.calls(&neighbour):
 			called = append(called, neighbour)
 		}
 	}
@@ -178,12 +205,7 @@
 	answer, err := peer.Call[peer.Pulse, peer.Pulse](ctx, m.client, address, peer.MethodPulse, m.own())
 	if err != nil {
 		pulsesFailed.Inc()
-		m.mu.Lock()
-		changed := m.tracker.Missed(name)
-		m.mu.Unlock()
-		if changed {
-			m.publish()
-		}
+		m.missed(name, err)
 		m.common.Log.WithField("peer", name).WithError(err).Debug("heartbeat failed")
 		return
 	}
@@ -191,6 +213,21 @@
 	m.queues.Offered(ctx, address, answer.Queues)
 }
 
+// missed takes in a heartbeat that was not answered; where nobody listens, the host's process is gone for certain.
+func (m *MembersController) missed(name string, err error) {
+	m.mu.Lock()
+	var changed bool
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		changed = m.tracker.Refused(name)
+	} else {
+		changed = m.tracker.Missed(name)
+	}
+	m.mu.Unlock()
+	if changed {
+		m.publish()
+	}
+}
+
 func (m *MembersController) servePulse(_ context.Context, pulse *peer.Pulse) (*peer.Pulse, error) {
 	m.heard(pulse)
 	if known, ok := m.board.View().Hosts[pulse.Name]; ok {
--- a/entry/pkg/cellhost/options.go
+++ b/entry/pkg/cellhost/options.go
@@ -51,6 +51,8 @@
 	// releaseTimeout bounds how long a worker that belongs to another cell is kept until its runs have ended; callers
 	// of the usual jobs wait for 1.5 s.
 	releaseTimeout = 3 * time.Second
+	// halfTime is how long a leaving keeper goes on with the second half of its workers; most runs end within it.
+	halfTime = 700 * time.Millisecond
 	// foreignDelay is claimDelay where no host of the place is alive.
 	foreignDelay = 2 * time.Second
 	// removalGrace is how long a worker stays in use that the directory does not show any more; the platform puts
--- a/entry/pkg/cellhost/route.go
+++ b/entry/pkg/cellhost/route.go
@@ -41,7 +41,10 @@
 		room := float64(free(&keepers[i], r.submission.Queue.Group) + 1)
 		keys[keepers[i].Name] = math.Pow(rand.Float64(), 1/room)
 		if keepers[i].Place == r.home.options.Place {
-			keys[keepers[i].Name]++
+			keys[keepers[i].Name] += 2
+		}
+		if keepers[i].Leaving {
+			keys[keepers[i].Name]-- // after those that stay
 		}
 	}
 	slices.SortFunc(keepers, func(a, b Neighbour) int { return cmp.Compare(keys[b.Name], keys[a.Name]) })
--- a/entry/pkg/membership/tracker.go
+++ b/entry/pkg/membership/tracker.go
@@ -95,6 +95,17 @@
 	return true
 }
 
+// Refused takes in that no process listens at the host's address, and reports whether the view has changed.
+func (t *Tracker) Refused(name string) bool {
+	entry, ok := t.members[name]
+	if !ok || !entry.member.Alive {
+		return false
+	}
+	entry.member.Alive = false
+	entry.streak = 0
+	return true
+}
+
 // Tick suspects the silent hosts of this place and reports whether the view has changed; a pause of this process is not held against them.
 func (t *Tracker) Tick(now time.Time) (changed, paused bool) {
 	if gap := now.Sub(t.ticked); !t.ticked.IsZero() && gap > t.options.Suspect/2 {
