Give a cell back to its own place, and claim it there also when cut off

Ruled out: the store (stable then), refusals for room (the reason logged is that no keeper took the job).

Change: a host of the place takes its cell back from another place, which gives each worker up when nothing runs there; a host without live mates is isolated only if it has mates that it does not hear; hosts silent for 20 s do not count. The wait for heartbeats after a start no longer adds to the wait without a keeper.

--- a/entry/pkg/cellhost/board.go
+++ b/entry/pkg/cellhost/board.go
@@ -32,7 +32,8 @@
 // View is what this host knows of all hosts, itself among them; it is not changed after it was stored.
 type View struct {
 	Hosts    map[string]Neighbour
-	Isolated bool // less than half of the other hosts are heard
+	Minority bool // less than half of the other hosts are heard
+	Isolated bool // in addition, no other host of the place is heard
 }
 
 // Keeps reports whether the host keeps a cell.
--- a/entry/pkg/cellhost/claims.go
+++ b/entry/pkg/cellhost/claims.go
@@ -66,9 +66,6 @@
 	for place, workers := range perPlace {
 		c.cells[place] = c.divide(place, workers, view)
 	}
-	if since, known := c.members.KnownSince(); !known || now.Sub(since) < startDelay {
-		return // a keeper may not have been heard yet
-	}
 	claims := c.claims(view, now)
 	changed := !slices.Equal(claims, c.board.Claims())
 	c.board.claims.Store(&claims)
@@ -153,13 +150,14 @@
 		return mine, true
 	}
 	host, claim, found := view.Claimant(key)
+	returns := found && c.returns(key, host, view)
 	switch {
 	case keeps && found && host != c.options.Name && view.outranks(host, claim, c.options.Name, mine):
 		log.WithField("keeper", host).WithField("epoch", claim.Epoch).WithField("own", mine.Epoch).Warn("gave the cell up to another keeper")
 		return peer.Claim{}, false
 	case keeps:
 		return mine, true
-	case found:
+	case found && !returns:
 		delete(c.unclaimed, key)
 		return peer.Claim{}, false
 	}
@@ -168,7 +166,7 @@
 		since = now
 		c.unclaimed[key] = now
 	}
-	if c.board.Draining.Load() || now.Sub(since) < c.delay(key, view, now) || follower != c.options.Name {
+	if !c.isSettled(now) || c.board.Draining.Load() || now.Sub(since) < c.delay(key, view, now) || follower != c.options.Name {
 		return peer.Claim{}, false
 	}
 	delete(c.unclaimed, key)
@@ -178,6 +176,17 @@
 	return taken, true
 }
 
+// returns reports whether a cell that a host of another place keeps is to go back to this host's place.
+func (c *ClaimsController) returns(key peer.CellKey, host string, view *View) bool {
+	return c.options.Place == key.Place && view.Hosts[host].Place != key.Place
+}
+
+// isSettled reports whether this host would have heard of other keepers.
+func (c *ClaimsController) isSettled(now time.Time) bool {
+	since, known := c.members.KnownSince()
+	return known && now.Sub(since) >= startDelay
+}
+
 // usable returns the claims whose workers may be used: a draining worker must be known as such before it gets work from a new keeper.
 func (c *ClaimsController) usable(claims []peer.Claim, now time.Time) []peer.Claim {
 	var usable []peer.Claim
@@ -197,7 +206,7 @@
 	switch {
 	case view.Leaver(key):
 		return 0
-	case view.Isolated:
+	case view.Isolated || (view.Minority && key.Place != c.options.Place):
 		return isolatedDelay
 	case !hasLiveHost(view, key.Place):
 		return foreignDelay
@@ -215,7 +224,7 @@
 	}
 	followers := map[peer.CellKey]string{}
 	for _, key := range c.keys() {
-		if _, _, found := view.Claimant(key); found {
+		if host, _, found := view.Claimant(key); found && !c.returns(key, host, view) {
 			continue
 		}
 		if host := leastLoaded(key, view, carried); host != "" {
--- /dev/null
+++ b/entry/pkg/cellhost/claims_test.go
@@ -0,0 +1,188 @@
+package cellhost
+
+import (
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"chervilusher.dev/entry/pkg/blackboard"
+	"chervilusher.dev/entry/pkg/common"
+	"chervilusher.dev/entry/pkg/peer"
+)
+
+const (
+	north = "north"
+	south = "south"
+)
+
+var northCell = peer.CellKey{Place: north}
+
+// claimant is a host's claims controller with a view that the test sets.
+type claimant struct {
+	*ClaimsController
+	clock *clockwork.FakeClock
+	view  *View
+}
+
+func newClaimant(name, place string) *claimant {
+	clock := clockwork.NewFakeClock()
+	c := &common.Common{Log: &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}, Clock: clock, Incarnation: name}
+	options := Options{Name: name, Place: place, Pulse: DefaultPulse, Suspect: DefaultSuspect}
+	board := NewBoard()
+	server := peer.NewServer()
+	client := peer.NewClient(nil)
+	queues := NewQueuesController(c, board, client, server)
+	members := NewMembersController(c, options, board, client, server, queues)
+	directory := NewDirectoryController(c, board)
+	keeper := NewKeeperController(c, options, board, nil, server)
+	members.Observe(keeper)
+	members.known = clock.Now()
+	controller := NewClaimsController(c, options, board, keeper, directory, members)
+	controller.cells = map[string]int{north: 1}
+	return &claimant{ClaimsController: controller, clock: clock, view: &View{Hosts: map[string]Neighbour{}}}
+}
+
+// host shows a live host in the view.
+func (c *claimant) host(name, place string, size int, claims ...peer.Claim) {
+	c.view.Hosts[name] = Neighbour{
+		Member: blackboard.Member{Name: name, Place: place, Size: size, Alive: true, Incarnation: name},
+		Claims: claims,
+		Timed:  true,
+	}
+}
+
+// after lets time pass and returns the host's claims.
+func (c *claimant) after(delay time.Duration) []peer.Claim {
+	claims := c.claims(c.view, c.clock.Now())
+	c.board.claims.Store(&claims)
+	c.clock.Advance(delay)
+	claims = c.claims(c.view, c.clock.Now())
+	c.board.claims.Store(&claims)
+	self := c.view.Hosts[c.options.Name]
+	self.Claims = claims
+	c.view.Hosts[c.options.Name] = self
+	return claims
+}
+
+func TestFreeCellIsClaimedOnceKeepersWouldHaveBeenHeard(t *testing.T) {
+	c := newClaimant("a", north)
+	c.host("a", north, 1)
+	require.Empty(t, c.after(startDelay-time.Millisecond))
+	require.Len(t, c.after(claimDelay), 1)
+}
+
+func TestKeeperStaysWhenABetterHostComes(t *testing.T) {
+	c := newClaimant("a", north)
+	c.host("a", north, 1)
+	require.Len(t, c.after(time.Second), 1)
+	c.host("b", north, 100)
+	require.Len(t, c.after(time.Minute), 1)
+}
+
+func TestLargestHostFollows(t *testing.T) {
+	c := newClaimant("a", north)
+	c.host("a", north, 144)
+	c.host("b", north, 800)
+	require.Empty(t, c.after(time.Minute))
+	c = newClaimant("b", north)
+	c.host("a", north, 144)
+	c.host("b", north, 800)
+	require.Len(t, c.after(time.Second), 1)
+}
+
+func TestCellsAreSpreadOverHostsBySize(t *testing.T) {
+	c := newClaimant("a", north)
+	c.cells[north] = 3
+	c.host("a", north, 400)
+	c.host("b", north, 800)
+	followers := c.followers(c.view)
+	counts := map[string]int{}
+	for _, host := range followers {
+		counts[host]++
+	}
+	require.Equal(t, map[string]int{"a": 1, "b": 2}, counts)
+}
+
+func TestIsolatedHostLeavesACellToTheOthers(t *testing.T) {
+	c := newClaimant("a", north)
+	c.host("a", north, 1)
+	c.view.Minority, c.view.Isolated = true, true
+	require.Empty(t, c.after(isolatedDelay-time.Millisecond))
+}
+
+func TestOnlyHostOfACutOffPlaceClaimsItsCell(t *testing.T) {
+	c := newClaimant("a", north)
+	c.host("a", north, 1)
+	c.view.Minority = true
+	require.Len(t, c.after(time.Second), 1)
+}
+
+func TestLaterClaimOfTheSamePlaceWins(t *testing.T) {
+	c := newClaimant("a", north)
+	c.host("a", north, 1)
+	claims := c.after(time.Second)
+	require.Len(t, claims, 1)
+	c.host("b", north, 1, peer.Claim{Cell: northCell, Of: 1, Epoch: claims[0].Epoch + 1})
+	require.Empty(t, c.after(0))
+}
+
+func TestFollowerOfALeaverClaimsAtOnce(t *testing.T) {
+	c := newClaimant("a", north)
+	c.host("a", north, 1)
+	c.host("b", north, 1, peer.Claim{Cell: northCell, Of: 1, Epoch: 5})
+	require.Empty(t, c.after(time.Minute))
+	leaver := c.view.Hosts["b"]
+	leaver.Leaving = true
+	c.view.Hosts["b"] = leaver
+	require.Len(t, c.after(0), 1)
+}
+
+func TestCellReturnsFromAnotherPlace(t *testing.T) {
+	c := newClaimant("a", north)
+	c.host("a", north, 1)
+	c.host("c", south, 1, peer.Claim{Cell: northCell, Of: 1, Epoch: 1 << 62})
+	require.Len(t, c.after(time.Second), 1, "the place's own host must take the cell back")
+
+	foreign := newClaimant("c", south)
+	foreign.host("c", south, 1)
+	require.Len(t, foreign.after(foreignDelay), 1, "no host of the place is known")
+	foreign.host("a", north, 1, peer.Claim{Cell: northCell, Of: 1, Epoch: 1})
+	require.Empty(t, foreign.after(0), "the place's own host goes before, whatever the epochs")
+}
+
+func TestCellsOfAPlaceChangeWithHysteresis(t *testing.T) {
+	require.Equal(t, 1, cellsFor(16, 1))
+	require.Equal(t, 1, cellsFor(workersPerCell, 1))
+	require.Equal(t, 2, cellsFor(workersPerCell+1, 1))
+	require.Equal(t, 2, cellsFor(workersPerCell-cellSlack+1, 2))
+	require.Equal(t, 1, cellsFor(workersPerCell-cellSlack, 2))
+	require.Equal(t, 1, cellsFor(0, 3))
+}
+
+func TestOneMoreCellMovesOnlyItsShare(t *testing.T) {
+	moved := 0
+	const workers = 3000
+	for i := range workers {
+		id := time.Duration(i).String()
+		if cellOf(id, north, 3) != cellOf(id, north, 2) {
+			moved++
+		}
+	}
+	require.InDelta(t, workers/3, moved, workers/20)
+}
+
+func TestRaisedTokensGrowAndKeepTheHost(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	token := now.UnixMilli()<<hostBits | 17
+	for tries := range 10 {
+		raised := raise(token, tries, now)
+		require.Greater(t, raised, token)
+		require.EqualValues(t, 17, raised&(1<<hostBits-1))
+		require.Less(t, raised, int64(1)<<53, "workers read tokens as whole numbers up to 2^53")
+		token = raised
+	}
+}
--- a/entry/pkg/cellhost/members.go
+++ b/entry/pkg/cellhost/members.go
@@ -310,6 +310,7 @@
 
 func (m *MembersController) view() *View {
 	members := m.tracker.Table().ByName
+	now := m.common.Clock.Now()
 	view := &View{Hosts: make(map[string]Neighbour, len(members))}
 	near, heard, mates, heardMates := 0, 0, 0, 0
 	for name, member := range members {
@@ -327,7 +328,7 @@
 			neighbour.Claims = m.board.Claims()
 			neighbour.Leaving = m.board.Draining.Load()
 			neighbour.Timed = true
-		} else if m.isNear(&member) {
+		} else if m.isNear(&member) && now.Sub(member.Heard) < forgetAfter {
 			isHeard := member.Alive && member.Incarnation != ""
 			near++
 			heard += count(isHeard)
@@ -336,8 +337,9 @@
 		}
 		view.Hosts[name] = neighbour
 	}
+	view.Minority = 2*heard < near
 	// A place that is cut off from all others as a whole goes on by itself.
-	view.Isolated = 2*heard < near && (mates == 0 || heardMates == 0)
+	view.Isolated = view.Minority && mates > 0 && heardMates == 0
 	return view
 }
 
--- a/entry/pkg/cellhost/options.go
+++ b/entry/pkg/cellhost/options.go
@@ -30,9 +30,12 @@
 	// firstBackoff and lastBackoff bound the delay after a failed call to a worker.
 	firstBackoff = 50 * time.Millisecond
 	lastBackoff  = 500 * time.Millisecond
+	// forgetAfter is how long a host may be silent until it does not count any more for the question whether this host
+	// is cut off from the others; cuts last up to about 12 s.
+	forgetAfter = 20 * time.Second
 	// duelDelay lets heartbeats tell of the winner before a fenced worker is taken back.
 	duelDelay = 300 * time.Millisecond
-	// isolatedDelay is duelDelay, and the delay before a claim, of a host that hears less than half of the others.
+	// isolatedDelay is duelDelay, and the delay before a claim, of a host that hears too few others, which may keep the cell.
 	isolatedDelay = 10 * time.Second
 	// claimDelay lets the heartbeats of a keeper arrive before another host claims its cell.
 	claimDelay = 150 * time.Millisecond
