Offer a job that would be refused to the queues of other cells

Change: after its own refusal a keeper offers the job to the two keepers with the most spare room, which may let it wait but pass it on no further.

--- a/entry/pkg/cellhost/home.go
+++ b/entry/pkg/cellhost/home.go
@@ -215,16 +215,18 @@
 }
 
 // Spill offers a job that finds no room here at once to the keepers that had the most room when they were last heard.
-func (h *HomeController) Spill(ctx context.Context, origin string, request *peer.RunRequest) (*peer.RunResponse, bool) {
+func (h *HomeController) Spill(ctx context.Context, origin string, request *peer.RunRequest, mode peer.RunMode) (*peer.RunResponse, bool) {
 	others := slices.DeleteFunc(h.keepers(), func(other Neighbour) bool {
-		return other.Name == h.options.Name || free(&other, request.Group) < len(request.Tasks)
+		full := mode == peer.RunNow && free(&other, request.Group) < len(request.Tasks)
+		return other.Name == h.options.Name || full
 	})
 	slices.SortFunc(others, func(a, b Neighbour) int {
-		return cmp.Compare(free(&b, request.Group), free(&a, request.Group))
+		return cmp.Compare(spare(&b, request.Group), spare(&a, request.Group))
 	})
 	for i := range others[:min(len(others), maxSpills)] {
 		spilt := *request
 		spilt.Keeper = others[i].Incarnation
+		spilt.Mode = mode
 		response, err := h.call(ctx, origin, &others[i], &spilt)
 		switch {
 		case err == nil && !response.Declined && response.Outcome != cell.Refused:
@@ -253,10 +255,20 @@
 
 // free returns how many usual tasks of the group the keeper could start when it was last heard.
 func free(keeper *Neighbour, group string) int {
+	return loadOf(keeper, group).Free
+}
+
+// spare is free less the tasks that wait.
+func spare(keeper *Neighbour, group string) int {
+	load := loadOf(keeper, group)
+	return load.Free - load.Waiting
+}
+
+func loadOf(keeper *Neighbour, group string) cell.Load {
 	for _, load := range keeper.Loads {
 		if load.Group == group {
-			return load.Free
+			return load
 		}
 	}
-	return 0
+	return cell.Load{}
 }
--- a/entry/pkg/cellhost/keeper.go
+++ b/entry/pkg/cellhost/keeper.go
@@ -47,7 +47,7 @@
 // Spiller offers a job that finds no room at once to other keepers.
 type Spiller interface {
 	// Spill returns false when no other keeper took the job, of which nothing has run then.
-	Spill(ctx context.Context, origin string, request *peer.RunRequest) (*peer.RunResponse, bool)
+	Spill(ctx context.Context, origin string, request *peer.RunRequest, mode peer.RunMode) (*peer.RunResponse, bool)
 }
 
 // NewKeeperController returns a keeper without workers and adds its method to the server of peers.
@@ -95,19 +95,34 @@
 		k.common.Log.WithField("job", request.ID).WithField("home", request.Home).WithField("reason", reason).Warn("job declined")
 		return &peer.RunResponse{Declined: true, Reason: reason}, nil
 	}
-	answered := k.submit(job, true)
-	if answered == nil && request.NowOnly {
+	if answered := k.submit(job, true); answered != nil {
+		return k.await(ctx, job, answered)
+	}
+	if request.Mode == peer.RunNow {
 		return &peer.RunResponse{Declined: true, Reason: "no room at once"}, nil
 	}
-	if answered == nil {
-		if response, taken := k.others.Spill(ctx, request.Home, k.restate(request, job)); taken {
+	restated := k.restate(request, job)
+	if request.Mode == peer.RunAnywhere {
+		if response, taken := k.others.Spill(ctx, request.Home, restated, peer.RunNow); taken {
 			return response, nil
 		}
-		answered = k.submit(job, false)
 	}
+	answered := k.submit(job, false)
 	if answered == nil {
 		return &peer.RunResponse{Declined: true, Reason: "the keeper is leaving"}, nil
 	}
+	response, err := k.await(ctx, job, answered)
+	if err != nil || response.Outcome != cell.Refused || request.Mode != peer.RunAnywhere {
+		return response, err
+	}
+	if elsewhere, taken := k.others.Spill(ctx, request.Home, restated, peer.RunHere); taken {
+		return elsewhere, nil
+	}
+	return response, nil
+}
+
+// await waits for the job's answer; the end of the context cancels the job.
+func (k *KeeperController) await(ctx context.Context, job *cell.Job, answered chan *cell.Answer) (*peer.RunResponse, error) {
 	select {
 	case answer := <-answered:
 		return &peer.RunResponse{Outcome: answer.Outcome, Reason: answer.Reason, Retry: int64(answer.Retry)}, nil
@@ -141,7 +156,6 @@
 	restated.Arrived = job.Arrived.UnixNano()
 	restated.Objective = job.Objective.UnixNano()
 	restated.Deadline = job.Deadline.UnixNano()
-	restated.NowOnly = true
 	return &restated
 }
 
--- a/entry/pkg/peer/cell.go
+++ b/entry/pkg/peer/cell.go
@@ -44,6 +44,16 @@
 	Estimate int64     `json:"e"` // nanoseconds at a worker of usual speed
 }
 
+// RunMode tells what a keeper may do with a job that finds no room at once.
+type RunMode int
+
+// Modes of a request.
+const (
+	RunAnywhere RunMode = iota // pass it to another keeper, or let it wait
+	RunNow                     // decline it
+	RunHere                    // let it wait, or decline it when it would miss its objective
+)
+
 // RunRequest asks a keeper to run a job; its times are nanoseconds on the home's clock.
 type RunRequest struct {
 	ID        string    `json:"id"`
@@ -58,7 +68,7 @@
 	Objective int64     `json:"o"`
 	Deadline  int64     `json:"d"`
 	Tasks     []RunTask `json:"ts"`
-	NowOnly   bool      `json:"now,omitempty"` // decline the job unless all tasks can start at once, and pass it to no other keeper
+	Mode      RunMode   `json:"now,omitempty"`
 }
 
 // RunResponse is what became of the job.
