Take jobs that may be up to 15 % of their objective late

Change: 15 % of the objective. Jobs carry their queue's priority to the keeper, which does not use it yet.

--- a/entry/pkg/cell/assign.go
+++ b/entry/pkg/cell/assign.go
@@ -10,6 +10,9 @@
 const (
 	// leastRetry keeps callers that were refused from coming back within the same burst.
 	leastRetry = time.Second
+	// foresight is the part of its objective by which a job may be expected to be late and still be taken: run times are
+	// known to a fifth at best, and a worker that empties has room for more than one task.
+	foresight = 0.15
 	// mostRetry bounds it, for instance while no worker is large enough; workers come and go every few seconds.
 	mostRetry = 5 * time.Second
 )
@@ -61,9 +64,10 @@
 	})
 }
 
-// latestStart returns when the last task of the job has to start to make its objective.
+// latestStart returns when the last task of the job has to start to make its objective, as far as can be foreseen.
 func (c *Cell) latestStart(job *Job) time.Time {
-	return job.Objective.Add(-c.speeds.usual(job.Queue, job.longest()))
+	tolerance := time.Duration(foresight * float64(job.Objective.Sub(job.Arrived)))
+	return job.Objective.Add(tolerance - c.speeds.usual(job.Queue, job.longest()))
 }
 
 // hopeless returns why the job is not worth waiting any longer, or "".
--- a/entry/pkg/cell/job.go
+++ b/entry/pkg/cell/job.go
@@ -22,6 +22,7 @@
 	Group     string // workers that may run it
 	Spec      string
 	Attempts  int // runs of a task that may fail
+	Priority  int // 0 comes first
 	Arrived   time.Time
 	Objective time.Time // until when the answer is worth most
 	Deadline  time.Time // until when the caller waits
--- a/entry/pkg/cellhost/home.go
+++ b/entry/pkg/cellhost/home.go
@@ -165,6 +165,7 @@
 		Group:    submission.Queue.Group,
 		Spec:     submission.Spec,
 		Attempts: max(1, submission.Queue.Attempts),
+		Priority: submission.Queue.Priority,
 		Arrived:  submission.Arrived.UnixNano(),
 		Deadline: submission.Deadline.UnixNano(),
 	}
--- a/entry/pkg/cellhost/keeper.go
+++ b/entry/pkg/cellhost/keeper.go
@@ -179,6 +179,7 @@
 		Group:     request.Group,
 		Spec:      request.Spec,
 		Attempts:  request.Attempts,
+		Priority:  request.Priority,
 		Arrived:   at(request.Arrived),
 		Objective: at(request.Objective),
 		Deadline:  at(request.Deadline),
--- a/entry/pkg/peer/cell.go
+++ b/entry/pkg/peer/cell.go
@@ -64,6 +64,7 @@
 	Group     string    `json:"g"`
 	Spec      string    `json:"s"`
 	Attempts  int       `json:"a"`
+	Priority  int       `json:"p,omitempty"`
 	Arrived   int64     `json:"t"`
 	Objective int64     `json:"o"`
 	Deadline  int64     `json:"d"`
