Log each job's way through its keeper in one line

Cause: a failed request could be followed from the home's line to its keeper, but not to the workers and runs.

Change: the keeper writes one line a job when it is decided: the wait that was foreseen, the wait until the first start, and its first runs with worker, end and length.

--- a/entry/pkg/cell/assign.go
+++ b/entry/pkg/cell/assign.go
@@ -103,6 +103,9 @@
 	invariant.Check(!task.Job.Decided(), "no_start_after_answer", "job %s", task.Job.ID)
 	invariant.Check(worker.held && len(worker.foreign) == 0, "only_held_workers", "worker %s", worker.ID)
 	invariant.Check(worker.free().Fits(task.Need), "room_holds", "worker %s", worker.ID)
+	if !task.Job.Started() {
+		task.Job.Trace.Waited = now.Sub(task.Job.Arrived)
+	}
 	task.runs++
 	task.state = Started
 	run := &Run{
--- a/entry/pkg/cell/cell.go
+++ b/entry/pkg/cell/cell.go
@@ -46,9 +46,11 @@
 
 // Ended is a run that has ended, for the log.
 type Ended struct {
-	Run  *Run
-	How  string
-	Took time.Duration
+	Task   string
+	Number int
+	Worker string
+	How    string
+	Took   time.Duration
 }
 
 // Effects are what the caller is to carry out.
@@ -84,7 +86,9 @@
 		return effects
 	}
 	c.waiting = append(c.waiting, job)
-	if wait := c.predict(job, now); now.Add(wait).After(c.latestStart(job)) {
+	wait := c.predict(job, now)
+	job.Trace.Foreseen = wait
+	if now.Add(wait).After(c.latestStart(job)) {
 		c.giveUp(job, "it would miss its objective", now, &effects)
 		return effects
 	}
@@ -227,6 +231,15 @@
 // maxRuns bounds how often a task is moved away from workers that hang.
 const maxRuns = 3
 
+// note reports the end of a run and keeps it in its job's trace.
+func (e *Effects) note(run *Run, how string, now time.Time) {
+	ended := Ended{Task: run.Task.Name, Number: run.Number, Worker: run.Worker.ID, How: how, Took: now.Sub(run.sent)}
+	e.Ends = append(e.Ends, ended)
+	if trace := &run.Task.Job.Trace; len(trace.Ends) < maxTraced {
+		trace.Ends = append(trace.Ends, ended)
+	}
+}
+
 func (c *Cell) sortedJobs() []*Job {
 	jobs := make([]*Job, 0, len(c.jobs))
 	for job := range c.jobs {
--- a/entry/pkg/cell/job.go
+++ b/entry/pkg/cell/job.go
@@ -28,6 +28,7 @@
 	Deadline  time.Time // until when the caller waits
 	Patience  time.Time // until when the job may wait for its first start
 	Tasks     []*Task
+	Trace     Trace
 
 	earlier *Job // of the same identifier; this one waits until nothing of it runs
 	began   bool // something of the earlier one has run
@@ -35,6 +36,16 @@
 	seq     int64
 }
 
+// Trace tells what became of a job, for the log.
+type Trace struct {
+	Foreseen time.Duration // wait that was foreseen when the job came
+	Waited   time.Duration // until the first start
+	Ends     []Ended       // the first few
+}
+
+// maxTraced bounds the ends that a trace holds.
+const maxTraced = 12
+
 // Task is one task of a job.
 type Task struct {
 	Job      *Job
--- a/entry/pkg/cell/workers.go
+++ b/entry/pkg/cell/workers.go
@@ -187,13 +187,12 @@
 	task := run.Task
 	task.began = true
 	c.release(run)
-	took := now.Sub(run.sent)
-	effects.Ends = append(effects.Ends, Ended{Run: run, How: how.String(), Took: took})
+	effects.note(run, how.String(), now)
 	switch how {
 	case EndDone:
 		run.Worker.health.good()
 		if !run.stopping {
-			c.speeds.observe(run, took)
+			c.speeds.observe(run, now.Sub(run.sent))
 		}
 	case EndFailed:
 		run.Worker.health.failed(now)
@@ -246,7 +245,7 @@
 // notRun takes in that a run never began and never will.
 func (c *Cell) notRun(run *Run, now time.Time, effects *Effects) {
 	c.release(run)
-	effects.Ends = append(effects.Ends, Ended{Run: run, How: "not run", Took: now.Sub(run.sent)})
+	effects.note(run, "not run", now)
 	task := run.Task
 	if task.Job.Decided() {
 		task.state = Dropped
--- a/entry/pkg/cellhost/keeper.go
+++ b/entry/pkg/cellhost/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -226,18 +227,30 @@
 	waiter := k.waiters[answered.Job]
 	delete(k.waiters, answered.Job)
 	k.mu.Unlock()
+	k.logJob(answered.Job, answered.Answer)
 	if waiter != nil {
 		waiter <- answered.Answer
 	}
 }
 
+func (k *KeeperController) logJob(job *cell.Job, answer *cell.Answer) {
+	runs := make([]string, 0, len(job.Trace.Ends))
+	for i := range job.Trace.Ends {
+		end := &job.Trace.Ends[i]
+		runs = append(runs, fmt.Sprintf("%s/%d at %s %s after %s", end.Task, end.Number, end.Worker, end.How, end.Took.Round(time.Millisecond)))
+	}
+	k.common.Log.WithField("job", job.ID).WithField("home", job.Home).WithField("outcome", answer.Outcome.String()).
+		WithField("reason", answer.Reason).WithField("tasks", len(job.Tasks)).WithField("foreseen", job.Trace.Foreseen.String()).
+		WithField("waited", job.Trace.Waited.String()).WithField("runs", runs).Info("job decided")
+}
+
 func (k *KeeperController) logEnd(end *cell.Ended) {
 	cellRunTimes.Update(end.Took.Seconds())
 	if end.How == cell.EndDone.String() {
-		return
+		return // the job's own line tells it
 	}
-	k.common.Log.WithField("task", end.Run.Task.Name).WithField("run", end.Run.Number).
-		WithField("worker", end.Run.Worker.ID).WithField("how", end.How).WithField("took", end.Took.String()).Info("run ended")
+	k.common.Log.WithField("task", end.Task).WithField("run", end.Number).
+		WithField("worker", end.Worker).WithField("how", end.How).WithField("took", end.Took.String()).Info("run ended")
 }
 
 func (k *KeeperController) start(start cell.Start) {
