Soak the entry program under random faults

A module of its own starts the program as processes on loopback, beside stand-ins and relays, and breaks them from outside: kills, planned stops, pauses, reloads, silent and reset connections, a store that is out, slow, lossy or without history, workers that crash, drain, fail, hang or answer late, several at once. It checks that no worker gets more than its room, no task runs twice at once, nothing of a refused job has begun, a completed job has run, nothing runs on for nobody, and that jobs are served again after all is mended.

--- a/entry/pkg/cellhost/keeper.go
+++ b/entry/pkg/cellhost/keeper.go
@@ -226,22 +226,23 @@
 	k.mu.Lock()
 	waiter := k.waiters[answered.Job]
 	delete(k.waiters, answered.Job)
+	trace := answered.Job.Trace // runs that end later are not in this copy
 	k.mu.Unlock()
-	k.logJob(answered.Job, answered.Answer)
+	k.logJob(answered.Job, &trace, answered.Answer)
 	if waiter != nil {
 		waiter <- answered.Answer
 	}
 }
 
-func (k *KeeperController) logJob(job *cell.Job, answer *cell.Answer) {
-	runs := make([]string, 0, len(job.Trace.Ends))
-	for i := range job.Trace.Ends {
-		end := &job.Trace.Ends[i]
+func (k *KeeperController) logJob(job *cell.Job, trace *cell.Trace, answer *cell.Answer) {
+	runs := make([]string, 0, len(trace.Ends))
+	for i := range trace.Ends {
+		end := &trace.Ends[i]
 		runs = append(runs, fmt.Sprintf("%s/%d at %s %s after %s", end.Task, end.Number, end.Worker, end.How, end.Took.Round(time.Millisecond)))
 	}
 	k.common.Log.WithField("job", job.ID).WithField("home", job.Home).WithField("outcome", answer.Outcome.String()).
-		WithField("reason", answer.Reason).WithField("tasks", len(job.Tasks)).WithField("foreseen", job.Trace.Foreseen.String()).
-		WithField("waited", job.Trace.Waited.String()).WithField("runs", runs).Info("job decided")
+		WithField("reason", answer.Reason).WithField("tasks", len(job.Tasks)).WithField("foreseen", trace.Foreseen.String()).
+		WithField("waited", trace.Waited.String()).WithField("runs", runs).Info("job decided")
 }
 
 func (k *KeeperController) logEnd(end *cell.Ended) {
--- /dev/null
+++ b/soak/pkg/app/app.go
@@ -0,0 +1,89 @@
+package app
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/pkg/errors"
+
+	"chervilusher.dev/soak/pkg/yard"
+)
+
+// Exit codes of the program.
+const (
+	exitOK     = 0
+	exitBroken = 1 // something was broken that must hold
+	exitFailed = 2 // the soak could not be run
+)
+
+type arguments struct {
+	Binary  string        `arg:"--binary,required" help:"the entry program"`
+	Folder  string        `arg:"--folder" default:"out/soak" help:"for settings and logs, a folder for each seed"`
+	Seed    uint64        `arg:"--seed" default:"1" help:"first seed"`
+	Seeds   int           `arg:"--seeds" default:"1" help:"how many seeds, one after the other"`
+	Length  time.Duration `arg:"--length" default:"20s" help:"of the faults of one seed"`
+	Gap     time.Duration `arg:"--gap" default:"25ms" help:"mean time between two jobs"`
+	Places  int           `arg:"--places" default:"3"`
+	Hosts   int           `arg:"--hosts" default:"2" help:"in each place"`
+	Runners int           `arg:"--runners" default:"4" help:"in each place"`
+}
+
+// Main runs soaks and returns the program's exit code.
+func Main(args []string) int {
+	var parsed arguments
+	parser, err := arg.NewParser(arg.Config{Program: "soak"}, &parsed)
+	if err != nil {
+		return fail(err)
+	}
+	if err := parser.Parse(args); errors.Is(err, arg.ErrHelp) {
+		parser.WriteHelp(os.Stdout)
+		return exitOK
+	} else if err != nil {
+		return fail(err)
+	}
+	code := exitOK
+	for seed := parsed.Seed; seed < parsed.Seed+uint64(parsed.Seeds); seed++ {
+		result, err := runSeed(&parsed, seed)
+		if err != nil {
+			return fail(err)
+		}
+		fmt.Printf("seed %d: answers %v, %d breaches\n", seed, result.Outcomes, len(result.Breaches))
+		for _, breach := range result.Breaches {
+			fmt.Printf("  %s\n", breach)
+			code = exitBroken
+		}
+	}
+	return code
+}
+
+func runSeed(parsed *arguments, seed uint64) (*Result, error) {
+	folder := filepath.Join(parsed.Folder, fmt.Sprint(seed))
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	out, err := os.Create(filepath.Join(folder, "faults.log"))
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	defer func() { _ = out.Close() }()
+	return Run(Settings{
+		Yard: yard.Settings{
+			Binary:  parsed.Binary,
+			Folder:  folder,
+			Places:  parsed.Places,
+			Hosts:   parsed.Hosts,
+			Runners: parsed.Runners,
+			Seed:    seed,
+		},
+		Length: parsed.Length,
+		Gap:    parsed.Gap,
+	}, out)
+}
+
+func fail(err error) int {
+	fmt.Fprintf(os.Stderr, "soak: %s\n", err)
+	return exitFailed
+}
--- /dev/null
+++ b/soak/pkg/app/doc.go
@@ -0,0 +1,2 @@
+// Package app runs a soak and reports what was broken.
+package app
--- /dev/null
+++ b/soak/pkg/app/soak.go
@@ -0,0 +1,93 @@
+package app
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"chervilusher.dev/soak/pkg/faults"
+	"chervilusher.dev/soak/pkg/yard"
+)
+
+const (
+	// startTimeout bounds how long the hosts may take to become ready at the start, and again after all is mended.
+	startTimeout = 15 * time.Second
+	// quietTime is how long after the last answer nothing may run any more: a lease, and the time to stop.
+	quietTime = 2 * time.Second
+	// probes is how many jobs are sent one by one after all is mended, and probesServed how many must be served.
+	probes       = 20
+	probesServed = 18
+)
+
+// Settings of one soak.
+type Settings struct {
+	Yard   yard.Settings
+	Length time.Duration // of the faults
+	Gap    time.Duration // mean time between two jobs
+}
+
+// Result is what a soak saw.
+type Result struct {
+	Outcomes map[string]int // answers by status; 0 counts those without
+	Breaches []string
+}
+
+// Run breaks a yard for a while, mends it, and returns what was broken of what must hold.
+func Run(settings Settings, out io.Writer) (*Result, error) {
+	under, err := yard.New(settings.Yard)
+	if err != nil {
+		return nil, err
+	}
+	defer under.Close()
+	if err := under.AwaitReady(startTimeout); err != nil {
+		return nil, err
+	}
+	var mu sync.Mutex
+	began := time.Now()
+	log := func(format string, values ...any) {
+		mu.Lock()
+		defer mu.Unlock()
+		_, _ = fmt.Fprintf(out, "%8.3f %s\n", time.Since(began).Seconds(), fmt.Sprintf(format, values...))
+	}
+	sending := newCallers(under, settings.Yard.Seed)
+	breaking, stop := context.WithTimeout(context.Background(), settings.Length)
+	defer stop()
+	calling, stopCalling := context.WithCancel(context.Background())
+	defer stopCalling()
+	var calls sync.WaitGroup
+	calls.Go(func() { sending.run(calling, settings.Gap) })
+	faults.New(under, settings.Yard.Seed, log).Run(breaking)
+	stopCalling()
+	calls.Wait()
+	result := &Result{Outcomes: sending.outcomes}
+	result.Breaches = append(result.Breaches, recovery(under, sending)...)
+	result.Breaches = append(result.Breaches, sending.breaches...)
+	result.Breaches = append(result.Breaches, under.Ledger.Breaches()...)
+	return result, nil
+}
+
+// recovery checks that nothing runs any more and that jobs are served again.
+func recovery(under *yard.Yard, sending *callers) []string {
+	var breaches []string
+	time.Sleep(quietTime)
+	if running := under.Ledger.Running(); running > 0 {
+		breaches = append(breaches, fmt.Sprintf("%d tasks run that nobody waits for", running))
+	}
+	if err := under.AwaitReady(startTimeout); err != nil {
+		return append(breaches, err.Error())
+	}
+	served := 0
+	for i := range probes {
+		drawn := sending.draw()
+		drawn.leaving = 0
+		if sending.post(&drawn, under.Hosts[i%len(under.Hosts)]) == 200 {
+			served++
+		}
+	}
+	if served < probesServed {
+		breaches = append(breaches, fmt.Sprintf("only %d of %d jobs are served after all is mended", served, probes))
+	}
+	return breaches
+}
--- /dev/null
+++ b/soak/pkg/yard/host.go
@@ -0,0 +1,100 @@
+package yard
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"os/exec"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"chervilusher.dev/standin/pkg/relay"
+)
+
+// readyTimeout bounds one question for readiness.
+const readyTimeout = 500 * time.Millisecond
+
+// Host is one entry host's process.
+type Host struct {
+	Name    string
+	Caller  string       // its address for callers
+	Inward  *relay.Relay // other hosts to this one
+	ToStore *relay.Relay
+
+	ready    string
+	binary   string
+	settings string
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	ended   chan struct{}
+}
+
+// Start starts the process, whose last one must have ended.
+func (h *Host) Start() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	output, err := os.OpenFile(h.settings+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	command := exec.CommandContext(context.Background(), h.binary, "--settings", h.settings)
+	command.Stdout = output
+	command.Stderr = output
+	if err := command.Start(); err != nil {
+		return errors.WithStack(err)
+	}
+	ended := make(chan struct{})
+	h.command, h.ended = command, ended
+	go func() {
+		_ = command.Wait()
+		_ = output.Close()
+		close(ended)
+	}()
+	return nil
+}
+
+// Signal sends a signal to the process.
+func (h *Host) Signal(signal syscall.Signal) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	_ = h.command.Process.Signal(signal) // it may have ended
+}
+
+// Await waits until the process has ended, and reports false after the timeout.
+func (h *Host) Await(timeout time.Duration) bool {
+	h.mu.Lock()
+	ended := h.ended
+	h.mu.Unlock()
+	select {
+	case <-ended:
+		return true
+	case <-time.After(timeout):
+		return false
+	}
+}
+
+// Kill ends the process, also when it is stopped.
+func (h *Host) Kill() {
+	h.Signal(syscall.SIGKILL)
+	h.Await(time.Second)
+}
+
+// IsReady asks the host whether it should get connections.
+func (h *Host) IsReady() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.ready+"/-/readiness", nil)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	return response.StatusCode == http.StatusOK
+}
--- a/standin/pkg/runner/runner.go
+++ b/standin/pkg/runner/runner.go
@@ -77,6 +77,12 @@
 	r.ended = make(chan struct{})
 }
 
+func (r *Runner) bornAt() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.born
+}
+
 // Crash ends all that runs, without a trace, and starts the runner anew.
 func (r *Runner) Crash() {
 	r.mu.Lock()
@@ -168,10 +174,11 @@
 	}
 	faults := r.Faults.Get()
 	if r.draw.Hit(faults.Mute) {
+		born := r.bornAt()
 		r.clock.AfterFunc(faults.Delay, func() {
 			r.mu.Lock()
 			defer r.mu.Unlock()
-			if read.Token >= r.token {
+			if read.Token >= r.token && born == r.born {
 				r.token = read.Token
 				r.start(read, faults)
 			}
