Forecast with each task's own end, so that wide jobs run in waves

A job of five tasks of which a cell can run four at once was never taken, since the forecast counted only the ends of other jobs' runs.

Ruled out: workers not held or left out (17 jobs were served by the same cells in between).

Change: the forecast keeps a place for each free gap and each run's end, and lets each task take one for its length. The objective of a job that is wider than the whole cell moves by a wave's length for each further wave.

--- a/entry/pkg/cell/assign.go
+++ b/entry/pkg/cell/assign.go
@@ -20,8 +20,6 @@
 // assign starts waiting tasks in the order of their latest start and gives up what cannot be served any more.
 func (c *Cell) assign(now time.Time, effects *Effects) {
 	c.sortWaiting()
-	ends := endTimes{cell: c, now: now}
-	ahead := 0 // tasks of jobs further ahead that wait for room
 	kept := c.waiting[:0]
 	for _, job := range c.waiting {
 		if job.Decided() {
@@ -36,17 +34,11 @@
 			continue
 		}
 		job.earlier = nil
-		waiting := job.waiting()
-		if !job.Started() {
-			startable := c.startable(job, now)
-			if missing := waiting - startable; missing > 0 && ends.after(ahead+missing).After(c.latestStart(job)) {
-				kept = append(kept, job)
-				continue
-			}
+		if !c.hasPlace(job, now) || (!job.Started() && now.Add(c.predict(job, now)).After(c.latestStart(job))) {
+			kept = append(kept, job)
+			continue
 		}
-		waiting -= c.startTasks(job, now, effects)
-		ahead += waiting
-		if waiting > 0 {
+		if c.startTasks(job, now, effects); job.waiting() > 0 {
 			kept = append(kept, job)
 		}
 	}
@@ -54,6 +46,22 @@
 	c.waiting = kept
 }
 
+// hasPlace reports whether some worker has room for a waiting task of the job.
+func (c *Cell) hasPlace(job *Job, now time.Time) bool {
+	for _, task := range job.Tasks {
+		if task.state != Waiting {
+			continue
+		}
+		for _, worker := range c.workers {
+			if worker.Group == job.Group && worker.usable(now) && worker.free().Fits(task.Need) {
+				return true
+			}
+		}
+		return false // the tasks of a job are of one size
+	}
+	return false
+}
+
 // sortWaiting puts the jobs first of which something runs already, since one late task spoils them, and then those that must start first.
 func (c *Cell) sortWaiting() {
 	slices.SortStableFunc(c.waiting, func(a, b *Job) int {
@@ -87,9 +95,8 @@
 	return ""
 }
 
-// startTasks starts those of the job's tasks that find room, the longest first, and returns their number.
-func (c *Cell) startTasks(job *Job, now time.Time, effects *Effects) int {
-	started := 0
+// startTasks starts those of the job's tasks that find room.
+func (c *Cell) startTasks(job *Job, now time.Time, effects *Effects) {
 	for _, task := range job.Tasks {
 		if task.state != Waiting {
 			continue
@@ -99,9 +106,7 @@
 			continue
 		}
 		effects.Starts = append(effects.Starts, c.start(task, worker, now))
-		started++
 	}
-	return started
 }
 
 func (c *Cell) start(task *Task, worker *Worker, now time.Time) Start {
@@ -140,18 +145,6 @@
 	return true
 }
 
-// startable returns how many of the job's waiting tasks find room now, taking its first one as the size of all.
-func (c *Cell) startable(job *Job, now time.Time) int {
-	need := job.Tasks[0].Need
-	count := 0
-	for _, worker := range c.workers {
-		if worker.Group == job.Group && worker.usable(now) {
-			count += worker.free().Times(need)
-		}
-	}
-	return min(count, job.waiting())
-}
-
 // comeBack returns when a refused caller should come back, given how long it would have had to wait.
 func comeBack(wait time.Duration) time.Duration {
 	return min(max(wait, leastRetry), mostRetry)
--- a/entry/pkg/cell/cell.go
+++ b/entry/pkg/cell/cell.go
@@ -86,6 +86,7 @@
 		return effects
 	}
 	c.waiting = append(c.waiting, job)
+	c.allowWaves(job)
 	wait := c.predict(job, now)
 	job.Trace.Foreseen = wait
 	if now.Add(wait).After(c.latestStart(job)) {
--- a/entry/pkg/cell/cell_test.go
+++ b/entry/pkg/cell/cell_test.go
@@ -208,3 +208,18 @@
 	require.Equal(t, "abandoned", o.outcome(job))
 	require.Empty(t, o.workers["w00"].running)
 }
+
+func TestJobWiderThanTheRoomRunsInWaves(t *testing.T) {
+	o := newOffice(t)
+	o.addWorkers(4, 16, 1)
+	job := o.job(5, 9, 200*time.Millisecond, 380*time.Millisecond, patient)
+	o.submit(job)
+	require.Equal(t, "none", o.outcome(job), "one of the five tasks has to wait for another's end")
+	o.pass(450 * time.Millisecond)
+	require.Equal(t, "completed", o.outcome(job))
+
+	wide := o.job(20, 9, 100*time.Millisecond, 220*time.Millisecond, patient)
+	o.submit(wide)
+	o.pass(700 * time.Millisecond)
+	require.Equal(t, "completed", o.outcome(wide), "an idle cell must serve what it can, in five waves")
+}
--- a/entry/pkg/cell/predict.go
+++ b/entry/pkg/cell/predict.go
@@ -1,52 +1,76 @@
 package cell
 
 import (
-	"slices"
+	"container/heap"
 	"time"
 )
 
-// endTimes tells when running tasks are expected to end; it is worked out on first use.
-type endTimes struct {
-	cell  *Cell
-	now   time.Time
-	known bool
-	times []time.Time
-}
-
 // farOff stands for a time that cannot be foreseen.
 const farOff = time.Hour
 
-// after returns when so many more tasks will have ended.
-func (e *endTimes) after(count int) time.Time {
-	if !e.known {
-		e.known = true
-		e.times = e.cell.expectedEnds(e.now)
-	}
-	switch {
-	case count <= 0:
-		return e.now
-	case count > len(e.times):
-		return e.now.Add(farOff)
-	default:
-		return e.times[count-1]
-	}
+// forecast foresees when tasks can start: each place for a task comes free at a time, and a task that starts there
+// takes it for a while.
+type forecast struct {
+	now    time.Time
+	places timeHeap
 }
 
-// expectedEnds returns when the running tasks are expected to end, earliest first; one that is overdue counts as taking half as long again.
-func (c *Cell) expectedEnds(now time.Time) []time.Time {
-	var ends []time.Time
+// newForecast returns the places of the group for tasks of that size: those that are free, and one for each run's end.
+func (c *Cell) newForecast(group string, need Room, now time.Time) *forecast {
+	f := &forecast{now: now}
 	for _, worker := range c.workers {
-		if !worker.usable(now) {
+		if worker.Group != group || !worker.usable(now) {
 			continue
 		}
+		for range worker.free().Times(need) {
+			f.places = append(f.places, now)
+		}
 		for _, run := range worker.runs {
-			ends = append(ends, run.expectedEnd(now))
+			f.places = append(f.places, run.expectedEnd(now))
 		}
 	}
-	slices.SortFunc(ends, time.Time.Compare)
-	return ends
+	heap.Init(&f.places)
+	return f
 }
 
+// take starts so many tasks one after the other where a place comes free first, and returns when the last one starts.
+func (f *forecast) take(tasks int, length time.Duration) time.Time {
+	last := f.now
+	for range tasks {
+		if len(f.places) == 0 {
+			return f.now.Add(farOff)
+		}
+		last = f.places[0]
+		f.places[0] = last.Add(length)
+		heap.Fix(&f.places, 0)
+	}
+	return last
+}
+
+// timeHeap is a heap of times, earliest first.
+type timeHeap []time.Time
+
+// Len implements heap.Interface.
+func (h timeHeap) Len() int { return len(h) }
+
+// Less implements heap.Interface.
+func (h timeHeap) Less(i, j int) bool { return h[i].Before(h[j]) }
+
+// Swap implements heap.Interface.
+func (h timeHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *timeHeap) Push(value any) { *h = append(*h, value.(time.Time)) }
+
+// Pop implements heap.Interface.
+func (h *timeHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
+
+// expectedEnd returns when the run is expected to end; one that is overdue counts as taking half as long again.
 func (r *Run) expectedEnd(now time.Time) time.Time {
 	if r.stopping {
 		return now.Add(lapseMargin)
@@ -58,18 +82,28 @@
 	return end
 }
 
-// predict returns how long the job would wait until all its tasks have started.
+// predict returns how long the job would wait until its last task has started.
 func (c *Cell) predict(job *Job, now time.Time) time.Duration {
-	ahead := 0
+	foreseen := c.newForecast(job.Group, job.Tasks[0].Need, now)
 	for _, other := range c.waiting {
-		if other != job && !other.Decided() && !c.latestStart(other).After(c.latestStart(job)) {
-			ahead += other.waiting()
+		if other != job && !other.Decided() && (other.Started() || !c.latestStart(other).After(c.latestStart(job))) {
+			foreseen.take(other.waiting(), c.speeds.usual(other.Queue, other.longest()))
+		}
+	}
+	return foreseen.take(job.waiting(), c.speeds.usual(job.Queue, job.longest())).Sub(now)
+}
+
+// allowWaves moves the objective of a job that is wider than all room of the cell: its tasks can only run in waves.
+func (c *Cell) allowWaves(job *Job) {
+	places := 0
+	for _, worker := range c.workers {
+		if worker.Group == job.Group && worker.held {
+			places += worker.Capacity.Times(job.Tasks[0].Need)
 		}
 	}
-	missing := ahead + job.waiting() - c.startable(job, now)
-	if missing <= 0 {
-		return 0
+	if places == 0 {
+		return
 	}
-	ends := endTimes{cell: c, now: now}
-	return ends.after(missing).Sub(now)
+	waves := (len(job.Tasks) - 1) / places
+	job.Objective = job.Objective.Add(time.Duration(waves) * c.speeds.usual(job.Queue, job.longest()))
 }
--- a/entry/pkg/cellhost/members.go
+++ b/entry/pkg/cellhost/members.go
@@ -288,6 +288,7 @@
 	for name, neighbour := range before.Hosts {
 		now, ok := view.Hosts[name]
 		switch {
+		case name == m.options.Name:
 		case !ok || (neighbour.Alive && !now.Alive):
 			m.common.Log.WithField("peer", name).WithField("heard", neighbour.Heard).Warn("host is silent")
 			m.tellGone(name, "")
