Keep a worker in use after an unanswered start, once it has answered the stop

Ruled out: hosts that drown (their processes answer others meanwhile), the store (stable).

Change: after an unanswered start a worker gets no task until its next report, which comes right after the answer to the stop; one that does not answer the stop counts as silent anyway.

--- a/entry/pkg/cell/cell_test.go
+++ b/entry/pkg/cell/cell_test.go
@@ -223,3 +223,16 @@
 	o.pass(700 * time.Millisecond)
 	require.Equal(t, "completed", o.outcome(wide), "an idle cell must serve what it can, in five waves")
 }
+
+func TestUnansweredStartDoesNotKeepItsWorkerOut(t *testing.T) {
+	o := newOffice(t)
+	o.addWorkers(1, 16, 1)
+	o.script = func(_ string, run int) (bool, bool, bool) { return false, false, run == 1 }
+	job := o.job(1, 7, short, 2*usual, patient)
+	o.submit(job)
+	require.False(t, o.cell.Worker("w00").usable(o.now), "it is not known whether the task runs there")
+	o.hold("w00")
+	require.True(t, o.cell.Worker("w00").usable(o.now), "the stop was answered, so the worker is sound")
+	o.pass(short + 10*time.Millisecond)
+	require.Equal(t, "completed", o.outcome(job))
+}
--- a/entry/pkg/cell/worker.go
+++ b/entry/pkg/cell/worker.go
@@ -15,7 +15,7 @@
 
 	held     bool // the keeper's token is in force and nothing unknown runs there
 	silent   bool // its last call was not answered
-	stale    bool // it has rejected a start, so that what is known of it may be wrong until its next report
+	stale    bool // it has rejected a start or not answered one, so that what is known of it may be wrong until its next report
 	used     Room
 	runs     map[runKey]*Run
 	foreign  map[runKey]struct{} // runs that the keeper knows nothing of
--- a/entry/pkg/cell/workers.go
+++ b/entry/pkg/cell/workers.go
@@ -159,7 +159,7 @@
 		c.notRun(run, now, &effects)
 	case StartUnsure:
 		run.unsure = true
-		run.Worker.health.leaveOut(now)
+		run.Worker.stale = true
 		c.stop(run, now, &effects)
 	}
 	c.assign(now, &effects)
