--- a/entry/pkg/cellhost/home.go
+++ b/entry/pkg/cellhost/home.go
@@ -90,6 +90,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if !h.begin(submission.ID, cancel) {
+		h.common.Log.WithField("job", submission.ID).Warn("the job runs here already, for an earlier request")
 		return &cell.Answer{Outcome: cell.Abandoned, Reason: "the job runs here already, for an earlier request"}
 	}
 	defer h.end(submission.ID)
--- a/entry/pkg/cellhost/members.go
+++ b/entry/pkg/cellhost/members.go
@@ -186,8 +186,12 @@
 }
 
 // isNear reports whether the host and this one send each other heartbeats at the usual pace: the keepers among
-// themselves and with the hosts of their place, and in a small fleet all. The caller holds the lock.
+// themselves and with the hosts of their place, and in a small fleet all. One that was silent for long is called now and
+// then only. The caller holds the lock.
 func (m *MembersController) isNear(member *blackboard.Member) bool {
+	if !member.Alive && m.common.Clock.Since(member.Heard) > forgetAfter {
+		return false
+	}
 	if len(m.board.View().Hosts) <= meshHosts {
 		return true
 	}
@@ -311,7 +315,6 @@
 
 func (m *MembersController) view() *View {
 	members := m.tracker.Table().ByName
-	now := m.common.Clock.Now()
 	view := &View{Hosts: make(map[string]Neighbour, len(members))}
 	near, heard, mates, heardMates := 0, 0, 0, 0
 	for name, member := range members {
@@ -329,7 +332,7 @@
 			neighbour.Claims = m.board.Claims()
 			neighbour.Leaving = m.board.Draining.Load()
 			neighbour.Timed = true
-		} else if m.isNear(&member) && now.Sub(member.Heard) < forgetAfter {
+		} else if m.isNear(&member) {
 			isHeard := member.Alive && member.Incarnation != ""
 			near++
 			heard += count(isHeard)
