--- a/entry/pkg/cellhost/members_test.go
+++ b/entry/pkg/cellhost/members_test.go
@@ -93,8 +93,8 @@
 	near := func() (count int) {
 		members.mu.Lock()
 		defer members.mu.Unlock()
-		for _, other := range others {
-			if members.isNear(&other) {
+		for name, other := range c.board.View().Hosts {
+			if name != "a" && members.isNear(&other.Member) {
 				count++
 			}
 		}
