--- a/entry/pkg/cell/load_test.go
+++ b/entry/pkg/cell/load_test.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"fmt"
 	"math"
 	"math/rand/v2"
 	"testing"
@@ -142,7 +141,7 @@
 func show(t *testing.T, tallies map[string]*tally) {
 	t.Helper()
 	for name, counted := range tallies {
-		t.Log(fmt.Sprintf("%s: %+v, share %.3f", name, *counted, counted.share()))
+		t.Logf("%s: %+v, share %.3f", name, *counted, counted.share())
 	}
 }
 
--- a/entry/pkg/cellhost/claims.go
+++ b/entry/pkg/cellhost/claims.go
@@ -166,7 +166,7 @@
 		since = now
 		c.unclaimed[key] = now
 	}
-	if !c.isSettled(now) || c.board.Draining.Load() || now.Sub(since) < c.delay(key, view, now) || follower != c.options.Name {
+	if !c.isSettled(now) || c.board.Draining.Load() || now.Sub(since) < c.delay(key, view) || follower != c.options.Name {
 		return peer.Claim{}, false
 	}
 	delete(c.unclaimed, key)
@@ -189,7 +189,7 @@
 
 // usable returns the claims whose workers may be used: a draining worker must be known as such before it gets work from a new keeper.
 func (c *ClaimsController) usable(claims []peer.Claim, now time.Time) []peer.Claim {
-	var usable []peer.Claim
+	usable := make([]peer.Claim, 0, len(claims))
 	for _, claim := range claims {
 		since, fresh := c.claimed[claim.Cell]
 		if fresh && c.directory.LastRead().Before(since) && now.Sub(since) < freshDelay {
@@ -202,7 +202,7 @@
 }
 
 // delay returns how long a cell must be without a keeper before this host claims it.
-func (c *ClaimsController) delay(key peer.CellKey, view *View, now time.Time) time.Duration {
+func (c *ClaimsController) delay(key peer.CellKey, view *View) time.Duration {
 	switch {
 	case view.Leaver(key):
 		return 0
--- a/entry/pkg/cellhost/members_test.go
+++ b/entry/pkg/cellhost/members_test.go
@@ -81,8 +81,9 @@
 }
 
 func TestLargeFleetSendsHeartbeatsInAStar(t *testing.T) {
-	var others []blackboard.Member
-	for i := range 40 {
+	const hosts = 40
+	others := make([]blackboard.Member, 0, hosts)
+	for i := range hosts {
 		place := north
 		if i%2 == 1 {
 			place = south
--- a/soak/pkg/app/soak_test.go
+++ b/soak/pkg/app/soak_test.go
@@ -1,6 +1,7 @@
 package app
 
 import (
+	"context"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -26,7 +27,7 @@
 	}
 	defer func() { _ = os.RemoveAll(folder) }()
 	binary = filepath.Join(folder, "platform")
-	if output, err := exec.Command("go", "build", "-o", binary, "chervilusher.dev/platform").CombinedOutput(); err != nil {
+	if output, err := exec.CommandContext(context.Background(), "go", "build", "-o", binary, "chervilusher.dev/platform").CombinedOutput(); err != nil {
 		panic(string(output))
 	}
 	return m.Run()
--- a/standin/pkg/metastore/topic.go
+++ b/standin/pkg/metastore/topic.go
@@ -24,7 +24,7 @@
 	return &topic{newest: map[string]record{}, changed: make(chan struct{})}
 }
 
-func (t *topic) append(key string, value []byte) int64 {
+func (t *topic) append(key string, value []byte) {
 	added := record{offset: t.end, key: key, value: value}
 	t.end++
 	t.records = append(t.records, added)
@@ -35,7 +35,6 @@
 	}
 	close(t.changed)
 	t.changed = make(chan struct{})
-	return added.offset
 }
 
 // first returns the offset of the oldest record that is kept.
