--- a/entry/pkg/app/app.go
+++ b/entry/pkg/app/app.go
@@ -2,24 +2,19 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"os/signal"
 	"runtime/debug"
 	"syscall"
 
-	"github.com/alexflint/go-arg"
 	"github.com/pkg/errors"
 
 	"chervilusher.dev/entry/pkg/settings"
+	"chervilusher.dev/lib/program"
 )
 
-// Exit codes of the daemon.
-const (
-	exitOK       = 0
-	exitFailed   = 1
-	exitSettings = 2 // the command line, the settings or an address is wrong
-)
+// self is the program by the name that its messages begin with.
+var self = program.Program{Name: "entry"}
 
 // collectorPercent lets the heap grow to five times its live part between collections, since the live part is small.
 const collectorPercent = 400
@@ -36,41 +31,27 @@
 // Main runs the daemon until it is told to stop, and returns its exit code.
 func Main(args []string) int {
 	var parsed arguments
-	parser, err := arg.NewParser(arg.Config{Program: "entry"}, &parsed)
-	if err != nil {
-		return complain(err)
-	}
-	if err := parser.Parse(args); err != nil {
-		if errors.Is(err, arg.ErrHelp) {
-			parser.WriteHelp(os.Stdout)
-			return exitOK
-		}
-		return complain(err)
+	if code, done := self.Parse(&parsed, args); done {
+		return code
 	}
 	if parsed.Settings == "" {
-		return complain(errors.New("--settings is missing; name the file with the host's settings"))
+		return self.Complain(errors.New("--settings is missing; name the file with the host's settings"))
 	}
 	loaded, err := settings.Load(parsed.Settings)
 	if err != nil {
-		return complain(err)
+		return self.Complain(err)
 	}
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(collectorPercent)
 	}
 	daemon, err := Listen(loaded, os.Stderr)
 	if err != nil {
-		return complain(err)
+		return self.Complain(err)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	if err := daemon.Run(ctx); err != nil {
-		fmt.Fprintf(os.Stderr, "entry: %s\n", err)
-		return exitFailed
+		return self.Fail(err)
 	}
-	return exitOK
-}
-
-func complain(err error) int {
-	fmt.Fprintf(os.Stderr, "entry: %s\n", err)
-	return exitSettings
+	return program.ExitOK
 }
--- a/entry/pkg/app/daemon.go
+++ b/entry/pkg/app/daemon.go
@@ -12,7 +12,6 @@
 	"github.com/apex/log/handlers/json"
 	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
-	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
 	"chervilusher.dev/entry/pkg/blackboard"
@@ -167,8 +166,8 @@
 		})
 	}
 	running.Go(func() error { return d.peers.Serve(serving, d.listeners.peer) })
-	running.Go(func() error { return serveHTTP(d.operators, d.listeners.operator) })
-	running.Go(func() error { return serveHTTP(d.callers, d.listeners.caller) })
+	running.Go(func() error { return common.ServeHTTP(d.operators, d.listeners.operator) })
+	running.Go(func() error { return common.ServeHTTP(d.callers, d.listeners.caller) })
 	d.common.Log.WithField("incarnation", d.common.Incarnation).Info("serving")
 	select {
 	case <-ctx.Done():
@@ -196,10 +195,3 @@
 func newHTTPServer(handler http.Handler) *http.Server {
 	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
 }
-
-func serveHTTP(server *http.Server, listener net.Listener) error {
-	if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		return errors.WithStack(err)
-	}
-	return nil
-}
--- a/entry/pkg/app/drain.go
+++ b/entry/pkg/app/drain.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"chervilusher.dev/entry/pkg/common"
 )
 
 const (
@@ -34,7 +36,7 @@
 	if err := d.callers.Shutdown(ctx); err != nil {
 		d.common.Log.WithError(err).Error("some callers were cut off")
 	}
-	if !waitUntil(ctx, func() bool { return d.peers.Running() == 0 }) {
+	if !common.WaitUntil(ctx, drainPoll, func() bool { return d.peers.Running() == 0 }) {
 		d.common.Log.Error("some calls of other hosts were cut off")
 	}
 	if err := d.operators.Shutdown(ctx); err != nil {
@@ -57,25 +59,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
 	defer cancel()
 	idle := func() bool { return d.submissions.Open() == 0 && d.dispatcher.Running() == 0 }
-	if !waitUntil(ctx, idle) {
+	if !common.WaitUntil(ctx, drainPoll, idle) {
 		d.common.Log.WithField("submissions", d.submissions.Open()).Error("work was cut off")
 	}
 }
 
-// waitUntil polls the condition and reports false when the context ends first.
-func waitUntil(ctx context.Context, condition func() bool) bool {
-	ticker := time.NewTicker(drainPoll)
-	defer ticker.Stop()
-	for !condition() {
-		select {
-		case <-ctx.Done():
-			return false
-		case <-ticker.C:
-		}
-	}
-	return true
-}
-
 // openCounter counts the submissions that have no answer yet.
 type openCounter interface {
 	Open() int
--- a/entry/pkg/cell/assign.go
+++ b/entry/pkg/cell/assign.go
@@ -13,7 +13,8 @@
 	// foresight is the part of its objective by which a job may be expected to be late and still be taken: run times are
 	// known to a fifth at best, and a worker that empties has room for more than one task.
 	foresight = 0.15
-	// mostRetry bounds it, for instance while no worker is large enough; workers come and go every few seconds.
+	// mostRetry bounds when refused callers come back, also when no worker is large enough; workers come and go every
+	// few seconds.
 	mostRetry = 5 * time.Second
 )
 
--- a/soak/pkg/app/app.go
+++ b/soak/pkg/app/app.go
@@ -6,18 +6,14 @@
 	"path/filepath"
 	"time"
 
-	"github.com/alexflint/go-arg"
 	"github.com/pkg/errors"
 
+	"chervilusher.dev/lib/program"
 	"chervilusher.dev/soak/pkg/yard"
 )
 
-// Exit codes of the program.
-const (
-	exitOK     = 0
-	exitBroken = 1 // something was broken that must hold
-	exitFailed = 2 // the soak could not be run
-)
+// self is the program by the name that its messages begin with.
+var self = program.Program{Name: "soak"}
 
 type arguments struct {
 	Binary  string        `arg:"--binary,required" help:"the entry program"`
@@ -34,26 +30,19 @@
 // Main runs soaks and returns the program's exit code.
 func Main(args []string) int {
 	var parsed arguments
-	parser, err := arg.NewParser(arg.Config{Program: "soak"}, &parsed)
-	if err != nil {
-		return fail(err)
-	}
-	if err := parser.Parse(args); errors.Is(err, arg.ErrHelp) {
-		parser.WriteHelp(os.Stdout)
-		return exitOK
-	} else if err != nil {
-		return fail(err)
+	if code, done := self.Parse(&parsed, args); done {
+		return code
 	}
-	code := exitOK
+	code := program.ExitOK
 	for seed := parsed.Seed; seed < parsed.Seed+uint64(parsed.Seeds); seed++ {
 		result, err := runSeed(&parsed, seed)
 		if err != nil {
-			return fail(err)
+			return self.Complain(err)
 		}
 		fmt.Printf("seed %d: answers %v, %d breaches\n", seed, result.Outcomes, len(result.Breaches))
 		for _, breach := range result.Breaches {
 			fmt.Printf("  %s\n", breach)
-			code = exitBroken
+			code = program.ExitFailed
 		}
 	}
 	return code
@@ -82,8 +71,3 @@
 		Gap:    parsed.Gap,
 	}, out)
 }
-
-func fail(err error) int {
-	fmt.Fprintf(os.Stderr, "soak: %s\n", err)
-	return exitFailed
-}
