Answer a cancelled job as given up, and bound the wait for a peer's configuration

Cause, found by reading: a job that was cancelled by a second request got status 200 without a body, which reads as success, since nothing was written. And while a frozen peer was asked for its configuration, no other peer was asked.

Change: such a job is answered 504 at once; a peer has half a second to send its configuration.

--- a/entry/pkg/cellhost/home.go
+++ b/entry/pkg/cellhost/home.go
@@ -85,7 +85,7 @@
 	}
 }
 
-// Serve runs the job and returns its answer, or nil when the caller has left or cancelled it.
+// Serve runs the job and returns its answer; one whose caller has left or cancelled it is given up.
 func (h *HomeController) Serve(ctx context.Context, submission *Submission) *cell.Answer {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -97,8 +97,7 @@
 	route := &route{home: h, submission: submission, request: h.request(submission)}
 	answer := route.run(ctx)
 	if ctx.Err() != nil && answer.Outcome != cell.Completed {
-		h.log(route, &cell.Answer{Outcome: cell.Abandoned, Reason: "the caller left"})
-		return nil
+		answer = &cell.Answer{Outcome: cell.Abandoned, Reason: "the caller left or cancelled the job"}
 	}
 	h.log(route, answer)
 	return answer
--- a/entry/pkg/cellhost/options.go
+++ b/entry/pkg/cellhost/options.go
@@ -33,6 +33,8 @@
 	// forgetAfter is how long a host may be silent until it does not count any more for the question whether this host
 	// is cut off from the others; cuts last up to about 12 s.
 	forgetAfter = 20 * time.Second
+	// offerTimeout bounds how long a peer may take to send its configuration; meanwhile no other is asked.
+	offerTimeout = 500 * time.Millisecond
 	// duelDelay lets heartbeats tell of the winner before a fenced worker is taken back.
 	duelDelay = 300 * time.Millisecond
 	// isolatedDelay is duelDelay, and the delay before a claim, of a host that hears too few others, which may keep the cell.
--- a/entry/pkg/cellhost/queues.go
+++ b/entry/pkg/cellhost/queues.go
@@ -45,6 +45,8 @@
 		return
 	}
 	defer q.end()
+	ctx, cancel := context.WithTimeout(ctx, offerTimeout)
+	defer cancel()
 	response, err := peer.Call[peer.QueuesRequest, peer.QueuesResponse](ctx, q.client, address, peer.MethodQueues, &peer.QueuesRequest{})
 	if err != nil {
 		q.common.Log.WithField("peer", address).WithError(err).Warn("cannot take the configuration from a peer")
