--- a/soak/pkg/yard/yard.go
+++ b/soak/pkg/yard/yard.go
@@ -58,6 +58,7 @@
 	settings Settings
 	version  int
 	closers  []func()
+	given    map[string]bool // addresses that were given to hosts
 }
 
 // New starts all; Close ends it.
@@ -68,6 +69,7 @@
 		Ledger:   runner.NewLedger(),
 		clock:    clock,
 		settings: settings,
+		given:    map[string]bool{},
 	}
 	store, err := yard.serve(yard.Store.Handler())
 	if err != nil {
@@ -132,7 +134,7 @@
 
 func (y *Yard) addHost(place, store string) error {
 	name := fmt.Sprintf("host-%d", len(y.Hosts))
-	addresses, err := freeAddresses(4)
+	addresses, err := y.freeAddresses(4)
 	if err != nil {
 		return err
 	}
@@ -187,12 +189,16 @@
 	ports     = 10000
 )
 
-// freeAddresses returns addresses that nobody listens on at the moment.
-func freeAddresses(count int) ([]string, error) {
+// freeAddresses returns addresses that nobody listens on at the moment and that were not returned before, since a host
+// that was given one may not listen yet.
+func (y *Yard) freeAddresses(count int) ([]string, error) {
 	var addresses []string
 	var config net.ListenConfig
 	for tries := 0; len(addresses) < count; tries++ {
 		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		if y.given[address] {
+			continue
+		}
 		listener, err := config.Listen(context.Background(), "tcp", address)
 		if err != nil && tries > ports {
 			return nil, errors.WithStack(err)
@@ -200,7 +206,10 @@
 		if err != nil {
 			continue
 		}
-		defer func() { _ = listener.Close() }()
+		if err := listener.Close(); err != nil {
+			return nil, errors.WithStack(err)
+		}
+		y.given[address] = true
 		addresses = append(addresses, address)
 	}
 	return addresses, nil
