Read a worker's lists beside a waiting call that may be lost

Ruled out: workers that were down (they answered 60 ms after the timeout), a shorter wait for all calls (two and a half times the looks).

Change: once a run should have ended and nothing was heard of its worker for 0.15 s, the lists are read beside the call.

--- a/entry/pkg/cell/cell.go
+++ b/entry/pkg/cell/cell.go
@@ -59,6 +59,7 @@
 	Stops   []Stop
 	Answers []Answered
 	Ends    []Ended
+	Looks   []*Worker // whose lists should be read at once, beside the call that waits
 }
 
 // New returns a cell without workers.
@@ -151,6 +152,10 @@
 			c.loseRuns(worker, now, &effects)
 		}
 		c.retryOverdue(worker, now, &effects)
+		if worker.isReportMissing(now) {
+			worker.looked = now
+			effects.Looks = append(effects.Looks, worker)
+		}
 	}
 	for _, job := range c.sortedJobs() {
 		if !now.Before(job.Deadline) {
@@ -161,6 +166,27 @@
 	return effects
 }
 
+const (
+	// reportSlack is how long after the expected end of a run its worker's report may come; half of the runs take longer
+	// than expected, by 40 % at most.
+	reportSlack = 40 * time.Millisecond
+	// lookInterval bounds how often a worker's lists are read beside the call that waits; each look is paid for.
+	lookInterval = 150 * time.Millisecond
+)
+
+// isReportMissing reports whether a run should have ended and nothing was heard of the worker, so that the call that waits for the end may be lost.
+func (w *Worker) isReportMissing(now time.Time) bool {
+	if !w.held || w.silent || now.Sub(w.reported) < lookInterval || now.Sub(w.looked) < lookInterval {
+		return false
+	}
+	for _, run := range w.runs {
+		if now.Sub(run.sent) > run.expected+reportSlack {
+			return true
+		}
+	}
+	return false
+}
+
 // giveUp answers a job that cannot be served.
 func (c *Cell) giveUp(job *Job, reason string, now time.Time, effects *Effects) {
 	if job.Started() {
--- a/entry/pkg/cell/cell_test.go
+++ b/entry/pkg/cell/cell_test.go
@@ -236,3 +236,17 @@
 	o.pass(short + 10*time.Millisecond)
 	require.Equal(t, "completed", o.outcome(job))
 }
+
+func TestLostWaitingCallIsMadeUpForByALook(t *testing.T) {
+	o := newOffice(t)
+	o.addWorkers(1, 16, 1)
+	o.submit(o.job(1, 7, short, usual, patient))
+	looks := 0
+	for range 40 { // no report comes for 200 ms
+		o.now = o.now.Add(5 * time.Millisecond)
+		effects := o.cell.Tick(o.now)
+		looks += len(effects.Looks)
+		require.False(t, looks > 0 && o.now.Sub(o.cell.Worker("w00").reported) < short+reportSlack, "too early")
+	}
+	require.Equal(t, 1, looks)
+}
--- a/entry/pkg/cell/worker.go
+++ b/entry/pkg/cell/worker.go
@@ -13,9 +13,11 @@
 	Capacity Room
 	Leaving  bool // it gets no new work
 
-	held     bool // the keeper's token is in force and nothing unknown runs there
-	silent   bool // its last call was not answered
-	stale    bool // it has rejected a start or not answered one, so that what is known of it may be wrong until its next report
+	held     bool      // the keeper's token is in force and nothing unknown runs there
+	silent   bool      // its last call was not answered
+	reported time.Time // when its last report came
+	looked   time.Time // when a look was last asked for
+	stale    bool      // it has rejected a start or not answered one, so that what is known of it may be wrong until its next report
 	used     Room
 	runs     map[runKey]*Run
 	foreign  map[runKey]struct{} // runs that the keeper knows nothing of
--- a/entry/pkg/cell/workers.go
+++ b/entry/pkg/cell/workers.go
@@ -67,6 +67,7 @@
 	var effects Effects
 	worker.silent = false
 	worker.stale = false
+	worker.reported = now
 	if report.Born != worker.born {
 		worker.reborn(report)
 	}
--- a/entry/pkg/cellhost/keeper.go
+++ b/entry/pkg/cellhost/keeper.go
@@ -214,6 +214,11 @@
 		stop := effects.Stops[i]
 		go k.stop(stop)
 	}
+	for _, worker := range effects.Looks {
+		if loop := k.loop(worker.ID); loop != nil {
+			go loop.look()
+		}
+	}
 	for i := range effects.Ends {
 		k.logEnd(&effects.Ends[i])
 	}
