Model several keepers, and renew no lease for a home that is silent

Cause: the randomised runs knew one keeper. TestRandomisedKeepers lets rival keepers of two cells contend while homes, keepers, workers and the store fail, and callers send jobs again after 1.3 s.

Change: no lease is renewed while something runs there of a home that was not heard for 250 ms, and such a worker gets no new task. 0.25 s and a lease of 1.02 s on a slow clock stay under 1.3 s.

Mutants that the test finds: unknown runs ignored, a worker held on after a fence, leases believed lapsed too early.

--- a/entry/pkg/cell/cell.go
+++ b/entry/pkg/cell/cell.go
@@ -21,6 +21,7 @@
 	byID    map[string]*Job   // the last job of each identifier that has no answer or still runs
 	speeds  speeds
 	needs   map[string]*usualNeed // by group
+	doubted map[string]bool       // homes that were not heard lately
 	nextSeq int64
 }
 
@@ -71,6 +72,7 @@
 		speeds:  newSpeeds(),
 		byID:    map[string]*Job{},
 		needs:   map[string]*usualNeed{},
+		doubted: map[string]bool{},
 	}
 }
 
@@ -116,9 +118,11 @@
 	}
 }
 
-// Immediate reports whether all tasks of the job could start now.
+// Immediate reports whether all tasks of the job could start now at workers where they would end in time.
 func (c *Cell) Immediate(job *Job, now time.Time) bool {
-	return c.predict(job, now) <= 0
+	longest := job.longestTask()
+	inTime := func(worker *Worker) bool { return c.isInTime(longest, worker, now) }
+	return c.foresee(job, inTime, now) <= 0
 }
 
 // Cancel ends the job without an answer to its caller, who has left, and stops what runs.
@@ -144,6 +148,15 @@
 	return effects
 }
 
+// Doubt takes in which homes were not heard lately. No lease is renewed that something of theirs runs under, so that it
+// has lapsed by the time their callers send their jobs again, should this keeper be gone as well by then.
+func (c *Cell) Doubt(homes []string) {
+	clear(c.doubted)
+	for _, home := range homes {
+		c.doubted[home] = true
+	}
+}
+
 // Tick lets deadlines and leases run out.
 func (c *Cell) Tick(now time.Time) Effects {
 	var effects Effects
--- a/entry/pkg/cell/worker.go
+++ b/entry/pkg/cell/worker.go
@@ -26,6 +26,7 @@
 	clock    workerClock
 	slowness average // run time against the estimate, and against the queue's usual
 	health   health
+	doubted  map[string]bool // the cell's homes that were not heard lately
 }
 
 type runKey struct {
@@ -128,7 +129,21 @@
 
 // usable reports whether new runs may start at the worker.
 func (w *Worker) usable(now time.Time) bool {
-	return w.held && len(w.foreign) == 0 && !w.silent && !w.stale && !w.Leaving && !w.health.paused(now)
+	return w.held && len(w.foreign) == 0 && !w.silent && !w.stale && !w.Leaving && !w.health.paused(now) && !w.isDoubted()
+}
+
+// isDoubted reports whether a home may be gone of which something runs here; a lease is the worker's as a whole, so each
+// renewal would keep that alive too.
+func (w *Worker) isDoubted() bool {
+	if len(w.doubted) == 0 {
+		return false
+	}
+	for _, run := range w.runs {
+		if w.doubted[run.Task.Job.Home] {
+			return true
+		}
+	}
+	return false
 }
 
 // Held reports whether the keeper may start tasks there.
@@ -148,7 +163,7 @@
 
 // Lease returns the lease's end on the worker's clock that a call sent now should carry, or false while nothing may be extended.
 func (w *Worker) Lease(now time.Time, length time.Duration) (time.Duration, bool) {
-	if !w.clock.known() || len(w.foreign) > 0 {
+	if !w.clock.known() || len(w.foreign) > 0 || w.isDoubted() {
 		return 0, false
 	}
 	end := w.clock.estimate(now) + length
@@ -161,6 +176,11 @@
 	return len(w.foreign) > 0
 }
 
+// Over reports whether the run has ended, or was given up.
+func (r *Run) Over() bool {
+	return r.over
+}
+
 // Unsure reports whether it is not known if the run has begun.
 func (r *Run) Unsure() bool {
 	return r.unsure && !r.over
--- a/entry/pkg/cell/workers.go
+++ b/entry/pkg/cell/workers.go
@@ -10,6 +10,7 @@
 func (c *Cell) Add(worker *Worker) {
 	worker.runs = map[runKey]*Run{}
 	worker.foreign = map[runKey]struct{}{}
+	worker.doubted = c.doubted
 	c.workers[worker.ID] = worker
 }
 
