Keep orders from before a fence off the worker

Cause: two orders could reach a worker under a token that was raised after them. A report of the lists that was answered before another keeper took the worker over, but taken in afterwards, made the worker usable again; and a start that was decided before read the token only when it was sent. Either could start a task beside runs of the other keeper that this one does not know of.

Change: the token is raised at the moment of the fence, so that earlier reports no longer match; a start carries the token under which it was decided, and is not sent once its run was given up.

Both tests fail on the code before: TestReportFromBeforeAFenceIsLeftOut, TestStartFromBeforeAFenceIsNotSent. The keeper also tells its cell which homes it has not heard for 250 ms (TestNoLeaseIsRenewedForASilentHome).

--- a/entry/pkg/cellhost/board.go
+++ b/entry/pkg/cellhost/board.go
@@ -27,6 +27,7 @@
 	Loads   []cell.Load
 	Ahead   time.Duration // this host's clock less the other's, at most the delay of one heartbeat too large
 	Timed   bool          // Ahead is known
+	Near    bool          // it and this host send each other heartbeats at the usual pace
 }
 
 // View is what this host knows of all hosts, itself among them; it is not changed after it was stored.
@@ -41,6 +42,17 @@
 	return len(n.Claims) > 0
 }
 
+// Silent returns the near hosts that were last heard before a time.
+func (v *View) Silent(since time.Time) []string {
+	var silent []string
+	for name := range v.Hosts {
+		if neighbour := v.Hosts[name]; neighbour.Near && neighbour.Heard.Before(since) {
+			silent = append(silent, name)
+		}
+	}
+	return silent
+}
+
 // Table returns the view in the form that the choice of a keeper takes.
 func (v *View) Table() *blackboard.MemberTable {
 	table := &blackboard.MemberTable{ByName: make(map[string]blackboard.Member, len(v.Hosts))}
--- a/entry/pkg/cellhost/keeper.go
+++ b/entry/pkg/cellhost/keeper.go
@@ -73,7 +73,7 @@
 
 // Serve lets deadlines and leases run out until the context ends.
 func (k *KeeperController) Serve(ctx context.Context) {
-	k.common.Every(ctx, tickInterval, func() { k.do(k.cell.Tick) })
+	k.common.Every(ctx, tickInterval, k.tick)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, loop := range k.loops {
@@ -81,6 +81,13 @@
 	}
 }
 
+func (k *KeeperController) tick() {
+	k.do(func(now time.Time) cell.Effects {
+		k.cell.Doubt(k.board.View().Silent(now.Add(-doubtAfter)))
+		return k.cell.Tick(now)
+	})
+}
+
 // do makes a decision under the lock and carries out its effects.
 func (k *KeeperController) do(decide func(now time.Time) cell.Effects) {
 	k.mu.Lock()
@@ -261,7 +268,7 @@
 
 func (k *KeeperController) start(start cell.Start) {
 	run := start.Run
-	loop := k.loop(run.Worker.ID)
+	loop, token := k.ordered(run)
 	if loop == nil {
 		k.do(func(now time.Time) cell.Effects { return k.cell.StartAnswered(run, cell.StartRejected, now) })
 		return
@@ -271,7 +278,7 @@
 	defer cancel()
 	began := k.common.Clock.Now()
 	result, err := k.workers.Start(ctx, loop.target, StartCall{
-		Token: loop.token.Load(),
+		Token: token,
 		Task:  run.Task.Name,
 		Run:   run.Number,
 		Spec:  run.Task.Job.Spec,
@@ -288,6 +295,18 @@
 	}
 }
 
+// ordered returns the loop and the token under which a run was decided, or no loop when the worker was lost since: a later
+// token must not carry an order that was made before what runs there was known anew.
+func (k *KeeperController) ordered(run *cell.Run) (*workerLoop, int64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	loop := k.loops[run.Worker.ID]
+	if loop == nil || loop.worker != run.Worker || run.Over() {
+		return nil, 0
+	}
+	return loop, loop.token.Load()
+}
+
 // stop sends a stop until it is answered; the cell sends it again as long as the run is not listed as ended.
 func (k *KeeperController) stop(stop cell.Stop) {
 	loop := k.loop(stop.Worker.ID)
--- a/entry/pkg/cellhost/members.go
+++ b/entry/pkg/cellhost/members.go
@@ -336,7 +336,7 @@
 			neighbour.Claims = m.board.Claims()
 			neighbour.Leaving = m.board.Draining.Load()
 			neighbour.Timed = true
-		} else if m.isNear(&member) && !m.refused[name] { // a cut does not refuse connections
+		} else if neighbour.Near = m.isNear(&member); neighbour.Near && !m.refused[name] { // a cut does not refuse connections
 			isHeard := member.Alive && member.Incarnation != ""
 			near++
 			heard += count(isHeard)
--- a/entry/pkg/cellhost/options.go
+++ b/entry/pkg/cellhost/options.go
@@ -19,6 +19,9 @@
 	// with the lease it stays under the 1.3 s after which a caller sends a broken job again.
 	DefaultSuspect = 500 * time.Millisecond
 
+	// doubtAfter is the silence after which no lease is renewed for a home's sake; with the longest lease on a slow clock
+	// (1.02 s) it stays under the 1.3 s after which a caller sends a broken job again.
+	doubtAfter = 250 * time.Millisecond
 	// tickInterval is how often deadlines, leases and overdue runs are looked at.
 	tickInterval = 10 * time.Millisecond
 	// holdWait is how long a worker holds the answer back until a run ends; a lease of 1 s outlasts two of them.
--- a/entry/pkg/cellhost/worker_loop.go
+++ b/entry/pkg/cellhost/worker_loop.go
@@ -20,7 +20,8 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	raised int
-	answer bool // the last call was answered
+	answer bool        // the last call was answered
+	lost   atomic.Bool // another keeper has the worker
 
 	released time.Time // since when the worker is to be given up; the keeper's lock guards it
 }
@@ -108,6 +109,9 @@
 
 // look reads the lists at once, beside a call that waits.
 func (l *workerLoop) look() {
+	if l.lost.Load() {
+		return
+	}
 	if err := l.hold(0); err != nil && l.ctx.Err() == nil {
 		l.keeper.common.Log.WithField("worker", l.target.ID).WithError(err).Debug("look failed")
 	}
@@ -117,15 +121,21 @@
 func (l *workerLoop) fenced() {
 	k := l.keeper
 	cellFences.Inc()
-	k.do(func(now time.Time) cell.Effects { return k.cell.Fenced(l.worker, now) })
+	before := l.token.Load()
+	l.lost.Store(true)
+	defer l.lost.Store(false)
+	k.do(func(now time.Time) cell.Effects {
+		// Reports that the worker gave before it was lost are told by their token.
+		l.token.Store(raise(before, l.raised, now))
+		return k.cell.Fenced(l.worker, now)
+	})
+	l.raised++
 	delay := duelDelay
 	if k.board.View().Isolated {
 		delay = isolatedDelay
 	}
-	k.common.Log.WithField("worker", l.target.ID).WithField("token", l.token.Load()).WithField("delay", delay.String()).Warn("fenced by another keeper")
+	k.common.Log.WithField("worker", l.target.ID).WithField("token", before).WithField("delay", delay.String()).Warn("fenced by another keeper")
 	l.sleep(delay)
-	l.token.Store(raise(l.token.Load(), l.raised, k.common.Clock.Now()))
-	l.raised++
 }
 
 func (l *workerLoop) unanswered(err error) {
