Give a host that starts without the store the directory of its peers

Both hosts of a place had been rolled while the store was away. They knew neither hosts nor workers, so they could not serve; yet the others heard them alive and left the place's cell to them, so its workers had no keeper from 33.5 s, when the cut took the foreign one, until 37.9 s.

Ruled out: workers dropped during the outage (none went before the store's return), the 2.5 s after which they are dropped.

Change: heartbeats carry the sender's address, and a host that has not read the directory asks the peer that called it for hosts and workers, as it did already for the configuration.

--- a/entry/pkg/cellhost/board.go
+++ b/entry/pkg/cellhost/board.go
@@ -15,7 +15,7 @@
 	Draining atomic.Bool
 	queues   atomic.Pointer[queues.Table]
 	view     atomic.Pointer[View]
-	workers  atomic.Pointer[map[string]WorkerInfo]
+	workers  atomic.Pointer[map[string]peer.WorkerInfo]
 	claims   atomic.Pointer[[]peer.Claim]
 }
 
@@ -62,23 +62,11 @@
 	return table
 }
 
-// WorkerInfo is a worker as the directory shows it.
-type WorkerInfo struct {
-	ID       string
-	Address  string // host:port
-	Place    string
-	Rack     string
-	Kind     string
-	Group    string
-	Capacity cell.Room
-	Leaving  bool
-}
-
 // NewBoard returns an empty board.
 func NewBoard() *Board {
 	board := &Board{}
 	board.view.Store(&View{})
-	board.workers.Store(&map[string]WorkerInfo{})
+	board.workers.Store(&map[string]peer.WorkerInfo{})
 	board.claims.Store(&[]peer.Claim{})
 	return board
 }
@@ -94,7 +82,7 @@
 }
 
 // Workers returns the workers by name.
-func (b *Board) Workers() map[string]WorkerInfo {
+func (b *Board) Workers() map[string]peer.WorkerInfo {
 	return *b.workers.Load()
 }
 
--- a/entry/pkg/cellhost/claims.go
+++ b/entry/pkg/cellhost/claims.go
@@ -287,7 +287,7 @@
 	return peer.CellKey{Place: place, Index: best}
 }
 
-func countPlaces(workers map[string]WorkerInfo) map[string]int {
+func countPlaces(workers map[string]peer.WorkerInfo) map[string]int {
 	counts := map[string]int{}
 	for _, worker := range workers {
 		counts[worker.Place]++
--- a/entry/pkg/cellhost/directory.go
+++ b/entry/pkg/cellhost/directory.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"chervilusher.dev/entry/pkg/common"
+	"chervilusher.dev/entry/pkg/peer"
 )
 
 // DirectoryController keeps the workers that the directory shows; one that it drops stays in use for a while, since the directory forgets live workers in an outage.
@@ -16,7 +17,7 @@
 	board  *Board
 
 	mu      sync.Mutex
-	workers map[string]WorkerInfo
+	workers map[string]peer.WorkerInfo
 	removed map[string]time.Time
 	read    atomic.Int64 // when the directory was last read, in Unix nanoseconds
 }
@@ -26,13 +27,13 @@
 	return &DirectoryController{
 		common:  c.Prefixed("directory"),
 		board:   board,
-		workers: map[string]WorkerInfo{},
+		workers: map[string]peer.WorkerInfo{},
 		removed: map[string]time.Time{},
 	}
 }
 
 // Show takes in workers that the directory shows.
-func (d *DirectoryController) Show(workers []WorkerInfo) {
+func (d *DirectoryController) Show(workers []peer.WorkerInfo) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	changed := false
--- a/entry/pkg/cellhost/keeper_sync.go
+++ b/entry/pkg/cellhost/keeper_sync.go
@@ -12,7 +12,7 @@
 // Sync makes the workers of the claimed cells those that this host keeps, and gives the others up once nothing runs
 // there. A leaving host that is followed gives all of them up, one half after the other, so that the place is not
 // without room while they change hands.
-func (k *KeeperController) Sync(claims []peer.Claim, cells map[string]int, workers map[string]WorkerInfo, view *View, followed bool) {
+func (k *KeeperController) Sync(claims []peer.Claim, cells map[string]int, workers map[string]peer.WorkerInfo, view *View, followed bool) {
 	now := k.common.Clock.Now()
 	stage := k.stage(followed, now)
 	elsewhere := keptElsewhere(view, k.options.Name)
@@ -97,7 +97,7 @@
 }
 
 // keep starts to keep a worker, or takes in that its entry has changed.
-func (k *KeeperController) keep(info WorkerInfo, epoch int64) {
+func (k *KeeperController) keep(info peer.WorkerInfo, epoch int64) {
 	k.mu.Lock()
 	loop, ok := k.loops[info.ID]
 	if ok && loop.target.Address == info.Address && loop.epoch == epoch {
--- a/entry/pkg/cellhost/members.go
+++ b/entry/pkg/cellhost/members.go
@@ -37,6 +37,11 @@
 	HostGone(name, life string)
 }
 
+// CallObserver is told of the address of each peer that calls.
+type CallObserver interface {
+	Called(ctx context.Context, address string)
+}
+
 // MembersController exchanges heartbeats with other hosts and keeps the view of them up to date.
 type MembersController struct {
 	common  *common.Common
@@ -46,6 +51,7 @@
 	queues  *QueuesController
 	loads   LoadTeller
 	gone    []LivesObserver
+	calls   CallObserver
 
 	mu      sync.Mutex
 	tracker *membership.Tracker
@@ -101,6 +107,11 @@
 	m.gone = gone
 }
 
+// ObserveCalls sets who is told of peers that call; it is to be called before Serve.
+func (m *MembersController) ObserveCalls(observer CallObserver) {
+	m.calls = observer
+}
+
 // SetHosts takes the hosts over from the directory, and which of them keep cells.
 func (m *MembersController) SetHosts(hosts []blackboard.Member, keepers map[string]bool) {
 	m.mu.Lock()
@@ -177,7 +188,7 @@
 		case name == m.options.Name:
 		case !m.isNear(&neighbour.Member):
 			others = append(others, neighbour)
-		case all || m.calls(&neighbour):
+		case all || m.isCaller(&neighbour):
 			called = append(called, neighbour)
 		}
 	}
@@ -208,8 +219,8 @@
 	return self && other
 }
 
-// calls reports whether this host calls the near one: one call serves both ends, so of each pair one calls, and both do when the other's calls stay away.
-func (m *MembersController) calls(other *Neighbour) bool {
+// isCaller reports whether this host calls the near one: one call serves both ends, so of each pair one calls, and both do when the other's calls stay away.
+func (m *MembersController) isCaller(other *Neighbour) bool {
 	if m.options.Name < other.Name || !other.Alive || other.Incarnation == "" {
 		return true
 	}
@@ -249,9 +260,12 @@
 
 func (m *MembersController) servePulse(_ context.Context, pulse *peer.Pulse) (*peer.Pulse, error) {
 	m.heard(pulse)
-	if known, ok := m.board.View().Hosts[pulse.Name]; ok {
-		go m.queues.Offered(context.Background(), known.Address, pulse.Queues)
-	}
+	go func() {
+		if m.calls != nil {
+			m.calls.Called(context.Background(), pulse.Address)
+		}
+		m.queues.Offered(context.Background(), pulse.Address, pulse.Queues)
+	}()
 	return m.own(), nil
 }
 
@@ -273,6 +287,7 @@
 func (m *MembersController) own() *peer.Pulse {
 	pulse := &peer.Pulse{
 		Name:        m.options.Name,
+		Address:     m.options.Address,
 		Incarnation: m.common.Incarnation,
 		Leaving:     m.board.Draining.Load(),
 		Claims:      m.board.Claims(),
--- a/entry/pkg/cellhost/options.go
+++ b/entry/pkg/cellhost/options.go
@@ -4,9 +4,10 @@
 
 // Options are the times that the parts keep to.
 type Options struct {
-	Name  string // of this host, unique among all hosts
-	Place string
-	Lease time.Duration // longest lease of a run, a promise of the workers' interface
+	Name    string // of this host, unique among all hosts
+	Address string // of its listener for peers, host:port
+	Place   string
+	Lease   time.Duration // longest lease of a run, a promise of the workers' interface
 
 	Pulse   time.Duration // between two heartbeats
 	Suspect time.Duration // a host that was silent for this long does not count as alive
--- a/entry/pkg/peer/cell.go
+++ b/entry/pkg/peer/cell.go
@@ -7,9 +7,10 @@
 
 // Methods between the hosts of cells.
 const (
-	MethodPulse  = "cell/pulse"
-	MethodRun    = "cell/run"
-	MethodQueues = "cell/queues"
+	MethodPulse     = "cell/pulse"
+	MethodRun       = "cell/run"
+	MethodQueues    = "cell/queues"
+	MethodDirectory = "cell/directory"
 )
 
 // CellKey names a cell: the workers of a place are divided among so many cells as its first one's claim says.
@@ -28,6 +29,7 @@
 // Pulse is a heartbeat between the hosts of cells; both sides of a call tell the same of themselves.
 type Pulse struct {
 	Name        string      `json:"n"`
+	Address     string      `json:"a"` // of the sender's listener for peers
 	Incarnation string      `json:"i"`
 	Leaving     bool        `json:"l,omitempty"`
 	Clock       int64       `json:"t"` // of the sender, in nanoseconds; it goes on while the sender is suspended
