Serve sooner after all hosts were lost

Hosts answered callers at 45.0 s, claimed the cells at 45.5 s after listening for 0.4 s, and refused all jobs meanwhile ("no keeper of workers took the job"); then for 0.1 s with "no worker has room for a task of this size", since the workers' first reports were missing.

Ruled out: reading the store (done 10 ms after the start), starts of the processes.

--- a/entry/pkg/cell/assign.go
+++ b/entry/pkg/cell/assign.go
@@ -138,7 +138,7 @@
 func (c *Cell) canEverRun(job *Job) bool {
 	for _, task := range job.Tasks {
 		if !slices.ContainsFunc(c.sortedWorkers(), func(worker *Worker) bool {
-			return worker.Group == job.Group && worker.held && worker.Capacity.Fits(task.Need)
+			return worker.Group == job.Group && worker.isPromising() && worker.Capacity.Fits(task.Need)
 		}) {
 			return false
 		}
--- a/entry/pkg/cell/cell_test.go
+++ b/entry/pkg/cell/cell_test.go
@@ -250,3 +250,30 @@
 	}
 	require.Equal(t, 1, looks)
 }
+
+// TestJobsWaitForWorkersThatJoin has a job come between a keeper's claim and the first reports of its workers.
+func TestJobsWaitForWorkersThatJoin(t *testing.T) {
+	o := newOffice(t)
+	sim := newSimWorker(Room{Cores: 16_000, Memory: 1 << 20}, 1, 1, o.now)
+	o.workers["w00"] = sim
+	o.cell.Add(&Worker{ID: "w00", Group: "desk", Capacity: sim.capacity})
+	job := o.job(2, 7, short, usual, patient)
+	o.submit(job)
+	require.Equal(t, "none", o.outcome(job))
+	o.hold("w00")
+	o.pass(usual)
+	require.Equal(t, Completed.String(), o.outcome(job))
+}
+
+// TestJobsAreRefusedOnceAJoiningWorkerIsSilent checks that nothing waits for a worker that did not answer.
+func TestJobsAreRefusedOnceAJoiningWorkerIsSilent(t *testing.T) {
+	o := newOffice(t)
+	sim := newSimWorker(Room{Cores: 16_000, Memory: 1 << 20}, 1, 1, o.now)
+	sim.silent = true
+	o.workers["w00"] = sim
+	o.cell.Add(&Worker{ID: "w00", Group: "desk", Capacity: sim.capacity})
+	o.hold("w00")
+	job := o.job(2, 7, short, usual, patient)
+	o.submit(job)
+	require.Equal(t, Refused.String(), o.outcome(job))
+}
--- a/entry/pkg/cell/predict.go
+++ b/entry/pkg/cell/predict.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// joinDelay is how long a new worker may take to its first report; a call takes some milliseconds.
+const joinDelay = 30 * time.Millisecond
+
 // farOff stands for a time that cannot be foreseen.
 const farOff = time.Hour
 
@@ -20,11 +23,18 @@
 	f := &forecast{now: now}
 	need := job.Tasks[0].Need
 	for _, worker := range c.workers {
-		if worker.Group != job.Group || !worker.usable(now) || !suits(worker) {
+		if worker.Group != job.Group || !suits(worker) {
+			continue
+		}
+		free := now
+		switch {
+		case worker.joining && !worker.Leaving:
+			free = now.Add(joinDelay)
+		case !worker.usable(now):
 			continue
 		}
 		for range worker.free().Times(need) {
-			f.places = append(f.places, now)
+			f.places = append(f.places, free)
 		}
 		for _, run := range worker.runs {
 			f.places = append(f.places, run.expectedEnd(now))
@@ -103,7 +113,7 @@
 func (c *Cell) allowWaves(job *Job) {
 	places := 0
 	for _, worker := range c.workers {
-		if worker.Group == job.Group && worker.held {
+		if worker.Group == job.Group && worker.isPromising() {
 			places += worker.Capacity.Times(job.Tasks[0].Need)
 		}
 	}
--- a/entry/pkg/cell/worker.go
+++ b/entry/pkg/cell/worker.go
@@ -13,6 +13,7 @@
 	Capacity Room
 	Leaving  bool // it gets no new work
 
+	joining  bool      // its first report is awaited
 	held     bool      // the keeper's token is in force and nothing unknown runs there
 	silent   bool      // its last call was not answered
 	reported time.Time // when its last report came
@@ -132,6 +133,11 @@
 	return w.held && len(w.foreign) == 0 && !w.silent && !w.stale && !w.Leaving && !w.health.paused(now) && !w.isDoubted()
 }
 
+// isPromising reports whether the worker is in use, or will be as far as is known.
+func (w *Worker) isPromising() bool {
+	return w.held || w.joining
+}
+
 // isDoubted reports whether a home may be gone of which something runs here; a lease is the worker's as a whole, so each
 // renewal would keep that alive too.
 func (w *Worker) isDoubted() bool {
--- a/entry/pkg/cell/workers.go
+++ b/entry/pkg/cell/workers.go
@@ -11,6 +11,7 @@
 	worker.runs = map[runKey]*Run{}
 	worker.foreign = map[runKey]struct{}{}
 	worker.doubted = c.doubted
+	worker.joining = true
 	c.workers[worker.ID] = worker
 }
 
@@ -41,6 +42,7 @@
 func (c *Cell) Fenced(worker *Worker, now time.Time) Effects {
 	var effects Effects
 	worker.held = false
+	worker.joining = false
 	worker.foreign = map[runKey]struct{}{}
 	c.abandonRuns(worker, "another keeper took the worker over", now, &effects)
 	c.assign(now, &effects)
@@ -50,6 +52,7 @@
 // Silent takes in that a call to the worker was not answered.
 func (c *Cell) Silent(worker *Worker) {
 	worker.silent = true
+	worker.joining = false
 }
 
 // Release gives the worker up, which must be idle.
@@ -67,6 +70,7 @@
 func (c *Cell) Reported(worker *Worker, report *Report, sent, now time.Time) Effects {
 	var effects Effects
 	worker.silent = false
+	worker.joining = false
 	worker.stale = false
 	worker.reported = now
 	if report.Born != worker.born {
--- a/entry/pkg/cellhost/board.go
+++ b/entry/pkg/cellhost/board.go
@@ -35,6 +35,7 @@
 	Hosts    map[string]Neighbour
 	Minority bool // less than half of the other hosts are heard
 	Isolated bool // in addition, no other host of the place is heard
+	Complete bool // each near host is heard, or its process is gone for certain
 }
 
 // Keeps reports whether the host keeps a cell.
--- a/entry/pkg/cellhost/claims.go
+++ b/entry/pkg/cellhost/claims.go
@@ -166,7 +166,7 @@
 		since = now
 		c.unclaimed[key] = now
 	}
-	if !c.isSettled(now) || c.board.Draining.Load() || now.Sub(since) < c.delay(key, view) || follower != c.options.Name {
+	if !c.isSettled(view, now) || c.board.Draining.Load() || now.Sub(since) < c.delay(key, view) || follower != c.options.Name {
 		return peer.Claim{}, false
 	}
 	delete(c.unclaimed, key)
@@ -181,10 +181,10 @@
 	return c.options.Place == key.Place && view.Hosts[host].Place != key.Place
 }
 
-// isSettled reports whether this host would have heard of other keepers.
-func (c *ClaimsController) isSettled(now time.Time) bool {
+// isSettled reports whether this host has heard of other keepers, or would have by now.
+func (c *ClaimsController) isSettled(view *View, now time.Time) bool {
 	since, known := c.members.KnownSince()
-	return known && now.Sub(since) >= startDelay
+	return known && (view.Complete || now.Sub(since) >= startDelay)
 }
 
 // usable returns the claims whose workers may be used: a draining worker must be known as such before it gets work from a new keeper.
@@ -192,7 +192,7 @@
 	usable := make([]peer.Claim, 0, len(claims))
 	for _, claim := range claims {
 		since, fresh := c.claimed[claim.Cell]
-		if fresh && c.directory.LastRead().Before(since) && now.Sub(since) < freshDelay {
+		if fresh && c.directory.LastRead().Before(since.Add(-freshAge)) && now.Sub(since) < freshDelay {
 			continue
 		}
 		delete(c.claimed, claim.Cell)
@@ -210,6 +210,8 @@
 		return isolatedDelay
 	case !hasLiveHost(view, key.Place):
 		return foreignDelay
+	case view.Complete:
+		return 0
 	default:
 		return claimDelay
 	}
--- a/entry/pkg/cellhost/claims_test.go
+++ b/entry/pkg/cellhost/claims_test.go
@@ -186,3 +186,13 @@
 		token = raised
 	}
 }
+
+// TestClaimsAtOnceWhenAllHostsWereHeard has all hosts start together, as after a loss of power: none of them keeps a cell,
+// and each has heard so from the others.
+func TestClaimsAtOnceWhenAllHostsWereHeard(t *testing.T) {
+	c := newClaimant("a", north)
+	c.host("a", north, 2)
+	c.host("b", north, 1)
+	c.view.Complete = true
+	require.Len(t, c.after(0), 1)
+}
--- a/entry/pkg/cellhost/home.go
+++ b/entry/pkg/cellhost/home.go
@@ -22,6 +22,11 @@
 	callerDelay = 8 * time.Millisecond
 	// noKeeperRetry is when to come back while no keeper is known; another host follows a dead one within it.
 	noKeeperRetry = time.Second
+	// keeperGrace is how long after the last keeper was lost, or after the start, a job may wait for one; another host
+	// follows a dead one within it.
+	keeperGrace = time.Second
+	// keeperPoll is how often a job that waits looks for a keeper.
+	keeperPoll = 10 * time.Millisecond
 	// answerMargin lets a keeper's answer at the deadline arrive before the home gives up itself.
 	answerMargin = 20 * time.Millisecond
 	// maxSpills bounds how many other keepers are asked for room at once; each takes about a millisecond.
@@ -52,6 +57,15 @@
 	Estimate time.Duration
 }
 
+// longest returns the largest estimate among the tasks.
+func (s *Submission) longest() time.Duration {
+	longest := time.Duration(0)
+	for _, task := range s.Tasks {
+		longest = max(longest, task.Estimate)
+	}
+	return longest
+}
+
 // HomeController finds a keeper for each caller's job and waits for its answer.
 type HomeController struct {
 	common  *common.Common
@@ -63,6 +77,7 @@
 	mu    sync.Mutex
 	calls map[*keeperCall]struct{}
 	open  map[string]context.CancelFunc // by the job's identifier
+	alone time.Time                     // since when no keeper is known, as far as jobs have asked
 }
 
 // keeperCall is a call to a keeper that has not been answered.
@@ -156,7 +171,6 @@
 }
 
 func (h *HomeController) request(submission *Submission) *peer.RunRequest {
-	longest := time.Duration(0)
 	request := &peer.RunRequest{
 		ID:       submission.ID,
 		Home:     h.options.Name,
@@ -170,10 +184,9 @@
 		Deadline: submission.Deadline.UnixNano(),
 	}
 	for _, task := range submission.Tasks {
-		longest = max(longest, task.Estimate)
 		request.Tasks = append(request.Tasks, peer.RunTask{Name: task.Name, Need: task.Need, Estimate: int64(task.Estimate)})
 	}
-	objective := time.Duration(submission.Queue.Stretch*float64(longest)) + submission.Queue.Objective - callerDelay
+	objective := time.Duration(submission.Queue.Stretch*float64(submission.longest())) + submission.Queue.Objective - callerDelay
 	request.Objective = submission.Arrived.Add(objective).UnixNano()
 	return request
 }
@@ -241,6 +254,21 @@
 	return nil, false
 }
 
+// isKeeperDue reports whether a keeper is to be expected soon, while none is known.
+func (h *HomeController) isKeeperDue(known int) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.common.Clock.Now()
+	switch {
+	case known > 0:
+		h.alone = time.Time{}
+		return false
+	case h.alone.IsZero():
+		h.alone = now
+	}
+	return now.Sub(h.alone) < keeperGrace
+}
+
 // keepers returns the live keepers that this host hears, the leaving ones among them, which still have room.
 func (h *HomeController) keepers() []Neighbour {
 	view := h.board.View()
--- a/entry/pkg/cellhost/members.go
+++ b/entry/pkg/cellhost/members.go
@@ -335,7 +335,7 @@
 func (m *MembersController) view() *View {
 	members := m.tracker.Table().ByName
 	view := &View{Hosts: make(map[string]Neighbour, len(members))}
-	near, heard, mates, heardMates := 0, 0, 0, 0
+	near, heard, gone, mates, heardMates := 0, 0, 0, 0, 0
 	for name, member := range members {
 		neighbour := Neighbour{Member: member}
 		said, ok := m.told[name]
@@ -351,7 +351,9 @@
 			neighbour.Claims = m.board.Claims()
 			neighbour.Leaving = m.board.Draining.Load()
 			neighbour.Timed = true
-		} else if neighbour.Near = m.isNear(&member); neighbour.Near && !m.refused[name] { // a cut does not refuse connections
+		} else if neighbour.Near = m.isNear(&member); neighbour.Near && m.refused[name] { // a cut does not refuse connections
+			gone++
+		} else if neighbour.Near {
 			isHeard := member.Alive && member.Incarnation != ""
 			near++
 			heard += count(isHeard)
@@ -361,6 +363,7 @@
 		view.Hosts[name] = neighbour
 	}
 	view.Minority = 2*heard < near
+	view.Complete = heard == near && (near+gone > 0 || len(members) == 1)
 	// A place that is cut off from all others as a whole goes on by itself.
 	view.Isolated = view.Minority && mates > 0 && heardMates == 0
 	return view
--- a/entry/pkg/cellhost/members_test.go
+++ b/entry/pkg/cellhost/members_test.go
@@ -109,3 +109,22 @@
 	c.board.claims.Store(&[]peer.Claim{{Cell: northCell, Of: 1, Epoch: 2}})
 	require.Equal(t, 20, near(), "a keeper hears all hosts of its place")
 }
+
+func TestViewIsCompleteOnceEachHostWasHeardOrIsGone(t *testing.T) {
+	c, members := beside(t, blackboard.Member{Name: "b", Place: north, Size: 1}, blackboard.Member{Name: "c", Place: south, Size: 1})
+	require.False(t, c.board.View().Complete)
+	members.heard(pulseOf(c, "b", "1"))
+	require.False(t, c.board.View().Complete, "c was not heard")
+	members.missed("c", syscall.ECONNREFUSED)
+	require.True(t, c.board.View().Complete)
+	for range 8 {
+		c.clock.Advance(DefaultPulse)
+		members.tick()
+	}
+	require.False(t, c.board.View().Complete, "b is silent, and may well live")
+}
+
+func TestViewOfTheOnlyHostIsComplete(t *testing.T) {
+	c, _ := beside(t)
+	require.True(t, c.board.View().Complete)
+}
--- a/entry/pkg/cellhost/options.go
+++ b/entry/pkg/cellhost/options.go
@@ -56,7 +56,10 @@
 	workersPerCell = 48
 	// cellSlack is by how many workers a place must fall short before it gets fewer cells.
 	cellSlack = workersPerCell * 2 / 5
-	// freshDelay bounds how long a new keeper waits for a reading of the directory that is younger than its claim.
+	// freshAge is how old the last reading of the directory may be when a new keeper begins; with the 0.4 s to a keeper's
+	// next one it stays well under the 2 s after which a leaving worker gets no new work.
+	freshAge = 500 * time.Millisecond
+	// freshDelay bounds how long a new keeper waits for a reading of the directory that is not older than that.
 	freshDelay = time.Second
 	// releaseTimeout bounds how long a worker that belongs to another cell is kept until its runs have ended; callers
 	// of the usual jobs wait for 1.5 s.
--- a/entry/pkg/cellhost/route.go
+++ b/entry/pkg/cellhost/route.go
@@ -26,7 +26,7 @@
 func (r *route) run(ctx context.Context) *cell.Answer {
 	ctx, cancel := context.WithTimeout(ctx, r.submission.Deadline.Add(answerMargin).Sub(r.home.common.Clock.Now()))
 	defer cancel()
-	for _, keeper := range r.order(r.home.keepers()) {
+	for _, keeper := range r.order(r.awaitKeepers(ctx)) {
 		if answer := r.try(ctx, &keeper); answer != nil {
 			return answer
 		}
@@ -34,6 +34,24 @@
 	return &cell.Answer{Outcome: cell.Refused, Reason: "no keeper of workers took the job", Retry: noKeeperRetry}
 }
 
+// awaitKeepers returns the keepers that are known. While there is none but one is to be expected, it waits as long as the job
+// could still end in time.
+func (r *route) awaitKeepers(ctx context.Context) []Neighbour {
+	clock := r.home.common.Clock
+	for {
+		keepers := r.home.keepers()
+		due := r.home.isKeeperDue(len(keepers))
+		if !due || clock.Now().Add(r.submission.longest()).After(time.Unix(0, r.request.Objective)) {
+			return keepers
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-clock.After(keeperPoll):
+		}
+	}
+}
+
 // order puts the keepers of this place first, each group by chance weighted with the room that the keepers told of, so that not all homes turn to the same one.
 func (r *route) order(keepers []Neighbour) []Neighbour {
 	keys := make(map[string]float64, len(keepers))
