Build the view of hosts anew only for news

Cause: each heartbeat built the view of all hosts anew: 22 us and 18 KB with 36 hosts, 62 us and 42 KB with 100, 185 us and 146 KB with 300 (BenchmarkHeartbeat).

Change: a heartbeat that tells of a claim, a worker given up, another life, a stop, a host that is heard again or a closer clock is shown at once; new loads are shown every 50 ms, or at the next tick. 0.2 us and no allocation at each size.

Also: after a pause of this process a home's silence was counted from the pause's end, so leases could be renewed again for a home that had died meanwhile. Doubts now count from the last heartbeat (TestHomesAreSilentAfterAPauseOfThisProcess failed before).

--- a/entry/pkg/cellhost/board.go
+++ b/entry/pkg/cellhost/board.go
@@ -27,6 +27,7 @@
 	Loads   []cell.Load
 	Ahead   time.Duration // this host's clock less the other's, at most the delay of one heartbeat too large
 	Timed   bool          // Ahead is known
+	Told    time.Time     // when its last heartbeat came; unlike Heard it does not move with a pause of this process
 	Near    bool          // it and this host send each other heartbeats at the usual pace
 }
 
@@ -43,11 +44,11 @@
 	return len(n.Claims) > 0
 }
 
-// Silent returns the near hosts that were last heard before a time.
+// Silent returns the near hosts whose last heartbeat came before a time.
 func (v *View) Silent(since time.Time) []string {
 	var silent []string
 	for name := range v.Hosts {
-		if neighbour := v.Hosts[name]; neighbour.Near && neighbour.Heard.Before(since) {
+		if neighbour := v.Hosts[name]; neighbour.Near && !neighbour.Told.IsZero() && neighbour.Told.Before(since) {
 			silent = append(silent, name)
 		}
 	}
--- a/entry/pkg/cellhost/members.go
+++ b/entry/pkg/cellhost/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -61,12 +62,15 @@
 	ticks   int
 	wake    chan struct{}
 	known   time.Time // when the directory first told the hosts
+	shown   time.Time // when the view was last put on the board
+	stale   bool      // heartbeats came since
 }
 
 // told is what a host last said of itself.
 type told struct {
 	pulse *peer.Pulse
 	ahead time.Duration
+	at    time.Time // when it came
 }
 
 // NewMembersController returns the controller and adds its method to the server of peers.
@@ -160,6 +164,7 @@
 func (m *MembersController) tick() {
 	m.mu.Lock()
 	changed, paused := m.tracker.Tick(m.common.Clock.Now())
+	changed = changed || m.stale
 	m.mu.Unlock()
 	if paused {
 		m.common.Log.Warn("this process was paused")
@@ -269,19 +274,32 @@
 	return m.own(), nil
 }
 
+// heard takes in a heartbeat. The view is built anew at once when it tells something that others act on, and otherwise a
+// few times a second only, since its cost grows with the hosts.
 func (m *MembersController) heard(pulse *peer.Pulse) {
 	now := m.common.Clock.Now()
 	ahead := now.Sub(time.Unix(0, pulse.Clock))
 	m.mu.Lock()
-	m.tracker.Heard(pulse.Name, pulse.Incarnation, pulse.Leaving, now)
+	changed := m.tracker.Heard(pulse.Name, pulse.Incarnation, pulse.Leaving, now) || m.refused[pulse.Name]
 	delete(m.refused, pulse.Name)
 	before, ok := m.told[pulse.Name]
 	if ok && before.pulse.Incarnation == pulse.Incarnation {
 		ahead = min(ahead, before.ahead)
 	}
-	m.told[pulse.Name] = told{pulse: pulse, ahead: ahead}
+	m.told[pulse.Name] = told{pulse: pulse, ahead: ahead, at: now}
+	m.stale = true
+	due := changed || !ok || isNews(before.pulse, pulse) || ahead < before.ahead ||
+		now.Sub(before.at) > 2*m.options.Pulse || now.Sub(m.shown) >= viewInterval
 	m.mu.Unlock()
-	m.publish()
+	if due {
+		m.publish()
+	}
+}
+
+// isNews reports whether a heartbeat tells more than new loads.
+func isNews(before, now *peer.Pulse) bool {
+	return before.Incarnation != now.Incarnation || before.Leaving != now.Leaving ||
+		!slices.Equal(before.Claims, now.Claims) || !slices.Equal(before.Keeping, now.Keeping)
 }
 
 func (m *MembersController) own() *peer.Pulse {
@@ -306,6 +324,8 @@
 	m.mu.Lock()
 	before := m.board.View()
 	view := m.view()
+	m.shown = m.common.Clock.Now()
+	m.stale = false
 	m.board.view.Store(view)
 	m.mu.Unlock()
 	for name, neighbour := range before.Hosts {
@@ -344,6 +364,7 @@
 			neighbour.Loads = said.pulse.Loads
 			neighbour.Ahead = said.ahead
 			neighbour.Timed = true
+			neighbour.Told = said.at
 			neighbour.Keeping = setOf(said.pulse.Keeping)
 		}
 		if name == m.options.Name {
--- a/entry/pkg/cellhost/members_test.go
+++ b/entry/pkg/cellhost/members_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"syscall"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"chervilusher.dev/entry/pkg/blackboard"
+	"chervilusher.dev/entry/pkg/cell"
 	"chervilusher.dev/entry/pkg/peer"
 )
 
@@ -128,3 +130,65 @@
 	c, _ := beside(t)
 	require.True(t, c.board.View().Complete)
 }
+
+// BenchmarkHeartbeat shows what taking in one heartbeat costs, and how it grows with the hosts.
+func BenchmarkHeartbeat(b *testing.B) {
+	for _, hosts := range []int{36, 100, 300} {
+		b.Run(strconv.Itoa(hosts), func(b *testing.B) {
+			c := newClaimant("a", north)
+			listed := []blackboard.Member{{Name: "a", Place: north, Size: 1}}
+			for i := range hosts - 1 {
+				listed = append(listed, blackboard.Member{Name: "h" + strconv.Itoa(i), Place: north, Size: 1})
+			}
+			c.members.SetHosts(listed, nil)
+			for i := range hosts - 1 {
+				c.members.heard(pulseOf(c, "h"+strconv.Itoa(i), "1"))
+			}
+			pulse := pulseOf(c, "h0", "1")
+			b.ResetTimer()
+			for range b.N {
+				c.members.heard(pulse)
+			}
+		})
+	}
+}
+
+// TestViewFollowsNewsAtOnceAndLoadsSoon checks that the view need not be built anew for each heartbeat.
+func TestViewFollowsNewsAtOnceAndLoadsSoon(t *testing.T) {
+	c, members := beside(t, blackboard.Member{Name: "b", Place: north, Size: 1})
+	members.heard(pulseOf(c, "b", "1"))
+	members.heard(pulseOf(c, "b", "1"))
+	loaded := pulseOf(c, "b", "1")
+	loaded.Loads = []cell.Load{{Group: "desk", Free: 7}}
+	members.heard(loaded)
+	require.Empty(t, c.board.View().Hosts["b"].Loads)
+	c.clock.Advance(viewInterval)
+	members.heard(loaded)
+	require.Equal(t, loaded.Loads, c.board.View().Hosts["b"].Loads)
+	claiming := pulseOf(c, "b", "1")
+	claiming.Claims = []peer.Claim{{Cell: northCell, Epoch: 1}}
+	members.heard(claiming)
+	require.Equal(t, claiming.Claims, c.board.View().Hosts["b"].Claims)
+	members.heard(pulseOf(c, "b", "1"))
+	require.Empty(t, c.board.View().Hosts["b"].Claims)
+	members.heard(loaded)
+	members.tick()
+	require.Equal(t, loaded.Loads, c.board.View().Hosts["b"].Loads, "no later than at the next tick")
+}
+
+// TestHomesAreSilentAfterAPauseOfThisProcess has a host die while this one stands still: nothing is known of it afterwards,
+// although its silence is not held against it yet.
+func TestHomesAreSilentAfterAPauseOfThisProcess(t *testing.T) {
+	c, members := beside(t, blackboard.Member{Name: "b", Place: north, Size: 1}, blackboard.Member{Name: "c", Place: north, Size: 1})
+	members.heard(pulseOf(c, "b", "1"))
+	members.heard(pulseOf(c, "c", "1"))
+	members.tick()
+	c.clock.Advance(900 * time.Millisecond)
+	members.tick()
+	members.heard(pulseOf(c, "c", "1"))
+	view := c.board.View()
+	require.True(t, view.Hosts["b"].Alive)
+	require.Equal(t, []string{"b"}, view.Silent(c.clock.Now().Add(-doubtAfter)))
+	members.heard(pulseOf(c, "b", "1"))
+	require.Empty(t, c.board.View().Silent(c.clock.Now().Add(-doubtAfter)))
+}
--- a/entry/pkg/cellhost/worker_loop_test.go
+++ b/entry/pkg/cellhost/worker_loop_test.go
@@ -167,7 +167,7 @@
 	job.Home = "b"
 	effects := k.keeper.cell.Submit(job, now)
 	k.keeper.start(effects.Starts[0])
-	k.keeper.board.view.Store(&View{Hosts: map[string]Neighbour{"b": {Member: blackboard.Member{Name: "b", Alive: true, Heard: now}, Near: true}}})
+	k.keeper.board.view.Store(&View{Hosts: map[string]Neighbour{"b": {Member: blackboard.Member{Name: "b", Alive: true}, Told: now, Near: true}}})
 	leaseOfNext := func() time.Duration {
 		k.keeper.tick()
 		go k.loop.look()
