Let hosts that hear few others look whether the keeper still lives

A host that hears less than half of the others and none of its place cannot tell whether they are gone or it is cut off, and left cells alone for 10 s.

Ruled out: slow detection (all were silent at 10.5 s).

Change: after 1.1 s without a keeper, when every lease of a dead one has lapsed, such a host reads the lists of the cell's workers with the last known keeper's token, which changes nothing there. If nothing runs in three looks, it claims the cell. If something runs, or a newer token was seen, it goes on waiting, 10 s at most as before.

Tests: TestIsolatedHostClaimsACellWhereNothingRunsAnyMore, TestIsolatedHostLeavesACellAloneWhoseKeeperLives.

--- a/entry/pkg/cellhost/claims.go
+++ b/entry/pkg/cellhost/claims.go
@@ -30,6 +30,7 @@
 	claimed   map[peer.CellKey]time.Time // when this host took a cell that it does not use yet
 	cells     map[string]int             // last known number of cells, by place
 	epoch     int64                      // the last one
+	quiet     *quietProbe
 }
 
 // NewClaimsController returns a controller that claims nothing yet.
@@ -51,6 +52,7 @@
 		unclaimed: map[peer.CellKey]time.Time{},
 		claimed:   map[peer.CellKey]time.Time{},
 		cells:     map[string]int{},
+		quiet:     newQuietProbe(workers.workers, c.Clock),
 	}
 }
 
@@ -159,6 +161,7 @@
 		return mine, true
 	case found && !returns:
 		delete(c.unclaimed, key)
+		c.quiet.forget(key)
 		return peer.Claim{}, false
 	}
 	since, waiting := c.unclaimed[key]
@@ -166,10 +169,11 @@
 		since = now
 		c.unclaimed[key] = now
 	}
-	if !c.isSettled(view, now) || c.board.Draining.Load() || now.Sub(since) < c.delay(key, view) || follower != c.options.Name {
+	if !c.isSettled(view, now) || c.board.Draining.Load() || now.Sub(since) < c.delay(key, view, now.Sub(since)) || follower != c.options.Name {
 		return peer.Claim{}, false
 	}
 	delete(c.unclaimed, key)
+	c.quiet.forget(key)
 	c.claimed[key] = now
 	taken := peer.Claim{Cell: key, Epoch: c.newEpoch(now)}
 	log.WithField("epoch", taken.Epoch).WithField("unclaimed", now.Sub(since).String()).Info("took the cell")
@@ -217,12 +221,15 @@
 	return false
 }
 
-// delay returns how long a cell must be without a keeper before this host claims it.
-func (c *ClaimsController) delay(key peer.CellKey, view *View) time.Duration {
+// delay returns how long a cell must be without a keeper before this host claims it; it was so for a while already.
+func (c *ClaimsController) delay(key peer.CellKey, view *View, unclaimed time.Duration) time.Duration {
 	switch {
 	case view.Leaver(key):
 		return 0
 	case view.Isolated || (view.Minority && key.Place != c.options.Place):
+		if unclaimed >= quietAfter && c.isQuiet(key, view) {
+			return 0
+		}
 		return isolatedDelay
 	case !hasLiveHost(view, key.Place):
 		return foreignDelay
@@ -233,6 +240,32 @@
 	}
 }
 
+// isQuiet reports whether the last known keeper of the cell is gone for certain, although a cut could hide it from this host.
+func (c *ClaimsController) isQuiet(key peer.CellKey, view *View) bool {
+	epoch := int64(0)
+	for name := range view.Hosts {
+		neighbour := view.Hosts[name]
+		if claim, claims := claimOf(neighbour.Claims, key); claims {
+			epoch = max(epoch, claim.Epoch)
+		}
+	}
+	if epoch == 0 {
+		return false
+	}
+	return c.quiet.isQuiet(key, epoch, c.workersOf(key))
+}
+
+// workersOf returns the workers of a cell.
+func (c *ClaimsController) workersOf(key peer.CellKey) []peer.WorkerInfo {
+	var found []peer.WorkerInfo
+	for id, info := range c.board.Workers() {
+		if cellOf(id, info.Place, max(1, c.cells[info.Place])) == key {
+			found = append(found, info)
+		}
+	}
+	return found
+}
+
 // followers returns the host that is to claim each cell without a keeper: the one that would carry the least for its size.
 func (c *ClaimsController) followers(view *View) map[peer.CellKey]string {
 	carried := map[string]int{}
--- /dev/null
+++ b/entry/pkg/cellhost/quiet_test.go
@@ -0,0 +1,73 @@
+package cellhost
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"chervilusher.dev/entry/pkg/cell"
+	"chervilusher.dev/entry/pkg/peer"
+)
+
+// listing is a worker client whose workers all tell the same.
+type listing struct {
+	WorkerClient
+	report *cell.Report
+	err    error
+	asked  chan HoldCall
+}
+
+func (l *listing) Hold(_ context.Context, _ Target, call HoldCall) (*cell.Report, error) {
+	l.asked <- call
+	return l.report, l.err
+}
+
+// isolated is a host that hears nobody of its place, whose cell was kept by the silent host "b".
+func isolated(t *testing.T, workers *listing) *claimant {
+	t.Helper()
+	workers.asked = make(chan HoldCall, 100)
+	c := newClaimant("a", north)
+	c.quiet = newQuietProbe(workers, c.clock)
+	known := map[string]peer.WorkerInfo{"w1": {ID: "w1", Place: north}, "w2": {ID: "w2", Place: north}}
+	c.board.workers.Store(&known)
+	c.host("a", north, 1)
+	c.host("b", north, 1, peer.Claim{Cell: northCell, Epoch: 77})
+	silent := c.view.Hosts["b"]
+	silent.Alive = false
+	c.view.Hosts["b"] = silent
+	c.view.Minority, c.view.Isolated = true, true
+	return c
+}
+
+// claimsWithin reports whether the host claims a cell within a time.
+func (c *claimant) claimsWithin(length time.Duration) bool {
+	for range int(length / claimInterval) {
+		if len(c.after(claimInterval)) > 0 {
+			return true
+		}
+		time.Sleep(time.Millisecond) // lets the looks end
+	}
+	return false
+}
+
+func TestIsolatedHostClaimsACellWhereNothingRunsAnyMore(t *testing.T) {
+	workers := &listing{report: &cell.Report{}}
+	c := isolated(t, workers)
+	require.False(t, c.claimsWithin(quietAfter), "leases may not have lapsed yet")
+	require.True(t, c.claimsWithin(2*time.Second))
+	require.Equal(t, HoldCall{Token: 77}, <-workers.asked, "the look must change nothing at the worker")
+}
+
+func TestIsolatedHostLeavesACellAloneWhoseKeeperLives(t *testing.T) {
+	for name, workers := range map[string]*listing{
+		"tasks run":      {report: &cell.Report{Running: []cell.RunEntry{{Task: "t", Run: 1}}}},
+		"a newer keeper": {err: ErrFenced},
+		"no answers":     {err: context.DeadlineExceeded},
+	} {
+		t.Run(name, func(t *testing.T) {
+			require.False(t, isolated(t, workers).claimsWithin(isolatedDelay-time.Second))
+		})
+	}
+}
--- a/entry/pkg/cellhost/workers_client.go
+++ b/entry/pkg/cellhost/workers_client.go
@@ -17,6 +17,11 @@
 	ErrOtherLife = errors.New("the worker has another incarnation")
 )
 
+// isFenced reports whether a worker has done nothing because another keeper has it.
+func isFenced(err error) bool {
+	return errors.Is(err, ErrFenced)
+}
+
 // Target is the worker that a call is meant for.
 type Target struct {
 	ID      string
