--- a/entry/pkg/cell/place.go
+++ b/entry/pkg/cell/place.go
@@ -10,7 +10,7 @@
 const (
 	// leftoverWeight is the cost of leaving a whole worker's cores in a gap, against one usual run time.
 	leftoverWeight = 0.5
-	// runSlack is the part of its expected run time within which a task must make its objective, since run times vary.
+	// runSlack is the factor on its expected run time by which a task must make its objective, since run times vary.
 	runSlack = 1.02
 	// avoidWeight is the cost of the worker where the last run failed or hung.
 	avoidWeight = 100.0
