Wait for the request that a test leaves open

The trace shows the goroutine that sends the long task: its answer may come after the minion counts nothing as running; the test then ends, closes the minion, and the request's check of its own error fails. The program is not at fault.

No other test starts such a request with checks and leaves it.

--- a/standin/pkg/minion/minion_test.go
+++ b/standin/pkg/minion/minion_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -57,7 +58,8 @@
 	require.Equal(t, http.StatusGone, code)
 	require.Equal(t, "no", header.Get(platform.HeaderRan))
 
-	go send(t, http.DefaultClient, http.MethodPost, base+"long", `{"work":"1h"}`)
+	var long sync.WaitGroup
+	long.Go(func() { send(t, http.DefaultClient, http.MethodPost, base+"long", `{"work":"1h"}`) })
 	require.Eventually(t, func() bool { return minion.Counters().Running == 1 }, 5*time.Second, time.Millisecond)
 	code, header, _ = send(t, http.DefaultClient, http.MethodPost, base+"second", "")
 	require.Equal(t, http.StatusServiceUnavailable, code)
@@ -65,6 +67,7 @@
 	require.EqualValues(t, 1, minion.Counters().Starts)
 	send(t, http.DefaultClient, http.MethodDelete, base+"long", "")
 	require.Eventually(t, func() bool { return minion.Counters().Running == 0 }, 5*time.Second, time.Millisecond)
+	long.Wait() // its answer may come after the task has stopped running
 }
 
 func TestFaults(t *testing.T) {
