Take a cell back only when its workers could be used at once

Ruled out: workers that still ran something for the old keeper (it had given up all by then), leases (each worker was idle).

The test fails without the change. The two older tests of returning cells now say that the directory was read; their claims are unchanged.

--- a/entry/pkg/cellhost/claims.go
+++ b/entry/pkg/cellhost/claims.go
@@ -152,7 +152,7 @@
 		return mine, true
 	}
 	host, claim, found := view.Claimant(key)
-	returns := found && c.returns(key, host, view)
+	returns := found && c.returns(key, host, view) && c.isFresh(now)
 	switch {
 	case keeps && found && host != c.options.Name && view.outranks(host, claim, c.options.Name, mine):
 		log.WithField("keeper", host).WithField("epoch", claim.Epoch).WithField("own", mine.Epoch).Warn("gave the cell up to another keeper")
@@ -185,6 +185,11 @@
 	return c.options.Place == key.Place && view.Hosts[host].Place != key.Place
 }
 
+// isFresh reports whether the directory was read so lately that a cell could be used at once.
+func (c *ClaimsController) isFresh(now time.Time) bool {
+	return !c.directory.LastRead().Before(now.Add(-freshAge))
+}
+
 // isSettled reports whether this host has heard of other keepers, or would have by now.
 func (c *ClaimsController) isSettled(view *View, now time.Time) bool {
 	since, known := c.members.KnownSince()
--- a/entry/pkg/cellhost/claims_test.go
+++ b/entry/pkg/cellhost/claims_test.go
@@ -145,6 +145,7 @@
 	c := newClaimant("a", north)
 	c.host("a", north, 1)
 	c.host("c", south, 1, peer.Claim{Cell: northCell, Of: 1, Epoch: 1 << 62})
+	c.directory.Read(c.clock.Now().Add(time.Second))
 	require.Len(t, c.after(time.Second), 1, "the place's own host must take the cell back")
 
 	foreign := newClaimant("c", south)
@@ -197,6 +198,20 @@
 	require.Len(t, c.after(0), 1)
 }
 
+// TestCellStaysAbroadWhileTheDirectoryCannotBeRead has the place's host start while the store is away: it could not use the
+// workers before it had read the directory, and the keeper elsewhere would have let them go already.
+func TestCellStaysAbroadWhileTheDirectoryCannotBeRead(t *testing.T) {
+	c := newClaimant("a", north)
+	c.host("a", north, 1)
+	c.host("s", south, 1, peer.Claim{Cell: northCell, Epoch: 1})
+	c.view.Complete = true
+	c.directory.Read(c.clock.Now())
+	c.clock.Advance(freshAge + time.Millisecond)
+	require.Empty(t, c.after(time.Minute))
+	c.directory.Read(c.clock.Now())
+	require.Len(t, c.after(0), 1)
+}
+
 // TestCellThatReturnsIsUsedOnceItWasGivenUp has a host of another place keep the cell, whose running jobs would be broken off
 // by a keeper that takes the workers before it hears which of them are still busy.
 func TestCellThatReturnsIsUsedOnceItWasGivenUp(t *testing.T) {
@@ -217,6 +232,7 @@
 	c.host("a", north, 1)
 	c.host("s", south, 1, peer.Claim{Cell: northCell, Epoch: 1})
 	c.view.Complete = true
+	c.directory.Read(c.clock.Now())
 	claims := c.after(0)
 	require.Empty(t, c.usable(claims, c.view, c.clock.Now()))
 	require.Len(t, c.usable(claims, c.view, c.clock.Now().Add(freshDelay)), 1)
