Decline a job where no worker has room for its tasks, instead of refusing it

Cause: a keeper of a cell whose workers it cannot reach (a host that took the cell of a place that was cut off, a keeper that has just begun) refused jobs with "no worker has room for a task of this size". Homes choose among the keepers of their own place by room, and with no room anywhere each has an equal chance, so such a keeper drew up to half of a place's jobs; each went on to at most two other keepers, and in a larger fleet a group that only one cell serves was refused though that cell could have served it.

Change: the keeper declines, and the home asks its next keeper, until all were asked. The refusal that is left tells why the last one declined.

--- a/entry/pkg/cell/assign.go
+++ b/entry/pkg/cell/assign.go
@@ -134,8 +134,8 @@
 	return Start{Run: run, Lease: lease}
 }
 
-// canEverRun reports whether some worker of the group is large enough for each task.
-func (c *Cell) canEverRun(job *Job) bool {
+// CanEverRun reports whether some worker of the group is large enough for each task.
+func (c *Cell) CanEverRun(job *Job) bool {
 	for _, task := range job.Tasks {
 		if !slices.ContainsFunc(c.sortedWorkers(), func(worker *Worker) bool {
 			return worker.Group == job.Group && worker.isPromising() && worker.Capacity.Fits(task.Need)
--- a/entry/pkg/cell/cell.go
+++ b/entry/pkg/cell/cell.go
@@ -84,7 +84,7 @@
 	c.jobs[job] = struct{}{}
 	c.observeNeed(job)
 	c.replace(job, now, &effects)
-	if !c.canEverRun(job) {
+	if !c.CanEverRun(job) {
 		c.giveUp(job, "no worker has room for a task of this size", now, &effects)
 		return effects
 	}
--- a/entry/pkg/cellhost/keeper.go
+++ b/entry/pkg/cellhost/keeper.go
@@ -99,6 +99,9 @@
 // Run runs a job and waits for its outcome; the end of the context cancels the job.
 func (k *KeeperController) Run(ctx context.Context, request *peer.RunRequest) (*peer.RunResponse, error) {
 	job, reason := k.job(request)
+	if job != nil && !k.canEverRun(job) {
+		job, reason = nil, "no worker has room for a task of this size"
+	}
 	if job == nil {
 		k.common.Log.WithField("job", request.ID).WithField("home", request.Home).WithField("reason", reason).Warn("job declined")
 		return &peer.RunResponse{Declined: true, Reason: reason}, nil
@@ -129,6 +132,13 @@
 	return response, nil
 }
 
+// canEverRun reports whether each task of the job fits a worker that this host keeps; another keeper may have one.
+func (k *KeeperController) canEverRun(job *cell.Job) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.cell.CanEverRun(job)
+}
+
 // await waits for the job's answer; the end of the context cancels the job.
 func (k *KeeperController) await(ctx context.Context, job *cell.Job, answered chan *cell.Answer) (*peer.RunResponse, error) {
 	select {
--- a/entry/pkg/cellhost/route.go
+++ b/entry/pkg/cellhost/route.go
@@ -20,6 +20,7 @@
 	submission *Submission
 	request    *peer.RunRequest
 	tried      []string // keepers that were asked
+	declined   string   // why the last one did not take the job
 }
 
 // run hands the job to a keeper of this place, or to another one where this place has none that takes it.
@@ -31,7 +32,11 @@
 			return answer
 		}
 	}
-	return &cell.Answer{Outcome: cell.Refused, Reason: "no keeper of workers took the job", Retry: noKeeperRetry}
+	reason := "no keeper of workers took the job"
+	if r.declined != "" {
+		reason += ": " + r.declined
+	}
+	return &cell.Answer{Outcome: cell.Refused, Reason: reason, Retry: noKeeperRetry}
 }
 
 // awaitKeepers returns the keepers that are known. While there is none but one is to be expected, it waits as long as the job
@@ -77,6 +82,7 @@
 	response, err := r.home.call(ctx, r.home.options.Name, keeper, &request)
 	switch {
 	case err == nil && response.Declined:
+		r.declined = response.Reason
 		return nil
 	case err == nil:
 		return &cell.Answer{Outcome: response.Outcome, Reason: response.Reason, Retry: time.Duration(response.Retry)}
