Let few hosts read the directory and tell the others what changed

Cause: each host read the entries of all workers from the store, although only keepers need them at once, and each keeper only those of its cell.

Ruled out: reading less often (a leaving worker must get no work after 2 s), topics of our own with fewer records (someone must write them, and is lost with its host), whole directories from peers (450 kB each at 3,000 workers).

Change: in a fleet of more than 12 hosts eight keepers read the store. The others ask a peer for what has changed since their position in the directory's log: keepers one of the eight, every 0.4 s, other hosts any keeper that they hear, every 3 s. Positions are the store's, so any peer can answer, and a host reads on from there when nobody tells it for 1 s (keepers) or 9 s, when the peer knows too little, or when no host keeps a cell. A reader that the store refuses asks the others. The directory takes a change only if it begins where its own knowledge ends.

Fleets of up to 12 hosts read as before.

--- a/entry/pkg/cellhost/directory.go
+++ b/entry/pkg/cellhost/directory.go
@@ -4,22 +4,40 @@
 	"context"
 	"maps"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"chervilusher.dev/entry/pkg/common"
 	"chervilusher.dev/entry/pkg/peer"
 )
 
+// DirectoryChange is what a reading of the directory, or a peer's answer, tells anew.
+type DirectoryChange struct {
+	Entries []DirectoryEntry // in the order in which they were written
+	Whole   bool             // workers that are not named are gone too
+	Told    bool             // a peer tells it, and names only what has changed
+	From    int64            // position in the directory's log at which the change begins; a whole one stands for itself
+	Next    int64            // position up to which the change tells
+}
+
+// DirectoryEntry is what the directory says of one worker; without Listed it is not listed any more, or not usable.
+type DirectoryEntry struct {
+	ID     string
+	Worker peer.WorkerInfo
+	Listed bool
+}
+
 // DirectoryController keeps the workers that the directory shows; one that it drops stays in use for a while, since the directory forgets live workers in an outage.
 type DirectoryController struct {
 	common *common.Common
 	board  *Board
 
-	mu      sync.Mutex
-	workers map[string]peer.WorkerInfo
-	removed map[string]time.Time
-	read    atomic.Int64 // when the directory was last read, in Unix nanoseconds
+	mu       sync.Mutex
+	workers  map[string]peer.WorkerInfo
+	removed  map[string]time.Time
+	changed  map[string]int64 // position up to which each worker's last change was known
+	base     int64            // what changed before this position is not known
+	position int64            // up to which the directory is known; zero before it was read
+	read     time.Time        // when it was known up to the position
 }
 
 // NewDirectoryController returns a controller without workers.
@@ -29,64 +47,130 @@
 		board:   board,
 		workers: map[string]peer.WorkerInfo{},
 		removed: map[string]time.Time{},
+		changed: map[string]int64{},
 	}
 }
 
-// Show takes in workers that the directory shows.
-func (d *DirectoryController) Show(workers []peer.WorkerInfo) {
+// Take takes a change in, and reports false for one that another has overtaken.
+func (d *DirectoryController) Take(change *DirectoryChange) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if change.Next < d.position || (!change.Whole && change.From != d.position) {
+		return false
+	}
 	changed := false
-	for _, worker := range workers {
-		delete(d.removed, worker.ID)
-		before, known := d.workers[worker.ID]
-		if known && before == worker {
-			continue
+	for i := range change.Entries {
+		if entry := &change.Entries[i]; entry.Listed {
+			changed = d.show(&entry.Worker, change) || changed
+		} else {
+			d.drop(entry.ID, change)
 		}
-		changed = true
-		d.workers[worker.ID] = worker
-		if !known || before.Leaving != worker.Leaving {
-			d.common.Log.WithField("worker", worker.ID).WithField("leaving", worker.Leaving).WithField("place", worker.Place).Info("worker listed")
+	}
+	if change.Whole {
+		for _, id := range d.unnamed(change.Entries) {
+			d.drop(id, change)
 		}
 	}
+	if change.Whole || d.position == 0 {
+		d.base = change.Next // entries between may have changed and changed back
+	}
+	d.position = change.Next
 	if changed {
 		d.publish()
 	}
+	return true
 }
 
-// Read takes in that the directory was read up to a time.
-func (d *DirectoryController) Read(at time.Time) {
-	d.read.Store(at.UnixNano())
+// show takes a worker in, and reports whether it is new or differs.
+func (d *DirectoryController) show(worker *peer.WorkerInfo, change *DirectoryChange) bool {
+	before, known := d.workers[worker.ID]
+	_, dropped := d.removed[worker.ID]
+	delete(d.removed, worker.ID)
+	differs := !known || before != *worker
+	if differs || dropped || change.Told {
+		d.changed[worker.ID] = change.Next
+	}
+	if !differs {
+		return false
+	}
+	d.workers[worker.ID] = *worker
+	if !known || before.Leaving != worker.Leaving {
+		d.common.Log.WithField("worker", worker.ID).WithField("leaving", worker.Leaving).WithField("place", worker.Place).Info("worker listed")
+	}
+	return true
 }
 
-// LastRead returns when the directory was last read.
-func (d *DirectoryController) LastRead() time.Time {
-	return time.Unix(0, d.read.Load())
+// unnamed returns the known workers that are not among the entries.
+func (d *DirectoryController) unnamed(entries []DirectoryEntry) []string {
+	named := make(map[string]bool, len(entries))
+	for i := range entries {
+		named[entries[i].ID] = true
+	}
+	var others []string
+	for id := range d.workers {
+		if !named[id] {
+			others = append(others, id)
+		}
+	}
+	return others
 }
 
-// Drop takes in that the directory does not show a worker any more.
-func (d *DirectoryController) Drop(id string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if _, known := d.workers[id]; !known {
-		return
+func (d *DirectoryController) drop(id string, change *DirectoryChange) {
+	_, known := d.workers[id]
+	_, dropped := d.removed[id]
+	isNew := known && !dropped
+	if isNew || change.Told {
+		d.changed[id] = change.Next
 	}
-	if _, dropped := d.removed[id]; !dropped {
+	if isNew {
 		d.removed[id] = d.common.Clock.Now()
 		d.common.Log.WithField("worker", id).Info("worker not listed any more")
 	}
 }
 
-// Keep drops all workers but the named ones, after the directory was read as a whole.
-func (d *DirectoryController) Keep(ids map[string]bool) {
+// Read takes in that the directory was known up to its present position at a time.
+func (d *DirectoryController) Read(at time.Time) {
 	d.mu.Lock()
-	known := maps.Clone(d.workers)
-	d.mu.Unlock()
-	for id := range known {
-		if !ids[id] {
-			d.Drop(id)
+	defer d.mu.Unlock()
+	if at.After(d.read) {
+		d.read = at
+	}
+}
+
+// LastRead returns when the directory was last read, by this host or by the peer that told it.
+func (d *DirectoryController) LastRead() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.read
+}
+
+// Position returns up to which position of its log the directory is known; zero stands for one that was not read.
+func (d *DirectoryController) Position() int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.position
+}
+
+// Since returns what has changed since a position.
+func (d *DirectoryController) Since(position int64) *peer.ChangesResponse {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.position == 0 || position < d.base || position > d.position {
+		return &peer.ChangesResponse{Position: d.position}
+	}
+	response := &peer.ChangesResponse{Known: true, Position: d.position, Age: int64(d.common.Clock.Since(d.read))}
+	for id, at := range d.changed {
+		if at <= position {
+			continue
+		}
+		worker, known := d.workers[id]
+		if _, dropped := d.removed[id]; known && !dropped {
+			response.Workers = append(response.Workers, worker)
+		} else {
+			response.Gone = append(response.Gone, id)
 		}
 	}
+	return response
 }
 
 // Serve forgets workers that stayed away until the context ends.
--- /dev/null
+++ b/entry/pkg/cellhost/directory_test.go
@@ -0,0 +1,199 @@
+package cellhost
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"chervilusher.dev/entry/pkg/common"
+	"chervilusher.dev/entry/pkg/peer"
+)
+
+func newDirectory() (*DirectoryController, *clockwork.FakeClock) {
+	clock := clockwork.NewFakeClock()
+	c := &common.Common{Log: &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}, Clock: clock}
+	return NewDirectoryController(c, NewBoard()), clock
+}
+
+func infos(ids ...string) []peer.WorkerInfo {
+	workers := make([]peer.WorkerInfo, 0, len(ids))
+	for _, id := range ids {
+		workers = append(workers, peer.WorkerInfo{ID: id, Place: north})
+	}
+	return workers
+}
+
+// entriesOf returns entries that list workers, and then entries that do not.
+func entriesOf(workers []peer.WorkerInfo, gone ...string) []DirectoryEntry {
+	entries := listedEntries(workers)
+	for _, id := range gone {
+		entries = append(entries, DirectoryEntry{ID: id})
+	}
+	return entries
+}
+
+func idsOf(workers []peer.WorkerInfo) []string {
+	ids := make([]string, 0, len(workers))
+	for i := range workers {
+		ids = append(ids, workers[i].ID)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func TestDirectoryTellsWhatChangedSinceAPosition(t *testing.T) {
+	d, clock := newDirectory()
+	require.False(t, d.Since(0).Known, "nothing was read yet")
+	require.True(t, d.Take(&DirectoryChange{Entries: entriesOf(infos("a", "b", "c")), Whole: true, Next: 10}))
+	require.True(t, d.Take(&DirectoryChange{Entries: entriesOf(infos("a"), "b"), From: 10, Next: 14}))
+	d.Read(clock.Now())
+	clock.Advance(time.Second)
+	told := d.Since(10)
+	require.True(t, told.Known)
+	require.Empty(t, told.Workers, "an entry that says the same again is no change")
+	require.Equal(t, []string{"b"}, told.Gone)
+	require.EqualValues(t, 14, told.Position)
+	require.EqualValues(t, time.Second, told.Age)
+	require.Empty(t, d.Since(14).Gone)
+	require.False(t, d.Since(9).Known, "it read the directory as a whole at 10")
+	require.False(t, d.Since(15).Known, "the other host knows more")
+}
+
+func TestWorkerThatIsListedAgainIsAChange(t *testing.T) {
+	d, _ := newDirectory()
+	d.Take(&DirectoryChange{Entries: entriesOf(infos("a")), Whole: true, Next: 1})
+	d.Take(&DirectoryChange{Entries: entriesOf(nil, "a"), From: 1, Next: 2})
+	d.Take(&DirectoryChange{Entries: entriesOf(infos("a")), From: 2, Next: 3})
+	require.Equal(t, []string{"a"}, idsOf(d.Since(2).Workers))
+}
+
+func TestWorkersThatAWholeReadingLacksAreGone(t *testing.T) {
+	d, clock := newDirectory()
+	d.Take(&DirectoryChange{Entries: entriesOf(infos("a", "b")), Whole: true, Next: 1})
+	d.Take(&DirectoryChange{Entries: entriesOf(infos("b")), Whole: true, Next: 5})
+	require.False(t, d.Since(1).Known, "what changed and changed back between is not known")
+	require.Contains(t, d.board.Workers(), "a", "the directory forgets live workers in an outage")
+	clock.Advance(removalGrace)
+	d.expire()
+	require.NotContains(t, d.board.Workers(), "a")
+}
+
+func TestOvertakenChangesArePassedOver(t *testing.T) {
+	d, _ := newDirectory()
+	d.Take(&DirectoryChange{Entries: entriesOf(infos("a")), Whole: true, Next: 5})
+	require.False(t, d.Take(&DirectoryChange{Entries: entriesOf(nil, "a"), Whole: true, Next: 4}))
+	require.False(t, d.Take(&DirectoryChange{Entries: entriesOf(nil, "a"), From: 3, Next: 9}), "what it lacks is not known")
+	require.False(t, d.Take(&DirectoryChange{Entries: entriesOf(nil, "a"), From: 6, Next: 9}), "something between is missing")
+	require.Empty(t, d.Since(5).Gone)
+	require.EqualValues(t, 5, d.Position())
+}
+
+// logEntry is one entry of the directory's log.
+type logEntry struct {
+	id      string
+	gone    bool
+	leaving bool
+}
+
+func changeOf(entries []logEntry, from, next int64) *DirectoryChange {
+	change := &DirectoryChange{From: from, Next: next}
+	for _, entry := range entries[from:next] {
+		worker := peer.WorkerInfo{ID: entry.id, Leaving: entry.leaving}
+		change.Entries = append(change.Entries, DirectoryEntry{ID: entry.id, Worker: worker, Listed: !entry.gone})
+	}
+	return change
+}
+
+// newest returns the workers that the log lists at a position.
+func newest(entries []logEntry, position int64) map[string]peer.WorkerInfo {
+	workers := map[string]peer.WorkerInfo{}
+	for _, entry := range entries[:position] {
+		delete(workers, entry.id)
+		if !entry.gone {
+			workers[entry.id] = peer.WorkerInfo{ID: entry.id, Leaving: entry.leaving}
+		}
+	}
+	return workers
+}
+
+func wholeOf(entries []logEntry, next int64) *DirectoryChange {
+	workers := slices.Collect(maps.Values(newest(entries, next)))
+	return &DirectoryChange{Entries: listedEntries(workers), Whole: true, Next: next}
+}
+
+// listed returns the workers that the directory lists, without those that it keeps for a while.
+func listed(d *DirectoryController) map[string]peer.WorkerInfo {
+	workers := maps.Clone(d.workers)
+	for id := range d.removed {
+		delete(workers, id)
+	}
+	return workers
+}
+
+// TestHostsThatTellEachOtherKnowTheSame has hosts read the log themselves, ask each other, and carry out late what they have
+// read or heard, in any order: each knows exactly what the log says up to its position.
+func TestHostsThatTellEachOtherKnowTheSame(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var entries []logEntry
+		hosts := make([]*DirectoryController, 3)
+		late := make([]*DirectoryChange, 3)
+		for i := range hosts {
+			hosts[i], _ = newDirectory()
+		}
+		one := rapid.IntRange(0, len(hosts)-1)
+		take := func(i int, change *DirectoryChange) {
+			if rapid.Bool().Draw(t, "late") {
+				late[i] = change
+				return
+			}
+			hosts[i].Take(change)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"write": func(t *rapid.T) {
+				entries = append(entries, logEntry{
+					id:      fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "worker")),
+					gone:    rapid.Bool().Draw(t, "gone"),
+					leaving: rapid.Bool().Draw(t, "leaving"),
+				})
+			},
+			"read": func(t *rapid.T) {
+				i := one.Draw(t, "host")
+				from := hosts[i].Position()
+				if end := int64(len(entries)); from > 0 && from < end {
+					take(i, changeOf(entries, from, rapid.Int64Range(from+1, end).Draw(t, "next")))
+				}
+			},
+			"read all": func(t *rapid.T) {
+				if end := int64(len(entries)); end > 0 {
+					take(one.Draw(t, "host"), wholeOf(entries, end))
+				}
+			},
+			"ask": func(t *rapid.T) {
+				i, teller := one.Draw(t, "host"), hosts[one.Draw(t, "teller")]
+				since := hosts[i].Position()
+				if told := teller.Since(since); told.Known {
+					take(i, toldChange(since, told))
+				}
+			},
+			"carry out": func(t *rapid.T) {
+				if i := one.Draw(t, "host"); late[i] != nil {
+					hosts[i].Take(late[i])
+					late[i] = nil
+				}
+			},
+			"": func(t *rapid.T) {
+				for _, host := range hosts {
+					require.Equal(t, newest(entries, host.Position()), listed(host))
+				}
+			},
+		})
+	})
+}
--- a/entry/pkg/cellhost/introduction.go
+++ b/entry/pkg/cellhost/introduction.go
@@ -67,7 +67,7 @@
 		hosts = append(hosts, blackboard.Member{Name: host.Name, Address: host.Address, Place: host.Place, Size: host.Size})
 		keepers[host.Name] = host.Keeps
 	}
-	i.directory.Show(response.Workers)
+	i.directory.Take(&DirectoryChange{Entries: listedEntries(response.Workers)})
 	i.members.SetHosts(hosts, keepers)
 }
 
--- a/entry/pkg/cellhost/options.go
+++ b/entry/pkg/cellhost/options.go
@@ -54,6 +54,19 @@
 	farInterval = 2 * DefaultPulse
 	// meshHosts is the size of a fleet in which all hosts send each other heartbeats; ten hosts do so for 1 % of a core.
 	meshHosts = 12
+	// directoryReaders is how many keepers of a large fleet read the directory for all: the loss of several leaves enough.
+	directoryReaders = 8
+	// relayInterval is how often it is looked whether a peer is to be asked for changes.
+	relayInterval = 100 * time.Millisecond
+	// askInterval is how often a keeper asks; with the 0.4 s of a reader it stays well under the 2 s after which a leaving
+	// worker gets no new work.
+	askInterval = 400 * time.Millisecond
+	// otherAskInterval is askInterval of hosts that need the directory only when they take a cell over.
+	otherAskInterval = 3 * time.Second
+	// keeperPatience is the age of the last reading at which a keeper reads for itself; a reading takes a tenth of a second.
+	keeperPatience = time.Second
+	// otherPatience is keeperPatience of other hosts: two questions in a row were in vain.
+	otherPatience = 3 * otherAskInterval
 	// workersPerCell bounds the workers of a cell; keeping 48 takes about a tenth of a core when all are busy.
 	workersPerCell = 48
 	// cellSlack is by how many workers a place must fall short before it gets fewer cells.
--- /dev/null
+++ b/entry/pkg/cellhost/relay_test.go
@@ -0,0 +1,148 @@
+package cellhost
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"chervilusher.dev/entry/pkg/peer"
+)
+
+// teller serves what a directory knows to a relay's only keeper's address, and returns the directory.
+func teller(t *testing.T, c *claimant) (*DirectoryController, *clockwork.FakeClock) {
+	t.Helper()
+	directory, clock := newDirectory()
+	server := peer.NewServer()
+	NewRelayController(directory.common, Options{}, NewBoard(), nil, server, directory)
+	keeper := c.view.Hosts["keeper-0"]
+	keeper.Address = serveOn(t, server)
+	c.view.Hosts["keeper-0"] = keeper
+	return directory, clock
+}
+
+// newRelay returns the relay of host "a" in a fleet with so many keepers, of which it may be one, and other hosts.
+func newRelay(keeps bool, keepers, others int) (*RelayController, *claimant) {
+	c := newClaimant("a", north)
+	claim := func(index int) peer.Claim { return peer.Claim{Cell: peer.CellKey{Place: north, Index: index}} }
+	if keeps {
+		c.host("a", north, 1, claim(0))
+		claims := []peer.Claim{claim(0)}
+		c.board.claims.Store(&claims)
+	} else {
+		c.host("a", north, 1)
+	}
+	for i := range keepers {
+		c.host(fmt.Sprintf("keeper-%d", i), north, 1, claim(i+1))
+	}
+	for i := range others {
+		c.host(fmt.Sprintf("other-%d", i), north, 1)
+	}
+	c.board.view.Store(c.view)
+	relay := NewRelayController(c.common, c.options, c.board, peer.NewClient(nil), peer.NewServer(), c.directory)
+	return relay, c
+}
+
+func TestHostsOfASmallFleetReadTheDirectoryThemselves(t *testing.T) {
+	relay, c := newRelay(false, 3, meshHosts-4)
+	c.directory.Read(c.clock.Now())
+	require.True(t, relay.ReadsDirectory())
+}
+
+func TestOnlyFewKeepersOfALargeFleetReadTheDirectory(t *testing.T) {
+	const keepers = 40
+	readers := 0
+	for i := range keepers {
+		relay, c := newRelay(true, keepers, 100)
+		c.directory.Read(c.clock.Now())
+		relay.options.Name = fmt.Sprintf("keeper-%d", i)
+		if relay.ReadsDirectory() {
+			readers++
+		}
+	}
+	require.LessOrEqual(t, readers, directoryReaders)
+	require.GreaterOrEqual(t, readers, directoryReaders-1, "host a may be one of them")
+
+	other, c := newRelay(false, keepers, 100)
+	c.directory.Read(c.clock.Now())
+	require.False(t, other.ReadsDirectory())
+}
+
+func TestHostReadsTheDirectoryItselfWhenNobodyTellsIt(t *testing.T) {
+	relay, c := newRelay(false, 3, 100)
+	c.directory.Read(c.clock.Now())
+	require.False(t, relay.ReadsDirectory())
+	c.clock.Advance(otherPatience + time.Millisecond)
+	require.True(t, relay.ReadsDirectory())
+
+	alone, c := newRelay(false, 0, 100)
+	c.directory.Read(c.clock.Now())
+	require.True(t, alone.ReadsDirectory(), "no host keeps a cell")
+}
+
+func TestKeeperLosesPatienceBeforeALeavingWorkerMustGetNoMoreWork(t *testing.T) {
+	relay, c := newRelay(true, 40, 100)
+	c.directory.Read(c.clock.Now())
+	relay.options.Name = "other-0" // a keeper by its claims that is not among the readers
+	require.False(t, relay.ReadsDirectory())
+	c.clock.Advance(keeperPatience + time.Millisecond)
+	require.True(t, relay.ReadsDirectory())
+}
+
+// TestHostIsToldOfChanges has a host learn from a keeper that a worker is leaving and another is gone.
+func TestHostIsToldOfChanges(t *testing.T) {
+	relay, c := newRelay(false, 1, 100)
+	c.directory.Take(&DirectoryChange{Entries: entriesOf(infos("w", "x")), Whole: true, Next: 5})
+	c.directory.Read(c.clock.Now())
+	teller, clock := teller(t, c)
+	teller.Take(&DirectoryChange{Entries: entriesOf(infos("w", "x")), Whole: true, Next: 4})
+	teller.Take(&DirectoryChange{
+		Entries: entriesOf([]peer.WorkerInfo{{ID: "w", Place: north, Leaving: true}}, "x"),
+		From:    4,
+		Next:    9,
+	})
+	teller.Read(clock.Now())
+	clock.Advance(300 * time.Millisecond)
+	c.clock.Advance(otherAskInterval)
+	relay.tick(t.Context())
+	require.Eventually(t, func() bool { return c.directory.Position() == 9 }, 5*time.Second, time.Millisecond)
+	require.True(t, c.board.Workers()["w"].Leaving)
+	require.Equal(t, []string{"x"}, c.directory.Since(5).Gone)
+	require.Eventually(t, func() bool { return !relay.asking.Load() }, 5*time.Second, time.Millisecond)
+	require.Equal(t, c.clock.Now().Add(-300*time.Millisecond), c.directory.LastRead(), "as old as the teller's reading")
+}
+
+// TestHostReadsForItselfWhenThePeerKnowsTooLittle has a peer that read the directory as a whole later than the host.
+func TestHostReadsForItselfWhenThePeerKnowsTooLittle(t *testing.T) {
+	relay, c := newRelay(false, 1, 100)
+	c.directory.Take(&DirectoryChange{Entries: entriesOf(infos("w")), Whole: true, Next: 5})
+	c.directory.Read(c.clock.Now())
+	directory, _ := teller(t, c)
+	ask := func() {
+		c.clock.Advance(otherAskInterval)
+		relay.tick(t.Context())
+		require.Eventually(t, func() bool { return !relay.asking.Load() }, 5*time.Second, time.Millisecond)
+	}
+	directory.Take(&DirectoryChange{Entries: entriesOf(infos("w")), Whole: true, Next: 4})
+	ask()
+	require.False(t, relay.ReadsDirectory(), "a peer that is behind is no reason")
+	directory.Take(&DirectoryChange{Entries: entriesOf(infos("w")), Whole: true, Next: 7})
+	ask()
+	require.True(t, relay.ReadsDirectory())
+	c.clock.Advance(time.Millisecond)
+	c.directory.Read(c.clock.Now())
+	require.False(t, relay.ReadsDirectory())
+}
+
+// TestReaderThatCannotReadAsksAnother has the store refuse a reader's calls while it serves the others.
+func TestReaderThatCannotReadAsksAnother(t *testing.T) {
+	relay, c := newRelay(true, 1, 100)
+	c.directory.Take(&DirectoryChange{Entries: entriesOf(infos("w")), Whole: true, Next: 5})
+	c.directory.Read(c.clock.Now())
+	c.clock.Advance(keeperPatience + time.Millisecond)
+	relay.tick(t.Context())
+	require.Equal(t, c.clock.Now(), relay.asked)
+	require.True(t, relay.ReadsDirectory(), "it goes on trying")
+}
--- a/entry/pkg/peer/cell.go
+++ b/entry/pkg/peer/cell.go
@@ -11,6 +11,7 @@
 	MethodRun       = "cell/run"
 	MethodQueues    = "cell/queues"
 	MethodDirectory = "cell/directory"
+	MethodChanges   = "cell/changes"
 )
 
 // CellKey names a cell: the workers of a place are divided among so many cells as its first one's claim says.
--- a/entry/pkg/peer/directory.go
+++ b/entry/pkg/peer/directory.go
@@ -31,3 +31,17 @@
 	Hosts   []HostInfo   `json:"h,omitempty"`
 	Workers []WorkerInfo `json:"w,omitempty"`
 }
+
+// ChangesRequest asks for what has changed in the directory since a position.
+type ChangesRequest struct {
+	Since int64 `json:"s"`
+}
+
+// ChangesResponse holds the workers that changed up to a position of the directory.
+type ChangesResponse struct {
+	Known    bool         `json:"k,omitempty"` // without it the peer knows too little to tell
+	Position int64        `json:"p"`           // up to which the peer knows the directory
+	Age      int64        `json:"a"`           // nanoseconds since the directory was read up to the position
+	Workers  []WorkerInfo `json:"w,omitempty"`
+	Gone     []string     `json:"g,omitempty"` // workers that are not listed any more
+}
