--- a/entry/pkg/cellhost/queues.go
+++ b/entry/pkg/cellhost/queues.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 
 	"chervilusher.dev/entry/pkg/common"
 	"chervilusher.dev/entry/pkg/peer"
@@ -15,8 +16,8 @@
 	board  *Board
 	client *peer.Client
 
+	asking atomic.Bool
 	mu     sync.Mutex
-	asking bool
 }
 
 // NewQueuesController returns the controller and adds its method to the server of peers.
@@ -41,10 +42,10 @@
 // Offered takes the queues from a peer that has newer ones.
 func (q *QueuesController) Offered(ctx context.Context, address string, version int64) {
 	current := q.board.Queues()
-	if version == 0 || (current != nil && version <= current.Version) || !q.begin() {
+	if version == 0 || (current != nil && version <= current.Version) || !q.asking.CompareAndSwap(false, true) {
 		return
 	}
-	defer q.end()
+	defer q.asking.Store(false)
 	ctx, cancel := context.WithTimeout(ctx, offerTimeout)
 	defer cancel()
 	response, err := peer.Call[peer.QueuesRequest, peer.QueuesResponse](ctx, q.client, address, peer.MethodQueues, &peer.QueuesRequest{})
@@ -55,22 +56,6 @@
 	q.Take(queues.New(response.Version, response.Queues), "peer "+address)
 }
 
-func (q *QueuesController) begin() bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if q.asking {
-		return false
-	}
-	q.asking = true
-	return true
-}
-
-func (q *QueuesController) end() {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.asking = false
-}
-
 func (q *QueuesController) serveQueues(context.Context, *peer.QueuesRequest) (*peer.QueuesResponse, error) {
 	table := q.board.Queues()
 	if table == nil {
--- a/entry/pkg/cellhost/relay.go
+++ b/entry/pkg/cellhost/relay.go
@@ -7,12 +7,20 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 
 	"chervilusher.dev/entry/pkg/common"
 	"chervilusher.dev/entry/pkg/peer"
 )
 
+// Questions to peers, by how they ended.
+var (
+	asksTold    = metrics.NewCounter(`chervilusher_directory_asks_total{end="told"}`)
+	asksFailed  = metrics.NewCounter(`chervilusher_directory_asks_total{end="failed"}`)
+	asksUnknown = metrics.NewCounter(`chervilusher_directory_asks_total{end="unknown"}`)
+)
+
 // RelayController lets few hosts read the directory and tell the others what has changed: what a reading costs grows with the workers, and read by each host it would grow with the square of the fleet.
 type RelayController struct {
 	common    *common.Common
@@ -140,12 +148,16 @@
 	log := r.common.Log.WithField("peer", teller.Name)
 	switch {
 	case err != nil:
+		asksFailed.Inc()
 		log.WithError(err).Warn("cannot take changes of the directory from a peer")
 	case !response.Known && response.Position >= since:
+		asksUnknown.Inc()
 		log.WithField("since", since).Info("the peer cannot tell what changed; this host reads for itself")
 		r.missed.Store(sent.UnixNano())
-	case !response.Known: // the peer is behind, and another is asked next
+	case !response.Known: // the peer is behind; another is asked next
+		asksUnknown.Inc()
 	case r.directory.Take(toldChange(since, response)):
+		asksTold.Inc()
 		r.directory.Read(sent.Add(-time.Duration(response.Age)))
 	}
 }
