Count the directory as read only as far as the reading was taken in

Cause: a reading that a peer's answer had overtaken was passed over, and the time of its call was noted all the same, so that a host believed to know the directory up to then; a leaving worker could have got work for half a second longer.

Change: the time goes with the change (At), and counts if the change does.

--- a/entry/pkg/cellhost/claims_test.go
+++ b/entry/pkg/cellhost/claims_test.go
@@ -55,6 +55,12 @@
 	}
 }
 
+// readAt has the host know all of the directory at a time.
+func (c *claimant) readAt(at time.Time) {
+	position := c.directory.Position()
+	c.directory.Take(&DirectoryChange{From: position, Next: position, At: at})
+}
+
 // after lets time pass and returns the host's claims.
 func (c *claimant) after(delay time.Duration) []peer.Claim {
 	claims := c.claims(c.view, c.clock.Now())
@@ -145,7 +151,7 @@
 	c := newClaimant("a", north)
 	c.host("a", north, 1)
 	c.host("c", south, 1, peer.Claim{Cell: northCell, Of: 1, Epoch: 1 << 62})
-	c.directory.Read(c.clock.Now().Add(time.Second))
+	c.readAt(c.clock.Now().Add(time.Second))
 	require.Len(t, c.after(time.Second), 1, "the place's own host must take the cell back")
 
 	foreign := newClaimant("c", south)
@@ -205,10 +211,10 @@
 	c.host("a", north, 1)
 	c.host("s", south, 1, peer.Claim{Cell: northCell, Epoch: 1})
 	c.view.Complete = true
-	c.directory.Read(c.clock.Now())
+	c.readAt(c.clock.Now())
 	c.clock.Advance(freshAge + time.Millisecond)
 	require.Empty(t, c.after(time.Minute))
-	c.directory.Read(c.clock.Now())
+	c.readAt(c.clock.Now())
 	require.Len(t, c.after(0), 1)
 }
 
@@ -219,7 +225,7 @@
 	c.host("a", north, 1)
 	c.host("s", south, 1, peer.Claim{Cell: northCell, Epoch: 1})
 	c.view.Complete = true
-	c.directory.Read(c.clock.Now())
+	c.readAt(c.clock.Now())
 	claims := c.after(0)
 	require.Len(t, claims, 1)
 	require.Empty(t, c.usable(claims, c.view, c.clock.Now()))
@@ -232,7 +238,7 @@
 	c.host("a", north, 1)
 	c.host("s", south, 1, peer.Claim{Cell: northCell, Epoch: 1})
 	c.view.Complete = true
-	c.directory.Read(c.clock.Now())
+	c.readAt(c.clock.Now())
 	claims := c.after(0)
 	require.Empty(t, c.usable(claims, c.view, c.clock.Now()))
 	require.Len(t, c.usable(claims, c.view, c.clock.Now().Add(freshDelay)), 1)
--- a/entry/pkg/cellhost/directory.go
+++ b/entry/pkg/cellhost/directory.go
@@ -17,6 +17,7 @@
 	Told    bool             // a peer tells it, and names only what has changed
 	From    int64            // position in the directory's log at which the change begins; a whole one stands for itself
 	Next    int64            // position up to which the change tells
+	At      time.Time        // when the directory said nothing beyond it; zero when more is to come
 }
 
 // DirectoryEntry is what the directory says of one worker; without Listed it is not listed any more, or not usable.
@@ -37,7 +38,7 @@
 	changed  map[string]int64 // position up to which each worker's last change was known
 	base     int64            // what changed before this position is not known
 	position int64            // up to which the directory is known; zero before it was read
-	read     time.Time        // when it was known up to the position
+	read     time.Time        // when it was last known as a whole
 }
 
 // NewDirectoryController returns a controller without workers.
@@ -75,6 +76,9 @@
 		d.base = change.Next // entries between may have changed and changed back
 	}
 	d.position = change.Next
+	if change.At.After(d.read) {
+		d.read = change.At
+	}
 	if changed {
 		d.publish()
 	}
@@ -128,16 +132,7 @@
 	}
 }
 
-// Read takes in that the directory was known up to its present position at a time.
-func (d *DirectoryController) Read(at time.Time) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if at.After(d.read) {
-		d.read = at
-	}
-}
-
-// LastRead returns when the directory was last read, by this host or by the peer that told it.
+// LastRead returns the latest time at which this host is known to have known all of the directory, by its own reading or a peer's.
 func (d *DirectoryController) LastRead() time.Time {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/entry/pkg/cellhost/directory_test.go
+++ b/entry/pkg/cellhost/directory_test.go
@@ -17,8 +17,11 @@
 	"chervilusher.dev/entry/pkg/peer"
 )
 
+// began is what the clocks of directories show at first.
+var began = time.Unix(1_800_000_000, 0)
+
 func newDirectory() (*DirectoryController, *clockwork.FakeClock) {
-	clock := clockwork.NewFakeClock()
+	clock := clockwork.NewFakeClockAt(began)
 	c := &common.Common{Log: &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}, Clock: clock}
 	return NewDirectoryController(c, NewBoard()), clock
 }
@@ -54,7 +57,7 @@
 	require.False(t, d.Since(0).Known, "nothing was read yet")
 	require.True(t, d.Take(&DirectoryChange{Entries: entriesOf(infos("a", "b", "c")), Whole: true, Next: 10}))
 	require.True(t, d.Take(&DirectoryChange{Entries: entriesOf(infos("a"), "b"), From: 10, Next: 14}))
-	d.Read(clock.Now())
+	d.Take(&DirectoryChange{From: 14, Next: 14, At: clock.Now()})
 	clock.Advance(time.Second)
 	told := d.Since(10)
 	require.True(t, told.Known)
@@ -96,6 +99,16 @@
 	require.EqualValues(t, 5, d.Position())
 }
 
+// TestOvertakenReadingMakesNothingFresh has a peer's older word come in between a reading and its taking in.
+func TestOvertakenReadingMakesNothingFresh(t *testing.T) {
+	d, clock := newDirectory()
+	d.Take(&DirectoryChange{Whole: true, Next: 5, At: clock.Now()})
+	told := clock.Now().Add(time.Second)
+	require.True(t, d.Take(&DirectoryChange{Told: true, From: 5, Next: 7, At: told}))
+	require.False(t, d.Take(&DirectoryChange{From: 5, Next: 9, At: told.Add(time.Second)}))
+	require.Equal(t, told, d.LastRead())
+}
+
 // logEntry is one entry of the directory's log.
 type logEntry struct {
 	id      string
@@ -129,6 +142,11 @@
 	return &DirectoryChange{Entries: listedEntries(workers), Whole: true, Next: next}
 }
 
+// written returns when the log ended at a position; an entry is written each second, and the hosts' clocks stand still.
+func written(position int64) time.Time {
+	return began.Add(time.Duration(position) * time.Second)
+}
+
 // listed returns the workers that the directory lists, without those that it keeps for a while.
 func listed(d *DirectoryController) map[string]peer.WorkerInfo {
 	workers := maps.Clone(d.workers)
@@ -139,7 +157,7 @@
 }
 
 // TestHostsThatTellEachOtherKnowTheSame has hosts read the log themselves, ask each other, and carry out late what they have
-// read or heard, in any order: each knows exactly what the log says up to its position.
+// read or heard, in any order: each knows exactly what the log says up to its position, and not less than the log said when it believes to have read it.
 func TestHostsThatTellEachOtherKnowTheSame(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var entries []logEntry
@@ -168,19 +186,25 @@
 				i := one.Draw(t, "host")
 				from := hosts[i].Position()
 				if end := int64(len(entries)); from > 0 && from < end {
-					take(i, changeOf(entries, from, rapid.Int64Range(from+1, end).Draw(t, "next")))
+					change := changeOf(entries, from, rapid.Int64Range(from+1, end).Draw(t, "next"))
+					if change.Next == end {
+						change.At = written(end)
+					}
+					take(i, change)
 				}
 			},
 			"read all": func(t *rapid.T) {
 				if end := int64(len(entries)); end > 0 {
-					take(one.Draw(t, "host"), wholeOf(entries, end))
+					change := wholeOf(entries, end)
+					change.At = written(end)
+					take(one.Draw(t, "host"), change)
 				}
 			},
 			"ask": func(t *rapid.T) {
 				i, teller := one.Draw(t, "host"), hosts[one.Draw(t, "teller")]
 				since := hosts[i].Position()
 				if told := teller.Since(since); told.Known {
-					take(i, toldChange(since, told))
+					take(i, toldChange(since, told, written(0)))
 				}
 			},
 			"carry out": func(t *rapid.T) {
@@ -192,6 +216,7 @@
 			"": func(t *rapid.T) {
 				for _, host := range hosts {
 					require.Equal(t, newest(entries, host.Position()), listed(host))
+					require.False(t, host.LastRead().After(written(host.Position())), "it has missed what was written by then")
 				}
 			},
 		})
--- a/entry/pkg/cellhost/relay.go
+++ b/entry/pkg/cellhost/relay.go
@@ -1,6 +1,7 @@
 package cellhost
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -96,10 +97,7 @@
 		return keepers
 	}
 	slices.SortFunc(keepers, func(a, b string) int {
-		if xxhash.Sum64String(a) < xxhash.Sum64String(b) {
-			return -1
-		}
-		return 1
+		return cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b))
 	})
 	return keepers[:min(len(keepers), directoryReaders)]
 }
@@ -156,15 +154,20 @@
 		r.missed.Store(sent.UnixNano())
 	case !response.Known: // the peer is behind; another is asked next
 		asksUnknown.Inc()
-	case r.directory.Take(toldChange(since, response)):
+	case r.directory.Take(toldChange(since, response, sent)):
 		asksTold.Inc()
-		r.directory.Read(sent.Add(-time.Duration(response.Age)))
 	}
 }
 
-// toldChange returns what a peer tells of the time since a position.
-func toldChange(since int64, response *peer.ChangesResponse) *DirectoryChange {
-	change := &DirectoryChange{Entries: listedEntries(response.Workers), Told: true, From: since, Next: response.Position}
+// toldChange returns what a peer, asked at a time, tells of the time since a position.
+func toldChange(since int64, response *peer.ChangesResponse, asked time.Time) *DirectoryChange {
+	change := &DirectoryChange{
+		Entries: listedEntries(response.Workers),
+		Told:    true,
+		From:    since,
+		Next:    response.Position,
+		At:      asked.Add(-time.Duration(response.Age)),
+	}
 	for _, id := range response.Gone {
 		change.Entries = append(change.Entries, DirectoryEntry{ID: id})
 	}
--- a/entry/pkg/cellhost/relay_test.go
+++ b/entry/pkg/cellhost/relay_test.go
@@ -47,7 +47,7 @@
 
 func TestHostsOfASmallFleetReadTheDirectoryThemselves(t *testing.T) {
 	relay, c := newRelay(false, 3, meshHosts-4)
-	c.directory.Read(c.clock.Now())
+	c.readAt(c.clock.Now())
 	require.True(t, relay.ReadsDirectory())
 }
 
@@ -56,7 +56,7 @@
 	readers := 0
 	for i := range keepers {
 		relay, c := newRelay(true, keepers, 100)
-		c.directory.Read(c.clock.Now())
+		c.readAt(c.clock.Now())
 		relay.options.Name = fmt.Sprintf("keeper-%d", i)
 		if relay.ReadsDirectory() {
 			readers++
@@ -66,25 +66,25 @@
 	require.GreaterOrEqual(t, readers, directoryReaders-1, "host a may be one of them")
 
 	other, c := newRelay(false, keepers, 100)
-	c.directory.Read(c.clock.Now())
+	c.readAt(c.clock.Now())
 	require.False(t, other.ReadsDirectory())
 }
 
 func TestHostReadsTheDirectoryItselfWhenNobodyTellsIt(t *testing.T) {
 	relay, c := newRelay(false, 3, 100)
-	c.directory.Read(c.clock.Now())
+	c.readAt(c.clock.Now())
 	require.False(t, relay.ReadsDirectory())
 	c.clock.Advance(otherPatience + time.Millisecond)
 	require.True(t, relay.ReadsDirectory())
 
 	alone, c := newRelay(false, 0, 100)
-	c.directory.Read(c.clock.Now())
+	c.readAt(c.clock.Now())
 	require.True(t, alone.ReadsDirectory(), "no host keeps a cell")
 }
 
 func TestKeeperLosesPatienceBeforeALeavingWorkerMustGetNoMoreWork(t *testing.T) {
 	relay, c := newRelay(true, 40, 100)
-	c.directory.Read(c.clock.Now())
+	c.readAt(c.clock.Now())
 	relay.options.Name = "other-0" // a keeper by its claims that is not among the readers
 	require.False(t, relay.ReadsDirectory())
 	c.clock.Advance(keeperPatience + time.Millisecond)
@@ -95,7 +95,7 @@
 func TestHostIsToldOfChanges(t *testing.T) {
 	relay, c := newRelay(false, 1, 100)
 	c.directory.Take(&DirectoryChange{Entries: entriesOf(infos("w", "x")), Whole: true, Next: 5})
-	c.directory.Read(c.clock.Now())
+	c.readAt(c.clock.Now())
 	teller, clock := teller(t, c)
 	teller.Take(&DirectoryChange{Entries: entriesOf(infos("w", "x")), Whole: true, Next: 4})
 	teller.Take(&DirectoryChange{
@@ -103,7 +103,7 @@
 		From:    4,
 		Next:    9,
 	})
-	teller.Read(clock.Now())
+	teller.Take(&DirectoryChange{From: 9, Next: 9, At: clock.Now()})
 	clock.Advance(300 * time.Millisecond)
 	c.clock.Advance(otherAskInterval)
 	relay.tick(t.Context())
@@ -118,7 +118,7 @@
 func TestHostReadsForItselfWhenThePeerKnowsTooLittle(t *testing.T) {
 	relay, c := newRelay(false, 1, 100)
 	c.directory.Take(&DirectoryChange{Entries: entriesOf(infos("w")), Whole: true, Next: 5})
-	c.directory.Read(c.clock.Now())
+	c.readAt(c.clock.Now())
 	directory, _ := teller(t, c)
 	ask := func() {
 		c.clock.Advance(otherAskInterval)
@@ -132,7 +132,7 @@
 	ask()
 	require.True(t, relay.ReadsDirectory())
 	c.clock.Advance(time.Millisecond)
-	c.directory.Read(c.clock.Now())
+	c.readAt(c.clock.Now())
 	require.False(t, relay.ReadsDirectory())
 }
 
@@ -140,7 +140,7 @@
 func TestReaderThatCannotReadAsksAnother(t *testing.T) {
 	relay, c := newRelay(true, 1, 100)
 	c.directory.Take(&DirectoryChange{Entries: entriesOf(infos("w")), Whole: true, Next: 5})
-	c.directory.Read(c.clock.Now())
+	c.readAt(c.clock.Now())
 	c.clock.Advance(keeperPatience + time.Millisecond)
 	relay.tick(t.Context())
 	require.Equal(t, c.clock.Now(), relay.asked)
