Share the set-up of three tests of a cell abroad

Three tests began with the same four lines. One comment said draining where the product says leaving. No check changes; the package's tests pass.

--- a/entry/pkg/cellhost/claims.go
+++ b/entry/pkg/cellhost/claims.go
@@ -196,7 +196,7 @@
 	return known && (view.Complete || now.Sub(since) >= startDelay)
 }
 
-// usable returns the claims whose workers may be used: a draining worker must be known as such before it gets work from a
+// usable returns the claims whose workers may be used: a leaving worker must be known as such before it gets work from a
 // new keeper, and a keeper that is to give the cell up must have said which workers it still has.
 func (c *ClaimsController) usable(claims []peer.Claim, view *View, now time.Time) []peer.Claim {
 	usable := make([]peer.Claim, 0, len(claims))
--- a/entry/pkg/cellhost/claims_test.go
+++ b/entry/pkg/cellhost/claims_test.go
@@ -194,6 +194,15 @@
 	}
 }
 
+// newClaimantOfACellAbroad returns a host whose place's cell a host of another place keeps.
+func newClaimantOfACellAbroad() *claimant {
+	c := newClaimant("a", north)
+	c.host("a", north, 1)
+	c.host("s", south, 1, peer.Claim{Cell: northCell, Epoch: 1})
+	c.view.Complete = true
+	return c
+}
+
 // TestClaimsAtOnceWhenAllHostsWereHeard has all hosts start together, as after a loss of power: none of them keeps a cell,
 // and each has heard so from the others.
 func TestClaimsAtOnceWhenAllHostsWereHeard(t *testing.T) {
@@ -207,10 +216,7 @@
 // TestCellStaysAbroadWhileTheDirectoryCannotBeRead has the place's host start while the store is away: it could not use the
 // workers before it had read the directory, and the keeper elsewhere would have let them go already.
 func TestCellStaysAbroadWhileTheDirectoryCannotBeRead(t *testing.T) {
-	c := newClaimant("a", north)
-	c.host("a", north, 1)
-	c.host("s", south, 1, peer.Claim{Cell: northCell, Epoch: 1})
-	c.view.Complete = true
+	c := newClaimantOfACellAbroad()
 	c.readAt(c.clock.Now())
 	c.clock.Advance(freshAge + time.Millisecond)
 	require.Empty(t, c.after(time.Minute))
@@ -221,10 +227,7 @@
 // TestCellThatReturnsIsUsedOnceItWasGivenUp has a host of another place keep the cell, whose running jobs would be broken off
 // by a keeper that takes the workers before it hears which of them are still busy.
 func TestCellThatReturnsIsUsedOnceItWasGivenUp(t *testing.T) {
-	c := newClaimant("a", north)
-	c.host("a", north, 1)
-	c.host("s", south, 1, peer.Claim{Cell: northCell, Epoch: 1})
-	c.view.Complete = true
+	c := newClaimantOfACellAbroad()
 	c.readAt(c.clock.Now())
 	claims := c.after(0)
 	require.Len(t, claims, 1)
@@ -234,10 +237,7 @@
 }
 
 func TestClaimIsUsedInTheEndThoughAnotherHostKeepsItsOwn(t *testing.T) {
-	c := newClaimant("a", north)
-	c.host("a", north, 1)
-	c.host("s", south, 1, peer.Claim{Cell: northCell, Epoch: 1})
-	c.view.Complete = true
+	c := newClaimantOfACellAbroad()
 	c.readAt(c.clock.Now())
 	claims := c.after(0)
 	require.Empty(t, c.usable(claims, c.view, c.clock.Now()))
