Count no more free places than a job and those before it have tasks

Cause: to foresee when a job starts, a keeper listed each free place for a task of its size. A task without a size fits a million times into each worker: one job whose steps name no cpu and no mem_mb, which the callers' address accepts, made a keeper with 48 workers allocate 14.3 GB, far above the 144 to 536 MB of the hosts; sent again, it would have taken the next keeper. A task of a thousandth of a core took 0.79 GB. So does an entry of the directory that states a huge capacity. Change: no more places are counted than there are tasks before and in the job, and counting ends once all of them start now. Before and after: the new test failed with 14,340,147,152, 785,709,272 and 14,340,110,744 bytes, and passes under 1 MiB; the forecast's own test passed before and after. Conclusion: no size of job can press a keeper out of its memory by its forecast.

--- a/entry/pkg/cell/predict.go
+++ b/entry/pkg/cell/predict.go
@@ -18,11 +18,17 @@
 	places timeHeap
 }
 
-// newForecast returns the places for tasks of the job's size at the workers that suit: those that are free, and one for each run's end.
-func (c *Cell) newForecast(job *Job, suits func(*Worker) bool, now time.Time) *forecast {
+// newForecast returns the places for tasks of the job's size at the workers that suit: those that are free, and one for
+// each run's end. No more free places are counted than there are tasks, since a worker has room for any number of tasks
+// that need next to nothing.
+func (c *Cell) newForecast(job *Job, tasks int, suits func(*Worker) bool, now time.Time) *forecast {
 	f := &forecast{now: now}
 	need := job.Tasks[0].Need
+	open := 0
 	for _, worker := range c.workers {
+		if open >= tasks {
+			break // all tasks start now, whatever the other workers have
+		}
 		if worker.Group != job.Group || !suits(worker) {
 			continue
 		}
@@ -33,9 +39,13 @@
 		case !worker.usable(now):
 			continue
 		}
-		for range worker.free().Times(need) {
+		places := min(worker.free().Times(need), tasks)
+		for range places {
 			f.places = append(f.places, free)
 		}
+		if free.Equal(now) {
+			open += places
+		}
 		for _, run := range worker.runs {
 			f.places = append(f.places, run.expectedEnd(now))
 		}
@@ -100,12 +110,18 @@
 
 // foresee returns how long the job would wait until its last task has started at a worker that suits.
 func (c *Cell) foresee(job *Job, suits func(*Worker) bool, now time.Time) time.Duration {
-	foreseen := c.newForecast(job, suits, now)
+	var ahead []*Job
+	tasks := job.waiting()
 	for _, other := range c.waiting {
 		if other != job && !other.Decided() && (other.Started() || !c.latestStart(other).After(c.latestStart(job))) {
-			foreseen.take(other.waiting(), c.speeds.usual(other.Queue, other.longest()))
+			ahead = append(ahead, other)
+			tasks += other.waiting()
 		}
 	}
+	foreseen := c.newForecast(job, tasks, suits, now)
+	for _, other := range ahead {
+		foreseen.take(other.waiting(), c.speeds.usual(other.Queue, other.longest()))
+	}
 	return foreseen.take(job.waiting(), c.speeds.usual(job.Queue, job.longest())).Sub(now)
 }
 
