Use a worker again at once after a lost answer, and log why a job was refused

After each one the worker counted as silent and got no work, yet the call that was to bring it back came 50 ms later and asked the worker to hold its answer until a run ended, where nothing ran: 450 ms out of use each time. A look whose answer was lost was not made again, so an unanswered start kept its worker out too. Ruled out: the forecast as the only cause (it still refuses most, see the log's new cause). Change: the first call after a lost one comes at once, and a silent worker is asked not to wait; a lost look is made once more. Also, a race between a look and the loop on whether the worker had answered is gone: the cell knows it. A refusal's line tells cause and shortage, counted by cause. The three new tests of the loop failed before.

--- a/entry/pkg/cell/cell.go
+++ b/entry/pkg/cell/cell.go
@@ -206,6 +206,7 @@
 		c.answer(job, &Answer{Outcome: Abandoned, Reason: reason}, effects, now)
 		return
 	}
+	job.Trace.Shortage = c.shortage(job, now)
 	c.answer(job, &Answer{Outcome: Refused, Reason: reason, Retry: comeBack(c.predict(job, now))}, effects, now)
 }
 
--- a/entry/pkg/cell/cell_test.go
+++ b/entry/pkg/cell/cell_test.go
@@ -277,3 +277,39 @@
 	o.submit(job)
 	require.Equal(t, Refused.String(), o.outcome(job))
 }
+
+// TestRefusalTellsWhatTheWorkersLookedLike checks the cause of each refusal that an engineer is to find in the log.
+func TestRefusalTellsWhatTheWorkersLookedLike(t *testing.T) {
+	causeOf := func(prepare func(o *office)) string {
+		o := newOffice(t)
+		o.addWorkers(3, 16, 1)
+		prepare(o)
+		job := o.job(4, 8, short, short+30*time.Millisecond, patient)
+		o.submit(job)
+		require.Equal(t, "refused", o.outcome(job))
+		return job.Trace.Shortage.Cause()
+	}
+	require.Equal(t, causeFull, causeOf(func(o *office) {
+		o.submit(o.job(6, 8, time.Second, 2*time.Second, 6*time.Second))
+	}))
+	require.Equal(t, causePieces, causeOf(func(o *office) {
+		o.submit(o.job(5, 8, time.Second, 2*time.Second, 6*time.Second))
+	}))
+	require.Equal(t, string(unanswered), causeOf(func(o *office) {
+		o.cell.Silent(o.cell.Worker("w00"))
+		o.cell.Silent(o.cell.Worker("w01"))
+	}))
+	require.Equal(t, string(usedNoMore), causeOf(func(o *office) {
+		o.cell.SetLeaving(o.cell.Worker("w00"), true)
+		o.cell.SetLeaving(o.cell.Worker("w01"), true)
+		o.cell.Silent(o.cell.Worker("w02"))
+	}))
+}
+
+func TestShortageIsOneLineInAFixedOrder(t *testing.T) {
+	shortage := &Shortage{Wanted: 4, Ahead: 2, Free: 3, Used: 5, Out: map[Disuse]int{unanswered: 2, failing: 1}}
+	require.Equal(t, "wanted 4, ahead 2, free 3, workers in use 5, failing 1, silent 2", shortage.String())
+	require.Equal(t, causePieces, shortage.Cause())
+	shortage.Free = 4
+	require.Equal(t, causeForecast, shortage.Cause())
+}
--- a/entry/pkg/cell/job.go
+++ b/entry/pkg/cell/job.go
@@ -45,6 +45,7 @@
 	Foreseen time.Duration // wait that was foreseen when the job came
 	Waited   time.Duration // until the first start
 	Ends     []Ended       // the first few
+	Shortage *Shortage     // why it was refused; nil otherwise
 }
 
 // maxTraced bounds the ends that a trace holds.
--- a/entry/pkg/cell/predict.go
+++ b/entry/pkg/cell/predict.go
@@ -110,13 +110,10 @@
 
 // foresee returns how long the job would wait until its last task has started at a worker that suits.
 func (c *Cell) foresee(job *Job, suits func(*Worker) bool, now time.Time) time.Duration {
-	var ahead []*Job
+	ahead := c.ahead(job)
 	tasks := job.waiting()
-	for _, other := range c.waiting {
-		if other != job && !other.Decided() && (other.Started() || !c.latestStart(other).After(c.latestStart(job))) {
-			ahead = append(ahead, other)
-			tasks += other.waiting()
-		}
+	for _, other := range ahead {
+		tasks += other.waiting()
 	}
 	foreseen := c.newForecast(job, tasks, suits, now)
 	for _, other := range ahead {
@@ -125,6 +122,17 @@
 	return foreseen.take(job.waiting(), c.speeds.usual(job.Queue, job.longest())).Sub(now)
 }
 
+// ahead returns the waiting jobs that start before the job.
+func (c *Cell) ahead(job *Job) []*Job {
+	var ahead []*Job
+	for _, other := range c.waiting {
+		if other != job && !other.Decided() && (other.Started() || !c.latestStart(other).After(c.latestStart(job))) {
+			ahead = append(ahead, other)
+		}
+	}
+	return ahead
+}
+
 // allowWaves moves the objective of a job that is wider than all room of the cell: its tasks can only run in waves.
 func (c *Cell) allowWaves(job *Job) {
 	places := 0
--- a/entry/pkg/cell/worker.go
+++ b/entry/pkg/cell/worker.go
@@ -130,7 +130,29 @@
 
 // usable reports whether new runs may start at the worker.
 func (w *Worker) usable(now time.Time) bool {
-	return w.held && len(w.foreign) == 0 && !w.silent && !w.stale && !w.Leaving && !w.health.paused(now) && !w.isDoubted()
+	return w.outOfUse(now) == inUse
+}
+
+// outOfUse returns why no new run may start at the worker.
+func (w *Worker) outOfUse(now time.Time) Disuse {
+	switch {
+	case w.Leaving:
+		return usedNoMore
+	case !w.held:
+		return notHeld
+	case w.silent:
+		return unanswered
+	case len(w.foreign) > 0:
+		return unknownRuns
+	case w.stale:
+		return unsureStart
+	case w.health.paused(now):
+		return failing
+	case w.isDoubted():
+		return homeUnheard
+	default:
+		return inUse
+	}
 }
 
 // isPromising reports whether the worker is in use, or will be as far as is known.
@@ -157,6 +179,11 @@
 	return w.held
 }
 
+// Silent reports whether the last call that waited for the worker was not answered; it gets no work before it answers again.
+func (w *Worker) Silent() bool {
+	return w.silent
+}
+
 // Idle reports whether nothing that the keeper knows of runs there.
 func (w *Worker) Idle() bool {
 	return len(w.runs) == 0 && len(w.foreign) == 0
--- a/entry/pkg/cellhost/keeper.go
+++ b/entry/pkg/cellhost/keeper.go
@@ -28,6 +28,8 @@
 	startTimeout = 120 * time.Millisecond
 	// stopTries is how often a stop is sent before the cell sends it again by itself.
 	stopTries = 3
+	// lookTries is how often the lists are read when an answer is lost; the call that waits follows within callTimeout.
+	lookTries = 2
 )
 
 // KeeperController carries out the decisions of the cell that this host keeps.
@@ -264,9 +266,15 @@
 		end := &trace.Ends[i]
 		runs = append(runs, fmt.Sprintf("%s/%d at %s %s after %s", end.Task, end.Number, end.Worker, end.How, end.Took.Round(time.Millisecond)))
 	}
-	k.common.Log.WithField("job", job.ID).WithField("home", job.Home).WithField("outcome", answer.Outcome.String()).
+	line := k.common.Log.WithField("job", job.ID).WithField("home", job.Home).WithField("outcome", answer.Outcome.String()).
 		WithField("reason", answer.Reason).WithField("tasks", len(job.Tasks)).WithField("foreseen", trace.Foreseen.String()).
-		WithField("waited", trace.Waited.String()).WithField("runs", runs).Info("job decided")
+		WithField("waited", trace.Waited.String()).WithField("runs", runs)
+	if trace.Shortage != nil {
+		cause := trace.Shortage.Cause()
+		metrics.GetOrCreateCounter(fmt.Sprintf(`chervilusher_cell_refused_total{cause=%q}`, cause)).Inc()
+		line = line.WithField("cause", cause).WithField("shortage", trace.Shortage.String())
+	}
+	line.Info("job decided")
 }
 
 func (k *KeeperController) logEnd(end *cell.Ended) {
--- a/entry/pkg/cellhost/worker_loop.go
+++ b/entry/pkg/cellhost/worker_loop.go
@@ -20,7 +20,6 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	raised int
-	answer bool        // the last call was answered
 	lost   atomic.Bool // another keeper has the worker
 
 	released time.Time // since when the worker is to be given up; the keeper's lock guards it
@@ -35,7 +34,6 @@
 		epoch:  epoch,
 		ctx:    ctx,
 		cancel: cancel,
-		answer: true,
 	}
 	loop.token.Store(epoch)
 	return loop
@@ -43,12 +41,12 @@
 
 // serve holds the worker until the loop is cancelled.
 func (l *workerLoop) serve() {
-	backoff := firstBackoff
+	backoff := time.Duration(0) // a single lost call is made up for at once
 	for l.ctx.Err() == nil {
 		err := l.hold(l.wait())
 		switch {
 		case err == nil:
-			backoff = firstBackoff
+			backoff = 0
 			l.raised = 0
 		case l.ctx.Err() != nil:
 		case errors.Is(err, ErrFenced):
@@ -56,17 +54,17 @@
 		default:
 			l.unanswered(err)
 			l.sleep(backoff)
-			backoff = min(2*backoff, lastBackoff)
+			backoff = min(max(firstBackoff, 2*backoff), lastBackoff)
 		}
 	}
 }
 
-// wait returns how long the worker may hold the next answer back.
+// wait returns how long the worker may hold the next answer back; one that gets no work before it answers is asked to do so at once.
 func (l *workerLoop) wait() time.Duration {
 	l.keeper.mu.Lock()
 	defer l.keeper.mu.Unlock()
 	switch {
-	case !l.worker.Held():
+	case !l.worker.Held(), l.worker.Silent():
 		return 0
 	case l.worker.HasForeign():
 		return foreignWait
@@ -94,25 +92,30 @@
 	if l.ctx.Err() != nil {
 		return errors.WithStack(l.ctx.Err())
 	}
+	regained := false
 	k.do(func(now time.Time) cell.Effects {
 		if l.ctx.Err() != nil || call.Token != l.token.Load() {
 			return cell.Effects{}
 		}
+		regained = l.worker.Silent()
 		return k.cell.Reported(l.worker, report, sent, now)
 	})
-	if !l.answer {
-		l.answer = true
+	if regained {
 		k.common.Log.WithField("worker", l.target.ID).Info("worker answers again")
 	}
 	return nil
 }
 
-// look reads the lists at once, beside a call that waits.
+// look reads the lists at once, beside a call that waits; a look whose answer is lost is made once more.
 func (l *workerLoop) look() {
-	if l.lost.Load() {
-		return
-	}
-	if err := l.hold(0); err != nil && l.ctx.Err() == nil {
+	for range lookTries {
+		if l.lost.Load() || l.ctx.Err() != nil {
+			return
+		}
+		err := l.hold(0)
+		if err == nil {
+			return
+		}
 		l.keeper.common.Log.WithField("worker", l.target.ID).WithError(err).Debug("look failed")
 	}
 }
@@ -141,10 +144,10 @@
 func (l *workerLoop) unanswered(err error) {
 	k := l.keeper
 	k.mu.Lock()
+	lost := !l.worker.Silent()
 	k.cell.Silent(l.worker)
 	k.mu.Unlock()
-	if l.answer {
-		l.answer = false
+	if lost {
 		k.common.Log.WithField("worker", l.target.ID).WithError(err).Warn("worker does not answer")
 	}
 }
--- a/entry/pkg/cellhost/worker_loop_test.go
+++ b/entry/pkg/cellhost/worker_loop_test.go
@@ -181,3 +181,53 @@
 	k.clock.Advance(time.Millisecond)
 	require.Zero(t, leaseOfNext())
 }
+
+// TestWorkerIsUsedAgainAtOnceAfterALostAnswer has a worker that leaves calls unanswered now and then: the next call must
+// neither be delayed nor wait for a run's end, since nothing runs there until the worker answers.
+func TestWorkerIsUsedAgainAtOnceAfterALostAnswer(t *testing.T) {
+	k := newKeeping(t)
+	go k.loop.serve()
+	k.worker.next(t).answer <- heldAnswer{report: k.report()}
+	waiting := k.worker.next(t)
+	require.Equal(t, holdWait, waiting.call.Wait)
+	waiting.answer <- heldAnswer{err: context.DeadlineExceeded}
+	again := k.worker.next(t) // the clock stands still
+	require.Zero(t, again.call.Wait)
+	again.answer <- heldAnswer{report: k.report()}
+	require.Equal(t, holdWait, k.worker.next(t).call.Wait)
+}
+
+// TestWorkerThatDoesNotAnswerIsAskedLessAndLess has a worker that is gone.
+func TestWorkerThatDoesNotAnswerIsAskedLessAndLess(t *testing.T) {
+	k := newKeeping(t)
+	go k.loop.serve()
+	k.worker.next(t).answer <- heldAnswer{report: k.report()}
+	k.worker.next(t).answer <- heldAnswer{err: context.DeadlineExceeded}
+	for delay := firstBackoff; delay <= lastBackoff; delay *= 2 {
+		call := k.worker.next(t)
+		require.Zero(t, call.call.Wait)
+		call.answer <- heldAnswer{err: context.DeadlineExceeded}
+		require.NoError(t, k.clock.BlockUntilContext(t.Context(), 1))
+		k.clock.Advance(delay - time.Millisecond)
+		select {
+		case <-k.worker.holds:
+			require.FailNow(t, "called too soon")
+		case <-time.After(5 * time.Millisecond):
+		}
+		k.clock.Advance(time.Millisecond)
+	}
+}
+
+// TestLostLookIsMadeOnceMore has a look unanswered that is to tell what became of a start.
+func TestLostLookIsMadeOnceMore(t *testing.T) {
+	k := newKeeping(t)
+	looked := make(chan struct{})
+	go func() {
+		defer close(looked)
+		k.loop.look()
+	}()
+	k.worker.next(t).answer <- heldAnswer{err: context.DeadlineExceeded}
+	k.worker.next(t).answer <- heldAnswer{report: k.report()}
+	<-looked
+	require.True(t, k.isHeld())
+}
