Run late where workers stand free, instead of refusing

Change: a job that no keeper can run in time starts at once at free workers that can end it before its caller leaves, in its own cell or at the two other keepers with most room; only what finds no such room for all of its tasks is refused. What waits for its objective has had its turn before.

--- a/entry/pkg/cell/job.go
+++ b/entry/pkg/cell/job.go
@@ -46,6 +46,7 @@
 	Waited   time.Duration // until the first start
 	Ends     []Ended       // the first few
 	Shortage *Shortage     // why it was refused; nil otherwise
+	Late     bool          // it was started though it cannot make its objective
 }
 
 // maxTraced bounds the ends that a trace holds.
--- a/entry/pkg/cell/sim_test.go
+++ b/entry/pkg/cell/sim_test.go
@@ -250,6 +250,23 @@
 	o.carry(&effects)
 }
 
+// submitLate hands a job that was refused in once more, as its keeper does, to run late where workers stand free.
+func (o *office) submitLate(refused *Job) bool {
+	again := *refused
+	again.answer = nil
+	again.Trace = Trace{}
+	again.Tasks = nil
+	for _, task := range refused.Tasks {
+		again.Tasks = append(again.Tasks, &Task{Job: &again, Name: task.Name, Need: task.Need, Estimate: task.Estimate})
+	}
+	effects, started := o.cell.StartLate(&again, o.now)
+	if started {
+		delete(o.answers, again.ID)
+		o.carry(&effects)
+	}
+	return started
+}
+
 func (o *office) carry(effects *Effects) {
 	for _, answered := range effects.Answers {
 		id := answered.Job.ID
--- a/entry/pkg/cellhost/home.go
+++ b/entry/pkg/cellhost/home.go
@@ -231,7 +231,7 @@
 // Spill offers a job that finds no room here at once to the keepers that had the most room when they were last heard.
 func (h *HomeController) Spill(ctx context.Context, origin string, request *peer.RunRequest, mode peer.RunMode) (*peer.RunResponse, bool) {
 	others := slices.DeleteFunc(h.keepers(), func(other Neighbour) bool {
-		full := mode == peer.RunNow && free(&other, request.Group) < len(request.Tasks)
+		full := (mode == peer.RunNow || mode == peer.RunLate) && free(&other, request.Group) < len(request.Tasks)
 		return other.Name == h.options.Name || full
 	})
 	slices.SortFunc(others, func(a, b Neighbour) int {
--- a/entry/pkg/cellhost/keeper.go
+++ b/entry/pkg/cellhost/keeper.go
@@ -17,6 +17,7 @@
 
 var (
 	cellStarts    = metrics.NewCounter(`chervilusher_cell_starts_total`)
+	cellLate      = metrics.NewCounter(`chervilusher_cell_late_starts_total`)
 	cellStops     = metrics.NewCounter(`chervilusher_cell_stops_total`)
 	cellRunTimes  = metrics.NewHistogram(`chervilusher_cell_run_seconds`)
 	cellFences    = metrics.NewCounter(`chervilusher_cell_fenced_total`)
@@ -110,6 +111,9 @@
 		k.common.Log.WithField("job", request.ID).WithField("home", request.Home).WithField("reason", reason).Warn("job declined")
 		return &peer.RunResponse{Declined: true, Reason: reason}, nil
 	}
+	if request.Mode == peer.RunLate {
+		return k.runLate(ctx, job)
+	}
 	if answered := k.submit(job, true); answered != nil {
 		return k.await(ctx, job, answered)
 	}
@@ -133,7 +137,41 @@
 	if elsewhere, taken := k.others.Spill(ctx, request.Home, restated, peer.RunHere); taken {
 		return elsewhere, nil
 	}
-	return response, nil
+	return k.late(ctx, request, restated, response)
+}
+
+// late has a job that no keeper can run in time run late where workers stand free, since a late answer serves its caller
+// better than none; otherwise it returns the refusal.
+func (k *KeeperController) late(ctx context.Context, request, restated *peer.RunRequest, refusal *peer.RunResponse) (*peer.RunResponse, error) {
+	if job, _ := k.job(request); job != nil {
+		if response, err := k.runLate(ctx, job); err != nil || !response.Declined {
+			return response, err
+		}
+		if elsewhere, taken := k.others.Spill(ctx, request.Home, restated, peer.RunLate); taken {
+			return elsewhere, nil
+		}
+	}
+	return refusal, nil
+}
+
+// runLate starts the job at once and waits for its outcome, or declines it.
+func (k *KeeperController) runLate(ctx context.Context, job *cell.Job) (*peer.RunResponse, error) {
+	answered := make(chan *cell.Answer, 1)
+	k.mu.Lock()
+	effects, started := cell.Effects{}, false
+	if k.followed.IsZero() {
+		effects, started = k.cell.StartLate(job, k.common.Clock.Now())
+	}
+	if started {
+		k.waiters[job] = answered
+	}
+	k.mu.Unlock()
+	if !started {
+		return &peer.RunResponse{Declined: true, Reason: "no worker stands free"}, nil
+	}
+	cellLate.Inc()
+	k.carry(&effects)
+	return k.await(ctx, job, answered)
 }
 
 // canEverRun reports whether each task of the job fits a worker that this host keeps; another keeper may have one.
@@ -269,6 +307,9 @@
 	line := k.common.Log.WithField("job", job.ID).WithField("home", job.Home).WithField("outcome", answer.Outcome.String()).
 		WithField("reason", answer.Reason).WithField("tasks", len(job.Tasks)).WithField("foreseen", trace.Foreseen.String()).
 		WithField("waited", trace.Waited.String()).WithField("runs", runs)
+	if trace.Late {
+		line = line.WithField("late", true)
+	}
 	if trace.Shortage != nil {
 		cause := trace.Shortage.Cause()
 		metrics.GetOrCreateCounter(fmt.Sprintf(`chervilusher_cell_refused_total{cause=%q}`, cause)).Inc()
--- a/entry/pkg/cellhost/route_test.go
+++ b/entry/pkg/cellhost/route_test.go
@@ -91,3 +91,54 @@
 	require.Contains(t, answer.Reason, "no worker has room for a task of this size")
 	require.Equal(t, noKeeperRetry, answer.Retry)
 }
+
+// TestJobThatNobodyCanRunInTimeIsOfferedForALateStart has a keeper whose only worker leaves, beside one that has room at a
+// slow worker: the caller gets a late answer in place of a refusal, after all offers to end in time were made.
+func TestJobThatNobodyCanRunInTimeIsOfferedForALateStart(t *testing.T) {
+	var modes []peer.RunMode
+	other := peer.NewServer()
+	peer.Handle(other, peer.MethodRun, func(_ context.Context, request *peer.RunRequest) (*peer.RunResponse, error) {
+		modes = append(modes, request.Mode)
+		if request.Mode == peer.RunLate {
+			return &peer.RunResponse{Outcome: cell.Completed}, nil
+		}
+		return &peer.RunResponse{Declined: true}, nil
+	})
+	home, own := twoKeepers(t, serveOn(t, other))
+	view := home.board.View()
+	neighbour := view.Hosts["b"]
+	neighbour.Loads = []cell.Load{{Group: "g", Free: 4}}
+	view.Hosts["b"] = neighbour
+	addLeavingWorker(own)
+	request := home.request(submissionOf(home.common.Clock))
+	request.Keeper = home.common.Incarnation
+	response, err := own.Run(t.Context(), request)
+	require.NoError(t, err)
+	require.Equal(t, cell.Completed, response.Outcome)
+	require.Equal(t, []peer.RunMode{peer.RunNow, peer.RunHere, peer.RunLate}, modes)
+}
+
+// TestRefusalStandsWhereNoWorkerIsFree has nobody take the job: the first refusal is the answer, with when to come back.
+func TestRefusalStandsWhereNoWorkerIsFree(t *testing.T) {
+	other := peer.NewServer()
+	peer.Handle(other, peer.MethodRun, func(context.Context, *peer.RunRequest) (*peer.RunResponse, error) {
+		return &peer.RunResponse{Declined: true}, nil
+	})
+	home, own := twoKeepers(t, serveOn(t, other))
+	addLeavingWorker(own)
+	request := home.request(submissionOf(home.common.Clock))
+	request.Keeper = home.common.Incarnation
+	response, err := own.Run(t.Context(), request)
+	require.NoError(t, err)
+	require.False(t, response.Declined)
+	require.Equal(t, cell.Refused, response.Outcome)
+	require.Positive(t, response.Retry)
+}
+
+// addLeavingWorker gives the keeper a worker that is large enough for any job of these tests, and gets no new work.
+func addLeavingWorker(keeper *KeeperController) {
+	worker := &cell.Worker{ID: "w", Group: "g", Capacity: cell.Room{Cores: 16_000, Memory: 1 << 20}, Leaving: true}
+	now := keeper.common.Clock.Now()
+	keeper.cell.Add(worker)
+	keeper.cell.Reported(worker, &cell.Report{Born: 1, Clock: time.Second}, now, now)
+}
--- a/entry/pkg/peer/cell.go
+++ b/entry/pkg/peer/cell.go
@@ -55,6 +55,7 @@
 	RunAnywhere RunMode = iota // pass it to another keeper, or let it wait
 	RunNow                     // decline it
 	RunHere                    // let it wait, or decline it when it would miss its objective
+	RunLate                    // start it at once though it misses its objective, or decline it
 )
 
 // RunRequest asks a keeper to run a job; its times are nanoseconds on the home's clock.
