Fail one call, and not the process, after an unexpected error

Looked for: one malformed message or unexpected error that takes a process down, as operators of similar systems met it. Found: drpc calls handlers without a recover, so a panic in any method between hosts ended the process (new test: panic: no such position), and with it a keeper's jobs; a decision that panicked would have left the keeper's lock locked. A heartbeat that says a place has 2^40 cells kept each host that heard it busy for good (test did not end within 20 s). Ruled out: the callers' HTTP server, which recovers by itself, but without a counter, and breaks the connection off. Decisions and heartbeats release their locks. A fuzz target reads all messages between hosts. Panics in goroutines of their own (starts, loops) still end the process.

--- a/entry/pkg/cellhost/claims.go
+++ b/entry/pkg/cellhost/claims.go
@@ -108,7 +108,7 @@
 	host, claim, found := view.keeper(peer.CellKey{Place: place})
 	switch {
 	case found && host != c.options.Name:
-		return max(1, claim.Of)
+		return min(max(1, claim.Of), mostCells)
 	case found:
 		return cellsFor(workers, before)
 	default:
--- a/entry/pkg/cellhost/fleet_test.go
+++ b/entry/pkg/cellhost/fleet_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"chervilusher.dev/entry/pkg/peer"
 )
 
 // leastTime returns the shortest time that one of several calls takes, which other processes disturb least.
@@ -86,3 +88,12 @@
 		seen[name] = true
 	}
 }
+
+// TestClaimOfAbsurdlyManyCellsIsBounded has a heartbeat say that a place has more cells than could ever be looked at.
+func TestClaimOfAbsurdlyManyCellsIsBounded(t *testing.T) {
+	c := newFleet(30)
+	first := peer.Claim{Cell: peer.CellKey{Place: fleetPlace(1)}, Of: 1 << 40, Epoch: 1 << 60}
+	c.host("host001", fleetPlace(1), 100, first)
+	c.tick()
+	require.LessOrEqual(t, len(c.keys()), mostCells+fleetPlaces*cellsFor(30*workersPerHost/fleetPlaces, 1))
+}
--- a/entry/pkg/cellhost/keeper.go
+++ b/entry/pkg/cellhost/keeper.go
@@ -95,12 +95,17 @@
 
 // do makes a decision under the lock and carries out its effects.
 func (k *KeeperController) do(decide func(now time.Time) cell.Effects) {
-	k.mu.Lock()
-	effects := decide(k.common.Clock.Now())
-	k.mu.Unlock()
+	effects := k.decide(decide)
 	k.carry(&effects)
 }
 
+// decide makes a decision under the lock, which an unexpected error must not leave locked.
+func (k *KeeperController) decide(decide func(now time.Time) cell.Effects) cell.Effects {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return decide(k.common.Clock.Now())
+}
+
 // Run runs a job and waits for its outcome; the end of the context cancels the job.
 func (k *KeeperController) Run(ctx context.Context, request *peer.RunRequest) (*peer.RunResponse, error) {
 	job, reason := k.job(request)
@@ -156,21 +161,21 @@
 
 // runLate starts the job at once and waits for its outcome, or declines it.
 func (k *KeeperController) runLate(ctx context.Context, job *cell.Job) (*peer.RunResponse, error) {
-	answered := make(chan *cell.Answer, 1)
-	k.mu.Lock()
-	effects, started := cell.Effects{}, false
-	if k.followed.IsZero() {
-		effects, started = k.cell.StartLate(job, k.common.Clock.Now())
-	}
-	if started {
-		k.waiters[job] = answered
-	}
-	k.mu.Unlock()
-	if !started {
+	var answered chan *cell.Answer
+	k.do(func(now time.Time) (effects cell.Effects) {
+		if !k.followed.IsZero() {
+			return effects
+		}
+		effects, started := k.cell.StartLate(job, now)
+		if started {
+			answered = k.awaited(job)
+		}
+		return effects
+	})
+	if answered == nil {
 		return &peer.RunResponse{Declined: true, Reason: "no worker stands free"}, nil
 	}
 	cellLate.Inc()
-	k.carry(&effects)
 	return k.await(ctx, job, answered)
 }
 
@@ -194,17 +199,21 @@
 
 // submit hands the job to the cell; it returns nil with nowOnly when not all tasks can start at once, and without it when another host follows this one.
 func (k *KeeperController) submit(job *cell.Job, nowOnly bool) chan *cell.Answer {
+	var answered chan *cell.Answer
+	k.do(func(now time.Time) (effects cell.Effects) {
+		if nowOnly && !k.cell.Immediate(job, now) || !nowOnly && !k.followed.IsZero() {
+			return effects
+		}
+		answered = k.awaited(job)
+		return k.cell.Submit(job, now)
+	})
+	return answered
+}
+
+// awaited notes that a caller waits for the job's answer, and returns where it comes; the caller holds the lock.
+func (k *KeeperController) awaited(job *cell.Job) chan *cell.Answer {
 	answered := make(chan *cell.Answer, 1)
-	k.mu.Lock()
-	now := k.common.Clock.Now()
-	if nowOnly && !k.cell.Immediate(job, now) || !nowOnly && !k.followed.IsZero() {
-		k.mu.Unlock()
-		return nil
-	}
 	k.waiters[job] = answered
-	effects := k.cell.Submit(job, now)
-	k.mu.Unlock()
-	k.carry(&effects)
 	return answered
 }
 
--- a/entry/pkg/cellhost/members.go
+++ b/entry/pkg/cellhost/members.go
@@ -249,18 +249,20 @@
 
 // missed takes in a heartbeat that was not answered; where nobody listens, the host's process is gone for certain.
 func (m *MembersController) missed(name string, err error) {
+	if m.noteMissed(name, errors.Is(err, syscall.ECONNREFUSED)) {
+		m.publish()
+	}
+}
+
+// noteMissed reports whether the unanswered heartbeat changes what is known of the host.
+func (m *MembersController) noteMissed(name string, refused bool) bool {
 	m.mu.Lock()
-	var changed bool
-	if errors.Is(err, syscall.ECONNREFUSED) {
+	defer m.mu.Unlock()
+	if refused {
 		m.refused[name] = true
-		changed = m.tracker.Refused(name)
-	} else {
-		changed = m.tracker.Missed(name)
-	}
-	m.mu.Unlock()
-	if changed {
-		m.publish()
+		return m.tracker.Refused(name)
 	}
+	return m.tracker.Missed(name)
 }
 
 func (m *MembersController) servePulse(_ context.Context, pulse *peer.Pulse) (*peer.Pulse, error) {
@@ -277,9 +279,17 @@
 // heard takes in a heartbeat. The view is built anew at once when it tells something that others act on, and otherwise a
 // few times a second only, since its cost grows with the hosts.
 func (m *MembersController) heard(pulse *peer.Pulse) {
+	if m.noteHeard(pulse) {
+		m.publish()
+	}
+}
+
+// noteHeard reports whether the heartbeat tells something for which the view is to be built anew.
+func (m *MembersController) noteHeard(pulse *peer.Pulse) bool {
 	now := m.common.Clock.Now()
 	ahead := now.Sub(time.Unix(0, pulse.Clock))
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	changed := m.tracker.Heard(pulse.Name, pulse.Incarnation, pulse.Leaving, now) || m.refused[pulse.Name]
 	delete(m.refused, pulse.Name)
 	before, ok := m.told[pulse.Name]
@@ -288,12 +298,8 @@
 	}
 	m.told[pulse.Name] = told{pulse: pulse, ahead: ahead, at: now}
 	m.stale = true
-	due := changed || !ok || isNews(before.pulse, pulse) || ahead < before.ahead ||
+	return changed || !ok || isNews(before.pulse, pulse) || ahead < before.ahead ||
 		now.Sub(before.at) > 2*m.options.Pulse || now.Sub(m.shown) >= viewInterval
-	m.mu.Unlock()
-	if due {
-		m.publish()
-	}
 }
 
 // isNews reports whether a heartbeat tells more than new loads.
--- a/entry/pkg/cellhost/options.go
+++ b/entry/pkg/cellhost/options.go
@@ -69,6 +69,8 @@
 	otherPatience = 3 * otherAskInterval
 	// workersPerCell bounds the workers of a cell; keeping 48 takes about a tenth of a core when all are busy.
 	workersPerCell = 48
+	// mostCells bounds into how many cells another host may say that a place is divided; 49,000 workers have room in them.
+	mostCells = 1024
 	// cellSlack is by how many workers a place must fall short before it gets fewer cells.
 	cellSlack = workersPerCell * 2 / 5
 	// freshAge is how old the last reading of the directory may be when a new keeper begins; with the 0.4 s to a keeper's
--- a/entry/pkg/cellhost/route_test.go
+++ b/entry/pkg/cellhost/route_test.go
@@ -142,3 +142,19 @@
 	keeper.cell.Add(worker)
 	keeper.cell.Reported(worker, &cell.Report{Born: 1, Clock: time.Second}, now, now)
 }
+
+// TestUnexpectedErrorInADecisionLeavesTheKeeperUsable has a decision panic, as a broken assumption would make it.
+func TestUnexpectedErrorInADecisionLeavesTheKeeperUsable(t *testing.T) {
+	_, own := twoKeepers(t, "")
+	require.Panics(t, func() { own.do(func(time.Time) cell.Effects { panic("unexpected") }) })
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		own.Loads()
+	}()
+	select {
+	case <-answered:
+	case <-time.After(5 * time.Second):
+		require.FailNow(t, "the keeper is locked")
+	}
+}
--- a/entry/pkg/peer/server.go
+++ b/entry/pkg/peer/server.go
@@ -2,14 +2,24 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"runtime/debug"
 	"sync/atomic"
 
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
 	"github.com/pkg/errors"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcserver"
 )
 
+// panics counts calls that ended in an unexpected error.
+var panics = metrics.NewCounter(`chervilusher_panics_total{part="peer"}`)
+
+// errUnexpected is all that a caller is told of a panic; the log has the rest.
+var errUnexpected = errors.New("the call ended in an unexpected error")
+
 // handler serves one method of the stream.
 type handler func(stream drpc.Stream) error
 
@@ -17,11 +27,17 @@
 type Server struct {
 	handlers map[string]handler
 	running  atomic.Int64 // calls in progress
+	log      log.Interface
 }
 
 // NewServer returns a server without methods.
 func NewServer() *Server {
-	return &Server{handlers: map[string]handler{}}
+	return &Server{handlers: map[string]handler{}, log: log.Log}
+}
+
+// LogTo sets where unexpected errors are logged; it is to be called before Serve.
+func (s *Server) LogTo(logger log.Interface) {
+	s.log = logger
 }
 
 // Handle adds a method that takes one request and gives one response.
@@ -39,8 +55,16 @@
 	}
 }
 
-// HandleRPC implements drpc.Handler.
-func (s *Server) HandleRPC(stream drpc.Stream, method string) error {
+// HandleRPC implements drpc.Handler. An unexpected error fails the call and not the process, which serves other callers.
+func (s *Server) HandleRPC(stream drpc.Stream, method string) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			panics.Inc()
+			s.log.WithField("method", method).WithField("cause", fmt.Sprint(cause)).WithField("stack", string(debug.Stack())).
+				Error("a call ended in an unexpected error")
+			err = errUnexpected
+		}
+	}()
 	serve, ok := s.handlers[method]
 	if !ok {
 		return errors.Errorf("no method %q", method)
--- /dev/null
+++ b/entry/pkg/peer/server_test.go
@@ -0,0 +1,98 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+)
+
+// serve serves a server until the test ends, and returns its address.
+func serve(t *testing.T, server *Server) string {
+	t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(ctx, listener) }()
+	t.Cleanup(func() {
+		stop()
+		require.NoError(t, <-served)
+	})
+	return listener.Addr().String()
+}
+
+// TestUnexpectedErrorFailsOneCallAndNotTheProcess has a method panic for one of its requests.
+func TestUnexpectedErrorFailsOneCallAndNotTheProcess(t *testing.T) {
+	lines := memory.New()
+	server := NewServer()
+	server.LogTo(&log.Logger{Handler: lines, Level: log.InfoLevel})
+	Handle(server, MethodChanges, func(_ context.Context, request *ChangesRequest) (*ChangesResponse, error) {
+		if request.Since < 0 {
+			panic("no such position")
+		}
+		return &ChangesResponse{Position: request.Since}, nil
+	})
+	client := NewClient(nil)
+	t.Cleanup(func() { require.NoError(t, client.Close()) })
+	address := serve(t, server)
+	before := panics.Get()
+	for range 3 {
+		_, err := Call[ChangesRequest, ChangesResponse](t.Context(), client, address, MethodChanges, &ChangesRequest{Since: -1})
+		require.ErrorContains(t, err, errUnexpected.Error())
+		require.False(t, errors.Is(err, ErrUnreached), "the call may have taken effect")
+		response, err := Call[ChangesRequest, ChangesResponse](t.Context(), client, address, MethodChanges, &ChangesRequest{Since: 7})
+		require.NoError(t, err)
+		require.EqualValues(t, 7, response.Position)
+	}
+	require.EqualValues(t, 3, panics.Get()-before)
+	require.Zero(t, server.Running())
+	require.Len(t, lines.Entries, 3)
+	require.Equal(t, MethodChanges, lines.Entries[0].Fields["method"])
+	require.Equal(t, "no such position", lines.Entries[0].Fields["cause"])
+	require.Contains(t, lines.Entries[0].Fields["stack"], "server_test.go")
+}
+
+// TestMalformedMessageFailsOneCall sends bytes that are no message of the method.
+func TestMalformedMessageFailsOneCall(t *testing.T) {
+	server := NewServer()
+	Handle(server, MethodPulse, func(_ context.Context, pulse *Pulse) (*Pulse, error) { return pulse, nil })
+	client := NewClient(nil)
+	t.Cleanup(func() { require.NoError(t, client.Close()) })
+	address := serve(t, server)
+	type other struct {
+		Name   []int  `json:"n"`
+		Claims string `json:"c"`
+	}
+	_, err := Call[other, Pulse](t.Context(), client, address, MethodPulse, &other{Name: []int{1}, Claims: "x"})
+	require.Error(t, err)
+	answer, err := Call[Pulse, Pulse](t.Context(), client, address, MethodPulse, &Pulse{Name: "a"})
+	require.NoError(t, err)
+	require.Equal(t, "a", answer.Name)
+}
+
+// FuzzMessages feeds arbitrary bytes to the decoder of each message between hosts.
+func FuzzMessages(f *testing.F) {
+	for _, message := range []any{
+		&Pulse{Name: "a", Claims: []Claim{{Cell: CellKey{Place: "p", Index: 1}, Of: 2}}},
+		&RunRequest{ID: "j", Tasks: []RunTask{{Name: "t"}}},
+		&RunResponse{Declined: true},
+		&ChangesResponse{Known: true, Workers: []WorkerInfo{{ID: "w"}}, Gone: []string{"x"}},
+	} {
+		raw, err := encoding{}.Marshal(message)
+		require.NoError(f, err)
+		f.Add(raw)
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		for _, message := range []any{&Pulse{}, &RunRequest{}, &RunResponse{}, &ChangesResponse{}, &DirectoryResponse{}, &QueuesResponse{}} {
+			if (encoding{}).Unmarshal(raw, message) == nil {
+				_, err := encoding{}.Marshal(message)
+				require.NoError(t, err)
+			}
+		}
+	})
+}
