Tell of a large directory's first reading in one line

Cause: each new worker had a line of its own. Change: more than 50 new or changed workers in one change are one line with their number. Test: the first reading of 3,000 workers is one line; failed before.

--- a/entry/pkg/cellhost/directory.go
+++ b/entry/pkg/cellhost/directory.go
@@ -60,13 +60,20 @@
 		return false
 	}
 	changed := false
+	var news []*peer.WorkerInfo
 	for i := range change.Entries {
-		if entry := &change.Entries[i]; entry.Listed {
-			changed = d.show(&entry.Worker, change) || changed
-		} else {
+		entry := &change.Entries[i]
+		if !entry.Listed {
 			d.drop(entry.ID, change)
+			continue
+		}
+		differs, isNews := d.show(&entry.Worker, change)
+		changed = changed || differs
+		if isNews {
+			news = append(news, &entry.Worker)
 		}
 	}
+	d.logListed(news)
 	if change.Whole {
 		for _, id := range d.unnamed(change.Entries) {
 			d.drop(id, change)
@@ -85,23 +92,38 @@
 	return true
 }
 
-// show takes a worker in, and reports whether it is new or differs.
-func (d *DirectoryController) show(worker *peer.WorkerInfo, change *DirectoryChange) bool {
+// show takes a worker in, and reports whether it is new or differs, and whether that is worth a line.
+func (d *DirectoryController) show(worker *peer.WorkerInfo, change *DirectoryChange) (differs, isNews bool) {
 	before, known := d.workers[worker.ID]
 	_, dropped := d.removed[worker.ID]
 	delete(d.removed, worker.ID)
-	differs := !known || before != *worker
+	differs = !known || before != *worker
 	if differs || dropped || change.Told {
 		d.changed[worker.ID] = change.Next
 	}
-	if !differs {
-		return false
+	if differs {
+		d.workers[worker.ID] = *worker
+	}
+	return differs, !known || before.Leaving != worker.Leaving
+}
+
+// mostListedLines is up to how many workers that one change lists get a line each; the first reading of a large directory
+// would use up all lines that a host may write in several seconds.
+const mostListedLines = 50
+
+// logListed logs workers that are new, or that leave or stay after all.
+func (d *DirectoryController) logListed(workers []*peer.WorkerInfo) {
+	if len(workers) <= mostListedLines {
+		for _, worker := range workers {
+			d.common.Log.WithField("worker", worker.ID).WithField("leaving", worker.Leaving).WithField("place", worker.Place).Info("worker listed")
+		}
+		return
 	}
-	d.workers[worker.ID] = *worker
-	if !known || before.Leaving != worker.Leaving {
-		d.common.Log.WithField("worker", worker.ID).WithField("leaving", worker.Leaving).WithField("place", worker.Place).Info("worker listed")
+	leaving := 0
+	for _, worker := range workers {
+		leaving += count(worker.Leaving)
 	}
-	return true
+	d.common.Log.WithField("workers", len(workers)).WithField("leaving", leaving).Info("workers listed")
 }
 
 // unnamed returns the known workers that are not among the entries.
--- a/entry/pkg/cellhost/directory_test.go
+++ b/entry/pkg/cellhost/directory_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+	"github.com/apex/log/handlers/memory"
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -222,3 +223,21 @@
 		})
 	})
 }
+
+// TestFirstReadingOfALargeDirectoryIsOneLine keeps the reading of thousands of workers from using up the lines of a host.
+func TestFirstReadingOfALargeDirectoryIsOneLine(t *testing.T) {
+	lines := memory.New()
+	d, _ := newDirectory()
+	d.common.Log = &log.Logger{Handler: lines, Level: log.InfoLevel}
+	many := make([]peer.WorkerInfo, 0, 3000)
+	for i := range cap(many) {
+		many = append(many, peer.WorkerInfo{ID: fmt.Sprint(i), Place: north, Leaving: i%10 == 0})
+	}
+	require.True(t, d.Take(&DirectoryChange{Entries: listedEntries(many), Whole: true, Next: 1}))
+	require.Len(t, lines.Entries, 1)
+	require.Equal(t, log.Fields{"workers": 3000, "leaving": 300}, lines.Entries[0].Fields)
+	changed := infos("1", "new")
+	changed[0].Leaving = true
+	require.True(t, d.Take(&DirectoryChange{Entries: listedEntries(changed), From: 1, Next: 3}))
+	require.Len(t, lines.Entries, 3, "a change of few workers is told of one by one")
+}
