Claim the cells of a place as soon as all its hosts were heard after a start

Cause: in a fleet above 12 hosts a host that starts hears only keepers, and after a loss of power there is none, so that each place was claimed 0.4 s after its hosts had read the directory, and its second and third cell 80 ms after the first, whose keeper said into how many it is divided. Ruled out: reading the directory (done 0.1 s after the start), and the workers, which served 90 jobs in the first 0.1 s. Change: for the first 0.4 s a host asks each host of its place, of up to 24; the view is complete when all are heard, so that cells are claimed at once. A mate that refuses connections meanwhile is about to start too, and is waited for. A host that knows no keeper of a place claims it divided as its workers need it. The test of the star now lets the start pass by before it expects that nobody is near; what holds during the start is asserted beside it.

--- a/entry/pkg/cellhost/claims.go
+++ b/entry/pkg/cellhost/claims.go
@@ -104,15 +104,15 @@
 
 // divide returns into how many cells a place is divided: the keeper of its first cell decides.
 func (c *ClaimsController) divide(place string, workers int, view *holders) int {
-	before := max(1, c.cells[place])
+	before, known := c.cells[place]
 	host, claim, found := view.keeper(peer.CellKey{Place: place})
 	switch {
 	case found && host != c.options.Name:
 		return min(max(1, claim.Of), mostCells)
-	case found:
-		return cellsFor(workers, before)
+	case found, !known:
+		return cellsFor(workers, max(1, before))
 	default:
-		return before
+		return max(1, before)
 	}
 }
 
--- a/entry/pkg/cellhost/members.go
+++ b/entry/pkg/cellhost/members.go
@@ -62,6 +62,7 @@
 	ticks   int
 	wake    chan struct{}
 	known   time.Time // when the directory first told the hosts
+	mates   int       // hosts of this place, itself among them
 	shown   time.Time // when the view was last put on the board
 	stale   bool      // heartbeats came since
 }
@@ -120,10 +121,14 @@
 func (m *MembersController) SetHosts(hosts []blackboard.Member, keepers map[string]bool) {
 	m.mu.Lock()
 	m.listed = keepers
-	m.tracker.SetHosts(hosts, m.common.Clock.Now())
 	if m.known.IsZero() {
 		m.known = m.common.Clock.Now()
 	}
+	m.mates = 0
+	for i := range hosts {
+		m.mates += count(hosts[i].Place == m.options.Place)
+	}
+	m.tracker.SetHosts(hosts, m.common.Clock.Now())
 	m.mu.Unlock()
 	m.publish()
 	m.Wake()
@@ -219,11 +224,17 @@
 		other = len(said.pulse.Claims) > 0
 	}
 	if member.Place == m.options.Place {
-		return self || other
+		return self || other || m.isStarting()
 	}
 	return self && other
 }
 
+// isStarting reports whether this host has just learnt of the hosts and so asks each one of its place, as any of them may
+// keep a cell: once all are heard it need not listen for keepers any longer. The caller holds the lock.
+func (m *MembersController) isStarting() bool {
+	return m.mates <= startMates && !m.known.IsZero() && m.common.Clock.Since(m.known) < startDelay
+}
+
 // isCaller reports whether this host calls the near one: one call serves both ends, so of each pair one calls, and both do when the other's calls stay away.
 func (m *MembersController) isCaller(other *Neighbour) bool {
 	if m.options.Name < other.Name || !other.Alive || other.Incarnation == "" {
@@ -361,6 +372,7 @@
 func (m *MembersController) view() *View {
 	members := m.tracker.Table().ByName
 	view := &View{Hosts: make(map[string]Neighbour, len(members))}
+	isStar := len(members) > meshHosts
 	near, heard, gone, mates, heardMates := 0, 0, 0, 0, 0
 	for name, member := range members {
 		neighbour := Neighbour{Member: member}
@@ -378,8 +390,8 @@
 			neighbour.Claims = m.board.Claims()
 			neighbour.Leaving = m.board.Draining.Load()
 			neighbour.Timed = true
-		} else if neighbour.Near = m.isNear(&member); neighbour.Near && m.refused[name] { // a cut does not refuse connections
-			gone++
+		} else if neighbour.Near = m.isNear(&member); neighbour.Near && m.refused[name] && !(isStar && m.isStarting()) {
+			gone++ // a cut does not refuse connections; a mate that is about to start as well does
 		} else if neighbour.Near {
 			isHeard := member.Alive && member.Incarnation != ""
 			near++
--- a/entry/pkg/cellhost/members_test.go
+++ b/entry/pkg/cellhost/members_test.go
@@ -103,6 +103,8 @@
 		}
 		return count
 	}
+	require.Equal(t, 20, near(), "a host that starts asks all hosts of its place for a keeper")
+	c.clock.Advance(startDelay)
 	require.Zero(t, near(), "neither keeps a cell")
 	keeper := pulseOf(c, others[0].Name, "1")
 	keeper.Claims = []peer.Claim{{Cell: northCell, Of: 1, Epoch: 1}}
@@ -131,6 +133,38 @@
 	require.True(t, c.board.View().Complete)
 }
 
+// TestPlaceOfALargeFleetIsCompleteOnceAllItsHostsWereHeard has all hosts start together, as after a loss of power: the first
+// to claim must wait for those of its place that start a moment later, but not for the time that it takes to listen.
+func TestPlaceOfALargeFleetIsCompleteOnceAllItsHostsWereHeard(t *testing.T) {
+	others := make([]blackboard.Member, 0, meshHosts)
+	for i := range meshHosts {
+		place := north
+		if i >= 2 {
+			place = south
+		}
+		others = append(others, blackboard.Member{Name: "h" + strconv.Itoa(i), Place: place, Size: 1})
+	}
+	c, members := beside(t, others...)
+	members.missed("h0", syscall.ECONNREFUSED)
+	members.heard(pulseOf(c, "h1", "1"))
+	require.False(t, c.board.View().Complete, "h0 is about to start, as this host was")
+	members.heard(pulseOf(c, "h0", "1"))
+	members.heard(pulseOf(c, "h0", "1"))
+	require.True(t, c.board.View().Complete)
+	c.clock.Advance(startDelay)
+	members.heard(pulseOf(c, "h0", "1"))
+	require.False(t, c.board.View().Complete, "nobody keeps a cell, so that it hears nobody regularly")
+}
+
+// TestFirstClaimDividesAPlaceAtOnce has no keeper known yet: all cells are claimed in one step, and not the first one before the others.
+func TestFirstClaimDividesAPlaceAtOnce(t *testing.T) {
+	c := newClaimant("a", north)
+	c.cells = map[string]int{}
+	require.Equal(t, 3, c.divide(north, 2*workersPerCell+1, newHolders(c.view)))
+	c.cells[north] = 1
+	require.Equal(t, 1, c.divide(north, 2*workersPerCell+1, newHolders(c.view)), "the keeper of the first cell decides, and may be heard again")
+}
+
 // BenchmarkHeartbeat shows what taking in one heartbeat costs, and how it grows with the hosts.
 func BenchmarkHeartbeat(b *testing.B) {
 	for _, hosts := range []int{36, 100, 300} {
--- a/entry/pkg/cellhost/options.go
+++ b/entry/pkg/cellhost/options.go
@@ -48,6 +48,8 @@
 	// startDelay is how long a host that has just read the directory listens for keepers; a heartbeat that is not
 	// answered within half of DefaultSuspect is sent again.
 	startDelay = 400 * time.Millisecond
+	// startMates is up to how many hosts of its place a host asks at its start; each asks all others four times in startDelay.
+	startMates = 24
 	// viewInterval is how often the view is built anew for new loads alone; heartbeats tell them ten times a second.
 	viewInterval = 50 * time.Millisecond
 	// farInterval is how often the pulses to hosts go out that are not near, one of them at a time.
