Tell hosts that are far behind all workers, and leave the reading to the readers

And the 65 keepers, whose whole reading had taken longer than their patience of 1 s, all read for themselves until they reached the log's end; 3,000 entries a second for each of them are most of the store's 80 MB a second, so that nobody reached the end for some ten seconds, readers included. Change: a peer tells all workers, some 0.1 kB each, to a host that is behind its own whole reading, where the asker takes that; hosts of earlier versions go on as before. A keeper that is told of later things by peers does not count as stale, so that only readers read while these are behind; when they stand still it reads after 1 s as before. The test that a host reads for itself when the peer knows too little asserted the fault; in its place stand one that it is told all, and one for a peer that knows nothing.

--- a/entry/pkg/cellhost/directory.go
+++ b/entry/pkg/cellhost/directory.go
@@ -168,14 +168,20 @@
 	return d.position
 }
 
-// Since returns what has changed since a position.
-func (d *DirectoryController) Since(position int64) *peer.ChangesResponse {
+// Since returns what has changed since a position, or where that is not known all workers, if the asker takes them.
+func (d *DirectoryController) Since(request *peer.ChangesRequest) *peer.ChangesResponse {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.position == 0 || position < d.base || position > d.position {
+	position := request.Since
+	tooOld := position < d.base
+	if d.position == 0 || position > d.position || (tooOld && !request.Whole) {
 		return &peer.ChangesResponse{Position: d.position}
 	}
-	response := &peer.ChangesResponse{Known: true, Position: d.position, Age: int64(d.common.Clock.Since(d.read))}
+	response := &peer.ChangesResponse{Known: true, Whole: tooOld, Position: d.position, Age: int64(d.common.Clock.Since(d.read))}
+	if tooOld {
+		response.Workers = d.listed()
+		return response
+	}
 	for id, at := range d.changed {
 		if at <= position {
 			continue
@@ -190,6 +196,17 @@
 	return response
 }
 
+// listed returns the workers that the directory lists; the caller holds the lock.
+func (d *DirectoryController) listed() []peer.WorkerInfo {
+	workers := make([]peer.WorkerInfo, 0, len(d.workers))
+	for id, worker := range d.workers {
+		if _, dropped := d.removed[id]; !dropped {
+			workers = append(workers, worker)
+		}
+	}
+	return workers
+}
+
 // Serve forgets workers that stayed away until the context ends.
 func (d *DirectoryController) Serve(ctx context.Context) {
 	d.common.Every(ctx, removalGrace/10, d.expire)
--- a/entry/pkg/cellhost/directory_test.go
+++ b/entry/pkg/cellhost/directory_test.go
@@ -55,20 +55,37 @@
 
 func TestDirectoryTellsWhatChangedSinceAPosition(t *testing.T) {
 	d, clock := newDirectory()
-	require.False(t, d.Since(0).Known, "nothing was read yet")
+	require.False(t, d.Since(&peer.ChangesRequest{Since: 0}).Known, "nothing was read yet")
 	require.True(t, d.Take(&DirectoryChange{Entries: entriesOf(infos("a", "b", "c")), Whole: true, Next: 10}))
 	require.True(t, d.Take(&DirectoryChange{Entries: entriesOf(infos("a"), "b"), From: 10, Next: 14}))
 	d.Take(&DirectoryChange{From: 14, Next: 14, At: clock.Now()})
 	clock.Advance(time.Second)
-	told := d.Since(10)
+	told := d.Since(&peer.ChangesRequest{Since: 10})
 	require.True(t, told.Known)
 	require.Empty(t, told.Workers, "an entry that says the same again is no change")
 	require.Equal(t, []string{"b"}, told.Gone)
 	require.EqualValues(t, 14, told.Position)
 	require.EqualValues(t, time.Second, told.Age)
-	require.Empty(t, d.Since(14).Gone)
-	require.False(t, d.Since(9).Known, "it read the directory as a whole at 10")
-	require.False(t, d.Since(15).Known, "the other host knows more")
+	require.Empty(t, d.Since(&peer.ChangesRequest{Since: 14}).Gone)
+	require.False(t, d.Since(&peer.ChangesRequest{Since: 9}).Known, "it read the directory as a whole at 10")
+	require.False(t, d.Since(&peer.ChangesRequest{Since: 15}).Known, "the other host knows more")
+}
+
+// TestDirectoryTellsAllWorkersToAHostThatIsTooFarBehind has a host ask that read the directory before the teller did, as most do
+// that start together; read by each of them once more, the log would take the store's whole bandwidth.
+func TestDirectoryTellsAllWorkersToAHostThatIsTooFarBehind(t *testing.T) {
+	teller, clock := newDirectory()
+	teller.Take(&DirectoryChange{Entries: entriesOf(infos("a", "b")), Whole: true, Next: 10})
+	teller.Take(&DirectoryChange{Entries: entriesOf(nil, "a"), From: 10, Next: 12, At: clock.Now()})
+	asker, _ := newDirectory()
+	asker.Take(&DirectoryChange{Entries: entriesOf(infos("a", "c")), Whole: true, Next: 7})
+	told := teller.Since(&peer.ChangesRequest{Since: 7, Whole: true})
+	require.True(t, told.Known)
+	require.True(t, told.Whole)
+	require.True(t, asker.Take(toldChange(7, told, clock.Now())))
+	require.Equal(t, []string{"b"}, slices.Sorted(maps.Keys(listed(asker))))
+	require.EqualValues(t, 12, asker.Position())
+	require.False(t, asker.Since(&peer.ChangesRequest{Since: 7}).Known, "what changed and changed back between is not known")
 }
 
 func TestWorkerThatIsListedAgainIsAChange(t *testing.T) {
@@ -76,14 +93,14 @@
 	d.Take(&DirectoryChange{Entries: entriesOf(infos("a")), Whole: true, Next: 1})
 	d.Take(&DirectoryChange{Entries: entriesOf(nil, "a"), From: 1, Next: 2})
 	d.Take(&DirectoryChange{Entries: entriesOf(infos("a")), From: 2, Next: 3})
-	require.Equal(t, []string{"a"}, idsOf(d.Since(2).Workers))
+	require.Equal(t, []string{"a"}, idsOf(d.Since(&peer.ChangesRequest{Since: 2}).Workers))
 }
 
 func TestWorkersThatAWholeReadingLacksAreGone(t *testing.T) {
 	d, clock := newDirectory()
 	d.Take(&DirectoryChange{Entries: entriesOf(infos("a", "b")), Whole: true, Next: 1})
 	d.Take(&DirectoryChange{Entries: entriesOf(infos("b")), Whole: true, Next: 5})
-	require.False(t, d.Since(1).Known, "what changed and changed back between is not known")
+	require.False(t, d.Since(&peer.ChangesRequest{Since: 1}).Known, "what changed and changed back between is not known")
 	require.Contains(t, d.board.Workers(), "a", "the directory forgets live workers in an outage")
 	clock.Advance(removalGrace)
 	d.expire()
@@ -96,7 +113,7 @@
 	require.False(t, d.Take(&DirectoryChange{Entries: entriesOf(nil, "a"), Whole: true, Next: 4}))
 	require.False(t, d.Take(&DirectoryChange{Entries: entriesOf(nil, "a"), From: 3, Next: 9}), "what it lacks is not known")
 	require.False(t, d.Take(&DirectoryChange{Entries: entriesOf(nil, "a"), From: 6, Next: 9}), "something between is missing")
-	require.Empty(t, d.Since(5).Gone)
+	require.Empty(t, d.Since(&peer.ChangesRequest{Since: 5}).Gone)
 	require.EqualValues(t, 5, d.Position())
 }
 
@@ -204,7 +221,7 @@
 			"ask": func(t *rapid.T) {
 				i, teller := one.Draw(t, "host"), hosts[one.Draw(t, "teller")]
 				since := hosts[i].Position()
-				if told := teller.Since(since); told.Known {
+				if told := teller.Since(&peer.ChangesRequest{Since: since, Whole: rapid.Bool().Draw(t, "whole")}); told.Known {
 					take(i, toldChange(since, told, written(0)))
 				}
 			},
--- a/entry/pkg/cellhost/relay.go
+++ b/entry/pkg/cellhost/relay.go
@@ -32,6 +32,7 @@
 	asking    atomic.Bool
 	asked     time.Time    // when a peer was last asked
 	missed    atomic.Int64 // when a peer last knew too little to tell, in Unix nanoseconds
+	moved     atomic.Int64 // when a peer last told this host of something later than it knew, in Unix nanoseconds
 }
 
 // NewRelayController returns the controller and adds its method to the server of peers.
@@ -70,9 +71,15 @@
 	return len(tellers) == 0 || slices.Contains(tellers, r.options.Name)
 }
 
-// isStale reports whether neither the directory nor a peer has told this host anything for long.
+// isStale reports whether neither the directory nor a peer has told this host anything for long. While peers tell it of later
+// things it leaves the reading to them, although they may be behind: if all keepers read because the readers are slow, none
+// of them ever reaches the end.
 func (r *RelayController) isStale() bool {
-	return r.common.Clock.Since(r.directory.LastRead()) > r.patience()
+	told := time.Unix(0, r.moved.Load())
+	if read := r.directory.LastRead(); read.After(told) {
+		told = read
+	}
+	return r.common.Clock.Since(told) > r.patience()
 }
 
 // patience is how old the last reading may become before this host reads for itself.
@@ -142,7 +149,7 @@
 	defer cancel()
 	since := r.directory.Position()
 	sent := r.common.Clock.Now()
-	response, err := peer.Call[peer.ChangesRequest, peer.ChangesResponse](ctx, r.client, teller.Address, peer.MethodChanges, &peer.ChangesRequest{Since: since})
+	response, err := peer.Call[peer.ChangesRequest, peer.ChangesResponse](ctx, r.client, teller.Address, peer.MethodChanges, &peer.ChangesRequest{Since: since, Whole: true})
 	log := r.common.Log.WithField("peer", teller.Name)
 	switch {
 	case err != nil:
@@ -156,6 +163,9 @@
 		asksUnknown.Inc()
 	case r.directory.Take(toldChange(since, response, sent)):
 		asksTold.Inc()
+		if response.Position > since {
+			r.moved.Store(sent.UnixNano())
+		}
 	}
 }
 
@@ -163,6 +173,7 @@
 func toldChange(since int64, response *peer.ChangesResponse, asked time.Time) *DirectoryChange {
 	change := &DirectoryChange{
 		Entries: listedEntries(response.Workers),
+		Whole:   response.Whole,
 		Told:    true,
 		From:    since,
 		Next:    response.Position,
@@ -184,5 +195,5 @@
 }
 
 func (r *RelayController) serve(_ context.Context, request *peer.ChangesRequest) (*peer.ChangesResponse, error) {
-	return r.directory.Since(request.Since), nil
+	return r.directory.Since(request), nil
 }
--- a/entry/pkg/cellhost/relay_test.go
+++ b/entry/pkg/cellhost/relay_test.go
@@ -109,31 +109,65 @@
 	relay.tick(t.Context())
 	require.Eventually(t, func() bool { return c.directory.Position() == 9 }, 5*time.Second, time.Millisecond)
 	require.True(t, c.board.Workers()["w"].Leaving)
-	require.Equal(t, []string{"x"}, c.directory.Since(5).Gone)
+	require.Equal(t, []string{"x"}, c.directory.Since(&peer.ChangesRequest{Since: 5}).Gone)
 	require.Eventually(t, func() bool { return !relay.asking.Load() }, 5*time.Second, time.Millisecond)
 	require.Equal(t, c.clock.Now().Add(-300*time.Millisecond), c.directory.LastRead(), "as old as the teller's reading")
 }
 
-// TestHostReadsForItselfWhenThePeerKnowsTooLittle has a peer that read the directory as a whole later than the host.
-func TestHostReadsForItselfWhenThePeerKnowsTooLittle(t *testing.T) {
+// ask has a relay ask a peer, and waits until it has taken the answer in.
+func ask(t *testing.T, relay *RelayController, c *claimant) {
+	t.Helper()
+	c.clock.Advance(otherAskInterval)
+	relay.tick(t.Context())
+	require.Eventually(t, func() bool { return !relay.asking.Load() }, 5*time.Second, time.Millisecond)
+}
+
+// TestHostIsToldAllWorkersWhenItIsTooFarBehind has a peer that read the directory as a whole later than the host.
+func TestHostIsToldAllWorkersWhenItIsTooFarBehind(t *testing.T) {
 	relay, c := newRelay(false, 1, 100)
 	c.directory.Take(&DirectoryChange{Entries: entriesOf(infos("w")), Whole: true, Next: 5})
 	c.readAt(c.clock.Now())
-	directory, _ := teller(t, c)
-	ask := func() {
-		c.clock.Advance(otherAskInterval)
-		relay.tick(t.Context())
-		require.Eventually(t, func() bool { return !relay.asking.Load() }, 5*time.Second, time.Millisecond)
-	}
+	directory, clock := teller(t, c)
 	directory.Take(&DirectoryChange{Entries: entriesOf(infos("w")), Whole: true, Next: 4})
-	ask()
+	ask(t, relay, c)
 	require.False(t, relay.ReadsDirectory(), "a peer that is behind is no reason")
-	directory.Take(&DirectoryChange{Entries: entriesOf(infos("w")), Whole: true, Next: 7})
-	ask()
+	require.EqualValues(t, 5, c.directory.Position())
+	directory.Take(&DirectoryChange{Entries: entriesOf(infos("v")), Whole: true, Next: 7, At: clock.Now()})
+	ask(t, relay, c)
+	require.False(t, relay.ReadsDirectory())
+	require.EqualValues(t, 7, c.directory.Position())
+	require.Contains(t, listed(c.directory), "v")
+	require.NotContains(t, listed(c.directory), "w")
+}
+
+// TestHostReadsForItselfWhenThePeerKnowsNothing has a peer that has not read the directory yet, and a host that has not either.
+func TestHostReadsForItselfWhenThePeerKnowsNothing(t *testing.T) {
+	relay, c := newRelay(false, 1, 100)
+	teller(t, c)
+	relay.tick(t.Context())
 	require.True(t, relay.ReadsDirectory())
-	c.clock.Advance(time.Millisecond)
+	require.False(t, relay.asking.Load(), "there is nothing to ask for changes of")
+}
+
+// TestKeepersLeaveTheReadingToTheReadersWhileTheseAreBehind has the store send less than all keepers together would read: the
+// readers get on, but do not reach the end. A keeper that joined them would make them slower still.
+func TestKeepersLeaveTheReadingToTheReadersWhileTheseAreBehind(t *testing.T) {
+	relay, c := newRelay(true, 1, 100)
+	relay.options.Name = "other-0" // a keeper by its claims that is not among the readers
+	delete(c.view.Hosts, "a")
+	c.directory.Take(&DirectoryChange{Entries: entriesOf(infos("w")), Whole: true, Next: 5})
 	c.readAt(c.clock.Now())
-	require.False(t, relay.ReadsDirectory())
+	directory, _ := teller(t, c)
+	directory.Take(&DirectoryChange{Entries: entriesOf(infos("w")), Whole: true, Next: 4})
+	for next := int64(6); next < 12; next++ {
+		directory.Take(&DirectoryChange{From: directory.Position(), Next: next}) // more is to come
+		ask(t, relay, c)
+		require.Equal(t, next, c.directory.Position())
+		require.False(t, relay.ReadsDirectory(), "the last whole reading is %s old", c.clock.Since(c.directory.LastRead()))
+	}
+	ask(t, relay, c)
+	c.clock.Advance(keeperPatience + time.Millisecond)
+	require.True(t, relay.ReadsDirectory(), "the readers do not get on")
 }
 
 // TestReaderThatCannotReadAsksAnother has the store refuse a reader's calls while it serves the others.
--- a/entry/pkg/peer/directory.go
+++ b/entry/pkg/peer/directory.go
@@ -35,11 +35,13 @@
 // ChangesRequest asks for what has changed in the directory since a position.
 type ChangesRequest struct {
 	Since int64 `json:"s"`
+	Whole bool  `json:"o,omitempty"` // the asker takes all workers where the changes are not known
 }
 
 // ChangesResponse holds the workers that changed up to a position of the directory.
 type ChangesResponse struct {
 	Known    bool         `json:"k,omitempty"` // without it the peer knows too little to tell
+	Whole    bool         `json:"o,omitempty"` // workers that are not named are not listed any more
 	Position int64        `json:"p"`           // up to which the peer knows the directory
 	Age      int64        `json:"a"`           // nanoseconds since the directory was read up to the position
 	Workers  []WorkerInfo `json:"w,omitempty"`
