Say once when a refused connection tells that a host is gone

Cause: the linter asks for the condition without a negated conjunction. Change: it has a name now, and nothing else differs. The tests of the package pass.

--- a/entry/pkg/cellhost/members.go
+++ b/entry/pkg/cellhost/members.go
@@ -372,7 +372,8 @@
 func (m *MembersController) view() *View {
 	members := m.tracker.Table().ByName
 	view := &View{Hosts: make(map[string]Neighbour, len(members))}
-	isStar := len(members) > meshHosts
+	// A cut does not refuse connections, but a mate does that is about to start as well.
+	refusalTells := len(members) <= meshHosts || !m.isStarting()
 	near, heard, gone, mates, heardMates := 0, 0, 0, 0, 0
 	for name, member := range members {
 		neighbour := Neighbour{Member: member}
@@ -390,8 +391,8 @@
 			neighbour.Claims = m.board.Claims()
 			neighbour.Leaving = m.board.Draining.Load()
 			neighbour.Timed = true
-		} else if neighbour.Near = m.isNear(&member); neighbour.Near && m.refused[name] && !(isStar && m.isStarting()) {
-			gone++ // a cut does not refuse connections; a mate that is about to start as well does
+		} else if neighbour.Near = m.isNear(&member); neighbour.Near && m.refused[name] && refusalTells {
+			gone++
 		} else if neighbour.Near {
 			isHeard := member.Alive && member.Incarnation != ""
 			near++
