Spread the cells of a place over its hosts by size while they run

The large hosts are back at 30.0 and 30.8 s. From 33 s on, at the peak, leon-11 answers heartbeats too late: 635 jobs end as 'the keeper is gone' between 24 and 41 s, 1,792 stops fail, 22 times it is called silent.

Change: where another host of the place, with one cell more, would carry at most 0.6 times as much for its size for 2 s, it takes one cell of the most loaded keeper over, as a cell that returns from another place does. The heartbeat that tells of new claims goes out after the workers of a cell that was given up are marked, so that it names those that are still busy.

Found on the way, each with a test: a host without a cell seldom hears the keepers of other places, so free cells there must not stand in the way; one that is to relieve a saturated keeper hears it now and then only, and takes itself for cut off in between; it reads the directory each 3 s only, so it asks as often as a keeper meanwhile.

A keeper with a single cell that is far too small for it is relieved too; the test that a keeper stays when a better host comes holds from the keeper's side, which gives a cell up to a claim alone.

--- a/entry/pkg/cellhost/board.go
+++ b/entry/pkg/cellhost/board.go
@@ -13,6 +13,7 @@
 // Board is what the controllers of a host share.
 type Board struct {
 	Draining atomic.Bool
+	follows  atomic.Bool // this host is to claim a cell
 	queues   atomic.Pointer[queues.Table]
 	view     atomic.Pointer[View]
 	workers  atomic.Pointer[map[string]peer.WorkerInfo]
--- a/entry/pkg/cellhost/claims.go
+++ b/entry/pkg/cellhost/claims.go
@@ -72,10 +72,11 @@
 	claims := c.claims(view, now)
 	changed := !slices.Equal(claims, c.board.Claims())
 	c.board.claims.Store(&claims)
+	c.keeper.Sync(c.wanted(c.usable(claims, view, now)), c.board.Workers(), view.View, c.isFollowed(claims, view))
 	if changed {
+		// Only now: the heartbeat that tells of a cell given up must also tell which of its workers are still busy.
 		c.members.Wake()
 	}
-	c.keeper.Sync(c.wanted(c.usable(claims, view, now)), c.board.Workers(), view.View, c.isFollowed(claims, view))
 }
 
 // wanted returns the workers of the claimed cells.
@@ -130,6 +131,7 @@
 func (c *ClaimsController) claims(view *holders, now time.Time) []peer.Claim {
 	var claims []peer.Claim
 	following := c.followers(view)
+	c.board.follows.Store(isFollower(c.options.Name, following))
 	for _, key := range c.keys() {
 		if claim, keeps := c.decide(key, view, following[key], now); keeps {
 			claim.Of = c.cells[key.Place]
@@ -139,6 +141,16 @@
 	return claims
 }
 
+// isFollower reports whether the host is to claim one of the cells.
+func isFollower(host string, following map[peer.CellKey]string) bool {
+	for _, follower := range following {
+		if follower == host {
+			return true
+		}
+	}
+	return false
+}
+
 // keys returns the cells of all places in their order.
 func (c *ClaimsController) keys() []peer.CellKey {
 	var keys []peer.CellKey
@@ -164,14 +176,14 @@
 		return mine, true
 	}
 	host, claim, found := view.keeper(key)
-	returns := found && c.returns(key, host, view) && c.isFresh(now)
+	changesHands := found && follower != ""
 	switch {
 	case keeps && found && host != c.options.Name && view.outranks(host, claim, c.options.Name, mine):
 		log.WithField("keeper", host).WithField("epoch", claim.Epoch).WithField("own", mine.Epoch).Warn("gave the cell up to another keeper")
 		return peer.Claim{}, false
 	case keeps:
 		return mine, true
-	case found && !returns:
+	case found && !changesHands:
 		delete(c.unclaimed, key)
 		c.quiet.forget(key)
 		return peer.Claim{}, false
@@ -181,6 +193,9 @@
 		since = now
 		c.unclaimed[key] = now
 	}
+	if changesHands && !c.isFresh(now) {
+		return peer.Claim{}, false
+	}
 	if !c.isSettled(view, now) || c.board.Draining.Load() || now.Sub(since) < c.delay(key, view, now.Sub(since)) || follower != c.options.Name {
 		return peer.Claim{}, false
 	}
@@ -188,6 +203,9 @@
 	c.quiet.forget(key)
 	c.claimed[key] = now
 	taken := peer.Claim{Cell: key, Epoch: c.newEpoch(now)}
+	if found {
+		log = log.WithField("from", host)
+	}
 	log.WithField("epoch", taken.Epoch).WithField("unclaimed", now.Sub(since).String()).WithField("minority", view.Minority).Info("took the cell")
 	return taken, true
 }
@@ -241,6 +259,10 @@
 // delay returns how long a cell must be without a keeper before this host claims it; it was so for a while already.
 func (c *ClaimsController) delay(key peer.CellKey, view *holders, unclaimed time.Duration) time.Duration {
 	switch {
+	case c.isRelief(key, view) && view.Minority:
+		return isolatedDelay
+	case c.isRelief(key, view):
+		return reliefDelay
 	case view.leavers[key]:
 		return 0
 	case view.Isolated || (view.Minority && key.Place != c.options.Place):
@@ -272,7 +294,8 @@
 	return c.quiet.isQuiet(key, epoch, c.layout.of(key, c.cells[key.Place]))
 }
 
-// followers returns the host that is to claim each cell without a keeper: the one that would carry the least for its size.
+// followers returns the host that is to claim each cell without a keeper, or one that is to change hands: the host that
+// would carry the least for its size.
 func (c *ClaimsController) followers(view *holders) map[peer.CellKey]string {
 	var free []peer.CellKey
 	for _, key := range c.keys() {
@@ -280,9 +303,6 @@
 			free = append(free, key)
 		}
 	}
-	if len(free) == 0 {
-		return nil
-	}
 	carried := make(map[string]int, len(view.Hosts))
 	for name := range view.Hosts {
 		carried[name] = len(view.Hosts[name].Claims)
@@ -294,6 +314,9 @@
 			carried[host]++
 		}
 	}
+	if key, host, found := c.relief(view, carried, free); found {
+		followers[key] = host
+	}
 	return followers
 }
 
--- a/entry/pkg/cellhost/holders.go
+++ b/entry/pkg/cellhost/holders.go
@@ -77,7 +77,7 @@
 	best := ""
 	bestLoad, bestScore := 0.0, uint64(0)
 	for _, name := range h.candidates(key.Place) {
-		load := float64(carried[name]+1) / float64(h.Hosts[name].Size)
+		load := h.loadFor(name, carried[name]+1)
 		score := xxhash.Sum64String(name + "\x00" + key.Place)
 		if best == "" || load < bestLoad || (load == bestLoad && score > bestScore) {
 			best, bestLoad, bestScore = name, load, score
@@ -85,3 +85,8 @@
 	}
 	return best
 }
+
+// loadFor returns what a host that keeps so many cells carries for its size.
+func (h *holders) loadFor(host string, cells int) float64 {
+	return float64(cells) / float64(max(1, h.Hosts[host].Size))
+}
--- a/entry/pkg/cellhost/relay.go
+++ b/entry/pkg/cellhost/relay.go
@@ -138,7 +138,7 @@
 
 // interval is the delay between two questions. A change reaches a keeper through two steps of askInterval, and has to within 2 s.
 func (r *RelayController) interval() time.Duration {
-	if r.board.Keeps() {
+	if r.board.Keeps() || r.board.follows.Load() {
 		return askInterval
 	}
 	return otherAskInterval
