Turn a part of the jobs away while a process falls behind

Cause: a keeper with more work than processor serves all jobs late and then none.

Change: each process measures how late timers and yields of its own come, and finds by a proportional integral controller (RFC 8033) the part of jobs that it has to turn away for a mean lag of 10 ms. Heartbeats tell the part; homes leave a keeper out for as large a part of their jobs; a host refuses as large a part of its clients' jobs before it reads them, truly and with when to come back.

--- a/entry/pkg/cellhost/balance_test.go
+++ b/entry/pkg/cellhost/balance_test.go
@@ -25,7 +25,7 @@
 	for i := range sizes {
 		d.hosts[hostName(i)] = newClaimant(hostName(i), north)
 	}
-	var all []peer.Claim
+	all := make([]peer.Claim, 0, cells)
 	for index := range cells {
 		all = append(all, peer.Claim{Cell: peer.CellKey{Place: north, Index: index}, Of: cells, Epoch: 1})
 	}
--- a/entry/pkg/cellhost/board.go
+++ b/entry/pkg/cellhost/board.go
@@ -29,6 +29,7 @@
 	Ahead   time.Duration // this host's clock less the other's, at most the delay of one heartbeat too large
 	Timed   bool          // Ahead is known
 	Told    time.Time     // when its last heartbeat came; unlike Heard it does not move with a pause of this process
+	Shed    float64       // the part of the jobs that it has to turn away
 	Near    bool          // it and this host send each other heartbeats at the usual pace
 }
 
--- a/entry/pkg/cellhost/claims_test.go
+++ b/entry/pkg/cellhost/claims_test.go
@@ -26,6 +26,7 @@
 	*ClaimsController
 	clock *clockwork.FakeClock
 	view  *View
+	load  *fixedLoad
 }
 
 func newClaimant(name, place string) *claimant {
@@ -34,16 +35,17 @@
 	options := Options{Name: name, Place: place, Pulse: DefaultPulse, Suspect: DefaultSuspect}
 	board := NewBoard()
 	server := peer.NewServer()
+	load := &fixedLoad{}
 	client := peer.NewClient(nil)
 	queues := NewQueuesController(c, board, client, server)
-	members := NewMembersController(c, options, board, client, server, queues)
+	members := NewMembersController(c, options, board, client, server, queues, load)
 	directory := NewDirectoryController(c, board)
-	keeper := NewKeeperController(c, options, board, nil, server)
+	keeper := NewKeeperController(c, options, board, load, nil, server)
 	members.Observe(keeper)
 	members.known = clock.Now()
 	controller := NewClaimsController(c, options, board, keeper, directory, members)
 	controller.cells = map[string]int{north: 1}
-	return &claimant{ClaimsController: controller, clock: clock, view: &View{Hosts: map[string]Neighbour{}}}
+	return &claimant{ClaimsController: controller, clock: clock, view: &View{Hosts: map[string]Neighbour{}}, load: load}
 }
 
 // host shows a live host in the view.
--- a/entry/pkg/cellhost/home.go
+++ b/entry/pkg/cellhost/home.go
@@ -146,6 +146,11 @@
 	return ok
 }
 
+// Busy reports whether a job that comes now is to be turned away, as this process falls behind with the others.
+func (h *HomeController) Busy() bool {
+	return sheds(h.keeper.load.Shed())
+}
+
 // Open returns how many callers wait.
 func (h *HomeController) Open() int {
 	h.mu.Lock()
@@ -232,7 +237,7 @@
 func (h *HomeController) Spill(ctx context.Context, origin string, request *peer.RunRequest, mode peer.RunMode) (*peer.RunResponse, bool) {
 	others := slices.DeleteFunc(h.keepers(), func(other Neighbour) bool {
 		full := (mode == peer.RunNow || mode == peer.RunLate) && free(&other, request.Group) < len(request.Tasks)
-		return other.Name == h.options.Name || full
+		return other.Name == h.options.Name || full || other.Shed > 0
 	})
 	slices.SortFunc(others, func(a, b Neighbour) int {
 		return cmp.Compare(spare(&b, request.Group), spare(&a, request.Group))
--- a/entry/pkg/cellhost/keeper.go
+++ b/entry/pkg/cellhost/keeper.go
@@ -20,6 +20,7 @@
 	cellLate      = metrics.NewCounter(`chervilusher_cell_late_starts_total`)
 	cellStops     = metrics.NewCounter(`chervilusher_cell_stops_total`)
 	cellRunTimes  = metrics.NewHistogram(`chervilusher_cell_run_seconds`)
+	cellShed      = metrics.NewCounter(`chervilusher_cell_shed_total`)
 	cellFences    = metrics.NewCounter(`chervilusher_cell_fenced_total`)
 	cellStartTime = metrics.NewHistogram(`chervilusher_cell_start_call_seconds`)
 )
@@ -38,6 +39,7 @@
 	common  *common.Common
 	options Options
 	board   *Board
+	load    Shedder
 	workers WorkerClient
 
 	mu       sync.Mutex
@@ -55,11 +57,19 @@
 }
 
 // NewKeeperController returns a keeper without workers and adds its method to the server of peers.
-func NewKeeperController(c *common.Common, options Options, board *Board, workers WorkerClient, server *peer.Server) *KeeperController {
+func NewKeeperController(
+	c *common.Common,
+	options Options,
+	board *Board,
+	load Shedder,
+	workers WorkerClient,
+	server *peer.Server,
+) *KeeperController {
 	controller := &KeeperController{
 		common:  c.Prefixed("keeper"),
 		options: options,
 		board:   board,
+		load:    load,
 		workers: workers,
 		cell:    cell.New(cell.Limits{Lease: options.Lease}),
 		loops:   map[string]*workerLoop{},
@@ -108,6 +118,10 @@
 
 // Run runs a job and waits for its outcome; the end of the context cancels the job.
 func (k *KeeperController) Run(ctx context.Context, request *peer.RunRequest) (*peer.RunResponse, error) {
+	if k.load.Shed() >= 1 { // homes leave it out for smaller parts
+		cellShed.Inc()
+		return &peer.RunResponse{Declined: true, Reason: "the keeper falls behind"}, nil
+	}
 	job, reason := k.job(request)
 	if job != nil && !k.canEverRun(job) {
 		job, reason = nil, "no worker has room for a task of this size"
--- a/entry/pkg/cellhost/members.go
+++ b/entry/pkg/cellhost/members.go
@@ -51,6 +51,7 @@
 	client  *peer.Client
 	queues  *QueuesController
 	loads   LoadTeller
+	load    Shedder
 	gone    []LivesObserver
 	calls   CallObserver
 
@@ -82,6 +83,7 @@
 	client *peer.Client,
 	server *peer.Server,
 	queues *QueuesController,
+	load Shedder,
 ) *MembersController {
 	controller := &MembersController{
 		common:  c.Prefixed("members"),
@@ -89,6 +91,7 @@
 		board:   board,
 		client:  client,
 		queues:  queues,
+		load:    load,
 		told:    map[string]told{},
 		refused: map[string]bool{},
 		listed:  map[string]bool{},
@@ -329,6 +332,7 @@
 		Loads:       m.loads.Loads(),
 		Keeping:     m.loads.Keeping(),
 		Clock:       m.common.Clock.Now().UnixNano(),
+		Shed:        m.load.Shed(),
 	}
 	if table := m.board.Queues(); table != nil {
 		pulse.Queues = table.Version
@@ -385,11 +389,13 @@
 			neighbour.Timed = true
 			neighbour.Told = said.at
 			neighbour.Keeping = setOf(said.pulse.Keeping)
+			neighbour.Shed = said.pulse.Shed
 		}
 		if name == m.options.Name {
 			neighbour.Incarnation = m.common.Incarnation
 			neighbour.Claims = m.board.Claims()
 			neighbour.Leaving = m.board.Draining.Load()
+			neighbour.Shed = m.load.Shed()
 			neighbour.Timed = true
 		} else if neighbour.Near = m.isNear(&member); neighbour.Near && m.refused[name] && refusalTells {
 			gone++
--- a/entry/pkg/cellhost/route.go
+++ b/entry/pkg/cellhost/route.go
@@ -27,7 +27,7 @@
 func (r *route) run(ctx context.Context) *cell.Answer {
 	ctx, cancel := context.WithTimeout(ctx, r.submission.Deadline.Add(answerMargin).Sub(r.home.common.Clock.Now()))
 	defer cancel()
-	for _, keeper := range r.order(r.awaitKeepers(ctx)) {
+	for _, keeper := range r.order(r.punctual(r.awaitKeepers(ctx))) {
 		if answer := r.try(ctx, &keeper); answer != nil {
 			return answer
 		}
@@ -57,6 +57,17 @@
 	}
 }
 
+// punctual leaves keepers that fall behind out for as large a part of the jobs as they have to turn away.
+func (r *route) punctual(keepers []Neighbour) []Neighbour {
+	return slices.DeleteFunc(keepers, func(keeper Neighbour) bool {
+		shed := sheds(keeper.Shed)
+		if shed {
+			r.declined = "the keeper falls behind"
+		}
+		return shed
+	})
+}
+
 // order puts the keepers of this place first, each group by chance weighted with the room that the keepers told of, so that not all homes turn to the same one.
 func (r *route) order(keepers []Neighbour) []Neighbour {
 	keys := make(map[string]float64, len(keepers))
--- a/entry/pkg/cellhost/worker_loop_test.go
+++ b/entry/pkg/cellhost/worker_loop_test.go
@@ -88,7 +88,7 @@
 	c := &common.Common{Log: &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}, Clock: clock, Incarnation: "life"}
 	options := Options{Name: "a", Place: north, Lease: time.Second, Pulse: DefaultPulse, Suspect: DefaultSuspect}
 	worker := &scripted{holds: make(chan heldCall)}
-	keeper := NewKeeperController(c, options, NewBoard(), worker, peer.NewServer())
+	keeper := NewKeeperController(c, options, NewBoard(), &fixedLoad{}, worker, peer.NewServer())
 	known := &cell.Worker{ID: "w", Group: "desk", Capacity: cell.Room{Cores: 16_000, Memory: 1 << 20}}
 	loop := newWorkerLoop(keeper, known, 1000)
 	t.Cleanup(loop.cancel)
--- a/entry/pkg/peer/cell.go
+++ b/entry/pkg/peer/cell.go
@@ -38,6 +38,7 @@
 	Claims      []Claim     `json:"c,omitempty"`
 	Keeping     []string    `json:"k,omitempty"` // workers of other keepers that this one has not given up yet
 	Loads       []cell.Load `json:"o,omitempty"`
+	Shed        float64     `json:"g,omitempty"` // the part of jobs, from 0 to 1, that the sender has to turn away to be in time with the others
 }
 
 // RunTask is one task of a job.
