Allow for bursts of work before jobs are turned away

A host that has just started is late for some hundredths of a second, and the controller's damping, which answers a jump of lag at once, turned nearly all jobs of that moment away.

Change: the burst allowance of RFC 8033: nothing is turned away before the process was late for 150 ms. The part that the controller works out is kept beside the part that is told.

--- a/entry/pkg/cellhost/lag.go
+++ b/entry/pkg/cellhost/lag.go
@@ -25,6 +25,9 @@
 	// has risen by it since the last measurement: the proportional integral controller of RFC 8033.
 	shedRise    = 0.02
 	shedDamping = 0.2
+	// burstAllowance is how long a process may be late before it turns jobs away, as it is when it has just started or its
+	// memory is collected; RFC 8033 allows as much.
+	burstAllowance = 150 * time.Millisecond
 	// shedNoted is the part turned away from which on a line says so.
 	shedNoted = 0.05
 )
@@ -42,13 +45,15 @@
 type LagController struct {
 	common *common.Common
 	lag    time.Duration // the last one measured
+	part   float64       // that is to be turned away, but for bursts
+	burst  time.Duration // what is left of the allowance
 	shed   atomic.Uint64 // bits of the part that is turned away
 	noted  bool
 }
 
 // NewLagController returns a controller that has measured nothing yet.
 func NewLagController(c *common.Common) *LagController {
-	return &LagController{common: c.Prefixed("lag")}
+	return &LagController{common: c.Prefixed("lag"), burst: burstAllowance}
 }
 
 // Shed returns the part of the jobs that is to be turned away.
@@ -77,13 +82,27 @@
 	lagTimes.Update(late.Seconds())
 	off := float64(late-lagTarget) / float64(lagTarget)
 	rise := float64(late-l.lag) / float64(lagTarget)
+	isCalm := l.part == 0 && late < lagTarget/2 && l.lag < lagTarget/2
 	l.lag = late
-	shed := min(max(0, l.Shed()+shedRise*off+shedDamping*rise), 1)
+	l.part = min(max(0, l.part+shedRise*off+shedDamping*rise), 1)
+	if isCalm {
+		l.burst = burstAllowance
+	} else {
+		l.burst = max(0, l.burst-lagInterval)
+	}
+	shed := 0.0
+	if l.burst == 0 {
+		shed = l.part
+	}
 	l.shed.Store(math.Float64bits(shed))
+	l.note(shed)
+}
+
+func (l *LagController) note(shed float64) {
 	switch {
 	case !l.noted && shed > shedNoted:
 		l.noted = true
-		l.common.Log.WithField("lag", late.String()).WithField("shed", shed).Warn("this process falls behind")
+		l.common.Log.WithField("lag", l.lag.String()).WithField("shed", shed).Warn("this process falls behind")
 	case l.noted && shed == 0:
 		l.noted = false
 		l.common.Log.Info("this process has caught up")
--- a/entry/pkg/cellhost/lag_test.go
+++ b/entry/pkg/cellhost/lag_test.go
@@ -39,6 +39,20 @@
 	require.Less(t, lag.Shed(), 0.1, "after a pause the process is on time again")
 }
 
+// TestShortBurstsOfWorkTurnNobodyAway has a process be late for a moment now and then, as after its start.
+func TestShortBurstsOfWorkTurnNobodyAway(t *testing.T) {
+	lag := NewLagController(newClaimant("a", north).common)
+	for range 10 {
+		for range 6 {
+			lag.measured(5 * lagTarget)
+			require.Zero(t, lag.Shed())
+		}
+		for range 40 {
+			lag.measured(0)
+		}
+	}
+}
+
 // TestSaturatedKeeperDeclinesAtOnce has a keeper be offered more than its processor carries: it takes no job that it could
 // not see to, so that it stays in touch with the homes of those that it has.
 func TestSaturatedKeeperDeclinesAtOnce(t *testing.T) {
--- a/entry/pkg/cellhost/saturation_test.go
+++ b/entry/pkg/cellhost/saturation_test.go
@@ -62,7 +62,7 @@
 
 // offer has a job come.
 func (p *processor) offer(at time.Duration) {
-	if p.sheds && sheds(p.lag.Shed()) {
+	if p.sheds && p.random.Float64() < p.lag.Shed() {
 		p.work = append(p.work, work{came: at, cost: refusalCost})
 		return
 	}
@@ -71,7 +71,7 @@
 
 // goodput returns the part of the processor's time that went into jobs which ended in time, at an offered load.
 func goodput(load float64, sheds bool) float64 {
-	const length = 20 * time.Second
+	const length = time.Minute
 	p := &processor{random: rand.New(rand.NewPCG(1, 1)), lag: NewLagController(newClaimant("a", north).common), sheds: sheds}
 	next, probe := time.Duration(0), time.Duration(0)
 	for at := time.Duration(0); at < length; at += 100 * time.Microsecond {
