Tell the shedder of jobs from the teller of loads by name

Cause: the members controller had loads and load, of which one tells what a keeper has room for and the other which part of the jobs it turns away.

--- a/entry/pkg/cellhost/home.go
+++ b/entry/pkg/cellhost/home.go
@@ -148,7 +148,7 @@
 
 // Busy reports whether a job that comes now is to be turned away, as this process falls behind with the others.
 func (h *HomeController) Busy() bool {
-	return sheds(h.keeper.load.Shed())
+	return sheds(h.keeper.shedder.Shed())
 }
 
 // Open returns how many callers wait.
--- a/entry/pkg/cellhost/keeper.go
+++ b/entry/pkg/cellhost/keeper.go
@@ -39,7 +39,7 @@
 	common  *common.Common
 	options Options
 	board   *Board
-	load    Shedder
+	shedder Shedder
 	workers WorkerClient
 
 	mu       sync.Mutex
@@ -61,7 +61,7 @@
 	c *common.Common,
 	options Options,
 	board *Board,
-	load Shedder,
+	shedder Shedder,
 	workers WorkerClient,
 	server *peer.Server,
 ) *KeeperController {
@@ -69,7 +69,7 @@
 		common:  c.Prefixed("keeper"),
 		options: options,
 		board:   board,
-		load:    load,
+		shedder: shedder,
 		workers: workers,
 		cell:    cell.New(cell.Limits{Lease: options.Lease}),
 		loops:   map[string]*workerLoop{},
@@ -118,7 +118,7 @@
 
 // Run runs a job and waits for its outcome; the end of the context cancels the job.
 func (k *KeeperController) Run(ctx context.Context, request *peer.RunRequest) (*peer.RunResponse, error) {
-	if k.load.Shed() >= 1 { // homes leave it out for smaller parts
+	if k.shedder.Shed() >= 1 { // homes leave it out for smaller parts
 		cellShed.Inc()
 		return &peer.RunResponse{Declined: true, Reason: "the keeper falls behind"}, nil
 	}
--- a/entry/pkg/cellhost/lag_test.go
+++ b/entry/pkg/cellhost/lag_test.go
@@ -81,7 +81,7 @@
 		view.Hosts[name] = busy
 	}
 	setShed("a")
-	own.load = &fixedLoad{part: 1}
+	own.shedder = &fixedLoad{part: 1}
 	require.Equal(t, cell.Completed, home.Serve(t.Context(), submissionOf(home.common.Clock)).Outcome)
 	require.Equal(t, 1, asked)
 	setShed("b")
--- a/entry/pkg/cellhost/members.go
+++ b/entry/pkg/cellhost/members.go
@@ -51,7 +51,7 @@
 	client  *peer.Client
 	queues  *QueuesController
 	loads   LoadTeller
-	load    Shedder
+	shedder Shedder
 	gone    []LivesObserver
 	calls   CallObserver
 
@@ -83,7 +83,7 @@
 	client *peer.Client,
 	server *peer.Server,
 	queues *QueuesController,
-	load Shedder,
+	shedder Shedder,
 ) *MembersController {
 	controller := &MembersController{
 		common:  c.Prefixed("members"),
@@ -91,7 +91,7 @@
 		board:   board,
 		client:  client,
 		queues:  queues,
-		load:    load,
+		shedder: shedder,
 		told:    map[string]told{},
 		refused: map[string]bool{},
 		listed:  map[string]bool{},
@@ -332,7 +332,7 @@
 		Loads:       m.loads.Loads(),
 		Keeping:     m.loads.Keeping(),
 		Clock:       m.common.Clock.Now().UnixNano(),
-		Shed:        m.load.Shed(),
+		Shed:        m.shedder.Shed(),
 	}
 	if table := m.board.Queues(); table != nil {
 		pulse.Queues = table.Version
@@ -395,7 +395,7 @@
 			neighbour.Incarnation = m.common.Incarnation
 			neighbour.Claims = m.board.Claims()
 			neighbour.Leaving = m.board.Draining.Load()
-			neighbour.Shed = m.load.Shed()
+			neighbour.Shed = m.shedder.Shed()
 			neighbour.Timed = true
 		} else if neighbour.Near = m.isNear(&member); neighbour.Near && m.refused[name] && refusalTells {
 			gone++
