Keep failure domains evacuated that the operator evacuates

Change: the adapter translates the key of an evacuation; the product holds the evacuated failure domains with the position of the operator's log that they were read at, and passes them on in heartbeats, so that an older view undoes neither the start nor the end. Cells give evacuated workers no new jobs, refuse what waits for them alone, and let started jobs start their other tasks for one second; homes pass over keepers of evacuated cells, refuse at once when all are evacuated, and hear the keepers elsewhere twice as often, at a cost that does not grow with the fleet.

Ruled out: a separate fetch between peers, as for queues: the names are a few bytes, and the heartbeat goes anyway. Taking the workers as leaving: started jobs would lose their last tasks.

Tests: cell and cellhost decisions, randomised evacuations, hosts with the stand-ins (lost history, a store that turns a host away, a start in an outage).

--- a/entry/pkg/cell/assign.go
+++ b/entry/pkg/cell/assign.go
@@ -78,7 +78,7 @@
 			continue
 		}
 		for _, worker := range c.ordered {
-			if worker.Group == job.Group && worker.usable(now) && worker.free().Fits(task.Demand) {
+			if worker.Group == job.Group && worker.usableFor(job, now) && worker.free().Fits(task.Demand) {
 				return true
 			}
 		}
@@ -141,6 +141,7 @@
 	invariant.Check(worker.free().Fits(task.Demand), "room_holds", "worker %s", worker.ID)
 	if !task.Job.Started() {
 		task.Job.Diagnostics.QueueingDelay = now.Sub(task.Job.Arrived)
+		task.Job.startedAt = now
 	}
 	task.runs++
 	task.state = Started
@@ -158,14 +159,15 @@
 	return Start{Run: run, Lease: lease}
 }
 
-// CanEverRun reports whether each task fits the capacity of some held or joining worker of the group.
+// CanEverRun reports whether each task fits the capacity of some held or joining worker of the group that is not
+// evacuated.
 func (c *Cell) CanEverRun(job *Job) bool {
 	for i, task := range job.Tasks {
 		if i > 0 && task.Demand == job.Tasks[i-1].Demand {
 			continue
 		}
 		if !slices.ContainsFunc(c.ordered, func(worker *Worker) bool {
-			return worker.Group == job.Group && worker.isHeldOrJoining() && worker.Capacity.Fits(task.Demand)
+			return worker.Group == job.Group && worker.isExpected() && worker.Capacity.Fits(task.Demand)
 		}) {
 			return false
 		}
--- a/entry/pkg/cell/cell.go
+++ b/entry/pkg/cell/cell.go
@@ -23,6 +23,7 @@
 	speeds         speeds
 	demands        map[string]*meanDemand // by group
 	suspectedHomes map[string]bool        // homes whose heartbeats are missing
+	evacuatedSince map[string]time.Time   // by evacuated failure domain
 	nextSeq        int64
 }
 
@@ -74,6 +75,7 @@
 		byID:           map[string]*Job{},
 		demands:        map[string]*meanDemand{},
 		suspectedHomes: map[string]bool{},
+		evacuatedSince: map[string]time.Time{},
 	}
 }
 
@@ -86,7 +88,7 @@
 	c.observeDemand(job)
 	c.replace(job, now, &effects)
 	if !c.CanEverRun(job) {
-		c.giveUp(job, "no worker has room for a task of this size", now, &effects)
+		c.giveUp(job, c.UnfitReason(job), now, &effects)
 		return effects
 	}
 	c.waiting = append(c.waiting, job)
@@ -177,6 +179,7 @@
 			c.giveUp(job, "the deadline passed", now, &effects)
 		}
 	}
+	c.giveUpEvacuated(now, &effects)
 	c.assign(now, &effects)
 	return effects
 }
--- a/entry/pkg/cell/job.go
+++ b/entry/pkg/cell/job.go
@@ -34,8 +34,9 @@
 	Tasks           []*Task
 	Diagnostics     Diagnostics
 
-	predecessor *Job // earlier job of the same identifier; this one waits until no run of it is left
-	began       bool // the predecessor has been started
+	predecessor *Job      // earlier job of the same identifier; this one waits until no run of it is left
+	began       bool      // the predecessor has been started
+	startedAt   time.Time // when the first start was sent
 	answer      *Answer
 	seq         int64
 }
--- a/entry/pkg/cell/late.go
+++ b/entry/pkg/cell/late.go
@@ -39,7 +39,7 @@
 	for _, task := range job.Tasks {
 		var best choice
 		for _, worker := range c.ordered {
-			if worker.Group != job.Group || !worker.usable(now) || !worker.free().Minus(used[worker]).Fits(task.Demand) {
+			if worker.Group != job.Group || !worker.usableFor(job, now) || !worker.free().Minus(used[worker]).Fits(task.Demand) {
 				continue
 			}
 			best.offer(worker, c.speeds.expected(task, worker).Seconds())
--- a/entry/pkg/cell/predict.go
+++ b/entry/pkg/cell/predict.go
@@ -34,9 +34,9 @@
 		}
 		freeAt := now
 		switch {
-		case worker.joining && !worker.Leaving:
+		case worker.joining && !worker.Leaving && !worker.evacuated():
 			freeAt = now.Add(joinDelay)
-		case !worker.usable(now):
+		case !worker.usableFor(job, now):
 			continue
 		}
 		slots := min(worker.free().Slots(demand), tasks)
@@ -139,7 +139,7 @@
 func (c *Cell) extendObjective(job *Job) {
 	slots := 0
 	for _, worker := range c.ordered {
-		if worker.Group == job.Group && worker.isHeldOrJoining() {
+		if worker.Group == job.Group && worker.isExpected() {
 			slots += worker.Capacity.Slots(job.Tasks[0].Demand)
 		}
 	}
--- a/entry/pkg/cell/randomised_test.go
+++ b/entry/pkg/cell/randomised_test.go
@@ -8,13 +8,15 @@
 	"pgregory.net/rapid"
 )
 
-// TestRandomisedSteps drives a cell through workers that become unresponsive, restart, hang, fail and lose answers.
-// Each start is checked: no worker exceeds its capacity, no task runs twice at once, and nothing of a refused job has
-// run. At the end every job must have its answer and all resources must be free.
+// TestRandomisedSteps drives a cell through workers that become unresponsive, restart, hang, fail, lose answers and are
+// evacuated. Each start is checked: no worker exceeds its capacity, no task runs twice at once, nothing of a refused
+// job has run, and evacuated workers get no new jobs. At the end every job must have its answer and all resources must be free.
 func TestRandomisedSteps(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		h := newHarness(t)
-		h.addWorkers(rapid.IntRange(1, 4).Draw(t, "workers"), 16, rapid.SampledFrom([]float64{0.6, 1, 1.7}).Draw(t, "speed"))
+		for _, h.domain = range []string{"east", "west"} {
+			h.addWorkers(rapid.IntRange(1, 3).Draw(t, "workers"), 16, rapid.SampledFrom([]float64{0.6, 1, 1.7}).Draw(t, "speed"))
+		}
 		for _, sim := range h.workers {
 			sim.drift = rapid.SampledFrom([]float64{0.98, 1, 1.02}).Draw(t, "drift")
 		}
@@ -43,7 +45,7 @@
 func (h *harness) step(t *rapid.T) {
 	id := fmt.Sprintf("w%02d", rapid.IntRange(0, len(h.workers)-1).Draw(t, "worker"))
 	sim := h.workers[id]
-	switch rapid.IntRange(0, 9).Draw(t, "step") {
+	switch rapid.IntRange(0, 10).Draw(t, "step") {
 	case 0:
 		sim.unresponsive = !sim.unresponsive
 	case 1:
@@ -63,6 +65,8 @@
 			h.submit(h.jobNamed(name+"x", 1, 5, 80*time.Millisecond, 200*time.Millisecond, longDeadline))
 			h.submit(h.jobNamed(name+"x", 1, 5, 80*time.Millisecond, 200*time.Millisecond, longDeadline))
 		}
+	case 6:
+		h.evacuate(rapid.SampledFrom([][]string{nil, {"east"}, {"west"}, {"east", "west"}}).Draw(t, "evacuated")...)
 	default:
 		tasks := rapid.IntRange(1, 6).Draw(t, "tasks")
 		estimate := time.Duration(rapid.IntRange(10, 800).Draw(t, "estimate")) * time.Millisecond
--- a/entry/pkg/cell/select_worker.go
+++ b/entry/pkg/cell/select_worker.go
@@ -23,7 +23,7 @@
 	fastest := time.Duration(math.MaxInt64)
 	length := c.speeds.length(task)
 	for _, worker := range c.ordered {
-		if worker.Group != task.Job.Group || !worker.usable(now) {
+		if worker.Group != task.Job.Group || !worker.usableFor(task.Job, now) {
 			continue
 		}
 		slowness := c.speeds.slowness(worker)
--- a/entry/pkg/cell/shortage.go
+++ b/entry/pkg/cell/shortage.go
@@ -20,6 +20,7 @@
 	reasonUnconfirmedStart UnusableReason = "unsure start"
 	reasonFailing          UnusableReason = "failing" // or hanging
 	reasonHomeSuspected    UnusableReason = "home unheard"
+	reasonEvacuated        UnusableReason = "evacuated"
 )
 
 // Shortage describes the state of a group's workers when a job was refused.
--- a/entry/pkg/cell/sim_test.go
+++ b/entry/pkg/cell/sim_test.go
@@ -145,6 +145,10 @@
 	tokens      map[string]int64     // the keeper's fencing token for each worker
 	fenced      map[string]time.Time // since when another keeper holds the worker
 	unreachable bool                 // calls of the keeper do not reach the workers
+
+	domain      string               // failure domain of workers that are added
+	evacuated   map[string]time.Time // since when, by failure domain
+	firstStarts map[*Job]time.Time
 }
 
 // lateStart is a start whose answer was lost and that takes effect later.
@@ -178,6 +182,7 @@
 		workerScript: func(string) (bool, bool) { return false, false },
 		tokens:       map[string]int64{},
 		fenced:       map[string]time.Time{},
+		firstStarts:  map[*Job]time.Time{},
 	}
 }
 
@@ -187,7 +192,7 @@
 		id := fmt.Sprintf("w%02d", len(h.workers))
 		capacity := Resources{Cores: cores * 1000, Memory: 1 << 20}
 		h.workers[id] = newSimWorker(capacity, speed, 1, h.now)
-		h.cell.Add(&Worker{ID: id, Kind: fmt.Sprint(speed), Group: "desk", Capacity: capacity})
+		h.cell.Add(&Worker{ID: id, FailureDomain: h.domain, Kind: fmt.Sprint(speed), Group: "desk", Capacity: capacity})
 		h.hold(id)
 	}
 }
@@ -216,6 +221,21 @@
 	h.applyEffects(&effects)
 }
 
+// evacuate sets the evacuated failure domains.
+func (h *harness) evacuate(domains ...string) {
+	before := h.evacuated
+	h.evacuated = map[string]time.Time{}
+	for _, domain := range domains {
+		since, known := before[domain]
+		if !known {
+			since = h.now
+		}
+		h.evacuated[domain] = since
+	}
+	effects := h.cell.SetEvacuated(domains, h.now)
+	h.applyEffects(&effects)
+}
+
 // job returns a job of equal tasks.
 func (h *harness) job(tasks int, cores int64, estimate, objective, deadline time.Duration) *Job {
 	h.jobs++
@@ -294,6 +314,14 @@
 func (h *harness) start(start Start) {
 	run := start.Run
 	sim := h.workers[run.Worker.ID]
+	if since, evacuated := h.evacuated[run.Worker.FailureDomain]; evacuated {
+		require.Less(h.t, h.now.Sub(since), evacuationGrace, "task %s starts on evacuated worker %s", run.Task.Name, run.Worker.ID)
+		began, known := h.firstStarts[run.Task.Job]
+		require.True(h.t, known && !began.After(since), "job %s begins on evacuated worker %s", run.Task.Job.ID, run.Worker.ID)
+	}
+	if _, known := h.firstStarts[run.Task.Job]; !known {
+		h.firstStarts[run.Task.Job] = h.now
+	}
 	_, _, lost := h.script(run.Task.Name, run.Number)
 	var effects Effects
 	if lost || !h.isReachable(sim) {
--- a/entry/pkg/cell/worker.go
+++ b/entry/pkg/cell/worker.go
@@ -28,6 +28,7 @@
 	slowness       average // run time over the estimate, adjusted for the queue's mean
 	health         health
 	suspectedHomes map[string]bool // shared with the cell
+	evacuatedSince time.Time       // zero unless its failure domain is evacuated
 }
 
 type runKey struct {
@@ -150,14 +151,17 @@
 		return reasonFailing
 	case w.hasSuspectedHome():
 		return reasonHomeSuspected
+	case w.evacuated(): // last, since usableFor makes an exception to it
+		return reasonEvacuated
 	default:
 		return reasonNone
 	}
 }
 
-// isHeldOrJoining reports whether the keeper holds the worker or awaits its first report.
-func (w *Worker) isHeldOrJoining() bool {
-	return w.held || w.joining
+// isExpected reports whether the worker is to take new jobs: it is not evacuated, and the keeper holds it or awaits its
+// first report.
+func (w *Worker) isExpected() bool {
+	return (w.held || w.joining) && !w.evacuated()
 }
 
 // hasSuspectedHome reports whether a job of a suspected home runs on the worker. The lease covers the whole worker, so
--- a/entry/pkg/cell/workers.go
+++ b/entry/pkg/cell/workers.go
@@ -13,6 +13,7 @@
 	worker.runs = map[runKey]*Run{}
 	worker.unknownRuns = map[runKey]struct{}{}
 	worker.suspectedHomes = c.suspectedHomes
+	worker.evacuatedSince = c.evacuatedSince[worker.FailureDomain]
 	worker.joining = true
 	if before, ok := c.workers[worker.ID]; ok {
 		c.unlist(before)
--- a/entry/pkg/cellhost/board.go
+++ b/entry/pkg/cellhost/board.go
@@ -18,6 +18,8 @@
 	view     atomic.Pointer[View]
 	workers  atomic.Pointer[map[string]peer.WorkerInfo]
 	claims   atomic.Pointer[[]peer.Claim]
+
+	evacuations atomic.Pointer[peer.Evacuations]
 }
 
 // PeerState is a host as its heartbeats describe it.
@@ -46,6 +48,16 @@
 	return len(n.Claims) > 0
 }
 
+// keepsOpenCell reports whether the host keeps a cell that is not evacuated.
+func (n *PeerState) keepsOpenCell(evacuations *peer.Evacuations) bool {
+	for _, claim := range n.Claims {
+		if !evacuations.Covers(claim.Cell.FailureDomain) {
+			return true
+		}
+	}
+	return false
+}
+
 // WithoutHeartbeatSince returns the heartbeat peers whose last heartbeat arrived before the given time.
 func (v *View) WithoutHeartbeatSince(since time.Time) []string {
 	var unheard []string
@@ -72,6 +84,7 @@
 	board.view.Store(&View{})
 	board.workers.Store(&map[string]peer.WorkerInfo{})
 	board.claims.Store(&[]peer.Claim{})
+	board.evacuations.Store(&peer.Evacuations{})
 	return board
 }
 
@@ -95,6 +108,11 @@
 	return *b.claims.Load()
 }
 
+// Evacuations returns the failure domains that are evacuated.
+func (b *Board) Evacuations() *peer.Evacuations {
+	return b.evacuations.Load()
+}
+
 // outranks reports whether the first host's claim of a cell takes precedence: a host of the cell's own failure domain
 // precedes others, and a later claim an earlier one.
 func (v *View) outranks(first string, firstClaim peer.Claim, second string, secondClaim peer.Claim) bool {
--- a/entry/pkg/cellhost/claims_test.go
+++ b/entry/pkg/cellhost/claims_test.go
@@ -38,7 +38,7 @@
 	load := &fixedShedder{}
 	client := peer.NewClient(nil)
 	queues := NewQueuesController(c, board, client, server)
-	members := NewMembersController(c, options, board, client, server, queues, load)
+	members := NewMembersController(c, options, board, client, server, queues, NewEvacuationController(c, board), load)
 	directory := NewDirectoryController(c, board)
 	keeper := NewKeeperController(c, options, board, load, nil, server)
 	members.SetObservers(keeper)
--- a/entry/pkg/cellhost/home.go
+++ b/entry/pkg/cellhost/home.go
@@ -22,6 +22,8 @@
 	callerDelay = 8 * time.Millisecond
 	// noKeeperRetry is the retry delay while no keeper is known; another host takes over from a failed one within it.
 	noKeeperRetry = time.Second
+	// evacuatedRetry is the retry delay while all failure domains are evacuated, which lasts until the operator ends it.
+	evacuatedRetry = 5 * time.Second
 	// keeperGrace is how long after the start, or after the loss of the last keeper, a job may wait for one; another
 	// host takes over from a failed one within it.
 	keeperGrace = time.Second
@@ -260,6 +262,21 @@
 	return nil, false
 }
 
+// isEverythingEvacuated reports whether no failure domain is left that takes new tasks.
+func (h *HomeController) isEverythingEvacuated() bool {
+	evacuations := h.board.Evacuations()
+	if len(evacuations.Domains) == 0 {
+		return false
+	}
+	view := h.board.View()
+	for name := range view.Hosts {
+		if !evacuations.Covers(view.Hosts[name].FailureDomain) {
+			return false
+		}
+	}
+	return true
+}
+
 // isKeeperExpected reports whether a keeper is expected soon while none is known.
 func (h *HomeController) isKeeperExpected(known int) bool {
 	h.mu.Lock()
@@ -275,14 +292,14 @@
 	return now.Sub(h.noKeeperSince) < keeperGrace
 }
 
-// keepers returns the live keepers whose heartbeats this host receives, including leaving ones, which still have free
-// slots.
+// keepers returns the live keepers with a cell that is not evacuated whose heartbeats this host receives, including
+// leaving ones, which still have free slots.
 func (h *HomeController) keepers() []PeerState {
-	view := h.board.View()
+	view, evacuations := h.board.View(), h.board.Evacuations()
 	var found []PeerState
 	for name := range view.Hosts {
 		state := view.Hosts[name]
-		if state.Alive && state.IsKeeper() && state.ClockKnown {
+		if state.Alive && state.ClockKnown && state.keepsOpenCell(evacuations) {
 			found = append(found, state)
 		}
 	}
--- a/entry/pkg/cellhost/keeper.go
+++ b/entry/pkg/cellhost/keeper.go
@@ -123,8 +123,10 @@
 		return &peer.RunResponse{Declined: true, Reason: "the keeper falls behind"}, nil
 	}
 	job, reason := k.newJob(request)
-	if job != nil && !k.canEverRun(job) {
-		job, reason = nil, "no worker has room for a task of this size"
+	if job != nil {
+		if unfit := k.unfitReason(job); unfit != "" {
+			job, reason = nil, unfit
+		}
 	}
 	if job == nil {
 		k.common.Log.WithField("job", request.ID).WithField("home", request.Home).WithField("reason", reason).Warn("job declined")
@@ -193,11 +195,20 @@
 	return k.awaitAnswer(ctx, job, answers)
 }
 
-// canEverRun reports whether each task of the job fits a worker of this host; a worker of another keeper may still fit.
-func (k *KeeperController) canEverRun(job *cell.Job) bool {
+// unfitReason returns why no worker of this host could ever run the job, or ""; a worker of another keeper may still
+// fit.
+func (k *KeeperController) unfitReason(job *cell.Job) string {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.cell.CanEverRun(job)
+	if k.cell.CanEverRun(job) {
+		return ""
+	}
+	return k.cell.UnfitReason(job)
+}
+
+// SetEvacuated sets the failure domains whose workers get no new jobs.
+func (k *KeeperController) SetEvacuated(domains []string) {
+	k.apply(func(now time.Time) cell.Effects { return k.cell.SetEvacuated(domains, now) })
 }
 
 // awaitAnswer waits for the job's answer; the end of the context cancels the job.
--- a/entry/pkg/cellhost/members.go
+++ b/entry/pkg/cellhost/members.go
@@ -50,6 +50,7 @@
 	board            *Board
 	client           *peer.Client
 	queues           *QueuesController
+	evacuations      *EvacuationController
 	loads            LoadReporter
 	shedder          Shedder
 	failureObservers []FailureObserver
@@ -83,6 +84,7 @@
 	client *peer.Client,
 	server *peer.Server,
 	queues *QueuesController,
+	evacuations *EvacuationController,
 	shedder Shedder,
 ) *MembersController {
 	controller := &MembersController{
@@ -91,6 +93,7 @@
 		board:         board,
 		client:        client,
 		queues:        queues,
+		evacuations:   evacuations,
 		shedder:       shedder,
 		heartbeats:    map[string]receivedHeartbeat{},
 		refused:       map[string]bool{},
@@ -192,8 +195,9 @@
 // heartbeatTargets returns the hosts to call now: the heartbeat peers whose calls this host initiates, or all
 // heartbeat peers, and at the slow interval one random other host.
 func (m *MembersController) heartbeatTargets(all bool) []PeerState {
-	slow := !all && m.ticks%int(slowHeartbeatInterval/DefaultHeartbeatInterval) == 0
 	view := m.board.View()
+	evacuated := m.board.Evacuations().Covers(m.options.FailureDomain)
+	slow := !all && (evacuated || m.ticks%int(slowHeartbeatInterval/DefaultHeartbeatInterval) == 0)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var targets, others []PeerState
@@ -206,12 +210,29 @@
 			targets = append(targets, state)
 		}
 	}
+	if evacuated { // jobs go to the keepers of other failure domains, whose load is to be known
+		others = m.preferKeepers(others)
+	}
 	if slow && len(others) > 0 {
 		targets = append(targets, others[rand.IntN(len(others))])
 	}
 	return targets
 }
 
+// preferKeepers returns the hosts that keep a cell or, if there is none, all of them.
+func (m *MembersController) preferKeepers(hosts []PeerState) []PeerState {
+	var keepers []PeerState
+	for i := range hosts {
+		if hosts[i].IsKeeper() || m.listedKeepers[hosts[i].Name] {
+			keepers = append(keepers, hosts[i])
+		}
+	}
+	if len(keepers) == 0 {
+		return hosts
+	}
+	return keepers
+}
+
 // isHeartbeatPeer reports whether the host and this one exchange heartbeats at the full rate: all hosts of a small
 // fleet, and otherwise keepers with each other and with the hosts of their failure domain. A host without a heartbeat
 // for longer than forgetPeerAfter is called at the slow interval only. The caller holds the lock.
@@ -296,6 +317,7 @@
 // handleHeartbeat processes a heartbeat. The view is rebuilt at once if the heartbeat changes a state that others act
 // on, and otherwise after viewInterval only, since its cost grows with the number of hosts.
 func (m *MembersController) handleHeartbeat(heartbeat *peer.Heartbeat) {
+	m.evacuations.ApplyFromPeer(heartbeat.Evacuations, heartbeat.Name)
 	if m.recordHeartbeat(heartbeat) {
 		m.publish()
 	}
@@ -334,6 +356,7 @@
 		Claims:            m.board.Claims(),
 		Loads:             m.loads.Loads(),
 		UnreleasedWorkers: m.loads.UnreleasedWorkers(),
+		Evacuations:       m.board.Evacuations(),
 		Clock:             m.common.Clock.Now().UnixNano(),
 		ShedFraction:      m.shedder.Shed(),
 	}
--- a/entry/pkg/cellhost/route.go
+++ b/entry/pkg/cellhost/route.go
@@ -19,8 +19,9 @@
 	home          *HomeController
 	submission    *Submission
 	request       *peer.RunRequest
-	tried         []string // keepers that were asked
-	declineReason string   // why the last keeper declined or was skipped
+	tried         []string      // keepers that were asked
+	declineReason string        // why the last keeper declined or was skipped
+	retryAfter    time.Duration // delay before the caller should retry if no keeper takes the job
 }
 
 // run offers the job to the keepers of this failure domain, and then to those of other ones.
@@ -36,7 +37,7 @@
 	if r.declineReason != "" {
 		reason += ": " + r.declineReason
 	}
-	return &cell.Answer{Outcome: cell.Refused, Reason: reason, RetryAfter: noKeeperRetry}
+	return &cell.Answer{Outcome: cell.Refused, Reason: reason, RetryAfter: max(noKeeperRetry, r.retryAfter)}
 }
 
 // awaitKeepers returns the known keepers. If there is none but one is expected soon, it waits as long as the job could
@@ -45,6 +46,11 @@
 	clock := r.home.common.Clock
 	for {
 		keepers := r.home.keepers()
+		if len(keepers) == 0 && r.home.isEverythingEvacuated() {
+			r.declineReason = "all failure domains are evacuated"
+			r.retryAfter = evacuatedRetry
+			return nil
+		}
 		due := r.home.isKeeperExpected(len(keepers))
 		if !due || clock.Now().Add(r.submission.longestEstimate()).After(time.Unix(0, r.request.Objective)) {
 			return keepers
--- a/entry/pkg/peer/cell.go
+++ b/entry/pkg/peer/cell.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"slices"
+
 	"chervilusher.dev/entry/pkg/cell"
 	"chervilusher.dev/entry/pkg/queues"
 )
@@ -27,6 +29,17 @@
 	Epoch     int64   `json:"e"` // increases with each claim of the cell
 }
 
+// Evacuations names the failure domains whose workers get no new tasks until the operator takes them back.
+type Evacuations struct {
+	Position int64    `json:"p"` // up to which the operator's log is known; the higher one is in force
+	Domains  []string `json:"d,omitempty"`
+}
+
+// Covers reports whether the failure domain is evacuated.
+func (e *Evacuations) Covers(domain string) bool {
+	return slices.Contains(e.Domains, domain)
+}
+
 // Heartbeat is exchanged between the hosts of cells; request and response carry the same fields.
 type Heartbeat struct {
 	Name        string `json:"n"`
@@ -34,11 +47,12 @@
 	Incarnation string `json:"i"`
 	Leaving     bool   `json:"l,omitempty"`
 	// Clock is that of the sender, in nanoseconds; it keeps running while the process is suspended.
-	Clock             int64       `json:"t"`
-	QueuesVersion     int64       `json:"q"` // version of the active queues
-	Claims            []Claim     `json:"c,omitempty"`
-	UnreleasedWorkers []string    `json:"k,omitempty"` // workers of other keepers that the sender has not released yet
-	Loads             []cell.Load `json:"o,omitempty"`
+	Clock             int64        `json:"t"`
+	QueuesVersion     int64        `json:"q"` // version of the active queues
+	Evacuations       *Evacuations `json:"v,omitempty"`
+	Claims            []Claim      `json:"c,omitempty"`
+	UnreleasedWorkers []string     `json:"k,omitempty"` // workers of other keepers that the sender has not released yet
+	Loads             []cell.Load  `json:"o,omitempty"`
 	// ShedFraction is the part of jobs, from 0 to 1, that the sender has to shed to finish the others in time.
 	ShedFraction float64 `json:"g,omitempty"`
 }
--- a/standin/pkg/runner/ledger.go
+++ b/standin/pkg/runner/ledger.go
@@ -12,12 +12,13 @@
 	mu       sync.Mutex
 	running  map[string]map[string]int // runs of a task, by the runner
 	starts   map[string]int            // by job
+	startsAt map[string]int            // by runner
 	breaches []string
 }
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{running: map[string]map[string]int{}, starts: map[string]int{}}
+	return &Ledger{running: map[string]map[string]int{}, starts: map[string]int{}, startsAt: map[string]int{}}
 }
 
 func (l *Ledger) begin(runner, job, task string, run int, at time.Time) {
@@ -31,6 +32,7 @@
 	}
 	l.running[task][runner] = run
 	l.starts[job]++
+	l.startsAt[runner]++
 }
 
 func (l *Ledger) end(runner, task string) {
@@ -62,6 +64,13 @@
 	return l.starts[job]
 }
 
+// StartsAt returns how many tasks have begun at a runner.
+func (l *Ledger) StartsAt(runner string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.startsAt[runner]
+}
+
 // Running returns how many tasks run.
 func (l *Ledger) Running() int {
 	l.mu.Lock()
