Evacuate failure domains through the operators' API and the command line

Cause: the product's own interface could not close a failure domain; an operator had to publish every document anew.

Change: a record of the configuration stream evacuates a failure domain or takes it back. PUT and DELETE of /v1/evacuations/{domain} take the host's own operator token, `evacuate`, `takeback` and `status evacuations` use them. The slots of evacuated back ends are closed, what waits for them alone is refused at once. Logs and a metric, the same in both programs.

Ruled out: a field of each owner's document, since an evacuation concerns all owners and would race with their changes.

--- a/cli/pkg/app/app.go
+++ b/cli/pkg/app/app.go
@@ -80,6 +80,10 @@
 		return a.config(ctx, parsed.Config)
 	case parsed.Status != nil:
 		return a.status(ctx, parsed.Status)
+	case parsed.Evacuate != nil:
+		return a.evacuate(ctx, parsed.Evacuate, true)
+	case parsed.Takeback != nil:
+		return a.evacuate(ctx, parsed.Takeback, false)
 	case parsed.Drain != nil:
 		return a.drain(ctx, parsed.Drain)
 	default:
--- a/cli/pkg/app/arguments.go
+++ b/cli/pkg/app/arguments.go
@@ -7,15 +7,17 @@
 	JSON bool `arg:"--json" help:"print JSON instead of tables and text"`
 	tlsFlags
 
-	Submit  *submitArguments  `arg:"subcommand:submit" help:"submit a job and wait for its answer"`
-	Request *requestArguments `arg:"subcommand:request" help:"send a single request and wait for its answer"`
-	Wait    *handleArguments  `arg:"subcommand:wait" help:"wait for the answer of a job"`
-	Cancel  *handleArguments  `arg:"subcommand:cancel" help:"cancel a job"`
-	Ticket  *ticketArguments  `arg:"subcommand:ticket" help:"get a ticket"`
-	Config  *configArguments  `arg:"subcommand:config" help:"make, check and publish an owner's configuration"`
-	Status  *statusArguments  `arg:"subcommand:status" help:"show what one entry host knows"`
-	Drain   *operatorFlags    `arg:"subcommand:drain" help:"make an entry host finish its work and stop"`
-	Burn    *burnArguments    `arg:"subcommand:burn" help:"show how fast the error budgets are used up"`
+	Submit   *submitArguments   `arg:"subcommand:submit" help:"submit a job and wait for its answer"`
+	Request  *requestArguments  `arg:"subcommand:request" help:"send a single request and wait for its answer"`
+	Wait     *handleArguments   `arg:"subcommand:wait" help:"wait for the answer of a job"`
+	Cancel   *handleArguments   `arg:"subcommand:cancel" help:"cancel a job"`
+	Ticket   *ticketArguments   `arg:"subcommand:ticket" help:"get a ticket"`
+	Config   *configArguments   `arg:"subcommand:config" help:"make, check and publish an owner's configuration"`
+	Status   *statusArguments   `arg:"subcommand:status" help:"show what one entry host knows"`
+	Evacuate *evacuateArguments `arg:"subcommand:evacuate" help:"close a failure domain to new work"`
+	Takeback *evacuateArguments `arg:"subcommand:takeback" help:"open an evacuated failure domain again"`
+	Drain    *operatorFlags     `arg:"subcommand:drain" help:"make an entry host finish its work and stop"`
+	Burn     *burnArguments     `arg:"subcommand:burn" help:"show how fast the error budgets are used up"`
 }
 
 // Description tells what the program is.
@@ -137,7 +139,14 @@
 // statusArguments are those of status.
 type statusArguments struct {
 	operatorFlags
-	What string `arg:"positional" default:"hosts" help:"hosts, minions, workers, queues or owners"`
+	What string `arg:"positional" default:"hosts" help:"hosts, minions, workers, queues, owners or evacuations"`
+}
+
+// evacuateArguments are those of evacuate and takeback.
+type evacuateArguments struct {
+	operatorFlags
+	Domain string `arg:"positional,required" help:"name of the failure domain in the host list"`
+	Again  string `arg:"--publish" help:"identifier of an earlier attempt whose answer was lost, to go on with it"`
 }
 
 // burnArguments are those of burn.
--- a/cli/pkg/app/help.go
+++ b/cli/pkg/app/help.go
@@ -40,6 +40,8 @@
 	"config show":    {"chervilusher --json config show hokkaido --log http://10.0.0.9:7000"},
 	"config history": {"chervilusher config history hokkaido --entry http://10.0.0.1:7200"},
 	"status":         {"chervilusher status minions --entry http://10.0.0.1:7200"},
+	"evacuate":       {"chervilusher evacuate north --entry http://10.0.0.1:7200 --token-file host.token"},
+	"takeback":       {"chervilusher takeback north --entry http://10.0.0.1:7200 --token-file host.token"},
 	"drain":          {"chervilusher drain --entry http://10.0.0.1:7200 --token-file host.token"},
 	"burn": {
 		"chervilusher burn --entry http://10.0.0.1:7200",
--- a/cli/pkg/app/operators.go
+++ b/cli/pkg/app/operators.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
 	"chervilusher.dev/cli/pkg/burnpage"
@@ -16,6 +17,7 @@
 	"chervilusher.dev/cli/pkg/output"
 	"chervilusher.dev/lib/api"
 	"chervilusher.dev/lib/burn"
+	"chervilusher.dev/lib/configuration"
 )
 
 // progressInterval is how often a terminal is shown how far a job is.
@@ -39,7 +41,7 @@
 func (a *app) status(ctx context.Context, arguments *statusArguments) error {
 	view, ok := views[arguments.What]
 	if !ok {
-		return usage(errors.Errorf("%q cannot be shown; give hosts, minions, workers, queues or owners", arguments.What))
+		return usage(errors.Errorf("%q cannot be shown; give hosts, minions, workers, queues, owners or evacuations", arguments.What))
 	}
 	host, err := a.operator(arguments.operatorFlags)
 	if err != nil {
@@ -53,6 +55,29 @@
 	return a.printer.Print(value, table)
 }
 
+// evacuate closes a failure domain to new work, or opens it again.
+func (a *app) evacuate(ctx context.Context, arguments *evacuateArguments, evacuated bool) error {
+	host, err := a.operator(arguments.operatorFlags)
+	if err != nil {
+		return err
+	}
+	identifier := arguments.Again
+	if identifier == "" {
+		identifier = uuid.NewString()
+	}
+	change, err := sendAgain(ctx, a.clock, func() (*configuration.Evacuation, error) {
+		return host.Evacuate(ctx, arguments.Domain, evacuated, identifier)
+	})
+	if err != nil {
+		return errors.Wrapf(err, "publish %s", identifier)
+	}
+	text := fmt.Sprintf("failure domain %s is evacuated: it gets nothing new (offset %d)", change.Domain, change.Offset)
+	if !evacuated {
+		text = fmt.Sprintf("failure domain %s is taken back (offset %d)", change.Domain, change.Offset)
+	}
+	return a.printer.Text(change, text)
+}
+
 func (a *app) drain(ctx context.Context, flags *operatorFlags) error {
 	host, err := a.operator(*flags)
 	if err != nil {
--- a/cli/pkg/app/sources.go
+++ b/cli/pkg/app/sources.go
@@ -87,24 +87,32 @@
 		return nil, errors.WithStack(err)
 	}
 	change := api.Change{Base: record.Base, Publish: record.Publish, Document: document}
+	return sendAgain(ctx, s.clock, func() (*configuration.Accepted, error) {
+		return s.host.Publish(ctx, record.Document.Owner, change)
+	})
+}
+
+// sendAgain sends a change again while its answer is lost.
+func sendAgain[Answer any](ctx context.Context, clock clockwork.Clock, send func() (*Answer, error)) (*Answer, error) {
+	var last error
 	sent := false
 	for attempt := range publishAttempts {
-		accepted, failure := s.host.Publish(ctx, record.Document.Owner, change)
-		if failure == nil || !isLost(failure) {
-			return accepted, failure
+		answer, err := send()
+		if err == nil || !isLost(err) {
+			return answer, err
 		}
-		err = failure
-		sent = sent || !isUnreachable(failure)
+		last = err
+		sent = sent || !isUnreachable(err)
 		select {
 		case <-ctx.Done():
 			return nil, errors.WithStack(ctx.Err())
-		case <-s.clock.After(firstPublishDelay << attempt):
+		case <-clock.After(firstPublishDelay << attempt):
 		}
 	}
 	if sent {
-		return nil, errors.Wrap(publish.ErrOutcomeUnknown, err.Error())
+		return nil, errors.Wrap(publish.ErrOutcomeUnknown, last.Error())
 	}
-	return nil, err
+	return nil, last
 }
 
 // isLost reports whether an error leaves open what became of a publish.
--- a/cli/pkg/app/views.go
+++ b/cli/pkg/app/views.go
@@ -13,11 +13,12 @@
 type view func(*api.Status) (any, output.Table)
 
 var views = map[string]view{
-	"hosts":   hostsView,
-	"minions": minionsView,
-	"workers": workersView,
-	"queues":  queuesView,
-	"owners":  ownersView,
+	"hosts":       hostsView,
+	"minions":     minionsView,
+	"workers":     workersView,
+	"queues":      queuesView,
+	"owners":      ownersView,
+	"evacuations": evacuationsView,
 }
 
 func hostsView(status *api.Status) (any, output.Table) {
@@ -78,6 +79,14 @@
 	return status.Owners, table
 }
 
+func evacuationsView(status *api.Status) (any, output.Table) {
+	table := output.Table{Heading: []string{"DOMAIN", "AUTHOR", "OFFSET"}}
+	for _, evacuation := range status.Evacuations {
+		table.Rows = append(table.Rows, []string{evacuation.Domain, evacuation.Author, formatCount(evacuation.Offset)})
+	}
+	return status.Evacuations, table
+}
+
 func formatCount(count int64) string {
 	return strconv.FormatInt(count, 10)
 }
--- a/cli/pkg/operator/client.go
+++ b/cli/pkg/operator/client.go
@@ -85,6 +85,25 @@
 	return call[configuration.Accepted](ctx, c, http.MethodPost, ownerPath(owner, "configuration"), change)
 }
 
+// Evacuations returns the failure domains that get nothing new.
+func (c *Client) Evacuations(ctx context.Context) ([]api.EvacuationStatus, error) {
+	found, err := call[[]api.EvacuationStatus](ctx, c, http.MethodGet, "/v1/evacuations", nil)
+	if err != nil {
+		return nil, err
+	}
+	return *found, nil
+}
+
+// Evacuate closes a failure domain to new work, or opens it again; the identifier may be sent again after a lost answer.
+func (c *Client) Evacuate(ctx context.Context, domain string, evacuated bool, publish string) (*configuration.Evacuation, error) {
+	method := http.MethodPut
+	if !evacuated {
+		method = http.MethodDelete
+	}
+	path := "/v1/evacuations/" + url.PathEscape(domain) + "?publish=" + url.QueryEscape(publish)
+	return call[configuration.Evacuation](ctx, c, method, path, nil)
+}
+
 func ownerPath(owner, leaf string) string {
 	return "/v1/owners/" + url.PathEscape(owner) + "/" + leaf
 }
--- a/entry/pkg/app/daemon.go
+++ b/entry/pkg/app/daemon.go
@@ -123,6 +123,7 @@
 	leases := controllers.NewLeaseController(c, board, workers, dispatcher, controllers.LeaseDemandOf(lender))
 	backends := controllers.NewBackendsController(c, board, engine, lender, dispatcher)
 	members.Observe(backends)
+	configurations.Observe(backends)
 	hosts := controllers.NewHostsController(c, board, hostlist.New(c.Settings.Platform.Hosts, platformClient), peerClient, peerServer, members, backends)
 	members.SetHostsReader(hosts)
 	drains := newDrainRequest(submissions)
--- a/entry/pkg/blackboard/backend.go
+++ b/entry/pkg/blackboard/backend.go
@@ -78,6 +78,7 @@
 	Group         string
 	Role          platform.Role
 	Leaving       bool // it gets no new tasks
+	Evacuated     bool // its failure domain is evacuated, so that it gets no new tasks
 	Slots         int  // concurrent tasks of all hosts together
 	Connections   int  // connections that this host may open to it; zero means unbounded
 	Cores         float64
@@ -120,6 +121,11 @@
 	return b.Role == platform.RoleMinion || (b.Lease.Fence != 0 && now.Before(b.Lease.Until))
 }
 
+// IsClosed reports whether it gets no new tasks.
+func (b *Backend) IsClosed() bool {
+	return b.Leaving || b.Evacuated
+}
+
 // Expected returns the number of slots that this host can count on, including those that it would have to borrow.
 func (b *Backend) Expected(now time.Time) int {
 	if b.GrantExpired(now) {
@@ -130,7 +136,7 @@
 
 // Free returns the number of further slots that this host may use at the back end now.
 func (b *Backend) Free(now time.Time) int {
-	if b.Leaving || b.GrantExpired(now) || now.Before(b.BackoffUntil) {
+	if b.IsClosed() || b.GrantExpired(now) || now.Before(b.BackoffUntil) {
 		return 0
 	}
 	granted := b.Granted
--- a/entry/pkg/cellhost/evacuation.go
+++ b/entry/pkg/cellhost/evacuation.go
@@ -1,12 +1,9 @@
 package cellhost
 
 import (
-	"fmt"
 	"slices"
 	"sync"
 
-	"github.com/VictoriaMetrics/metrics"
-
 	"chervilusher.dev/entry/pkg/common"
 	"chervilusher.dev/entry/pkg/peer"
 )
@@ -83,32 +80,12 @@
 	if slices.Equal(before.Domains, now.Domains) {
 		return
 	}
-	e.logChanges(before, now, source)
+	e.common.ReportEvacuations(before.Domains, now.Domains, source)
 	for _, observer := range e.observers {
 		observer.SetEvacuated(now.Domains)
 	}
 }
 
-func (e *EvacuationController) logChanges(before, now *peer.Evacuations, source string) {
-	line := e.common.Log.WithField("position", now.Position).WithField("source", source)
-	for _, domain := range now.Domains {
-		if !before.Covers(domain) {
-			evacuatedGauge(domain).Set(1)
-			line.WithField("place", domain).Info("failure domain evacuated; it gets no new tasks")
-		}
-	}
-	for _, domain := range before.Domains {
-		if !now.Covers(domain) {
-			evacuatedGauge(domain).Set(0)
-			line.WithField("place", domain).Info("failure domain taken back")
-		}
-	}
-}
-
-func evacuatedGauge(domain string) *metrics.Gauge {
-	return metrics.GetOrCreateGauge(fmt.Sprintf(`chervilusher_evacuated{place=%q}`, domain), nil)
-}
-
 // evacuatedNames returns the names with a true value in order.
 func evacuatedNames(domains map[string]bool) []string {
 	var names []string
--- a/entry/pkg/controllers/backends_controller.go
+++ b/entry/pkg/controllers/backends_controller.go
@@ -31,9 +31,10 @@
 	}
 }
 
-// Assigner starts waiting tasks after grants have changed.
+// Assigner starts waiting tasks after grants have changed, and carries decisions out.
 type Assigner interface {
 	AssignAll()
+	Run(effects dispatch.Effects)
 }
 
 // BackendsController keeps the groups' back ends in line with the host list.
@@ -72,6 +73,16 @@
 	b.assigner.AssignAll()
 }
 
+// EvacuationsChanged closes the back ends of evacuated failure domains, opens those that were taken back, and ends jobs
+// that wait for closed ones alone.
+func (b *BackendsController) EvacuationsChanged() {
+	b.HostsChanged()
+	b.board.Dispatch.Lock()
+	effects := b.engine.DropEvacuated()
+	b.board.Dispatch.Unlock()
+	b.assigner.Run(effects)
+}
+
 // MembersChanged makes the allocator divide the slots among the changed members.
 func (b *BackendsController) MembersChanged() {
 	b.board.Dispatch.Lock()
@@ -96,6 +107,7 @@
 	backend.FailureDomain = host.Place
 	backend.Rack = host.Rack
 	backend.Leaving = host.State == platform.HostLeaving
+	backend.Evacuated = b.board.Configuration.Load().State.IsEvacuated(host.Place)
 	backend.Slots = slotsOf(host)
 	backend.Connections = connectionsOf(host, entryHosts)
 	backend.Cores = host.Cores
--- a/entry/pkg/controllers/configuration_controller.go
+++ b/entry/pkg/controllers/configuration_controller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,6 +33,11 @@
 	Append(ctx context.Context, stream string, data any) (int64, error)
 }
 
+// EvacuationObserver is notified when other failure domains are evacuated than before.
+type EvacuationObserver interface {
+	EvacuationsChanged()
+}
+
 // ConfigurationController reads configuration records from the log, merges newer states from peers
 // and puts the result in force.
 type ConfigurationController struct {
@@ -40,6 +46,7 @@
 	log      ConfigurationLog
 	client   *peer.Client
 	fetching atomic.Bool // a peer is being called
+	observer EvacuationObserver
 
 	mu         sync.Mutex
 	reader     *configuration.Reader
@@ -67,6 +74,11 @@
 	return controller
 }
 
+// Observe sets the observer of evacuations; it must be called before Serve.
+func (c *ConfigurationController) Observe(observer EvacuationObserver) {
+	c.observer = observer
+}
+
 // Serve follows the log until the context ends.
 func (c *ConfigurationController) Serve(ctx context.Context) {
 	backoff := newBackoff(c.common)
@@ -143,7 +155,18 @@
 }
 
 func (c *ConfigurationController) apply(state *configuration.State, source string) {
+	before := c.board.Configuration.Load().State.EvacuatedDomains()
 	c.board.Configuration.Store(blackboard.NewConfigurationIndex(state))
+	c.updateAccounts(state)
+	c.common.Log.WithField("next", state.Next).WithField("source", source).Info("configuration is in force")
+	if now := state.EvacuatedDomains(); !slices.Equal(before, now) {
+		c.common.ReportEvacuations(before, now, source)
+		c.observer.EvacuationsChanged()
+	}
+}
+
+// updateAccounts applies the weights and quotas of the documents in force.
+func (c *ConfigurationController) updateAccounts(state *configuration.State) {
 	c.board.Dispatch.Lock()
 	defer c.board.Dispatch.Unlock()
 	for name, accepted := range state.Owners {
@@ -159,7 +182,6 @@
 		}
 		account.MaxRun = accepted.Document.Quota.Running
 	}
-	c.common.Log.WithField("next", state.Next).WithField("source", source).Info("configuration is in force")
 }
 
 // backoff delays retries exponentially, with jitter so that hosts do not retry in step.
--- a/entry/pkg/controllers/lease_controller_test.go
+++ b/entry/pkg/controllers/lease_controller_test.go
@@ -13,6 +13,7 @@
 
 	"chervilusher.dev/entry/pkg/blackboard"
 	"chervilusher.dev/entry/pkg/common"
+	"chervilusher.dev/entry/pkg/dispatch"
 	"chervilusher.dev/entry/pkg/lending"
 	"chervilusher.dev/entry/pkg/peer"
 	"chervilusher.dev/entry/pkg/settings"
@@ -51,6 +52,8 @@
 
 func (noAssigner) AssignAll() {}
 
+func (noAssigner) Run(dispatch.Effects) {}
+
 type leaseFixture struct {
 	clock  *clockwork.FakeClock
 	board  *blackboard.Board
--- a/entry/pkg/dispatch/capacity.go
+++ b/entry/pkg/dispatch/capacity.go
@@ -39,7 +39,7 @@
 	var slownessHistogram tiers
 	held := map[string]float64{}
 	for _, backend := range group.Backends {
-		if backend.Leaving {
+		if backend.IsClosed() {
 			continue
 		}
 		if key := backend.Shape(); !shapes[key] {
--- a/entry/pkg/dispatch/engine.go
+++ b/entry/pkg/dispatch/engine.go
@@ -231,7 +231,7 @@
 func (e *Engine) start(group *blackboard.Group, task *blackboard.Task, backend *blackboard.Backend, now time.Time) Start {
 	invariant.Check(task.State == blackboard.TaskQueued, "task_starts_once", "job %s task %d starts in state %d", task.Job.ID, task.Index, task.State)
 	invariant.Check(task.Attempt == 0 || task.Job.Idempotent, "task_starts_once", "job %s task %d starts again", task.Job.ID, task.Index)
-	invariant.Check(!backend.Leaving, "leaving_gets_no_work", "back end %s", backend.Name)
+	invariant.Check(!backend.IsClosed(), "leaving_gets_no_work", "back end %s", backend.Name)
 	e.dequeued(group, task)
 	e.board.Accounts[task.Job.Account].Running++
 	if task.Tries == 0 {
--- a/entry/pkg/dispatch/reserve.go
+++ b/entry/pkg/dispatch/reserve.go
@@ -47,7 +47,7 @@
 }
 
 func reservable(backend *blackboard.Backend, task *blackboard.Task, now time.Time) bool {
-	if backend.Ejected || backend.Leaving || backend.GrantExpired(now) || backend.ReservedFor != nil {
+	if backend.Ejected || backend.IsClosed() || backend.GrantExpired(now) || backend.ReservedFor != nil {
 		return false
 	}
 	width := backend.Width(task.Need)
@@ -84,7 +84,7 @@
 // expireReservations releases reserved back ends that can no longer run their task.
 func (e *Engine) expireReservations(now time.Time) {
 	for task, backend := range e.reserved {
-		if backend.Ejected || backend.Leaving || backend.GrantExpired(now) {
+		if backend.Ejected || backend.IsClosed() || backend.GrantExpired(now) {
 			e.cancelReservation(e.Group(task.Target.Group), task)
 		}
 	}
--- a/entry/pkg/lending/giveback.go
+++ b/entry/pkg/lending/giveback.go
@@ -33,7 +33,7 @@
 	if idle == 0 {
 		return 0
 	}
-	if backend.Leaving {
+	if backend.IsClosed() {
 		return idle
 	}
 	if backend.Ejected {
--- a/entry/pkg/lending/lender.go
+++ b/entry/pkg/lending/lender.go
@@ -330,7 +330,7 @@
 }
 
 func (k *lentBackend) free(now time.Time) int {
-	if k.backend.Leaving || now.Before(k.lendableFrom) || !k.backend.Leased(now) {
+	if k.backend.IsClosed() || now.Before(k.lendableFrom) || !k.backend.Leased(now) {
 		return 0
 	}
 	return max(0, k.backend.Slots-k.lent)
--- a/entry/pkg/operator/server.go
+++ b/entry/pkg/operator/server.go
@@ -19,6 +19,7 @@
 // Publisher publishes documents on the log and reads what became of them.
 type Publisher interface {
 	Publish(ctx context.Context, record configuration.Record) (*publish.Outcome, error)
+	Evacuate(ctx context.Context, record configuration.Record) (*publish.Outcome, error)
 	History(ctx context.Context, owner string) ([]publish.Change, error)
 }
 
@@ -63,6 +64,9 @@
 	router.GET("/v1/owners/:owner/configuration", s.authorized(s.accepted))
 	router.POST("/v1/owners/:owner/configuration", s.authorized(s.publish))
 	router.GET("/v1/owners/:owner/history", s.authorized(s.history))
+	router.GET("/v1/evacuations", s.authorized(s.evacuations))
+	router.PUT("/v1/evacuations/:domain", s.authorized(s.evacuate))
+	router.DELETE("/v1/evacuations/:domain", s.authorized(s.takeBack))
 	return router
 }
 
--- a/entry/pkg/operator/server_test.go
+++ b/entry/pkg/operator/server_test.go
@@ -41,6 +41,10 @@
 	return f.outcome, f.err
 }
 
+func (f *fakePublisher) Evacuate(ctx context.Context, record configuration.Record) (*publish.Outcome, error) {
+	return f.Publish(ctx, record)
+}
+
 func (f *fakePublisher) History(context.Context, string) ([]publish.Change, error) {
 	return []publish.Change{{Offset: 3, Version: 1, Author: "hokkaido/chief"}}, f.err
 }
@@ -223,6 +227,65 @@
 	}
 }
 
+func TestEvacuations(t *testing.T) {
+	evacuated := &publish.Outcome{Evacuation: &configuration.Evacuation{Domain: "north", Evacuated: true}}
+	already := &publish.Outcome{Rejected: &configuration.Rejection{Reason: "failure domain north is evacuated already, by host"}}
+	cases := []struct {
+		name    string
+		method  string
+		path    string
+		token   string
+		outcome *publish.Outcome
+		err     error
+		status  int
+		reason  string
+		records int
+	}{
+		{"evacuated", http.MethodPut, "north?publish=p1", "host-token", evacuated, nil, http.StatusOK, "", 1},
+		{"twice", http.MethodPut, "north?publish=p1", "host-token", already, nil, http.StatusConflict, "already", 1},
+		{"unknown domain", http.MethodPut, "south?publish=p1", "host-token", nil, nil, http.StatusNotFound, "which names east, north", 0},
+		{"taken back", http.MethodDelete, "north?publish=p1", "host-token", evacuated, nil, http.StatusOK, "", 1},
+		{"taken back after it left the list", http.MethodDelete, "south?publish=p1", "host-token", evacuated, nil, http.StatusOK, "", 1},
+		{"an owner's operator", http.MethodPut, "north?publish=p1", "hokkaido-operator", nil, nil, http.StatusForbidden, "all owners", 0},
+		{"a caller", http.MethodDelete, "north?publish=p1", "hokkaido-caller", nil, nil, http.StatusForbidden, "caller", 0},
+		{"no identifier", http.MethodPut, "north", "host-token", nil, nil, http.StatusBadRequest, "publish", 0},
+		{"log away", http.MethodPut, "north?publish=p1", "host-token", nil, errors.New("no log"), http.StatusServiceUnavailable, "no log", 1},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			made := newBench()
+			made.board.Hosts.Store(&blackboard.HostTable{ByName: map[string]platform.Host{
+				"a": {Name: "a", Place: "north"}, "b": {Name: "b", Place: "east"}, "c": {Name: "c", Place: "north"},
+			}})
+			made.publisher.outcome, made.publisher.err = test.outcome, test.err
+			var fault api.Fault
+			require.Equal(t, test.status, made.call(t, test.method, "/v1/evacuations/"+test.path, test.token, "", &fault))
+			require.Contains(t, fault.Reason, test.reason)
+			require.Len(t, made.publisher.records, test.records)
+		})
+	}
+}
+
+func TestStatusShowsEvacuations(t *testing.T) {
+	made := newBench()
+	state := made.board.Configuration.Load().State
+	state.Evacuations = map[string]*configuration.Evacuation{
+		"north": {Domain: "north", Evacuated: true, Author: "host", Offset: 4},
+		"south": {Domain: "south", Author: "host", Offset: 5},
+	}
+	for _, backend := range made.board.Dispatch.Groups["hokkaido-minions"].Backends {
+		backend.Evacuated = true
+	}
+	want := []api.EvacuationStatus{{Domain: "north", Author: "host", Offset: 4}}
+	var status api.Status
+	made.call(t, http.MethodGet, "/v1/status", "hokkaido-operator", "", &status)
+	require.Equal(t, want, status.Evacuations)
+	require.Equal(t, api.ReadyEvacuated, status.Minions[0].Ready)
+	var listed []api.EvacuationStatus
+	made.call(t, http.MethodGet, "/v1/evacuations", "hokkaido-operator", "", &listed)
+	require.Equal(t, want, listed)
+}
+
 func TestMetricsShowTheBurn(t *testing.T) {
 	made := newBench()
 	request := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/metrics", nil)
--- a/entry/pkg/operator/status.go
+++ b/entry/pkg/operator/status.go
@@ -18,6 +18,7 @@
 	s.addHosts(status)
 	directory := s.board.Configuration.Load()
 	status.Configuration = api.ConfigurationStatus{Next: directory.State.Next}
+	status.Evacuations = evacuationsOf(directory.State)
 	s.board.Dispatch.Lock()
 	s.addBackends(status)
 	s.addOwners(status, directory)
@@ -121,6 +122,9 @@
 	if backend.Ejected {
 		return api.ReadyEjected
 	}
+	if backend.Evacuated {
+		return api.ReadyEvacuated
+	}
 	return readyOf(true, backend.Leaving)
 }
 
--- a/entry/pkg/placement/fastest.go
+++ b/entry/pkg/placement/fastest.go
@@ -142,7 +142,7 @@
 
 // freeSlots returns the free slots, assuming that the grant has not expired.
 func freeSlots(backend *blackboard.Backend) int {
-	if backend.Leaving || backend.ReservedFor != nil {
+	if backend.IsClosed() || backend.ReservedFor != nil {
 		return 0
 	}
 	granted := backend.Granted
--- a/lib/api/status.go
+++ b/lib/api/status.go
@@ -11,10 +11,11 @@
 
 // Values of Ready.
 const (
-	ReadyYes      Ready = "yes"
-	ReadyDraining Ready = "draining" // finishes what it has and takes nothing new
-	ReadyEjected  Ready = "ejected"  // taken out for its failures until a probe succeeds
-	ReadyNo       Ready = "no"       // not reachable or not yet started
+	ReadyYes       Ready = "yes"
+	ReadyDraining  Ready = "draining"  // finishes what it has and takes nothing new
+	ReadyEjected   Ready = "ejected"   // taken out for its failures until a probe succeeds
+	ReadyEvacuated Ready = "evacuated" // gets nothing new until its failure domain is taken back
+	ReadyNo        Ready = "no"        // not reachable or not yet started
 )
 
 // Status is what one entry host knows, as GET /v1/status of the operators' API answers it.
@@ -27,6 +28,7 @@
 	Queues        []QueueStatus       `json:"queues"`        // work that waits at this host
 	Owners        []OwnerStatus       `json:"owners"`        // the owners of the accepted configuration
 	Configuration ConfigurationStatus `json:"configuration"` // as folded by this host
+	Evacuations   []EvacuationStatus  `json:"evacuations"`   // failure domains that get nothing new
 }
 
 // HostStatus is one entry host.
@@ -89,6 +91,13 @@
 	Refused int64  `json:"refused"` // submissions refused since the host's start
 }
 
+// EvacuationStatus is one evacuated failure domain.
+type EvacuationStatus struct {
+	Domain string `json:"domain"`
+	Author string `json:"author"` // who evacuated it
+	Offset int64  `json:"offset"` // of the record in the configuration stream
+}
+
 // ConfigurationStatus tells how far a host has folded the configuration stream.
 type ConfigurationStatus struct {
 	Next int64 `json:"next"` // offset of the first record not yet folded
--- a/lib/configuration/fold.go
+++ b/lib/configuration/fold.go
@@ -19,7 +19,8 @@
 	Version int64  // that the record brought into force; zero when it did not
 	Reason  string // why it was rejected; empty when it was not
 
-	Document *Document // that was accepted; nil when none was
+	Document   *Document   // that was accepted; nil when none was
+	Evacuation *Evacuation // that was accepted; nil when none was
 }
 
 // NewState returns the state before the first record.
@@ -39,7 +40,7 @@
 	if record.Offset < s.Next {
 		return s, decision
 	}
-	next := &State{Next: record.Offset + 1, Owners: s.Owners, Rejections: s.Rejections}
+	next := &State{Next: record.Offset + 1, Owners: s.Owners, Rejections: s.Rejections, Evacuations: s.Evacuations}
 	var parsed Record
 	if err := json.Unmarshal(record.Data, &parsed); err != nil {
 		decision.Reason = "the record is not valid JSON: " + err.Error()
@@ -57,6 +58,10 @@
 		next.reject(decision, parsed.Author)
 		return next, decision
 	}
+	if parsed.Type == RecordEvacuation {
+		decision.Evacuation = next.evacuate(&parsed, record.Offset)
+		return next, decision
+	}
 	decision.Version = parsed.Base + 1
 	decision.Document = parsed.Document
 	next.Owners = maps.Clone(s.Owners)
@@ -80,6 +85,9 @@
 }
 
 func (s *State) refusal(record *Record) string {
+	if record.Type == RecordEvacuation {
+		return s.evacuationRefusal(record)
+	}
 	if record.Type != RecordPublish {
 		return fmt.Sprintf("unknown record type %q", record.Type)
 	}
--- a/lib/publish/follower.go
+++ b/lib/publish/follower.go
@@ -59,7 +59,7 @@
 	return nil
 }
 
-// note keeps the outcome that brought a version: a repeated append of an accepted record is rejected.
+// note keeps the outcome that changed the state: a repeated append of an accepted record is rejected.
 func (f *follower) note(batch *platform.Batch, decisions []configuration.Decision) {
 	byOffset := make(map[int64]platform.Record, len(batch.Records))
 	for _, raw := range batch.Records {
@@ -73,13 +73,16 @@
 		if f.publish == "" || decision.Publish != f.publish {
 			continue
 		}
-		if f.outcome == nil || decision.Version > 0 {
+		if f.outcome == nil || decision.Version > 0 || decision.Evacuation != nil {
 			f.outcome = outcomeOf(raw, decision)
 		}
 	}
 }
 
 func outcomeOf(raw platform.Record, decision configuration.Decision) *Outcome {
+	if decision.Evacuation != nil {
+		return &Outcome{Evacuation: decision.Evacuation}
+	}
 	change := describe(raw, decision)
 	if decision.Version == 0 {
 		return &Outcome{Rejected: &configuration.Rejection{
@@ -99,6 +102,11 @@
 			return &Outcome{Accepted: accepted}
 		}
 	}
+	for _, evacuation := range state.Evacuations {
+		if evacuation.Publish == publish {
+			return &Outcome{Evacuation: evacuation}
+		}
+	}
 	for _, rejection := range state.Rejections {
 		if rejection.Publish == publish {
 			return &Outcome{Rejected: &rejection}
--- a/lib/publish/publisher.go
+++ b/lib/publish/publisher.go
@@ -40,10 +40,11 @@
 	known func() *configuration.State
 }
 
-// Outcome is what became of one publish record; exactly one of its fields is set.
+// Outcome is what became of one record; exactly one of its fields is set.
 type Outcome struct {
-	Accepted *configuration.Accepted  `json:"accepted,omitempty"`
-	Rejected *configuration.Rejection `json:"rejected,omitempty"`
+	Accepted   *configuration.Accepted   `json:"accepted,omitempty"`
+	Evacuation *configuration.Evacuation `json:"evacuation,omitempty"`
+	Rejected   *configuration.Rejection  `json:"rejected,omitempty"`
 }
 
 // Change is one record of an owner's history.
@@ -91,18 +92,36 @@
 	return changes, follower.catchUp(ctx)
 }
 
-// Publish appends the record and returns what became of it; when an answer is lost it looks for the record in the log before it appends again.
+// Publish appends the record of a document and returns what became of it.
 func (p *Publisher) Publish(ctx context.Context, record configuration.Record) (*Outcome, error) {
 	if record.Publish == "" || record.Document == nil {
 		return nil, errors.New("the record needs a publish identifier and a document")
 	}
 	record.Type = configuration.RecordPublish
+	outcome, err := p.write(ctx, &record)
+	if err != nil {
+		return nil, err
+	}
+	return p.earliest(ctx, &record, outcome), nil
+}
+
+// Evacuate appends the record of an evacuation, or of its end, and returns what became of it.
+func (p *Publisher) Evacuate(ctx context.Context, record configuration.Record) (*Outcome, error) {
+	if record.Publish == "" || record.Domain == "" {
+		return nil, errors.New("the record needs a publish identifier and a failure domain")
+	}
+	record.Type = configuration.RecordEvacuation
+	return p.write(ctx, &record)
+}
+
+// write appends the record and returns its outcome; when an answer is lost it looks for the record in the log before it appends again.
+func (p *Publisher) write(ctx context.Context, record *configuration.Record) (*Outcome, error) {
 	follower := newFollower(p.log, p.known(), record.Publish)
 	var last error
 	for attempt := range attempts {
-		last = follower.attempt(ctx, &record)
+		last = follower.attempt(ctx, record)
 		if follower.outcome != nil {
-			return p.earliest(ctx, &record, follower.outcome), nil
+			return follower.outcome, nil
 		}
 		if errors.Is(last, ErrOutcomeLost) {
 			return nil, last
