Renew no lease of a worker that does not answer, so that lost runs are known at once

Cause: the keeper renewed the lease with each call to a silent worker, answered or not.

Change: a silent worker's lease is not renewed; 1.1 s after the last renewal that may have arrived its tasks start anew elsewhere, or their job is answered as soon as it cannot be served.

Ruled out: answering the caller at the lapse without a new start; nothing of the job runs any more, so a new start is what the caller asked for, and the run before never ended.

The model of a worker's loop in the tests renewed nothing for silent workers, unlike the real one, and the test of a silent worker began before the worker's clock was known, so that it showed nothing; both are mended, and the tests failed before.

--- a/entry/pkg/cell/cell_test.go
+++ b/entry/pkg/cell/cell_test.go
@@ -91,12 +91,16 @@
 func TestTaskOfASilentWorkerStartsAnewOnlyAfterItsLease(t *testing.T) {
 	h := newHarness(t)
 	h.addWorkers(1, 16, 1)
+	h.pass(200 * time.Millisecond) // until the worker's clock is known
 	job := h.job(1, 7, 500*time.Millisecond, 5*time.Second, 6*time.Second)
 	h.submit(job)
 	h.workers["w00"].unresponsive = true
 	h.addWorkers(1, 16, 1)
-	h.pass(900 * time.Millisecond)
-	require.Empty(t, h.workers["w01"].running, "the unresponsive worker may still run the task")
+	for range 9 {
+		h.pass(100 * time.Millisecond)
+		require.Empty(t, h.workers["w01"].running, "the unresponsive worker may still run the task")
+		require.Equal(t, "none", h.outcome(job))
+	}
 	h.pass(900 * time.Millisecond)
 	require.Equal(t, "completed", h.outcome(job))
 }
@@ -313,3 +317,30 @@
 	shortage.FreeSlots = 4
 	require.Equal(t, causeForecast, shortage.Cause())
 }
+
+// TestTasksOfALostWorkerStartAnewOnceItsLeaseHasEnded has the keeper go on calling a worker that is gone for good.
+func TestTasksOfALostWorkerStartAnewOnceItsLeaseHasEnded(t *testing.T) {
+	h := newHarness(t)
+	h.addWorkers(1, 16, 1)
+	h.pass(200 * time.Millisecond) // until the worker's clock is known
+	job := h.job(2, 7, 400*time.Millisecond, 5*time.Second, 6*time.Second)
+	h.submit(job)
+	h.workers["w00"].down = true
+	h.addWorkers(1, 16, 1)
+	h.pass(simLease + 200*time.Millisecond)
+	require.Len(t, h.workers["w01"].running, 2)
+	h.pass(500 * time.Millisecond)
+	require.Equal(t, "completed", h.outcome(job))
+}
+
+// TestJobOfALostWorkerIsAnsweredAsSoonAsItCannotBeServed leaves no room to start its tasks anew.
+func TestJobOfALostWorkerIsAnsweredAsSoonAsItCannotBeServed(t *testing.T) {
+	h := newHarness(t)
+	h.addWorkers(1, 16, 1)
+	h.pass(200 * time.Millisecond) // until the worker's clock is known
+	job := h.job(2, 7, 400*time.Millisecond, time.Second, 6*time.Second)
+	h.submit(job)
+	h.workers["w00"].down = true
+	h.pass(6*time.Second - 300*time.Millisecond)
+	require.Equal(t, "abandoned", h.outcome(job), "its tasks cannot end before the deadline any more")
+}
--- a/entry/pkg/cell/sim_test.go
+++ b/entry/pkg/cell/sim_test.go
@@ -200,6 +200,10 @@
 // hold makes one call to a worker, as its keeper's loop does.
 func (h *harness) hold(id string) {
 	worker, sim := h.cell.Worker(id), h.workers[id]
+	lease := time.Duration(0)
+	if worker.Held() {
+		lease, _ = worker.Lease(h.now, simLease)
+	}
 	if !h.isReachable(sim) {
 		h.cell.MarkUnresponsive(worker)
 		return
@@ -212,10 +216,6 @@
 		h.applyEffects(&effects)
 		return
 	}
-	lease := time.Duration(0)
-	if worker.Held() {
-		lease, _ = worker.Lease(h.now, simLease)
-	}
 	report := sim.hold(worker.AckedSequence(), lease, h.now)
 	effects := h.cell.HandleReport(worker, report, h.now.Add(time.Nanosecond), h.now)
 	h.applyEffects(&effects)
--- a/entry/pkg/cell/worker.go
+++ b/entry/pkg/cell/worker.go
@@ -200,8 +200,10 @@
 }
 
 // Lease returns the lease end, on the worker's clock, for a call sent now, or false if the lease must not be extended.
+// That of a worker that does not answer is not, since each renewal would put off the time from which its runs have
+// certainly ended.
 func (w *Worker) Lease(now time.Time, length time.Duration) (time.Duration, bool) {
-	if !w.clock.known() || len(w.unknownRuns) > 0 || w.hasSuspectedHome() {
+	if !w.clock.known() || w.unresponsive || len(w.unknownRuns) > 0 || w.hasSuspectedHome() {
 		return 0, false
 	}
 	end := w.clock.estimate(now) + length
