Start jobs that come too late for their objective late at once, without a place in a queue

Cause: a keeper offered a job that had already missed its objective to two other keepers, queued it, was refused, offered it to two keepers' queues and only then asked for a late start, up to seven calls one after the other.

Change: a job that would miss its objective even if it started now is started late at once, here or at another keeper, or refused. One asked for its queue declines.

--- a/entry/pkg/cell/assign.go
+++ b/entry/pkg/cell/assign.go
@@ -109,12 +109,17 @@
 	return job.Objective.Add(tolerance - c.speeds.typical(job.Queue, job.longest()))
 }
 
+// IsTooLate reports whether the job would miss its objective even if all its tasks started now.
+func (c *Cell) IsTooLate(job *Job, now time.Time) bool {
+	return now.After(c.latestStart(job))
+}
+
 // giveUpReason returns why the job should not wait any longer, or "".
 func (c *Cell) giveUpReason(job *Job, now time.Time) string {
 	if now.Add(c.speeds.typical(job.Queue, job.longest())).After(job.Deadline) {
 		return "it cannot end before its deadline"
 	}
-	if !job.Started() && now.After(c.latestStart(job)) {
+	if !job.Started() && c.IsTooLate(job, now) {
 		return "no room in time"
 	}
 	return ""
@@ -175,7 +180,7 @@
 	return true
 }
 
-// retryDelay returns the delay before a refused caller should retry, given the predicted wait.
-func retryDelay(wait time.Duration) time.Duration {
-	return min(max(wait, minRetryDelay), maxRetryDelay)
+// RetryDelay returns the delay before the caller of a refused job should retry.
+func (c *Cell) RetryDelay(job *Job, now time.Time) time.Duration {
+	return min(max(c.predictDelay(job, now), minRetryDelay), maxRetryDelay)
 }
--- a/entry/pkg/cell/cell.go
+++ b/entry/pkg/cell/cell.go
@@ -213,7 +213,7 @@
 		return
 	}
 	job.Diagnostics.Shortage = c.shortage(job, now)
-	c.answer(job, &Answer{Outcome: Refused, Reason: reason, RetryAfter: retryDelay(c.predictDelay(job, now))}, effects, now)
+	c.answer(job, &Answer{Outcome: Refused, Reason: reason, RetryAfter: c.RetryDelay(job, now)}, effects, now)
 }
 
 // answer records the job's final answer, drops its waiting tasks and stops its runs.
--- a/entry/pkg/cellhost/keeper.go
+++ b/entry/pkg/cellhost/keeper.go
@@ -135,6 +135,9 @@
 	if request.Mode == peer.RunLate {
 		return k.runLate(ctx, job)
 	}
+	if k.isTooLate(job) {
+		return k.runLateOrDecline(ctx, request, job)
+	}
 	if answers := k.submit(job, true); answers != nil {
 		return k.awaitAnswer(ctx, job, answers)
 	}
@@ -155,12 +158,37 @@
 	if err != nil || response.Outcome != cell.Refused || request.Mode != peer.RunAnywhere {
 		return response, err
 	}
-	if elsewhere, taken := k.forwarder.Forward(ctx, request.Home, restated, peer.RunHere); taken {
-		return elsewhere, nil
+	if !k.isTooLate(job) {
+		if elsewhere, taken := k.forwarder.Forward(ctx, request.Home, restated, peer.RunHere); taken {
+			return elsewhere, nil
+		}
 	}
 	return k.runLateAnywhere(ctx, request, restated, response)
 }
 
+// isTooLate reports whether the job would miss its objective even if all its tasks started now.
+func (k *KeeperController) isTooLate(job *cell.Job) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.cell.IsTooLate(job, k.common.Clock.Now())
+}
+
+// runLateOrDecline handles a job that comes too late for its objective: nothing is gained by queueing it or by asking
+// other keepers to.
+func (k *KeeperController) runLateOrDecline(ctx context.Context, request *peer.RunRequest, job *cell.Job) (*peer.RunResponse, error) {
+	if request.Mode == peer.RunNow || request.Mode == peer.RunHere {
+		return &peer.RunResponse{Declined: true, Reason: "it comes too late for its objective"}, nil
+	}
+	refusal := &peer.RunResponse{Outcome: cell.Refused, Reason: "it comes too late for its objective", RetryAfter: int64(k.retryDelay(job))}
+	return k.runLateAnywhere(ctx, request, k.restateRequest(request, job), refusal)
+}
+
+func (k *KeeperController) retryDelay(job *cell.Job) time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.cell.RetryDelay(job, k.common.Clock.Now())
+}
+
 // runLateAnywhere starts a job that no keeper can run in time on free workers, because a late answer is of more use to
 // the caller than none; otherwise it returns the refusal.
 func (k *KeeperController) runLateAnywhere(ctx context.Context, request, restated *peer.RunRequest, refusal *peer.RunResponse) (*peer.RunResponse, error) {
--- a/entry/pkg/cellhost/route_test.go
+++ b/entry/pkg/cellhost/route_test.go
@@ -119,6 +119,36 @@
 	require.Equal(t, []peer.RunMode{peer.RunNow, peer.RunHere, peer.RunLate}, modes)
 }
 
+// TestRefusedBesideFreeWorkers is the load in which jobs reach their keeper too late for their objective while workers
+// stand free at another one: it is asked for a late start alone, since a place in a queue is of no use any more.
+func TestRefusedBesideFreeWorkers(t *testing.T) {
+	var modes []peer.RunMode
+	other := peer.NewServer()
+	peer.Handle(other, peer.MethodRun, func(_ context.Context, request *peer.RunRequest) (*peer.RunResponse, error) {
+		modes = append(modes, request.Mode)
+		return &peer.RunResponse{Outcome: cell.Completed}, nil
+	})
+	home, own := twoKeepers(t, serveOn(t, other))
+	view := home.board.View()
+	peerState := view.Hosts["b"]
+	peerState.Loads = []cell.Load{{Group: "g", FreeSlots: 4}}
+	view.Hosts["b"] = peerState
+	addLeavingWorker(own)
+	submission := submissionOf(home.common.Clock)
+	submission.Arrived = submission.Arrived.Add(-1500 * time.Millisecond)
+	request := home.newRequest(submission)
+	request.KeeperIncarnation = home.common.Incarnation
+	response, err := own.Run(t.Context(), request)
+	require.NoError(t, err)
+	require.Equal(t, cell.Completed, response.Outcome)
+	require.Equal(t, []peer.RunMode{peer.RunLate}, modes)
+
+	request.Mode = peer.RunHere
+	response, err = own.Run(t.Context(), request)
+	require.NoError(t, err)
+	require.True(t, response.Declined, "it may still start late elsewhere")
+}
+
 // TestRefusalStandsWhereNoWorkerIsFree checks that the first refusal, with its retry time, is the answer if no keeper
 // accepts the job.
 func TestRefusalStandsWhereNoWorkerIsFree(t *testing.T) {
--- a/soak/pkg/app/soak.go
+++ b/soak/pkg/app/soak.go
@@ -16,6 +16,8 @@
 	startTimeout = 15 * time.Second
 	// quietTime is how long after the last answer nothing may run any more: a lease, and the time to stop.
 	quietTime = 2 * time.Second
+	// orderTime is how long an order of the operator may take until all hosts keep to it; the platform allows 5 s.
+	orderTime = time.Second
 	// probes is how many jobs are sent one by one after all is mended, and probesServed how many must be served.
 	probes       = 20
 	probesServed = 18
@@ -78,6 +80,32 @@
 	if err := under.AwaitReady(startTimeout); err != nil {
 		return append(breaches, err.Error())
 	}
+	breaches = append(breaches, probe(under, sending, "after all is mended")...)
+	return append(breaches, evacuation(under, sending)...)
+}
+
+// evacuation checks that an evacuated place gets nothing new while jobs are served elsewhere, and work once it is taken
+// back.
+func evacuation(under *yard.Yard, sending *callers) []string {
+	place := under.Workers[0].Place
+	under.Evacuate(place, true)
+	time.Sleep(orderTime)
+	before := under.StartsIn(place)
+	breaches := probe(under, sending, "beside an evacuated place")
+	if started := under.StartsIn(place) - before; started > 0 {
+		breaches = append(breaches, fmt.Sprintf("%d tasks start in an evacuated place", started))
+	}
+	under.Evacuate(place, false)
+	time.Sleep(orderTime)
+	breaches = append(breaches, probe(under, sending, "after the place was taken back")...)
+	if under.StartsIn(place) == before {
+		breaches = append(breaches, "a place that was taken back gets no tasks")
+	}
+	return breaches
+}
+
+// probe sends jobs one by one, of which nearly all have to be served.
+func probe(under *yard.Yard, sending *callers, when string) []string {
 	served := 0
 	for i := range probes {
 		drawn := sending.draw()
@@ -87,7 +115,7 @@
 		}
 	}
 	if served < probesServed {
-		breaches = append(breaches, fmt.Sprintf("only %d of %d jobs are served after all is mended", served, probes))
+		return []string{fmt.Sprintf("only %d of %d jobs are served %s", served, probes, when)}
 	}
-	return breaches
+	return nil
 }
--- a/soak/pkg/yard/yard.go
+++ b/soak/pkg/yard/yard.go
@@ -100,6 +100,25 @@
 		y.version, QueueHost, QueuePath, group))
 }
 
+// Evacuate writes the operator's order to evacuate a place, or takes it back.
+func (y *Yard) Evacuate(place string, evacuated bool) {
+	var value []byte
+	if evacuated {
+		value = []byte("{}")
+	}
+	y.Store.Put("keyed.op", "evacuate/"+place, value)
+}
+
+// StartsIn returns how many tasks have begun at the place's workers.
+func (y *Yard) StartsIn(place string) (starts int) {
+	for _, worker := range y.Workers {
+		if worker.Place == place {
+			starts += y.Ledger.StartsAt(worker.Runner.ID)
+		}
+	}
+	return starts
+}
+
 // List writes a worker's entry into the store.
 func (y *Yard) List(worker *Worker, state string) {
 	y.Store.Put("keyed.servers", worker.Runner.ID, worker.Runner.Entry(group, worker.Relay.Address(), worker.Place, state))
