Spread the times at which refused callers are told to return over the work that was refused

Cause: a cell told each refused caller the forecast delay, at least 1 s: all that a burst had refused came back in the same seconds, as a second burst.

Change: the delay is the forecast and, at random, up to twice the time that the cell's workers need for all that was refused before, from 1 s to 5 s.

--- a/entry/pkg/cell/assign.go
+++ b/entry/pkg/cell/assign.go
@@ -8,14 +8,9 @@
 )
 
 const (
-	// minRetryDelay keeps refused callers from retrying within the same burst.
-	minRetryDelay = time.Second
 	// objectiveTolerance is the fraction of its objective by which an admitted job may be expected to miss it: run
 	// times are known only to within a fifth, and a worker that becomes idle has slots for several tasks.
 	objectiveTolerance = 0.15
-	// maxRetryDelay bounds the retry delay, also when no worker is large enough, since workers come and go every few
-	// seconds.
-	maxRetryDelay = 5 * time.Second
 )
 
 // assign starts waiting tasks in the order of their latest start times and gives up jobs that can no longer be served.
@@ -179,8 +174,3 @@
 	}
 	return true
 }
-
-// RetryDelay returns the delay before the caller of a refused job should retry.
-func (c *Cell) RetryDelay(job *Job, now time.Time) time.Duration {
-	return min(max(c.predictDelay(job, now), minRetryDelay), maxRetryDelay)
-}
--- a/entry/pkg/cell/cell.go
+++ b/entry/pkg/cell/cell.go
@@ -25,6 +25,7 @@
 	suspectedHomes map[string]bool        // homes whose heartbeats are missing
 	evacuatedSince map[string]time.Time   // by evacuated failure domain
 	nextSeq        int64
+	returns        map[string]time.Time // by group: when the workers have served all callers told to come back
 }
 
 // Start requests the start of a task on a worker.
@@ -76,6 +77,7 @@
 		demands:        map[string]*meanDemand{},
 		suspectedHomes: map[string]bool{},
 		evacuatedSince: map[string]time.Time{},
+		returns:        map[string]time.Time{},
 	}
 }
 
--- a/entry/pkg/cell/predict.go
+++ b/entry/pkg/cell/predict.go
@@ -137,12 +137,7 @@
 // extendObjective extends the objective of a job with more tasks than the cell has slots, since its tasks must run in
 // several rounds.
 func (c *Cell) extendObjective(job *Job) {
-	slots := 0
-	for _, worker := range c.ordered {
-		if worker.Group == job.Group && worker.isExpected() {
-			slots += worker.Capacity.Slots(job.Tasks[0].Demand)
-		}
-	}
+	slots := c.slots(job)
 	if slots == 0 {
 		return
 	}
