Expect of workers that are taken back what is usual of their kind

Cause: the users say that workers may be cold after an evacuation; what was learnt of each before then floods those that were fast.

--- a/entry/pkg/cell/evacuation.go
+++ b/entry/pkg/cell/evacuation.go
@@ -19,7 +19,11 @@
 		c.evacuatedSince[domain] = since
 	}
 	for _, worker := range c.ordered {
-		worker.evacuatedSince = c.evacuatedSince[worker.FailureDomain]
+		since := c.evacuatedSince[worker.FailureDomain]
+		if worker.evacuated() && since.IsZero() {
+			worker.slowness = average{} // it may have become slow meanwhile
+		}
+		worker.evacuatedSince = since
 	}
 	var effects Effects
 	c.giveUpEvacuated(now, &effects)
--- a/entry/pkg/cell/evacuation_test.go
+++ b/entry/pkg/cell/evacuation_test.go
@@ -81,3 +81,22 @@
 	require.Len(t, h.workers["w01"].running, 2)
 	require.Len(t, h.workers["w02"].running, 2)
 }
+
+// TestColdAfterEvacuation is the load in which workers come back slower than they were: what was learnt of each before
+// must not flood those that were fast.
+func TestColdAfterEvacuation(t *testing.T) {
+	h := evacuatedHarness(t)
+	worker := h.cell.Worker("w00")
+	h.workers["w00"].speed = 0.2
+	for range 2 * workerTrustRuns {
+		h.submit(h.job(1, 16, 400*time.Millisecond, time.Second, longDeadline))
+		h.submit(h.job(1, 16, 400*time.Millisecond, time.Second, longDeadline))
+		h.pass(450 * time.Millisecond)
+	}
+	job := h.job(1, 7, short, shortObjective, longDeadline)
+	learnt := h.cell.speeds.expected(job.Tasks[0], worker)
+	h.evacuate("east")
+	require.Equal(t, learnt, h.cell.speeds.expected(job.Tasks[0], worker))
+	h.evacuate()
+	require.Greater(t, h.cell.speeds.expected(job.Tasks[0], worker), 2*learnt, "the mean of its kind is expected of it at first")
+}
