--- a/integration/evacuation_test.go
+++ b/integration/evacuation_test.go
@@ -36,9 +36,9 @@
 		caller := f.client(host)
 		handle, err := caller.Mint(t.Context())
 		require.NoError(t, err)
-		answer, err := caller.Submit(t.Context(), handle, job(task("desk", "moved", 10*time.Millisecond)))
+		_, err = caller.Submit(t.Context(), handle, job(task("desk", "moved", 10*time.Millisecond)))
 		require.NoError(t, err)
-		answer, err = caller.Wait(t.Context(), handle)
+		answer, err := caller.Wait(t.Context(), handle)
 		require.NoError(t, err)
 		require.Equal(t, api.StateComplete, answer.State, answer.Reason)
 	}
