--- /dev/null
+++ b/entry/pkg/cellhost/keeper_run.go
@@ -0,0 +1,212 @@
+package cellhost
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"chervilusher.dev/entry/pkg/cell"
+	"chervilusher.dev/entry/pkg/peer"
+)
+
+// Run runs a job and waits for its outcome; the end of the context cancels the job.
+func (k *KeeperController) Run(ctx context.Context, request *peer.RunRequest) (*peer.RunResponse, error) {
+	if k.shedder.Shed() >= 1 { // home hosts apply smaller fractions themselves
+		cellShed.Inc()
+		return &peer.RunResponse{Declined: true, Reason: "the keeper falls behind"}, nil
+	}
+	job, reason := k.newJob(request)
+	if job != nil {
+		if unfit := k.unfitReason(job); unfit != "" {
+			job, reason = nil, unfit
+		}
+	}
+	if job == nil {
+		k.common.Log.WithField("job", request.ID).WithField("home", request.Home).WithField("reason", reason).Warn("job declined")
+		return &peer.RunResponse{Declined: true, Reason: reason}, nil
+	}
+	if request.Mode == peer.RunLate {
+		return k.runLate(ctx, job)
+	}
+	if k.isTooLate(job) {
+		return k.runLateOrDecline(ctx, request, job)
+	}
+	if answers := k.submit(job, true); answers != nil {
+		return k.awaitAnswer(ctx, job, answers)
+	}
+	if request.Mode == peer.RunNow {
+		return &peer.RunResponse{Declined: true, Reason: "no room at once"}, nil
+	}
+	restated := k.restateRequest(request, job)
+	if request.Mode == peer.RunAnywhere {
+		if response, taken := k.forwarder.Forward(ctx, request.Home, restated, peer.RunNow); taken {
+			return response, nil
+		}
+	}
+	answers := k.submit(job, false)
+	if answers == nil {
+		return &peer.RunResponse{Declined: true, Reason: "the keeper is leaving"}, nil
+	}
+	response, err := k.awaitAnswer(ctx, job, answers)
+	if err != nil || response.Outcome != cell.Refused || request.Mode != peer.RunAnywhere {
+		return response, err
+	}
+	if !k.isTooLate(job) {
+		if elsewhere, taken := k.forwarder.Forward(ctx, request.Home, restated, peer.RunHere); taken {
+			return elsewhere, nil
+		}
+	}
+	return k.runLateAnywhere(ctx, request, restated, response)
+}
+
+// isTooLate reports whether the job would miss its objective even if all its tasks started now.
+func (k *KeeperController) isTooLate(job *cell.Job) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.cell.IsTooLate(job, k.common.Clock.Now())
+}
+
+// runLateOrDecline handles a job that comes too late for its objective: nothing is gained by queueing it or by asking
+// other keepers to.
+func (k *KeeperController) runLateOrDecline(ctx context.Context, request *peer.RunRequest, job *cell.Job) (*peer.RunResponse, error) {
+	if request.Mode == peer.RunNow || request.Mode == peer.RunHere {
+		return &peer.RunResponse{Declined: true, Reason: "it comes too late for its objective"}, nil
+	}
+	refusal := &peer.RunResponse{Outcome: cell.Refused, Reason: "it comes too late for its objective", RetryAfter: int64(k.retryDelay(job))}
+	return k.runLateAnywhere(ctx, request, k.restateRequest(request, job), refusal)
+}
+
+func (k *KeeperController) retryDelay(job *cell.Job) time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.cell.RetryDelay(job, k.common.Clock.Now())
+}
+
+// runLateAnywhere starts a job that no keeper can run in time on free workers, because a late answer is of more use to
+// the caller than none; otherwise it returns the refusal.
+func (k *KeeperController) runLateAnywhere(ctx context.Context, request, restated *peer.RunRequest, refusal *peer.RunResponse) (*peer.RunResponse, error) {
+	if job, _ := k.newJob(request); job != nil {
+		if response, err := k.runLate(ctx, job); err != nil || !response.Declined {
+			return response, err
+		}
+		if elsewhere, taken := k.forwarder.Forward(ctx, request.Home, restated, peer.RunLate); taken {
+			return elsewhere, nil
+		}
+	}
+	return refusal, nil
+}
+
+// runLate starts the job at once and waits for its outcome, or declines it.
+func (k *KeeperController) runLate(ctx context.Context, job *cell.Job) (*peer.RunResponse, error) {
+	var answers chan *cell.Answer
+	k.apply(func(now time.Time) (effects cell.Effects) {
+		if !k.successorSince.IsZero() {
+			return effects
+		}
+		effects, started := k.cell.StartLate(job, now)
+		if started {
+			answers = k.addWaiter(job)
+		}
+		return effects
+	})
+	if answers == nil {
+		return &peer.RunResponse{Declined: true, Reason: "no worker stands free"}, nil
+	}
+	cellLateStarts.Inc()
+	return k.awaitAnswer(ctx, job, answers)
+}
+
+// unfitReason returns why no worker of this host could ever run the job, or ""; a worker of another keeper may still
+// fit.
+func (k *KeeperController) unfitReason(job *cell.Job) string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.cell.CanEverRun(job) {
+		return ""
+	}
+	return k.cell.UnfitReason(job)
+}
+
+// awaitAnswer waits for the job's answer; the end of the context cancels the job.
+func (k *KeeperController) awaitAnswer(ctx context.Context, job *cell.Job, answers chan *cell.Answer) (*peer.RunResponse, error) {
+	select {
+	case answer := <-answers:
+		return &peer.RunResponse{Outcome: answer.Outcome, Reason: answer.Reason, RetryAfter: int64(answer.RetryAfter)}, nil
+	case <-ctx.Done():
+		k.apply(func(now time.Time) cell.Effects { return k.cell.Cancel(job, "the caller left", now) })
+		return nil, errors.WithStack(ctx.Err())
+	}
+}
+
+// submit submits the job to the cell. It returns nil if nowOnly is set and not all tasks can start at once, or if it is
+// not set and another host has taken over.
+func (k *KeeperController) submit(job *cell.Job, nowOnly bool) chan *cell.Answer {
+	var answers chan *cell.Answer
+	k.apply(func(now time.Time) (effects cell.Effects) {
+		if nowOnly && !k.cell.CanStartNow(job, now) || !nowOnly && !k.successorSince.IsZero() {
+			return effects
+		}
+		answers = k.addWaiter(job)
+		return k.cell.Submit(job, now)
+	})
+	return answers
+}
+
+// addWaiter registers a caller that waits for the job and returns the channel of its answer; the caller of addWaiter
+// must hold the lock.
+func (k *KeeperController) addWaiter(job *cell.Job) chan *cell.Answer {
+	answers := make(chan *cell.Answer, 1)
+	k.waiters[job] = answers
+	return answers
+}
+
+// restateRequest returns the request with this host as its home and its times on this host's clock, for another keeper.
+func (k *KeeperController) restateRequest(request *peer.RunRequest, job *cell.Job) *peer.RunRequest {
+	restated := *request
+	restated.Home = k.options.Name
+	restated.HomeIncarnation = k.common.Incarnation
+	restated.Arrived = job.Arrived.UnixNano()
+	restated.Objective = job.Objective.UnixNano()
+	restated.Deadline = job.Deadline.UnixNano()
+	return &restated
+}
+
+// newJob converts a request to a job on this host's clock, or returns the reason to decline it.
+func (k *KeeperController) newJob(request *peer.RunRequest) (job *cell.Job, reason string) {
+	home, known := k.board.View().Hosts[request.Home]
+	switch {
+	case !known || !home.ClockKnown || home.Incarnation != request.HomeIncarnation:
+		return nil, "the home was not heard yet"
+	case request.KeeperIncarnation != k.common.Incarnation:
+		return nil, "the request is for an earlier process"
+	case len(request.Tasks) == 0:
+		return nil, "the job has no tasks"
+	}
+	at := func(nanoseconds int64) time.Time { return time.Unix(0, nanoseconds).Add(home.ClockOffset) }
+	job = &cell.Job{
+		ID:              request.ID,
+		Home:            request.Home,
+		HomeIncarnation: request.HomeIncarnation,
+		Queue:           request.Queue,
+		Group:           request.Group,
+		Spec:            request.Spec,
+		Attempts:        request.Attempts,
+		Priority:        request.Priority,
+		Arrived:         at(request.Arrived),
+		Objective:       at(request.Objective),
+		Deadline:        at(request.Deadline),
+	}
+	if !k.common.Clock.Now().Before(job.Deadline) {
+		return nil, "the request came after its deadline"
+	}
+	for _, task := range request.Tasks {
+		job.Tasks = append(job.Tasks, &cell.Task{
+			Job:      job,
+			Name:     task.Name,
+			Demand:   task.Need,
+			Estimate: time.Duration(task.Estimate),
+		})
+	}
+	return job, ""
+}
