Log and count for how long a run outlives its job's answer

The hypotheses on the task that ran twice differ in where the time is spent between the answer to a caller and the end of the last run. So far the end of a run after the answer was logged only if it was stopped or had lapsed, without the time since the answer, and no metric counted it.

Change: the line 'run ended' has a field 'outlived', also for runs that were done after the answer, and the histogram chervilusher_cell_outlived_seconds counts it. No decision changes. Tests of cell and cellhost pass.

--- a/entry/pkg/cell/cell.go
+++ b/entry/pkg/cell/cell.go
@@ -50,11 +50,12 @@
 
 // EndedRun describes an ended run for the log.
 type EndedRun struct {
-	Task   string
-	Number int
-	Worker string
-	Result string
-	Took   time.Duration
+	Task     string
+	Number   int
+	Worker   string
+	Result   string
+	Took     time.Duration
+	Outlived time.Duration // time since its job was answered; zero if the job was open
 }
 
 // Effects lists the actions that the caller must carry out.
@@ -223,6 +224,7 @@
 	invariant.Check(!job.Decided(), "one_answer", "job %s", job.ID)
 	invariant.Check(answer.Outcome != Refused || !job.Started(), "refused_has_not_run", "job %s", job.ID)
 	job.answer = answer
+	job.answeredAt = now
 	delete(c.jobs, job)
 	for _, task := range job.Tasks {
 		switch task.state {
@@ -284,6 +286,9 @@
 // recordEnd reports the end of a run and adds it to its job's diagnostics.
 func (e *Effects) recordEnd(run *Run, result string, now time.Time) {
 	ended := EndedRun{Task: run.Task.Name, Number: run.Number, Worker: run.Worker.ID, Result: result, Took: now.Sub(run.sentAt)}
+	if run.Task.Job.Decided() {
+		ended.Outlived = now.Sub(run.Task.Job.answeredAt)
+	}
 	e.EndedRuns = append(e.EndedRuns, ended)
 	if diagnostics := &run.Task.Job.Diagnostics; len(diagnostics.EndedRuns) < maxEndedRuns {
 		diagnostics.EndedRuns = append(diagnostics.EndedRuns, ended)
--- a/entry/pkg/cell/job.go
+++ b/entry/pkg/cell/job.go
@@ -38,6 +38,7 @@
 	began       bool      // the predecessor has been started
 	startedAt   time.Time // when the first start was sent
 	answer      *Answer
+	answeredAt  time.Time
 	seq         int64
 }
 
--- a/entry/pkg/cellhost/keeper.go
+++ b/entry/pkg/cellhost/keeper.go
@@ -23,6 +23,7 @@
 	cellShed       = metrics.NewCounter(`chervilusher_cell_shed_total`)
 	cellFences     = metrics.NewCounter(`chervilusher_cell_fenced_total`)
 	cellStartTime  = metrics.NewHistogram(`chervilusher_cell_start_call_seconds`)
+	cellOutlived   = metrics.NewHistogram(`chervilusher_cell_outlived_seconds`)
 )
 
 const (
@@ -183,11 +184,16 @@
 
 func (k *KeeperController) logRunEnd(end *cell.EndedRun) {
 	cellRunTimes.Update(end.Took.Seconds())
-	if end.Result == cell.RunDone.String() {
+	if end.Result == cell.RunDone.String() && end.Outlived == 0 {
 		return // the job's log line contains it
 	}
-	k.common.Log.WithField("task", end.Task).WithField("run", end.Number).
-		WithField("worker", end.Worker).WithField("how", end.Result).WithField("took", end.Took.String()).Info("run ended")
+	line := k.common.Log.WithField("task", end.Task).WithField("run", end.Number).
+		WithField("worker", end.Worker).WithField("how", end.Result).WithField("took", end.Took.String())
+	if end.Outlived > 0 {
+		cellOutlived.Update(end.Outlived.Seconds())
+		line = line.WithField("outlived", end.Outlived.String())
+	}
+	line.Info("run ended")
 }
 
 func (k *KeeperController) sendStart(start cell.Start) {
