Bound a worker's lease by the runs whose jobs were answered but whose stops are unconfirmed

Cause: a lease covers all runs of a worker. When a job was abandoned its runs were stopped, but as long as the stop was not carried out the worker's lease was renewed for the sake of the other runs there, and of the abandoned run with it. A caller resubmits 1.3 s after the 504, to any host, so the run could meet the next one.

Class: the end of a run is left to an order that may be lost, although a lease exists that ends it without one.

Change: a lease ends at the latest when the caller of an answered job may resubmit, less the time that a worker takes to end its runs; no task starts on a worker that would get less than half of the longest lease. A run whose stop is confirmed, the usual case after some milliseconds, limits nothing.

Why it works: leases are absolute times on the worker's clock and nothing else extends them, so the run has ended by then whatever becomes of its stop, also if the keeper is lost.

--- a/entry/pkg/cell/cell.go
+++ b/entry/pkg/cell/cell.go
@@ -7,9 +7,10 @@
 	"chervilusher.dev/entry/pkg/invariant"
 )
 
-// Limits holds the limits of the worker interface.
+// Limits holds the limits that workers and callers set.
 type Limits struct {
-	Lease time.Duration // maximum lease of a run, on the worker's clock
+	Lease    time.Duration // maximum lease of a run, on the worker's clock
+	Resubmit time.Duration // after it a caller may resubmit a job that was abandoned or whose connection broke
 }
 
 // Cell is the dispatch state of one keeper. Its caller must serialize all calls.
--- a/entry/pkg/cell/cell_test.go
+++ b/entry/pkg/cell/cell_test.go
@@ -344,3 +344,22 @@
 	h.pass(6*time.Second - 300*time.Millisecond)
 	require.Equal(t, "abandoned", h.outcome(job), "its tasks cannot end before the deadline any more")
 }
+
+// TestRunThatIgnoresItsStopEndsBeforeTheCallerResubmits guards against renewing the lease of a run of an abandoned job
+// together with that of the worker's other runs.
+func TestRunThatIgnoresItsStopEndsBeforeTheCallerResubmits(t *testing.T) {
+	h := newHarness(t)
+	h.addWorkers(1, 16, 1)
+	h.pass(200 * time.Millisecond) // until the worker's clock is known
+	sim := h.workers["w00"]
+	sim.ignoresStops = true
+	abandoned := h.job(1, 7, veryLong, 2*veryLong, 2*veryLong)
+	h.submit(abandoned)
+	h.submit(h.job(1, 7, veryLong, 2*veryLong, 2*veryLong))
+	h.pass(5 * time.Second)
+	require.Len(t, sim.running, 2)
+	effects := h.cell.Cancel(abandoned, "the caller left", h.now)
+	h.applyEffects(&effects)
+	h.pass(resendAfter)
+	require.NotContains(t, sim.running, runKey{"j0001.0", 1})
+}
--- a/entry/pkg/cell/keepers_test.go
+++ b/entry/pkg/cell/keepers_test.go
@@ -278,7 +278,7 @@
 
 func (d *simDomain) step() {
 	k := d.keepers[rapid.IntRange(0, len(d.keepers)-1).Draw(d.t, "acting keeper")]
-	switch rapid.IntRange(0, 15).Draw(d.t, "step") {
+	switch rapid.IntRange(0, 16).Draw(d.t, "step") {
 	case 0:
 		d.claim(k)
 	case 1:
@@ -305,6 +305,9 @@
 		sim.unresponsive = !sim.unresponsive
 	case 11:
 		d.workers[d.someWorker()].restart(d.now)
+	case 12:
+		sim := d.workers[d.someWorker()]
+		sim.ignoresStops = !sim.ignoresStops
 	default:
 		d.submitRequest()
 	}
@@ -356,7 +359,7 @@
 func (d *simDomain) settle() {
 	d.storeDown = false
 	for _, sim := range d.workers {
-		sim.unresponsive = false
+		sim.unresponsive, sim.ignoresStops = false, false
 	}
 	for _, k := range d.keepers {
 		k.pausedUntil, k.partitionedSince, k.unreachable = time.Time{}, time.Time{}, false
--- a/entry/pkg/cell/shortage.go
+++ b/entry/pkg/cell/shortage.go
@@ -20,6 +20,7 @@
 	reasonUnconfirmedStart UnusableReason = "unsure start"
 	reasonFailing          UnusableReason = "failing" // or hanging
 	reasonHomeSuspected    UnusableReason = "home unheard"
+	reasonShortLease       UnusableReason = "unsure stop" // a run whose stop is unconfirmed limits the lease
 	reasonEvacuated        UnusableReason = "evacuated"
 )
 
--- a/entry/pkg/cell/sim_test.go
+++ b/entry/pkg/cell/sim_test.go
@@ -24,6 +24,7 @@
 	tombstones   map[string]int // highest run number that was stopped or has ended, by task
 	down         bool
 	unresponsive bool
+	ignoresStops bool // stops are neither carried out nor answered
 }
 
 type simRun struct {
@@ -169,7 +170,7 @@
 	return &harness{
 		t:       t,
 		now:     time.Unix(1_000_000, 0),
-		cell:    New(Limits{Lease: simLease}),
+		cell:    New(Limits{Lease: simLease, Resubmit: resendAfter}),
 		workers: map[string]*simWorker{},
 		answers: map[string]*Answer{},
 		decided: map[string]time.Time{},
@@ -301,7 +302,7 @@
 	}
 	for _, stop := range effects.Stops {
 		sim := h.workers[stop.Worker.ID]
-		if !h.isReachable(sim) || sim.incarnation != stop.Worker.incarnation || !sim.acceptsToken(h.tokens[stop.Worker.ID]) {
+		if !h.isReachable(sim) || sim.incarnation != stop.Worker.incarnation || !sim.acceptsToken(h.tokens[stop.Worker.ID]) || sim.ignoresStops {
 			continue
 		}
 		sim.stop(runKey{stop.Task, stop.Number}, h.now)
--- a/entry/pkg/cell/worker.go
+++ b/entry/pkg/cell/worker.go
@@ -27,6 +27,7 @@
 	clock          workerClock
 	slowness       average // run time over the estimate, adjusted for the queue's mean
 	health         health
+	limits         Limits
 	suspectedHomes map[string]bool // shared with the cell
 	evacuatedSince time.Time       // zero unless its failure domain is evacuated
 }
@@ -151,6 +152,8 @@
 		return reasonFailing
 	case w.hasSuspectedHome():
 		return reasonHomeSuspected
+	case w.hasShortLease(now):
+		return reasonShortLease
 	case w.evacuated(): // last, since usableFor makes an exception to it
 		return reasonEvacuated
 	default:
@@ -199,18 +202,6 @@
 	return w.ackedSequence
 }
 
-// Lease returns the lease end, on the worker's clock, for a call sent now, or false if the lease must not be extended.
-// That of a worker that does not answer is not, since each renewal would put off the time from which its runs have
-// certainly ended.
-func (w *Worker) Lease(now time.Time, length time.Duration) (time.Duration, bool) {
-	if !w.clock.known() || w.unresponsive || len(w.unknownRuns) > 0 || w.hasSuspectedHome() {
-		return 0, false
-	}
-	end := w.clock.estimate(now) + length
-	w.clock.latestLease = max(w.clock.latestLease, end)
-	return end, true
-}
-
 // HasUnknownRuns reports whether the worker has runs that this keeper did not start.
 func (w *Worker) HasUnknownRuns() bool {
 	return len(w.unknownRuns) > 0
--- a/entry/pkg/cellhost/keeper.go
+++ b/entry/pkg/cellhost/keeper.go
@@ -72,7 +72,7 @@
 		board:   board,
 		shedder: shedder,
 		workers: workers,
-		cell:    cell.New(cell.Limits{Lease: options.MaxLease}),
+		cell:    cell.New(cell.Limits{Lease: options.MaxLease, Resubmit: options.ResubmitDelay}),
 		loops:   map[string]*workerLoop{},
 		waiters: map[*cell.Job]chan *cell.Answer{},
 	}
--- a/entry/pkg/cellhost/options.go
+++ b/entry/pkg/cellhost/options.go
@@ -8,6 +8,7 @@
 	Address       string // of its listener for peers, host:port
 	FailureDomain string
 	MaxLease      time.Duration // longest lease of a run, guaranteed by the workers' interface
+	ResubmitDelay time.Duration // callers resubmit a broken job after it; no run of the job may live longer
 
 	HeartbeatInterval time.Duration // between two heartbeats
 	SuspectTimeout    time.Duration // a host without a heartbeat for this long is suspected and does not count as alive
@@ -19,6 +20,8 @@
 	// DefaultSuspectTimeout tolerates a host whose processor stalls for a tenth of a second at a time; together with
 	// the lease it stays under the 1.3 s after which a caller resubmits a broken job.
 	DefaultSuspectTimeout = 500 * time.Millisecond
+	// DefaultResubmitDelay is the platform's delay before a broken job is sent again.
+	DefaultResubmitDelay = 1300 * time.Millisecond
 
 	// homeHeartbeatTimeout is the time without a heartbeat of a home host after which its leases are not renewed;
 	// with the longest lease on a slow clock (1.02 s) it stays under the 1.3 s after which a caller resubmits a
--- a/entry/pkg/cellhost/worker_loop_test.go
+++ b/entry/pkg/cellhost/worker_loop_test.go
@@ -86,7 +86,7 @@
 	t.Helper()
 	clock := clockwork.NewFakeClock()
 	c := &common.Common{Log: &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}, Clock: clock, Incarnation: "life"}
-	options := Options{Name: "a", FailureDomain: north, MaxLease: time.Second, HeartbeatInterval: DefaultHeartbeatInterval, SuspectTimeout: DefaultSuspectTimeout}
+	options := Options{Name: "a", FailureDomain: north, MaxLease: time.Second, ResubmitDelay: DefaultResubmitDelay, HeartbeatInterval: DefaultHeartbeatInterval, SuspectTimeout: DefaultSuspectTimeout}
 	worker := &scriptedWorker{holds: make(chan heldCall)}
 	keeper := NewKeeperController(c, options, NewBoard(), &fixedShedder{}, worker, peer.NewServer())
 	state := &cell.Worker{ID: "w", Group: "desk", Capacity: cell.Resources{Cores: 16_000, Memory: 1 << 20}}
