Count leases from when a home was last known to wait for its job's answer

Cause: from the moment at which a home fails, its callers resubmit after 1.3 s. A keeper renewed the leases of its jobs until no heartbeat had been read for 250 ms, so that a run could live for 250 ms + 1,020 ms + the tick (10 ms), counted from the reading. What was left, 20 ms, had to hold the delivery of the heartbeat and the lag of the keeper, which is tens of milliseconds on a busy host and hundreds on a slow one: it reads heartbeats that were sent long before.

Class: a time limit that is put together from stages, each counted from when it is noticed and not from the event.

Change: the lease of a worker ends at the latest 1.2 s (on the slowest clock) after each of its runs' homes was last known to wait: when it sent the request (a new field of the message; earlier versions do not send it, then when the job arrived) or its last heartbeat, by the sender's own clock. For an answered job that time stays what it was at the answer, so that it also covers the time that the keeper took to learn of the caller's leaving. The rule of 250 ms is gone: its effect follows.

The offset between two hosts' clocks is the least that was seen; it may now rise by 0.1 % of the time, since it is used as long as both hosts run and clocks drift.

Why it works: no renewal of any length of lag can move the end past that time, as leases are absolute times on the worker's clock.

TestHeartbeatCountsFromWhenItWasSent failed before (difference 300 ms), as did the lease test in a form for the rule of 250 ms: TestNoLeaseIsRenewedForASilentHome is replaced by TestLeaseEndsBeforeTheCallersOfASilentHomeResubmit, which is stricter: it checks each lease against the time of resubmission, and not only that none is renewed after a given silence. TestHomesAreSilentAfterAPauseOfThisProcess checks the times instead of the list that is gone.

--- a/entry/pkg/cell/cell.go
+++ b/entry/pkg/cell/cell.go
@@ -23,8 +23,8 @@
 	byID           map[string]*Job   // latest job of each identifier that is undecided or still runs
 	speeds         speeds
 	demands        map[string]*meanDemand // by group
-	suspectedHomes map[string]bool        // homes whose heartbeats are missing
-	evacuatedSince map[string]time.Time   // by evacuated failure domain
+	homes          Homes
+	evacuatedSince map[string]time.Time // by evacuated failure domain
 	nextSeq        int64
 	returns        map[string]time.Time // by group: when the workers have served all callers told to come back
 }
@@ -68,8 +68,14 @@
 	Polls     []*Worker // workers to poll at once, in addition to the pending long poll
 }
 
+// Homes reports when the homes of jobs were last known to run.
+type Homes interface {
+	// SeenAt returns the time, or zero if that incarnation of the host is not known.
+	SeenAt(host, incarnation string) time.Time
+}
+
 // New returns a cell without workers.
-func New(limits Limits) *Cell {
+func New(limits Limits, homes Homes) *Cell {
 	return &Cell{
 		limits:         limits,
 		workers:        map[string]*Worker{},
@@ -77,7 +83,7 @@
 		speeds:         newSpeeds(),
 		byID:           map[string]*Job{},
 		demands:        map[string]*meanDemand{},
-		suspectedHomes: map[string]bool{},
+		homes:          homes,
 		evacuatedSince: map[string]time.Time{},
 		returns:        map[string]time.Time{},
 	}
@@ -156,19 +162,11 @@
 	return effects
 }
 
-// SetSuspectedHomes sets the homes whose heartbeats are missing. The leases under which their jobs run are not
-// renewed, so that they have lapsed by the time the callers resubmit, in case this keeper fails as well.
-func (c *Cell) SetSuspectedHomes(homes []string) {
-	clear(c.suspectedHomes)
-	for _, home := range homes {
-		c.suspectedHomes[home] = true
-	}
-}
-
 // Tick applies deadlines and lease expiry.
 func (c *Cell) Tick(now time.Time) Effects {
 	var effects Effects
 	for _, worker := range c.ordered {
+		worker.shortLease = worker.leaseLimit(now) < c.limits.minStartLease()
 		if worker.unresponsive && worker.clock.lapsed(now) {
 			c.expireRuns(worker, now, &effects)
 		}
@@ -224,6 +222,7 @@
 func (c *Cell) answer(job *Job, answer *Answer, effects *Effects, now time.Time) {
 	invariant.Check(!job.Decided(), "one_answer", "job %s", job.ID)
 	invariant.Check(answer.Outcome != Refused || !job.Started(), "refused_has_not_run", "job %s", job.ID)
+	job.WantedAt = minTime(c.wantedAt(job), now)
 	job.answer = answer
 	job.answeredAt = now
 	delete(c.jobs, job)
--- a/entry/pkg/cell/job.go
+++ b/entry/pkg/cell/job.go
@@ -31,6 +31,7 @@
 	Objective       time.Time // an answer after this time has less value
 	Deadline        time.Time // the caller stops waiting at this time
 	StartBy         time.Time // latest time of the first start
+	WantedAt        time.Time // when the home was last known to wait for the answer, apart from its heartbeats
 	Tasks           []*Task
 	Diagnostics     Diagnostics
 
--- a/entry/pkg/cell/keepers_test.go
+++ b/entry/pkg/cell/keepers_test.go
@@ -15,8 +15,6 @@
 	resendAfter = 1300 * time.Millisecond
 	// failAfter is the silence after which hosts consider each other failed.
 	failAfter = 500 * time.Millisecond
-	// suspectAfter is the silence after which no lease is renewed for the jobs of a home.
-	suspectAfter = 250 * time.Millisecond
 	// cells is the number of cells of the failure domain; a resubmitted job may reach the other one.
 	cells = 2
 	// reclaimDelay is the delay before a fenced keeper takes the worker back.
@@ -171,18 +169,14 @@
 	if !k.partitionedSince.IsZero() {
 		silentSince[d.home] = k.partitionedSince
 	}
-	var suspected []string
+	k.silentHomes = silentSince
 	for home, since := range silentSince {
-		switch silence := d.now.Sub(since); {
-		case silence > failAfter:
+		if d.now.Sub(since) > failAfter {
 			effects := k.cell.HandleHomeFailure(home, "", d.now)
 			k.applyEffects(&effects)
 			delete(k.failedHomes, home)
-		case silence > suspectAfter:
-			suspected = append(suspected, home)
 		}
 	}
-	k.cell.SetSuspectedHomes(suspected)
 }
 
 // serveCallers delivers answers, breaks connections and resubmits.
--- a/entry/pkg/cell/shortage.go
+++ b/entry/pkg/cell/shortage.go
@@ -18,9 +18,8 @@
 	reasonUnresponsive     UnusableReason = "silent"
 	reasonUnknownRuns      UnusableReason = "unknown runs"
 	reasonUnconfirmedStart UnusableReason = "unsure start"
-	reasonFailing          UnusableReason = "failing" // or hanging
-	reasonHomeSuspected    UnusableReason = "home unheard"
-	reasonShortLease       UnusableReason = "unsure stop" // a run whose stop is unconfirmed limits the lease
+	reasonFailing          UnusableReason = "failing"     // or hanging
+	reasonShortLease       UnusableReason = "short lease" // limited by a run whose home is silent or whose stop is unconfirmed
 	reasonEvacuated        UnusableReason = "evacuated"
 )
 
--- a/entry/pkg/cell/sim_test.go
+++ b/entry/pkg/cell/sim_test.go
@@ -149,6 +149,7 @@
 
 	domain      string               // failure domain of workers that are added
 	evacuated   map[string]time.Time // since when, by failure domain
+	silentHomes map[string]time.Time // since when no heartbeat was sent
 	firstStarts map[*Job]time.Time
 }
 
@@ -167,10 +168,9 @@
 )
 
 func newHarness(t require.TestingT) *harness {
-	return &harness{
+	h := &harness{
 		t:       t,
 		now:     time.Unix(1_000_000, 0),
-		cell:    New(Limits{Lease: simLease, Resubmit: resendAfter}),
 		workers: map[string]*simWorker{},
 		answers: map[string]*Answer{},
 		decided: map[string]time.Time{},
@@ -185,6 +185,16 @@
 		fenced:       map[string]time.Time{},
 		firstStarts:  map[*Job]time.Time{},
 	}
+	h.cell = New(Limits{Lease: simLease, Resubmit: resendAfter}, h)
+	return h
+}
+
+// SeenAt implements Homes.
+func (h *harness) SeenAt(host, _ string) time.Time {
+	if since, silent := h.silentHomes[host]; silent {
+		return since
+	}
+	return h.now
 }
 
 // addWorkers adds the given number of equal workers and holds them.
--- a/entry/pkg/cell/worker.go
+++ b/entry/pkg/cell/worker.go
@@ -27,9 +27,9 @@
 	clock          workerClock
 	slowness       average // run time over the estimate, adjusted for the queue's mean
 	health         health
-	limits         Limits
-	suspectedHomes map[string]bool // shared with the cell
-	evacuatedSince time.Time       // zero unless its failure domain is evacuated
+	cell           *Cell
+	shortLease     bool      // a new run would get a lease too short to be renewed in time
+	evacuatedSince time.Time // zero unless its failure domain is evacuated
 }
 
 type runKey struct {
@@ -150,9 +150,7 @@
 		return reasonUnconfirmedStart
 	case w.health.ejected(now):
 		return reasonFailing
-	case w.hasSuspectedHome():
-		return reasonHomeSuspected
-	case w.hasShortLease(now):
+	case w.shortLease:
 		return reasonShortLease
 	case w.evacuated(): // last, since usableFor makes an exception to it
 		return reasonEvacuated
@@ -167,20 +165,6 @@
 	return (w.held || w.joining) && !w.evacuated()
 }
 
-// hasSuspectedHome reports whether a job of a suspected home runs on the worker. The lease covers the whole worker, so
-// each renewal would keep that job running too.
-func (w *Worker) hasSuspectedHome() bool {
-	if len(w.suspectedHomes) == 0 {
-		return false
-	}
-	for _, run := range w.runs {
-		if w.suspectedHomes[run.Task.Job.Home] {
-			return true
-		}
-	}
-	return false
-}
-
 // Held reports whether the keeper may start tasks on the worker.
 func (w *Worker) Held() bool {
 	return w.held
--- a/entry/pkg/cell/workers.go
+++ b/entry/pkg/cell/workers.go
@@ -12,8 +12,7 @@
 func (c *Cell) Add(worker *Worker) {
 	worker.runs = map[runKey]*Run{}
 	worker.unknownRuns = map[runKey]struct{}{}
-	worker.limits = c.limits
-	worker.suspectedHomes = c.suspectedHomes
+	worker.cell = c
 	worker.evacuatedSince = c.evacuatedSince[worker.FailureDomain]
 	worker.joining = true
 	if before, ok := c.workers[worker.ID]; ok {
--- a/entry/pkg/cellhost/board.go
+++ b/entry/pkg/cellhost/board.go
@@ -30,7 +30,7 @@
 	Loads             []cell.Load
 	ClockOffset       time.Duration // this host's clock minus the peer's, too large by at most the delay of one heartbeat
 	ClockKnown        bool          // ClockOffset is known
-	LastHeartbeat     time.Time     // when its last heartbeat arrived; unlike LastSeen unaffected by a pause of this process
+	LastHeartbeat     time.Time     // when it sent its last heartbeat, on this host's clock; unlike LastSeen unaffected by delays
 	ShedFraction      float64       // the share of jobs that it has to shed
 	HeartbeatPeer     bool          // it and this host exchange heartbeats at the full rate
 }
@@ -58,17 +58,6 @@
 	return false
 }
 
-// WithoutHeartbeatSince returns the heartbeat peers whose last heartbeat arrived before the given time.
-func (v *View) WithoutHeartbeatSince(since time.Time) []string {
-	var unheard []string
-	for name := range v.Hosts {
-		if state := v.Hosts[name]; state.HeartbeatPeer && !state.LastHeartbeat.IsZero() && state.LastHeartbeat.Before(since) {
-			unheard = append(unheard, name)
-		}
-	}
-	return unheard
-}
-
 // Table returns the view as a member table, as the choice of a keeper takes it.
 func (v *View) Table() *blackboard.MemberTable {
 	table := &blackboard.MemberTable{ByName: make(map[string]blackboard.Member, len(v.Hosts))}
--- a/entry/pkg/cellhost/home.go
+++ b/entry/pkg/cellhost/home.go
@@ -214,6 +214,7 @@
 
 // call asks the keeper to run the job.
 func (h *HomeController) call(ctx context.Context, home string, keeper *PeerState, request *peer.RunRequest) (*peer.RunResponse, error) {
+	request.Sent = h.common.Clock.Now().UnixNano()
 	if keeper.Name == h.options.Name {
 		return h.keeper.Run(ctx, request)
 	}
--- a/entry/pkg/cellhost/keeper.go
+++ b/entry/pkg/cellhost/keeper.go
@@ -72,7 +72,7 @@
 		board:   board,
 		shedder: shedder,
 		workers: workers,
-		cell:    cell.New(cell.Limits{Lease: options.MaxLease, Resubmit: options.ResubmitDelay}),
+		cell:    cell.New(cell.Limits{Lease: options.MaxLease, Resubmit: options.ResubmitDelay}, &homes{self: options.Name, board: board, clock: c.Clock}),
 		loops:   map[string]*workerLoop{},
 		waiters: map[*cell.Job]chan *cell.Answer{},
 	}
@@ -96,12 +96,7 @@
 }
 
 func (k *KeeperController) tick() {
-	k.apply(func(now time.Time) cell.Effects {
-		if len(k.loops) > 0 { // without workers there is no lease to renew
-			k.cell.SetSuspectedHomes(k.board.View().WithoutHeartbeatSince(now.Add(-homeHeartbeatTimeout)))
-		}
-		return k.cell.Tick(now)
-	})
+	k.apply(func(now time.Time) cell.Effects { return k.cell.Tick(now) })
 }
 
 // apply makes a decision under the lock and executes its effects.
--- a/entry/pkg/cellhost/keeper_run.go
+++ b/entry/pkg/cellhost/keeper_run.go
@@ -197,6 +197,9 @@
 		Objective:       at(request.Objective),
 		Deadline:        at(request.Deadline),
 	}
+	if request.Sent > 0 { // earlier versions do not tell
+		job.WantedAt = at(request.Sent)
+	}
 	if !k.common.Clock.Now().Before(job.Deadline) {
 		return nil, "the request came after its deadline"
 	}
--- a/entry/pkg/cellhost/members.go
+++ b/entry/pkg/cellhost/members.go
@@ -71,6 +71,7 @@
 	heartbeat   *peer.Heartbeat
 	clockOffset time.Duration
 	receivedAt  time.Time
+	sentAt      time.Time // on this host's clock
 }
 
 // NewMembersController returns the controller and adds its method to the peer server.
@@ -213,9 +214,15 @@
 	delete(m.refused, heartbeat.Name)
 	before, ok := m.heartbeats[heartbeat.Name]
 	if ok && before.heartbeat.Incarnation == heartbeat.Incarnation {
-		offset = min(offset, before.clockOffset)
+		drift := time.Duration(maxClockDrift * float64(now.Sub(before.receivedAt)))
+		offset = min(offset, before.clockOffset+drift)
+	}
+	m.heartbeats[heartbeat.Name] = receivedHeartbeat{
+		heartbeat:   heartbeat,
+		clockOffset: offset,
+		receivedAt:  now,
+		sentAt:      time.Unix(0, heartbeat.Clock).Add(offset),
 	}
-	m.heartbeats[heartbeat.Name] = receivedHeartbeat{heartbeat: heartbeat, clockOffset: offset, receivedAt: now}
 	m.viewStale = true
 	return changed || !ok || changesState(before.heartbeat, heartbeat) || offset < before.clockOffset ||
 		now.Sub(before.receivedAt) > 2*m.options.HeartbeatInterval || now.Sub(m.published) >= viewInterval
@@ -294,7 +301,7 @@
 			state.Loads = last.heartbeat.Loads
 			state.ClockOffset = last.clockOffset
 			state.ClockKnown = true
-			state.LastHeartbeat = last.receivedAt
+			state.LastHeartbeat = last.sentAt
 			state.UnreleasedWorkers = setOf(last.heartbeat.UnreleasedWorkers)
 			state.ShedFraction = last.heartbeat.ShedFraction
 		}
--- a/entry/pkg/cellhost/members_test.go
+++ b/entry/pkg/cellhost/members_test.go
@@ -211,7 +211,7 @@
 }
 
 // TestHomesAreSilentAfterAPauseOfThisProcess has a host fail while this process is paused: afterwards its last
-// heartbeat is too old, although the host is not suspected yet.
+// heartbeat counts from before the pause, although the host is not suspected yet.
 func TestHomesAreSilentAfterAPauseOfThisProcess(t *testing.T) {
 	c, members := newMembers(t, blackboard.Member{Name: "b", FailureDomain: north, Size: 1}, blackboard.Member{Name: "c", FailureDomain: north, Size: 1})
 	members.handleHeartbeat(heartbeatOf(c, "b", "1"))
@@ -220,9 +220,26 @@
 	c.clock.Advance(900 * time.Millisecond)
 	members.tick()
 	members.handleHeartbeat(heartbeatOf(c, "c", "1"))
-	view := c.board.View()
-	require.True(t, view.Hosts["b"].Alive)
-	require.Equal(t, []string{"b"}, view.WithoutHeartbeatSince(c.clock.Now().Add(-homeHeartbeatTimeout)))
+	seen := homes{self: "a", board: c.board, clock: c.clock}
+	require.True(t, c.board.View().Hosts["b"].Alive)
+	require.Equal(t, 900*time.Millisecond, c.clock.Since(seen.SeenAt("b", "1")))
+	require.Zero(t, c.clock.Since(seen.SeenAt("c", "1")))
+	require.Zero(t, c.clock.Since(seen.SeenAt("a", "a")), "this host itself")
+	require.Zero(t, seen.SeenAt("b", "2"), "another incarnation")
+	require.Zero(t, seen.SeenAt("d", "1"), "an unknown host")
+	members.handleHeartbeat(heartbeatOf(c, "b", "1"))
+	require.Zero(t, c.clock.Since(seen.SeenAt("b", "1")))
+}
+
+// TestHeartbeatCountsFromWhenItWasSent guards against renewing the leases of a home's jobs on the strength of a
+// heartbeat that was read long after it was sent.
+func TestHeartbeatCountsFromWhenItWasSent(t *testing.T) {
+	c, members := newMembers(t, blackboard.Member{Name: "b", FailureDomain: north, Size: 1})
 	members.handleHeartbeat(heartbeatOf(c, "b", "1"))
-	require.Empty(t, c.board.View().WithoutHeartbeatSince(c.clock.Now().Add(-homeHeartbeatTimeout)))
+	c.clock.Advance(DefaultHeartbeatInterval)
+	late := heartbeatOf(c, "b", "1")
+	sent := c.clock.Now()
+	c.clock.Advance(300 * time.Millisecond)
+	members.handleHeartbeat(late)
+	require.WithinDuration(t, sent, c.board.View().Hosts["b"].LastHeartbeat, time.Millisecond)
 }
--- a/entry/pkg/cellhost/options.go
+++ b/entry/pkg/cellhost/options.go
@@ -17,16 +17,14 @@
 const (
 	// DefaultHeartbeatInterval costs each pair of hosts ten small calls a second.
 	DefaultHeartbeatInterval = 100 * time.Millisecond
-	// DefaultSuspectTimeout tolerates a host whose processor stalls for a tenth of a second at a time; together with
-	// the lease it stays under the 1.3 s after which a caller resubmits a broken job.
+	// DefaultSuspectTimeout tolerates a host whose processor stalls for a tenth of a second at a time; with the time
+	// that a stop takes it stays well under DefaultResubmitDelay.
 	DefaultSuspectTimeout = 500 * time.Millisecond
 	// DefaultResubmitDelay is the platform's delay before a broken job is sent again.
 	DefaultResubmitDelay = 1300 * time.Millisecond
 
-	// homeHeartbeatTimeout is the time without a heartbeat of a home host after which its leases are not renewed;
-	// with the longest lease on a slow clock (1.02 s) it stays under the 1.3 s after which a caller resubmits a
-	// broken job.
-	homeHeartbeatTimeout = 250 * time.Millisecond
+	// maxClockDrift bounds how much faster or slower the clocks of two hosts run.
+	maxClockDrift = 0.001
 	// tickInterval is the interval between checks of deadlines, leases and overdue runs.
 	tickInterval = 10 * time.Millisecond
 	// holdWait is how long a worker delays its answer until a run ends; a lease of 1 s outlasts two such waits.
--- a/entry/pkg/cellhost/worker_loop_test.go
+++ b/entry/pkg/cellhost/worker_loop_test.go
@@ -159,29 +159,44 @@
 	require.Empty(t, k.worker.started())
 }
 
-// TestNoLeaseIsRenewedForASilentHome checks that the runs for a home host without recent heartbeats lapse by
-// themselves.
-func TestNoLeaseIsRenewedForASilentHome(t *testing.T) {
+// TestLeaseEndsBeforeTheCallersOfASilentHomeResubmit guards against leases that count from when a heartbeat of the home
+// was read, and from the time at which the home is suspected.
+func TestLeaseEndsBeforeTheCallersOfASilentHomeResubmit(t *testing.T) {
 	k := newKeeperFixture(t)
-	now := k.clock.Now()
-	k.keeper.cell.HandleReport(k.loop.worker, k.report(), now, now)
+	sent := k.clock.Now()
+	workerClock := func() time.Duration { return time.Second + k.clock.Since(sent) }
+	k.keeper.cell.HandleReport(k.loop.worker, &cell.Report{Incarnation: 1, Clock: workerClock()}, sent, sent)
 	job := k.job()
-	job.Home = "b"
-	effects := k.keeper.cell.Submit(job, now)
+	job.Home, job.HomeIncarnation = "b", "1"
+	effects := k.keeper.cell.Submit(job, sent)
 	k.keeper.sendStart(effects.Starts[0])
-	k.keeper.board.view.Store(&View{Hosts: map[string]PeerState{"b": {Member: blackboard.Member{Name: "b", Alive: true}, LastHeartbeat: now, HeartbeatPeer: true}}})
+	home := PeerState{Member: blackboard.Member{Name: "b", Incarnation: "1", Alive: true}, LastHeartbeat: sent}
+	k.keeper.board.view.Store(&View{Hosts: map[string]PeerState{"b": home}})
 	leaseOfNext := func() time.Duration {
 		k.keeper.tick()
-		go k.loop.poll()
+		polled := make(chan struct{})
+		go func() {
+			defer close(polled)
+			k.loop.poll()
+		}()
 		call := k.worker.next(t)
-		call.answer <- heldAnswer{report: &cell.Report{Incarnation: 1, Clock: time.Second, Running: []cell.RunEntry{{Task: "j.0", Run: 1}}}}
+		call.answer <- heldAnswer{report: &cell.Report{Incarnation: 1, Clock: workerClock(), Running: []cell.RunEntry{{Task: "j.0", Run: 1}}}}
+		<-polled
 		return call.call.Lease
 	}
-	require.Positive(t, leaseOfNext())
-	k.clock.Advance(homeHeartbeatTimeout)
-	require.Positive(t, leaseOfNext())
-	k.clock.Advance(time.Millisecond)
-	require.Zero(t, leaseOfNext())
+	require.Equal(t, workerClock()+time.Second, leaseOfNext())
+	latest := time.Second + DefaultResubmitDelay
+	renewed := false
+	for range 100 {
+		k.clock.Advance(20 * time.Millisecond)
+		lease := leaseOfNext()
+		require.Less(t, lease, latest)
+		renewed = renewed || lease > 2*time.Second
+	}
+	require.True(t, renewed)
+	home.LastHeartbeat = k.clock.Now()
+	k.keeper.board.view.Store(&View{Hosts: map[string]PeerState{"b": home}})
+	require.Equal(t, workerClock()+time.Second, leaseOfNext())
 }
 
 // TestWorkerIsUsedAgainAtOnceAfterALostAnswer has a worker leave a call unanswered: the next call must neither be
--- a/entry/pkg/peer/cell.go
+++ b/entry/pkg/peer/cell.go
@@ -89,6 +89,7 @@
 	Arrived           int64     `json:"t"`
 	Objective         int64     `json:"o"`
 	Deadline          int64     `json:"d"`
+	Sent              int64     `json:"w,omitempty"`
 	Tasks             []RunTask `json:"ts"`
 	Mode              RunMode   `json:"now,omitempty"`
 }
