Exchange heartbeats with the homes of a keeper's jobs in other failure domains

A host of another failure domain whose own keepers are gone or decline asks a keeper elsewhere directly. Such a home was never suspected: if it lost power or was cut off, the keeper ran its jobs to their deadline while their callers resubmitted them.

Class: a failure detector that does not cover all whose failure matters.

Change: the homes of the jobs that a keeper has not answered count as heartbeat peers.

TestHomeInAnotherFailureDomainIsAHeartbeatPeerWhileItsJobsRun failed before (no heartbeat peer, the job undecided).

--- a/entry/pkg/cell/lease.go
+++ b/entry/pkg/cell/lease.go
@@ -57,6 +57,15 @@
 	return wanted
 }
 
+// JobHomes returns the homes of the jobs without an answer.
+func (c *Cell) JobHomes() map[string]bool {
+	homes := map[string]bool{}
+	for job := range c.jobs {
+		homes[job.Home] = true
+	}
+	return homes
+}
+
 func minTime(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
--- /dev/null
+++ b/entry/pkg/cellhost/homes_test.go
@@ -0,0 +1,43 @@
+package cellhost
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"chervilusher.dev/entry/pkg/blackboard"
+	"chervilusher.dev/entry/pkg/cell"
+	"chervilusher.dev/entry/pkg/peer"
+)
+
+// TestHomeInAnotherFailureDomainIsAHeartbeatPeerWhileItsJobsRun guards against the silence of a home going unnoticed
+// in a large fleet, where hosts of other failure domains exchange no heartbeats with a keeper.
+func TestHomeInAnotherFailureDomainIsAHeartbeatPeerWhileItsJobsRun(t *testing.T) {
+	hosts := []blackboard.Member{{Name: "home", FailureDomain: south, Size: 1}}
+	for i := range fullMeshHosts {
+		hosts = append(hosts, blackboard.Member{Name: strconv.Itoa(i), FailureDomain: south, Size: 1})
+	}
+	c, members := newMembers(t, hosts...)
+	members.SetObservers(c.keeper, c.keeper)
+	c.board.claims.Store(&[]peer.Claim{{Cell: northCell, CellCount: 1, Epoch: 1}})
+	members.handleHeartbeat(heartbeatOf(c, "home", "1"))
+	c.clock.Advance(startDelay)
+	members.tick()
+	require.False(t, c.board.View().Hosts["home"].HeartbeatPeer)
+	c.keeper.cell.Add(&cell.Worker{ID: "w", Group: "desk", Capacity: cell.Resources{Cores: 1000, Memory: 1}})
+	now := c.clock.Now()
+	job := &cell.Job{ID: "j", Home: "home", HomeIncarnation: "1", Group: "desk", Arrived: now, Objective: now.Add(time.Minute), Deadline: now.Add(time.Minute)}
+	job.Tasks = []*cell.Task{{Job: job, Name: "j.0", Demand: cell.Resources{Cores: 1000, Memory: 1}, Estimate: time.Second}}
+	c.keeper.cell.Submit(job, now)
+	require.False(t, job.Decided())
+	members.tick()
+	require.True(t, c.board.View().Hosts["home"].HeartbeatPeer)
+	for range 8 {
+		c.clock.Advance(DefaultHeartbeatInterval)
+		members.tick()
+	}
+	require.False(t, c.board.View().Hosts["home"].Alive)
+	require.True(t, job.Decided(), "the job of a home that is not heard")
+}
--- a/entry/pkg/cellhost/keeper.go
+++ b/entry/pkg/cellhost/keeper.go
@@ -280,6 +280,13 @@
 	return k.cell.Loads(k.common.Clock.Now())
 }
 
+// JobHomes returns the hosts whose jobs are queued or run here.
+func (k *KeeperController) JobHomes() map[string]bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.cell.JobHomes()
+}
+
 // UnreleasedWorkers returns the workers that belong to other keepers, or will when this host has left, and that this
 // host has not released yet.
 func (k *KeeperController) UnreleasedWorkers() []string {
--- a/entry/pkg/cellhost/members.go
+++ b/entry/pkg/cellhost/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -23,10 +24,12 @@
 	heartbeatsFailed = metrics.NewCounter(`chervilusher_pulses_total{end="failed"}`)
 )
 
-// LoadReporter reports this host's free slots as a keeper and the workers that it has not released yet.
+// LoadReporter reports this host's free slots as a keeper, the workers that it has not released yet, and the homes of
+// its jobs.
 type LoadReporter interface {
 	Loads() []cell.Load
 	UnreleasedWorkers() []string
+	JobHomes() map[string]bool
 }
 
 // FailureObserver is notified of hosts that are suspected or restarted.
@@ -57,6 +60,7 @@
 	tracker         *membership.Tracker
 	heartbeats      map[string]receivedHeartbeat
 	refused         map[string]bool // hosts whose address refused the connection at the last call
+	jobHomes        map[string]bool // homes of jobs that this host keeps
 	listedKeepers   map[string]bool // hosts that keep a cell according to the directory
 	ticks           int
 	wake            chan struct{}
@@ -171,7 +175,10 @@
 }
 
 func (m *MembersController) tick() {
+	homes := m.loads.JobHomes()
 	m.mu.Lock()
+	m.viewStale = m.viewStale || !maps.Equal(homes, m.jobHomes)
+	m.jobHomes = homes
 	changed, paused := m.tracker.Tick(m.common.Clock.Now())
 	changed = changed || m.viewStale
 	m.mu.Unlock()
--- a/entry/pkg/cellhost/members_send.go
+++ b/entry/pkg/cellhost/members_send.go
@@ -59,8 +59,9 @@
 }
 
 // isHeartbeatPeer reports whether the host and this one exchange heartbeats at the full rate: all hosts of a small
-// fleet, and otherwise keepers with each other and with the hosts of their failure domain. A host without a heartbeat
-// for longer than forgetPeerAfter is called at the slow interval only. The caller holds the lock.
+// fleet, and otherwise keepers with each other, with the hosts of their failure domain and with the homes of their jobs.
+// A host without a heartbeat for longer than forgetPeerAfter is called at the slow interval only. The caller holds the
+// lock.
 func (m *MembersController) isHeartbeatPeer(member *blackboard.Member) bool {
 	if !member.Alive && m.common.Clock.Since(member.LastSeen) > forgetPeerAfter {
 		return false
@@ -68,6 +69,9 @@
 	if len(m.board.View().Hosts) <= fullMeshHosts {
 		return true
 	}
+	if m.jobHomes[member.Name] {
+		return true
+	}
 	self := len(m.board.Claims()) > 0
 	other := m.listedKeepers[member.Name]
 	if last, ok := m.heartbeats[member.Name]; ok && last.heartbeat.Incarnation == member.Incarnation {
