List open calls in heartbeats, so that lost cancellations and forwarded jobs end in time

Cause: a keeper took every heartbeat of a home as a sign that the home waited for all its jobs. Two cases show otherwise. The cancellation of a call can be lost when its connection goes silent while heartbeats use another one; the job then ran to its deadline. And the home of a forwarded job is the keeper that forwarded it: when the host at which the caller waits failed, the forwarder went on with its heartbeats until it suspected that host, and leases counted from these.

Class: the liveness of a process taken for that of a request.

Change: heartbeats list the sender's open calls to the receiver, with the time at which the caller of each was last known to wait: now for the sender's own callers, the last heartbeat of the other home for a forwarded job. A keeper abandons the jobs whose calls are not listed though they were made before the heartbeat (both times on the sender's clock), and counts leases from the listed times. Earlier versions send no list and no number of a call; for them the rule of the heartbeats stays.

Ways weighed: a list of cancelled calls (says nothing of forwarded jobs); heartbeats between the keeper and the caller's home (up to 324 more pairs in a fleet of 39 hosts); the list of open calls, some ten bytes for each, was taken.

What remains: a cancellation that is lost between the caller's home and a forwarding keeper ends the job at its deadline only.

--- a/entry/pkg/cell/job.go
+++ b/entry/pkg/cell/job.go
@@ -31,7 +31,9 @@
 	Objective       time.Time // an answer after this time has less value
 	Deadline        time.Time // the caller stops waiting at this time
 	StartBy         time.Time // latest time of the first start
-	WantedAt        time.Time // when the home was last known to wait for the answer, apart from its heartbeats
+	Call            int64     // number of the home's call; zero if the home does not report its open calls
+	SentAt          time.Time // when the home sent that call, on its clock
+	WantedAt        time.Time // when the home was last known to wait for the answer
 	Tasks           []*Task
 	Diagnostics     Diagnostics
 
--- a/entry/pkg/cell/lease.go
+++ b/entry/pkg/cell/lease.go
@@ -47,6 +47,9 @@
 	if job.Decided() {
 		return job.WantedAt
 	}
+	if job.Call > 0 {
+		return job.WantedAt
+	}
 	wanted := job.WantedAt
 	if wanted.IsZero() {
 		wanted = job.Arrived
--- a/entry/pkg/cellhost/home.go
+++ b/entry/pkg/cellhost/home.go
@@ -78,14 +78,18 @@
 
 	mu            sync.Mutex
 	calls         map[*keeperCall]struct{}
+	lastCall      int64
 	openJobs      map[string]context.CancelFunc // by job identifier
 	noKeeperSince time.Time                     // when a job first found no keeper; zero while one is known
 }
 
 // keeperCall is an unanswered call to a keeper.
 type keeperCall struct {
+	number              int64
 	keeper, incarnation string
-	home                string // home host of the job
+	home                string    // home host of the job
+	homeIncarnation     string    // of home, as known when the call was made
+	wantedAt            time.Time // when the caller was last known to wait, apart from the heartbeats of another home
 	cancel              context.CancelCauseFunc
 }
 
@@ -214,21 +218,14 @@
 
 // call asks the keeper to run the job.
 func (h *HomeController) call(ctx context.Context, home string, keeper *PeerState, request *peer.RunRequest) (*peer.RunResponse, error) {
-	request.Sent = h.common.Clock.Now().UnixNano()
 	if keeper.Name == h.options.Name {
 		return h.keeper.Run(ctx, request)
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	call := &keeperCall{keeper: keeper.Name, incarnation: keeper.Incarnation, home: home, cancel: cancel}
-	h.mu.Lock()
-	h.calls[call] = struct{}{}
-	h.mu.Unlock()
-	defer func() {
-		h.mu.Lock()
-		delete(h.calls, call)
-		h.mu.Unlock()
-	}()
+	h.addCall(call, request)
+	defer h.removeCall(call)
 	response, err := peer.Call[peer.RunRequest, peer.RunResponse](ctx, h.client, keeper.Address, peer.MethodRun, request)
 	if err != nil && errors.Is(context.Cause(ctx), errKeeperFailed) {
 		return nil, errKeeperFailed
--- a/entry/pkg/cellhost/keeper_run.go
+++ b/entry/pkg/cellhost/keeper_run.go
@@ -169,6 +169,10 @@
 	restated.Arrived = job.Arrived.UnixNano()
 	restated.Objective = job.Objective.UnixNano()
 	restated.Deadline = job.Deadline.UnixNano()
+	restated.WantedAt = 0
+	if job.Call > 0 {
+		restated.WantedAt = job.WantedAt.UnixNano()
+	}
 	return &restated
 }
 
@@ -197,8 +201,10 @@
 		Objective:       at(request.Objective),
 		Deadline:        at(request.Deadline),
 	}
-	if request.Sent > 0 { // earlier versions do not tell
-		job.WantedAt = at(request.Sent)
+	if request.Call > 0 { // earlier versions do not tell
+		job.Call = request.Call
+		job.SentAt = time.Unix(0, request.Sent)
+		job.WantedAt = at(request.WantedAt)
 	}
 	if !k.common.Clock.Now().Before(job.Deadline) {
 		return nil, "the request came after its deadline"
--- a/entry/pkg/cellhost/lag_test.go
+++ b/entry/pkg/cellhost/lag_test.go
@@ -96,7 +96,7 @@
 func TestHeartbeatCarriesTheShedFraction(t *testing.T) {
 	c, members := newMembers(t, blackboard.Member{Name: "b", FailureDomain: north, Size: 1})
 	c.load.fraction = 0.25
-	require.Equal(t, 0.25, members.ownHeartbeat().ShedFraction)
+	require.Equal(t, 0.25, members.ownHeartbeat("b").ShedFraction)
 	heartbeat := heartbeatOf(c, "b", "1")
 	heartbeat.ShedFraction = 0.5
 	members.handleHeartbeat(heartbeat)
--- a/entry/pkg/cellhost/members.go
+++ b/entry/pkg/cellhost/members.go
@@ -38,6 +38,16 @@
 	HostFailed(name, incarnation string)
 }
 
+// CallReporter reports the open calls to another keeper.
+type CallReporter interface {
+	OpenCalls(keeper string) *peer.OpenCalls
+}
+
+// CallReceiver handles the open calls that the heartbeat of a home reports.
+type CallReceiver interface {
+	HandleOpenCalls(heartbeat *peer.Heartbeat)
+}
+
 // CallObserver is notified of the address of each peer that calls.
 type CallObserver interface {
 	PeerCalled(ctx context.Context, address string)
@@ -55,6 +65,8 @@
 	shedder          Shedder
 	failureObservers []FailureObserver
 	callObserver     CallObserver
+	calls            CallReporter
+	callReceiver     CallReceiver
 
 	mu              sync.Mutex
 	tracker         *membership.Tracker
@@ -125,6 +137,12 @@
 	m.callObserver = observer
 }
 
+// SetCalls sets the sides of calls to run jobs; it must be called before Serve.
+func (m *MembersController) SetCalls(calls CallReporter, receiver CallReceiver) {
+	m.calls = calls
+	m.callReceiver = receiver
+}
+
 // SetHosts applies the directory's hosts, and which of them keep cells.
 func (m *MembersController) SetHosts(hosts []blackboard.Member, keepers map[string]bool) {
 	m.mu.Lock()
@@ -199,7 +217,7 @@
 		}
 		m.queues.FetchIfNewer(context.Background(), heartbeat.Address, heartbeat.QueuesVersion)
 	}()
-	return m.ownHeartbeat(), nil
+	return m.ownHeartbeat(heartbeat.Name), nil
 }
 
 // handleHeartbeat processes a heartbeat. The view is rebuilt at once if the heartbeat changes a state that others act
@@ -209,6 +227,9 @@
 	if m.recordHeartbeat(heartbeat) {
 		m.publish()
 	}
+	if heartbeat.Calls != nil && m.callReceiver != nil {
+		m.callReceiver.HandleOpenCalls(heartbeat)
+	}
 }
 
 // recordHeartbeat reports whether the view must be rebuilt for the heartbeat.
@@ -241,7 +262,8 @@
 		!slices.Equal(before.Claims, now.Claims) || !slices.Equal(before.UnreleasedWorkers, now.UnreleasedWorkers)
 }
 
-func (m *MembersController) ownHeartbeat() *peer.Heartbeat {
+// ownHeartbeat returns the heartbeat for the named host.
+func (m *MembersController) ownHeartbeat(receiver string) *peer.Heartbeat {
 	heartbeat := &peer.Heartbeat{
 		Name:              m.options.Name,
 		Address:           m.options.Address,
@@ -257,6 +279,9 @@
 	if table := m.board.Queues(); table != nil {
 		heartbeat.QueuesVersion = table.Version
 	}
+	if m.calls != nil { // after Clock was read: what the list lacks, was sent later
+		heartbeat.Calls = m.calls.OpenCalls(receiver)
+	}
 	return heartbeat
 }
 
--- a/entry/pkg/cellhost/members_send.go
+++ b/entry/pkg/cellhost/members_send.go
@@ -102,7 +102,7 @@
 	ctx, cancel := context.WithTimeout(ctx, m.options.SuspectTimeout/2)
 	defer cancel()
 	heartbeatsSent.Inc()
-	answer, err := peer.Call[peer.Heartbeat, peer.Heartbeat](ctx, m.client, address, peer.MethodHeartbeat, m.ownHeartbeat())
+	answer, err := peer.Call[peer.Heartbeat, peer.Heartbeat](ctx, m.client, address, peer.MethodHeartbeat, m.ownHeartbeat(name))
 	if err != nil {
 		heartbeatsFailed.Inc()
 		m.handleMissed(name, err)
--- /dev/null
+++ b/entry/pkg/cellhost/open_calls.go
@@ -0,0 +1,70 @@
+package cellhost
+
+import (
+	"time"
+
+	"chervilusher.dev/entry/pkg/cell"
+	"chervilusher.dev/entry/pkg/peer"
+)
+
+// addCall registers a call before its request is sent.
+func (h *HomeController) addCall(call *keeperCall, request *peer.RunRequest) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.lastCall++
+	call.number = h.lastCall
+	call.homeIncarnation = h.board.View().Hosts[call.home].Incarnation
+	call.wantedAt = h.common.Clock.Now()
+	if request.WantedAt > 0 {
+		call.wantedAt = time.Unix(0, request.WantedAt)
+	}
+	h.calls[call] = struct{}{}
+	request.Call = call.number
+	request.WantedAt = call.wantedAt.UnixNano()
+	request.Sent = h.common.Clock.Now().UnixNano()
+}
+
+func (h *HomeController) removeCall(call *keeperCall) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.calls, call)
+}
+
+// OpenCalls implements CallReporter. The caller of a forwarded job waits at another home, whose heartbeats count.
+func (h *HomeController) OpenCalls(keeper string) *peer.OpenCalls {
+	seen := homes{self: h.options.Name, board: h.board, clock: h.common.Clock}
+	open := &peer.OpenCalls{}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for call := range h.calls {
+		if call.keeper != keeper {
+			continue
+		}
+		wanted := call.wantedAt
+		if at := seen.SeenAt(call.home, call.homeIncarnation); at.After(wanted) {
+			wanted = at
+		}
+		open.Numbers = append(open.Numbers, call.number)
+		open.WantedAt = append(open.WantedAt, wanted.UnixNano())
+	}
+	return open
+}
+
+// HandleOpenCalls implements CallReceiver: it cancels the jobs that their home no longer waits for, in case the
+// cancellation of the call was lost with its connection.
+func (k *KeeperController) HandleOpenCalls(heartbeat *peer.Heartbeat) {
+	home, known := k.board.View().Hosts[heartbeat.Name]
+	if !known || home.Incarnation != heartbeat.Incarnation || len(heartbeat.Calls.Numbers) != len(heartbeat.Calls.WantedAt) {
+		return
+	}
+	report := cell.HomeReport{
+		Home:        heartbeat.Name,
+		Incarnation: heartbeat.Incarnation,
+		Sent:        time.Unix(0, heartbeat.Clock),
+		WantedAt:    make(map[int64]time.Time, len(heartbeat.Calls.Numbers)),
+	}
+	for i, number := range heartbeat.Calls.Numbers {
+		report.WantedAt[number] = time.Unix(0, heartbeat.Calls.WantedAt[i]).Add(home.ClockOffset)
+	}
+	k.apply(func(now time.Time) cell.Effects { return k.cell.HandleHomeReport(&report, now) })
+}
--- /dev/null
+++ b/entry/pkg/cellhost/open_calls_test.go
@@ -0,0 +1,76 @@
+package cellhost
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"chervilusher.dev/entry/pkg/blackboard"
+	"chervilusher.dev/entry/pkg/cell"
+	"chervilusher.dev/entry/pkg/peer"
+)
+
+// callsFixture returns host "a", which knows hosts "b" and "c", and its side of calls to other keepers.
+func callsFixture(t *testing.T) (*claimant, *MembersController, *HomeController) {
+	t.Helper()
+	c, members := newMembers(t, blackboard.Member{Name: "b", FailureDomain: north, Size: 1}, blackboard.Member{Name: "c", FailureDomain: north, Size: 1})
+	home := NewHomeController(c.common, c.options, c.board, nil, c.keeper)
+	members.SetCalls(home, c.keeper)
+	members.handleHeartbeat(heartbeatOf(c, "b", "1"))
+	members.handleHeartbeat(heartbeatOf(c, "c", "1"))
+	return c, members, home
+}
+
+func TestHeartbeatListsTheOpenCallsToItsReceiver(t *testing.T) {
+	c, members, home := callsFixture(t)
+	sent := c.clock.Now()
+	own, forwarded := &keeperCall{keeper: "b", home: "a"}, &keeperCall{keeper: "b", home: "c"}
+	requests := [2]peer.RunRequest{}
+	home.addCall(own, &requests[0])
+	home.addCall(forwarded, &requests[1])
+	c.clock.Advance(300 * time.Millisecond)
+	open := members.ownHeartbeat("b").Calls
+	require.ElementsMatch(t, []int64{requests[0].Call, requests[1].Call}, open.Numbers)
+	for i, number := range open.Numbers {
+		if number == requests[0].Call {
+			require.Equal(t, c.clock.Now().UnixNano(), open.WantedAt[i])
+		} else {
+			require.Equal(t, sent.UnixNano(), open.WantedAt[i], "not heard of the caller's home since")
+		}
+	}
+	require.Empty(t, members.ownHeartbeat("c").Calls.Numbers)
+	home.removeCall(own)
+	home.removeCall(forwarded)
+	require.Empty(t, members.ownHeartbeat("b").Calls.Numbers)
+}
+
+func TestHeartbeatWithoutAnOpenCallCancelsItsJob(t *testing.T) {
+	c, members, _ := callsFixture(t)
+	c.keeper.cell.Add(&cell.Worker{ID: "w", Group: "desk", Capacity: cell.Resources{Cores: 1000, Memory: 1}})
+	now := c.clock.Now()
+	request := &peer.RunRequest{
+		ID: "j", Home: "b", HomeIncarnation: "1", KeeperIncarnation: c.common.Incarnation, Group: "desk", Call: 7,
+		Sent: now.UnixNano(), WantedAt: now.UnixNano(), Arrived: now.UnixNano(),
+		Objective: now.Add(time.Minute).UnixNano(), Deadline: now.Add(time.Minute).UnixNano(),
+		Tasks: []peer.RunTask{{Name: "j.0", Need: cell.Resources{Cores: 1000, Memory: 1}, Estimate: int64(time.Second)}},
+	}
+	job, reason := c.keeper.newJob(request)
+	require.Empty(t, reason)
+	c.keeper.cell.Submit(job, now)
+	for _, test := range []struct {
+		calls   *peer.OpenCalls
+		decided bool
+	}{
+		{nil, false}, // of an earlier version
+		{&peer.OpenCalls{Numbers: []int64{7}, WantedAt: []int64{now.UnixNano()}}, false},
+		{&peer.OpenCalls{Numbers: []int64{7}}, false}, // malformed
+		{&peer.OpenCalls{}, true},
+	} {
+		c.clock.Advance(DefaultHeartbeatInterval)
+		heartbeat := heartbeatOf(c, "b", "1")
+		heartbeat.Calls = test.calls
+		members.handleHeartbeat(heartbeat)
+		require.Equal(t, test.decided, job.Decided())
+	}
+}
--- a/entry/pkg/peer/cell.go
+++ b/entry/pkg/peer/cell.go
@@ -53,10 +53,19 @@
 	Claims            []Claim      `json:"c,omitempty"`
 	UnreleasedWorkers []string     `json:"k,omitempty"` // workers of other keepers that the sender has not released yet
 	Loads             []cell.Load  `json:"o,omitempty"`
+	// Calls are the sender's open calls to run jobs at the receiver; nil from earlier versions, which do not tell.
+	Calls *OpenCalls `json:"w,omitempty"`
 	// ShedFraction is the part of jobs, from 0 to 1, that the sender has to shed to finish the others in time.
 	ShedFraction float64 `json:"g,omitempty"`
 }
 
+// OpenCalls lists calls to run jobs whose callers wait; WantedAt holds for each number the time, in nanoseconds on the
+// sender's clock, at which the caller was last known to wait.
+type OpenCalls struct {
+	Numbers  []int64 `json:"n,omitempty"`
+	WantedAt []int64 `json:"t,omitempty"`
+}
+
 // RunTask is one task of a job.
 type RunTask struct {
 	Name     string         `json:"n"`
@@ -90,6 +99,8 @@
 	Objective         int64     `json:"o"`
 	Deadline          int64     `json:"d"`
 	Sent              int64     `json:"w,omitempty"`
+	WantedAt          int64     `json:"e,omitempty"` // when the caller was last known to wait
+	Call              int64     `json:"c,omitempty"` // number of this call, unique for the home's incarnation
 	Tasks             []RunTask `json:"ts"`
 	Mode              RunMode   `json:"now,omitempty"`
 }
