Tell a worker that crashed from one that is silent

What operators saw: a lost run was "lapsed", whether its worker had crashed, was cut off or was slow. How often a task's workers crashed could not be read from the logs.

Cause: a keeper looked at a failed call only for whether it was answered.

Class: evidence dropped where it was at hand.

Change: a refused connection of the call that keeps a worker, an answer of another incarnation, or a report of one, is recorded as the end of the worker's process, once for each incarnation. The keeper logs "worker crashed" with the tasks that may have been running, counts chervilusher_cell_worker_crashes_total, and calls the runs "crashed" in "run ended" and in the job's runs. Silence, timeouts and connections that break are no evidence: workers that are cut off or slow show the same. No decision changes: the runs stay accounted for until their lease has lapsed, since a network may refuse connections as well.

TestCrashedRunsAreToldFromSilentOnes, TestReportOfAnotherIncarnationIsEvidenceOfACrash and TestRefusedConnectionIsEvidenceOfACrash fail with recordCrash switched off: no crash in the effects where one with its tasks was expected, counter 0 where 1 was expected. TestRefusedConnectionIsTold (platform) held before: it pins what the client's errors must keep showing.

What remains: a network that refuses connections looks like a crash. A worker that leaves while a task runs there counts as one too.

--- a/entry/pkg/cell/cell.go
+++ b/entry/pkg/cell/cell.go
@@ -66,6 +66,7 @@
 	Answers   []AnsweredJob
 	EndedRuns []EndedRun
 	Polls     []*Worker // workers to poll at once, in addition to the pending long poll
+	Crashes   []CrashedWorker
 }
 
 // Homes reports when the homes of jobs were last known to run.
--- a/entry/pkg/cell/worker.go
+++ b/entry/pkg/cell/worker.go
@@ -16,6 +16,7 @@
 	joining        bool      // its first report is pending
 	held           bool      // the keeper's fencing token is in force; set by each report
 	unresponsive   bool      // its last call was not answered
+	crashed        bool      // its process is known to have ended since the last report
 	reportedAt     time.Time // time of the last report
 	polledAt       time.Time // time of the last extra poll
 	viewStale      bool      // after a rejected or unanswered start, until the next report
@@ -51,6 +52,7 @@
 	stoppedAt    time.Time // when the last stop was sent
 	tombstonedAt time.Time // when a stop was first confirmed, after which a late start is rejected
 	expected     time.Duration
+	crashed      bool // the worker's process has ended while the run may have been running
 }
 
 // RunResult is how a run ended.
--- a/entry/pkg/cell/workers.go
+++ b/entry/pkg/cell/workers.go
@@ -92,8 +92,10 @@
 	worker.viewStale = false
 	worker.reportedAt = now
 	if report.Incarnation != worker.incarnation {
+		c.recordCrash(worker, AnotherIncarnation, &effects)
 		worker.startIncarnation(report)
 	}
+	worker.crashed = false
 	if report.Clock > 0 {
 		if !worker.clock.known() {
 			worker.clock.latestLease = report.Clock + c.limits.Lease // an earlier keeper may have renewed it until now
@@ -214,7 +216,7 @@
 	task := run.Task
 	task.began = true
 	c.releaseResources(run)
-	effects.recordEnd(run, result.String(), now)
+	effects.recordEnd(run, run.resultName(result), now)
 	switch result {
 	case RunDone:
 		run.Worker.health.recordSuccess()
--- a/entry/pkg/cellhost/keeper.go
+++ b/entry/pkg/cellhost/keeper.go
@@ -137,6 +137,9 @@
 			go loop.poll()
 		}
 	}
+	for i := range effects.Crashes {
+		k.logCrash(&effects.Crashes[i])
+	}
 	for i := range effects.EndedRuns {
 		k.logRunEnd(&effects.EndedRuns[i])
 	}
--- a/entry/pkg/cellhost/worker_loop.go
+++ b/entry/pkg/cellhost/worker_loop.go
@@ -144,10 +144,15 @@
 
 func (l *workerLoop) handleUnanswered(err error) {
 	k := l.keeper
-	k.mu.Lock()
-	wasResponsive := !l.worker.Unresponsive()
-	k.cell.MarkUnresponsive(l.worker)
-	k.mu.Unlock()
+	wasResponsive := false
+	k.apply(func(now time.Time) cell.Effects {
+		wasResponsive = !l.worker.Unresponsive()
+		k.cell.MarkUnresponsive(l.worker)
+		if evidence, ended := crashEvidence(err); ended {
+			return k.cell.HandleCrash(l.worker, evidence, now)
+		}
+		return cell.Effects{}
+	})
 	if wasResponsive {
 		k.common.Log.WithField("worker", l.target.ID).WithError(err).Warn("worker does not answer")
 	}
