Start a task elsewhere at once when its start was never sent

What callers saw: tasks that were to start at a worker which had just crashed were answered 504 or late, though nothing had run.

Cause: a start whose connection is refused was handled as one without an answer, so that the task waited for the end of the lease of all that had been running at the worker, 1.09 s.

Class: "not sent" taken for "unknown".

Its run is given up, and the worker gets nothing until its next report. All other errors stay "unsure". Nothing starts sooner that may have run.

TestUndeliveredStartIsNotWaitedFor fails without the change (refused connection: started true, expected false). The cell's model answers starts and calls of workers whose process has ended with refused connections from now on.

--- a/entry/pkg/cell/sim_test.go
+++ b/entry/pkg/cell/sim_test.go
@@ -23,6 +23,7 @@
 	number       int64
 	tombstones   map[string]int // highest run number that was stopped or has ended, by task
 	down         bool
+	backAt       time.Time // when a worker that has crashed starts anew
 	unresponsive bool
 	ignoresStops bool // stops are neither carried out nor answered
 }
@@ -57,6 +58,10 @@
 
 // advance ends the runs that are due.
 func (w *simWorker) advance(now time.Time) {
+	if w.down && !w.backAt.IsZero() && !now.Before(w.backAt) {
+		w.down, w.backAt = false, time.Time{}
+		w.restart(now)
+	}
 	lapsed := w.clock(now) > w.lease
 	keys := make([]runKey, 0, len(w.running))
 	for key := range w.running {
@@ -217,6 +222,10 @@
 	}
 	if !h.isReachable(sim) {
 		h.cell.MarkUnresponsive(worker)
+		if h.refusesConnections(sim) {
+			effects := h.cell.HandleCrash(worker, ConnectionRefused, h.now)
+			h.applyEffects(&effects)
+		}
 		return
 	}
 	if !sim.acceptsToken(h.tokens[id]) {
@@ -335,13 +344,16 @@
 	}
 	_, _, lost := h.script(run.Task.Name, run.Number)
 	var effects Effects
-	if lost || !h.isReachable(sim) {
+	switch {
+	case h.refusesConnections(sim):
+		effects = h.cell.HandleStartResult(run, StartUndelivered, h.now)
+	case lost || !h.isReachable(sim):
 		if !sim.down && !h.unreachable {
 			late := lateStart{start: start, at: h.now.Add(2 * time.Second), incarnation: sim.incarnation, token: h.tokens[run.Worker.ID]}
 			h.late = append(h.late, late)
 		}
 		effects = h.cell.HandleStartResult(run, StartUnconfirmed, h.now)
-	} else {
+	default:
 		effects = h.cell.HandleStartResult(run, h.deliverStart(start, h.tokens[run.Worker.ID]), h.now)
 	}
 	h.applyEffects(&effects)
@@ -352,6 +364,11 @@
 	return !sim.down && !sim.unresponsive && !h.unreachable
 }
 
+// refusesConnections reports whether the worker's process has ended and the keeper can see that.
+func (h *harness) refusesConnections(sim *simWorker) bool {
+	return sim.down && !sim.unresponsive && !h.unreachable
+}
+
 // acceptsToken records the token of a call and reports whether the worker accepts it.
 func (w *simWorker) acceptsToken(token int64) bool {
 	if token < w.token {
--- a/entry/pkg/cell/workers.go
+++ b/entry/pkg/cell/workers.go
@@ -164,11 +164,12 @@
 	StartRejected                // it will not run
 	StartUnhealthy               // the worker is unhealthy and has done nothing
 	StartUnconfirmed             // no answer; it may run
+	StartUndelivered             // nothing was sent, since the worker refused the connection; it will not run
 )
 
 // String returns the result as logs and metrics show it.
 func (r StartResult) String() string {
-	return [...]string{"taken", "rejected", "unhealthy", "unsure"}[r]
+	return [...]string{"taken", "rejected", "unhealthy", "unsure", "undelivered"}[r]
 }
 
 // HandleStartResult processes the result of a start call.
@@ -180,7 +181,7 @@
 	switch result {
 	case StartAccepted:
 		run.confirm(now)
-	case StartRejected:
+	case StartRejected, StartUndelivered:
 		run.Worker.viewStale = true
 		c.handleNotRun(run, now, &effects)
 	case StartUnhealthy:
--- a/entry/pkg/cellhost/crash.go
+++ b/entry/pkg/cellhost/crash.go
@@ -23,6 +23,11 @@
 	}
 }
 
+// isUndelivered reports whether nothing of a failed call was sent. Calls are made once, on one connection.
+func isUndelivered(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 func (k *KeeperController) logCrash(crash *cell.CrashedWorker) {
 	cellWorkerCrashes.Inc()
 	k.common.Log.WithField("worker", crash.Worker).WithField("evidence", string(crash.Evidence)).
--- a/entry/pkg/cellhost/crash_test.go
+++ b/entry/pkg/cellhost/crash_test.go
@@ -37,3 +37,29 @@
 		})
 	}
 }
+
+// TestUndeliveredStartIsNotWaitedFor guards against a task that waits for the end of a lease although its start was never
+// sent, as its worker had just crashed; one that may have been sent has to wait.
+func TestUndeliveredStartIsNotWaitedFor(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		err     error
+		started bool
+	}{
+		{"refused connection", errors.WithStack(os.NewSyscallError("connect", syscall.ECONNREFUSED)), false},
+		{"reset connection", errors.WithStack(os.NewSyscallError("read", syscall.ECONNRESET)), true},
+		{"timeout", context.DeadlineExceeded, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			k := newKeeperFixture(t)
+			now := k.clock.Now()
+			k.keeper.cell.HandleReport(k.loop.worker, k.report(), now, now)
+			job := k.job()
+			effects := k.keeper.cell.Submit(job, now)
+			k.worker.startErr = test.err
+			k.keeper.sendStart(effects.Starts[0])
+			require.Equal(t, test.started, job.Started())
+			require.Equal(t, test.started, !k.loop.worker.Idle())
+		})
+	}
+}
--- a/entry/pkg/cellhost/keeper.go
+++ b/entry/pkg/cellhost/keeper.go
@@ -213,6 +213,9 @@
 		Lease: start.Lease,
 	})
 	cellStartTime.Update(k.common.Clock.Since(began).Seconds())
+	if result == cell.StartUnconfirmed && isUndelivered(err) {
+		result = cell.StartUndelivered
+	}
 	if result != cell.StartAccepted {
 		k.common.Log.WithField("job", run.Task.Job.ID).WithField("task", run.Task.Name).WithField("run", run.Number).
 			WithField("worker", run.Worker.ID).WithField("result", result.String()).WithError(err).Warn("start not accepted by the worker")
--- a/entry/pkg/cellhost/worker_loop_test.go
+++ b/entry/pkg/cellhost/worker_loop_test.go
@@ -21,8 +21,9 @@
 type scriptedWorker struct {
 	holds chan heldCall
 
-	mu     sync.Mutex
-	starts []StartCall
+	mu       sync.Mutex
+	starts   []StartCall
+	startErr error // of starts, which then are unconfirmed
 }
 
 // heldCall is a hold call that waits for its answer.
@@ -51,6 +52,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.starts = append(s.starts, call)
+	if s.startErr != nil {
+		return cell.StartUnconfirmed, s.startErr
+	}
 	return cell.StartAccepted, nil
 }
 
