Fail a job once two workers have crashed under one of its tasks

What callers saw: a task that crashes the workers that start it was started again until its deadline, and took worker after worker; the job ended as 504, and was sent again.

Cause: only runs that a worker lists as failed counted as attempts. A run that was lost with its worker returned to the queue without a limit.

Class: a loop of attempts without a count.

Change: each crash of a worker counts, when it is seen, for all tasks that may have been running there. At the second one the job is answered failed at once, which callers don't send again, and its other runs are stopped. A run whose start call has no result yet counts once it has one, unless nothing was sent. A job that is sent anew while its earlier runs are accounted for takes the counts over. When the task starts again is unchanged: after the end of the lease.

--- a/entry/pkg/cell/cell.go
+++ b/entry/pkg/cell/cell.go
@@ -98,6 +98,9 @@
 	c.jobs[job] = struct{}{}
 	c.observeDemand(job)
 	c.replace(job, now, &effects)
+	if c.failCrashing(job, now, &effects) {
+		return effects
+	}
 	if !c.CanEverRun(job) {
 		c.giveUp(job, c.UnfitReason(job), now, &effects)
 		return effects
--- a/entry/pkg/cell/crash.go
+++ b/entry/pkg/cell/crash.go
@@ -1,6 +1,13 @@
 package cell
 
-import "time"
+import (
+	"slices"
+	"time"
+)
+
+// maxWorkerCrashes is the number of workers that may crash under a task before its job has failed; the platform allows
+// that a task is given up from the second on.
+const maxWorkerCrashes = 2
 
 // CrashEvidence is how a keeper learnt that the process of a worker has ended.
 type CrashEvidence string
@@ -21,14 +28,15 @@
 
 // HandleCrash records evidence that the process of an unresponsive worker has ended. Its runs stay accounted for until
 // their lease has lapsed, since a network may refuse connections as well.
-func (c *Cell) HandleCrash(worker *Worker, evidence CrashEvidence, _ time.Time) Effects {
+func (c *Cell) HandleCrash(worker *Worker, evidence CrashEvidence, now time.Time) Effects {
 	var effects Effects
-	c.recordCrash(worker, evidence, &effects)
+	c.recordCrash(worker, evidence, now, &effects)
 	return effects
 }
 
-// recordCrash marks the runs at the worker, once for each incarnation of it.
-func (c *Cell) recordCrash(worker *Worker, evidence CrashEvidence, effects *Effects) {
+// recordCrash marks the runs at the worker and counts the crash for their tasks, once for each incarnation of the worker.
+// A run whose start call has no result yet is counted then, if it may have been running.
+func (c *Cell) recordCrash(worker *Worker, evidence CrashEvidence, now time.Time, effects *Effects) {
 	if !worker.held || worker.crashed {
 		return
 	}
@@ -37,10 +45,38 @@
 	for _, run := range worker.sortedRuns() {
 		run.crashed = true
 		crashed.Tasks = append(crashed.Tasks, run.Task.Name)
+		if run.mayHaveBegun() {
+			c.countCrash(run.Task, now, effects)
+		}
 	}
 	effects.Crashes = append(effects.Crashes, crashed)
 }
 
+// countCrash counts a worker's crash under the task, and fails its job when there were too many.
+func (c *Cell) countCrash(task *Task, now time.Time, effects *Effects) {
+	task.crashes++
+	c.failCrashing(task.Job, now, effects)
+}
+
+// failCrashing answers the job if too many workers have crashed under one of its tasks, and reports whether it did.
+func (c *Cell) failCrashing(job *Job, now time.Time, effects *Effects) bool {
+	if job.Decided() || !job.crashesWorkers() {
+		return false
+	}
+	c.answer(job, &Answer{Outcome: Failed, Reason: "two workers crashed under a task"}, effects, now)
+	return true
+}
+
+// crashesWorkers reports whether too many workers have crashed under one of the job's tasks.
+func (j *Job) crashesWorkers() bool {
+	return slices.ContainsFunc(j.Tasks, func(task *Task) bool { return task.crashes >= maxWorkerCrashes })
+}
+
+// mayHaveBegun reports whether the start was sent and its call has ended, or the run was listed.
+func (r *Run) mayHaveBegun() bool {
+	return r.unconfirmed || !r.acceptedAt.IsZero()
+}
+
 // resultName returns the result of the run as logs show it.
 func (r *Run) resultName(result RunResult) string {
 	if r.crashed && result == RunLapsed {
--- a/entry/pkg/cell/job.go
+++ b/entry/pkg/cell/job.go
@@ -70,6 +70,8 @@
 	began  bool    // a run is known to have begun
 	run    *Run    // current run, nil while none can exist
 	avoid  *Worker // where the last run failed
+
+	crashes int // number of workers that crashed while the task may have been running there
 }
 
 // Outcome is the outcome of a job.
@@ -114,12 +116,13 @@
 }
 
 // supersede makes the job wait for an earlier one of the same identifier and continue its run numbers, since workers
-// reject a run whose number they have seen.
+// reject a run whose number they have seen, and its count of crashes.
 func (j *Job) supersede(earlier *Job) {
 	j.predecessor = earlier
 	j.began = earlier.Started()
 	for i := range min(len(j.Tasks), len(earlier.Tasks)) {
 		j.Tasks[i].runs = earlier.Tasks[i].runs
+		j.Tasks[i].crashes = earlier.Tasks[i].crashes
 	}
 }
 
--- a/entry/pkg/cell/sim_test.go
+++ b/entry/pkg/cell/sim_test.go
@@ -156,8 +156,15 @@
 	evacuated   map[string]time.Time // since when, by failure domain
 	silentHomes map[string]time.Time // since when no heartbeat was sent
 	firstStarts map[*Job]time.Time
+
+	crashes    map[string]bool // tasks under which a worker crashes at once
+	crashStart StartResult     // what the worker answers to such a start
+	starts     map[string]int  // starts that a worker has carried out, by task
 }
 
+// simCrashTime is how long a worker is away after a crash.
+const simCrashTime = 3 * time.Second
+
 // lateStart is a start whose answer was lost and that takes effect later.
 type lateStart struct {
 	start       Start
@@ -189,6 +196,8 @@
 		tokens:       map[string]int64{},
 		fenced:       map[string]time.Time{},
 		firstStarts:  map[*Job]time.Time{},
+		crashes:      map[string]bool{},
+		starts:       map[string]int{},
 	}
 	h.cell = New(Limits{Lease: simLease, Resubmit: resendAfter}, h)
 	return h
@@ -398,6 +407,7 @@
 		return result
 	}
 	h.started[run.Task.Job] = true
+	h.starts[key.task]++
 	require.True(h.t, sim.capacity.Fits(sim.used()), "worker %s exceeds its capacity", run.Worker.ID)
 	for id, other := range h.workers {
 		if other.down {
@@ -408,6 +418,11 @@
 			require.False(h.t, running == key && id != run.Worker.ID, "run %v runs twice, at %s too", key, id)
 		}
 	}
+	if h.crashes[key.task] {
+		sim.down, sim.backAt = true, h.now.Add(simCrashTime)
+		sim.restart(h.now)
+		return h.crashStart
+	}
 	return result
 }
 
--- a/entry/pkg/cell/workers.go
+++ b/entry/pkg/cell/workers.go
@@ -92,7 +92,7 @@
 	worker.viewStale = false
 	worker.reportedAt = now
 	if report.Incarnation != worker.incarnation {
-		c.recordCrash(worker, AnotherIncarnation, &effects)
+		c.recordCrash(worker, AnotherIncarnation, now, &effects)
 		worker.startIncarnation(report)
 	}
 	worker.crashed = false
@@ -178,6 +178,7 @@
 	if run.finished {
 		return effects
 	}
+	missed := run.crashed && !run.mayHaveBegun() // by recordCrash
 	switch result {
 	case StartAccepted:
 		run.confirm(now)
@@ -192,6 +193,9 @@
 		run.Worker.viewStale = true
 		c.stop(run, now, &effects)
 	}
+	if missed && run.mayHaveBegun() {
+		c.countCrash(run.Task, now, &effects)
+	}
 	c.assign(now, &effects)
 	return effects
 }
