Apply a changed directory entry of a worker that the keeper already holds

What callers saw: starts over the capacity of a worker that had shrunk (the users' report; not seen on this system), and room that stayed unused after it had grown.

Cause: of a held worker with the same address and claim, holdWorker applied only whether it leaves. Capacity, Kind, Rack, FailureDomain and Group of its entry counted from the next claim on.

Class: a property taken for constant because it was at the time of writing; the entry was compared with what identifies the worker.

Change: Cell.Update applies the whole entry. Starts respect the capacity in force; what runs or is being stopped goes on counting, so that `used` may exceed the capacity. Growth starts waiting jobs at once. Waiting jobs that no worker is large enough for any more are refused at once, unless they have started; those go on and wait, as the room may come back. A keeper logs "worker's capacity changed" (worker, before, after) and counts chervilusher_cell_capacity_changes_total.

Checked for values below zero: Slots counted a resource that is overdrawn as unbounded for tasks that do not use it (Fits did not); the forecast took each end of a run as a slot, also where it only brings a worker back to its capacity, and at workers that are too small for the task; Loads showed a slot of a worker without room while the tasks' demand is unknown. cost, planLate, CanEverRun, slots and the invariants hold as they are. A change of the kind forgets the worker's own slowness.

Evidence: without Capacity in Update the randomised models say "worker w02 exceeds its capacity" (TestRandomisedSteps) and "worker w00 exceeds its capacity" (TestRandomisedKeepers); TestKeeperAppliesAChangedCapacityOfAWorkerThatItHolds finds no line and TestGrownCapacityStartsWaitingJobs a start on a worker that has shrunk.

What remains: a job that waits is not given more rounds when the cell shrinks below its number of tasks; it is refused when its latest start has passed.

--- a/entry/pkg/cell/load.go
+++ b/entry/pkg/cell/load.go
@@ -49,7 +49,7 @@
 		}
 		if demand, ok := c.demands[worker.Group]; ok {
 			load.FreeSlots += worker.free().Slots(demand.resources())
-		} else {
+		} else if worker.free().Cores > 0 {
 			load.FreeSlots++ // the demand of the group's tasks is not known yet
 		}
 	}
--- a/entry/pkg/cell/predict.go
+++ b/entry/pkg/cell/predict.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 )
 
@@ -19,7 +20,7 @@
 }
 
 // newForecast returns the slots for tasks of the job's size on eligible workers: the free ones, and one for the end of
-// each run. Free slots are limited to the number of tasks, since a worker has almost unlimited slots for tasks with a
+// each run that gives room. Free slots are limited to the number of tasks, since a worker has almost unlimited slots for tasks with a
 // tiny demand.
 func (c *Cell) newForecast(job *Job, tasks int, eligible func(*Worker) bool, now time.Time) *forecast {
 	f := &forecast{now: now}
@@ -29,7 +30,7 @@
 		if freeNow >= tasks {
 			break // all tasks start now, whatever the other workers have free
 		}
-		if worker.Group != job.Group || !eligible(worker) {
+		if worker.Group != job.Group || !worker.Capacity.Fits(demand) || !eligible(worker) {
 			continue
 		}
 		freeAt := now
@@ -46,14 +47,35 @@
 		if freeAt.Equal(now) {
 			freeNow += slots
 		}
-		for _, run := range worker.runs {
-			f.slots = append(f.slots, run.expectedEnd(now))
-		}
+		f.slots = append(f.slots, worker.slotEnds(demand, now)...)
 	}
 	heap.Init(&f.slots)
 	return f
 }
 
+// slotEnds returns when a slot for a task of that demand becomes free: at the end of each run, but on a worker whose
+// capacity has shrunk below what is in use only from the end on that leaves room for the task.
+func (w *Worker) slotEnds(demand Resources, now time.Time) []time.Time {
+	free := w.free()
+	if !free.IsOverdrawn() {
+		ends := make([]time.Time, 0, len(w.runs))
+		for _, run := range w.runs {
+			ends = append(ends, run.expectedEnd(now))
+		}
+		return ends
+	}
+	runs := w.sortedRuns()
+	slices.SortStableFunc(runs, func(a, b *Run) int { return a.expectedEnd(now).Compare(b.expectedEnd(now)) })
+	var ends []time.Time
+	for _, run := range runs {
+		free = free.Plus(run.Task.Demand)
+		if free.Fits(demand) {
+			ends = append(ends, run.expectedEnd(now))
+		}
+	}
+	return ends
+}
+
 // schedule starts the given number of tasks one after the other, each in the slot that becomes free first, and returns
 // the start time of the last one.
 func (f *forecast) schedule(tasks int, length time.Duration) time.Time {
--- a/entry/pkg/cell/resources.go
+++ b/entry/pkg/cell/resources.go
@@ -1,5 +1,7 @@
 package cell
 
+import "fmt"
+
 // Resources is an amount of each resource, of a worker or of one task.
 type Resources struct {
 	Cores        int64 `json:"c"` // thousandths of a core
@@ -30,6 +32,16 @@
 	}
 }
 
+// IsOverdrawn reports whether more of a resource is in use than there is, as after a shrink of the capacity.
+func (r Resources) IsOverdrawn() bool {
+	return !r.Fits(Resources{})
+}
+
+// String returns the resources as logs show them.
+func (r Resources) String() string {
+	return fmt.Sprintf("cpu %d mem_mb %d gpu %d", r.Cores, r.Memory, r.Accelerators)
+}
+
 // Slots returns how many tasks of that demand fit at the same time.
 func (r Resources) Slots(demand Resources) int {
 	count := quotient(r.Cores, demand.Cores)
@@ -41,7 +53,10 @@
 const unbounded = 1 << 20
 
 func quotient(have, demand int64) int64 {
-	if demand <= 0 {
+	switch {
+	case have < 0:
+		return 0
+	case demand <= 0:
 		return unbounded
 	}
 	return have / demand
--- a/entry/pkg/cell/worker.go
+++ b/entry/pkg/cell/worker.go
@@ -132,7 +132,7 @@
 	return c.readAt.Add(time.Duration(float64(c.latestLease-c.reading) / minClockRate))
 }
 
-// free returns the resources that no run holds.
+// free returns the resources that no run holds; negative after the capacity has shrunk below what is in use.
 func (w *Worker) free() Resources {
 	return w.Capacity.Minus(w.used)
 }
--- /dev/null
+++ b/entry/pkg/cellhost/capacity_test.go
@@ -0,0 +1,67 @@
+package cellhost
+
+import (
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
+	"github.com/stretchr/testify/require"
+
+	"chervilusher.dev/entry/pkg/cell"
+	"chervilusher.dev/entry/pkg/peer"
+)
+
+// syncWith has the keeper compare its only worker with the directory's entry of it.
+func (k *keeperFixture) syncWith(entry *peer.WorkerInfo) {
+	claimed := map[string]assignedWorker{entry.ID: {info: *entry, epoch: k.loop.epoch}}
+	k.keeper.Sync(claimed, map[string]peer.WorkerInfo{entry.ID: *entry}, &View{}, false)
+}
+
+// TestKeeperAppliesAChangedCapacityOfAWorkerThatItHolds guards against starts up to the capacity that a worker had when
+// it was claimed. The claim, the call that holds the worker, and its runs go on.
+func TestKeeperAppliesAChangedCapacityOfAWorkerThatItHolds(t *testing.T) {
+	k := newKeeperFixture(t)
+	lines := memory.New()
+	k.keeper.common.Log = &log.Logger{Handler: lines, Level: log.InfoLevel}
+	now := k.clock.Now()
+	k.keeper.cell.HandleReport(k.loop.worker, k.report(), now, now)
+	require.Len(t, k.keeper.cell.Submit(k.job(), now).Starts, 1)
+
+	shrunk, grown := cellShrunk.Get(), cellGrown.Get()
+	entry := &peer.WorkerInfo{ID: "w", Group: "desk", Capacity: cell.Resources{Cores: 16_000, Memory: 1 << 20}}
+	k.syncWith(entry)
+	require.Empty(t, lines.Entries, "nothing has changed")
+	entry.Capacity.Cores = 500
+	k.syncWith(entry)
+	k.syncWith(entry)
+	require.Len(t, lines.Entries, 1)
+	require.Equal(t, "worker's capacity changed", lines.Entries[0].Message)
+	require.Equal(t, log.Fields{"worker": "w", "before": "cpu 16000 mem_mb 1048576 gpu 0", "after": "cpu 500 mem_mb 1048576 gpu 0"}, lines.Entries[0].Fields)
+	second := k.job()
+	second.ID, second.Tasks[0].Name = "k", "k.0"
+	require.Equal(t, "no worker has room for a task of this size", k.keeper.unfitReason(second))
+
+	entry.Capacity.Cores = 32_000
+	k.syncWith(entry)
+	require.Len(t, k.keeper.cell.Submit(second, now).Starts, 1)
+	require.Equal(t, []uint64{shrunk + 1, grown + 1}, []uint64{cellShrunk.Get(), cellGrown.Get()})
+	require.Same(t, k.loop, k.keeper.loops["w"], "the worker was claimed anew")
+	require.NoError(t, k.loop.ctx.Err())
+}
+
+// TestGrownCapacityStartsWaitingJobs guards against starts that a change of the capacity brings and nobody sends.
+func TestGrownCapacityStartsWaitingJobs(t *testing.T) {
+	k := newKeeperFixture(t)
+	now := k.clock.Now()
+	entry := &peer.WorkerInfo{ID: "w", Group: "desk", Capacity: cell.Resources{Cores: 1000, Memory: 1 << 20}}
+	k.syncWith(entry)
+	k.keeper.cell.HandleReport(k.loop.worker, k.report(), now, now)
+	first, second := k.job(), k.job()
+	second.ID, second.Tasks[0].Name = "k", "k.0"
+	require.Len(t, k.keeper.cell.Submit(first, now).Starts, 1)
+	require.Empty(t, k.keeper.cell.Submit(second, now).Starts)
+	entry.Capacity.Cores = 2000
+	k.syncWith(entry)
+	require.Eventually(t, func() bool { return len(k.worker.started()) == 1 }, 5*time.Second, time.Millisecond)
+}
--- a/entry/pkg/cellhost/keeper.go
+++ b/entry/pkg/cellhost/keeper.go
@@ -21,6 +21,8 @@
 	cellStops      = metrics.NewCounter(`chervilusher_cell_stops_total`)
 	cellRunTimes   = metrics.NewHistogram(`chervilusher_cell_run_seconds`)
 	cellShed       = metrics.NewCounter(`chervilusher_cell_shed_total`)
+	cellShrunk     = metrics.NewCounter(`chervilusher_cell_capacity_changes_total{way="shrunk"}`)
+	cellGrown      = metrics.NewCounter(`chervilusher_cell_capacity_changes_total{way="grown"}`)
 	cellFences     = metrics.NewCounter(`chervilusher_cell_fenced_total`)
 	cellStartTime  = metrics.NewHistogram(`chervilusher_cell_start_call_seconds`)
 	cellOutlived   = metrics.NewHistogram(`chervilusher_cell_outlived_seconds`)
--- a/entry/pkg/cellhost/keeper_sync.go
+++ b/entry/pkg/cellhost/keeper_sync.go
@@ -103,19 +103,50 @@
 
 // holdWorker starts the loop of a worker, or applies a change of its directory entry.
 func (k *KeeperController) holdWorker(info peer.WorkerInfo, epoch int64) {
+	worker := workerOf(&info)
 	k.mu.Lock()
 	loop, ok := k.loops[info.ID]
+	k.mu.Unlock()
 	if ok && loop.target.Address == info.Address && loop.epoch == epoch {
-		loop.releasingSince = time.Time{}
-		k.cell.SetLeaving(loop.worker, info.Leaving)
-		k.mu.Unlock()
+		k.updateWorker(loop, worker)
 		return
 	}
-	k.mu.Unlock()
 	if ok {
 		k.dropWorker(info.ID)
 	}
-	worker := &cell.Worker{
+	loop = newWorkerLoop(k, worker, epoch)
+	k.mu.Lock()
+	k.cell.Add(worker)
+	k.loops[info.ID] = loop
+	k.mu.Unlock()
+	go loop.serve()
+}
+
+// updateWorker applies what the directory's entry says of a worker that this host holds.
+func (k *KeeperController) updateWorker(loop *workerLoop, entry *cell.Worker) {
+	var before cell.Resources
+	changed := false
+	k.apply(func(now time.Time) (effects cell.Effects) {
+		loop.releasingSince = time.Time{}
+		before = loop.worker.Capacity
+		effects, changed = k.cell.Update(loop.worker, entry, now)
+		return effects
+	})
+	if !changed || before == entry.Capacity {
+		return
+	}
+	if entry.Capacity.Fits(before) {
+		cellGrown.Inc()
+	} else {
+		cellShrunk.Inc()
+	}
+	k.common.Log.WithField("worker", entry.ID).WithField("before", before.String()).WithField("after", entry.Capacity.String()).
+		Info("worker's capacity changed")
+}
+
+// workerOf returns a worker as its directory entry describes it.
+func workerOf(info *peer.WorkerInfo) *cell.Worker {
+	return &cell.Worker{
 		ID:            info.ID,
 		Address:       info.Address,
 		FailureDomain: info.FailureDomain,
@@ -125,12 +156,6 @@
 		Capacity:      info.Capacity,
 		Leaving:       info.Leaving,
 	}
-	loop = newWorkerLoop(k, worker, epoch)
-	k.mu.Lock()
-	k.cell.Add(worker)
-	k.loops[info.ID] = loop
-	k.mu.Unlock()
-	go loop.serve()
 }
 
 // dropWorker stops holding a worker, whatever runs there.
