Run a task under which a worker has crashed alone

What callers saw: jobs whose tasks ran beside one that crashes its workers were lost with it again and again, and given up with it.

Cause: a task that had been lost with its worker was started again beside others, mostly the same ones, since they all wait for the end of the same lease and are packed onto the same worker.

Class: a suspect that shares its fate with others.

Change: a task under which a worker has crashed starts only at a worker where nothing runs, and nothing starts beside it. Innocent ones complete there; the next crash has one task to blame. Forecasts count a worker with such a run as free from its expected end, and jobs with such tasks wait for an idle worker; CanStartNow, late starts, free slots and the cause of a refusal ("suspect") follow. A job whose waiting tasks have to run alone holds nobody up. isolateSuspects switches it off.

TestTasksOfALostWorkerStartAnewOnceItsLeaseHasEnded has the worker gone for good. The model now shows such a worker's refused connections, so its two tasks run alone. The test keeps its bound and its two tasks at one worker for a silent worker, and wants one at each of two workers for one that refuses.

What remains: while no worker is idle such a task waits until it cannot end in time any more, and its job is then given up.

--- a/entry/pkg/cell/assign.go
+++ b/entry/pkg/cell/assign.go
@@ -58,26 +58,32 @@
 	return known && job.Tasks[0].Demand.Fits(demand)
 }
 
-// add records that the job's waiting tasks do not fit any worker.
+// add records that the job's waiting tasks do not fit any worker; those that have to run alone say nothing of others.
 func (u unmetDemand) add(job *Job) {
 	demand := job.Tasks[0].Demand
-	if smallest, known := u[job.Group]; job.waiting() > 0 && (!known || smallest.Fits(demand)) {
+	sharing := job.waiting() - job.waitingSuspects()
+	if smallest, known := u[job.Group]; sharing > 0 && (!known || smallest.Fits(demand)) {
 		u[job.Group] = demand
 	}
 }
 
 // hasFreeSlot reports whether a usable worker has free resources for a waiting task of the job.
 func (c *Cell) hasFreeSlot(job *Job, now time.Time) bool {
+	var looked struct{ sharing, alone bool } // all tasks of a job have the same demand
 	for _, task := range job.Tasks {
-		if task.state != Waiting {
+		kind := &looked.sharing
+		if task.isSuspect() {
+			kind = &looked.alone
+		}
+		if task.state != Waiting || *kind {
 			continue
 		}
+		*kind = true
 		for _, worker := range c.ordered {
-			if worker.Group == job.Group && worker.usableFor(job, now) && worker.free().Fits(task.Demand) {
+			if worker.Group == job.Group && worker.usableFor(job, now) && worker.hasRoomFor(task) {
 				return true
 			}
 		}
-		return false // all tasks of a job have the same demand
 	}
 	return false
 }
@@ -139,6 +145,7 @@
 	invariant.Check(!task.Job.Decided(), "no_start_after_answer", "job %s", task.Job.ID)
 	invariant.Check(worker.held && len(worker.unknownRuns) == 0, "only_held_workers", "worker %s", worker.ID)
 	invariant.Check(worker.free().Fits(task.Demand), "room_holds", "worker %s", worker.ID)
+	invariant.Check(!worker.hasSuspect() && worker.hasRoomFor(task), "suspects_run_alone", "worker %s", worker.ID)
 	if !task.Job.Started() {
 		task.Job.Diagnostics.QueueingDelay = now.Sub(task.Job.Arrived)
 		task.Job.startedAt = now
@@ -151,6 +158,10 @@
 		Worker:   worker,
 		sentAt:   now,
 		expected: c.speeds.expected(task, worker),
+		suspect:  task.isSuspect(),
+	}
+	if run.suspect {
+		worker.suspectRuns++
 	}
 	task.run = run
 	worker.runs[runKey{task.Name, run.Number}] = run
--- a/entry/pkg/cell/cell_test.go
+++ b/entry/pkg/cell/cell_test.go
@@ -318,19 +318,28 @@
 	require.Equal(t, causeForecast, shortage.Cause())
 }
 
-// TestTasksOfALostWorkerStartAnewOnceItsLeaseHasEnded has the keeper go on calling a worker that is gone for good.
+// TestTasksOfALostWorkerStartAnewOnceItsLeaseHasEnded has the keeper go on calling a worker that is gone for good: one
+// that is silent, and one whose address refuses connections, after which its tasks run alone.
 func TestTasksOfALostWorkerStartAnewOnceItsLeaseHasEnded(t *testing.T) {
-	h := newHarness(t)
-	h.addWorkers(1, 16, 1)
-	h.pass(200 * time.Millisecond) // until the worker's clock is known
-	job := h.job(2, 7, 400*time.Millisecond, 5*time.Second, 6*time.Second)
-	h.submit(job)
-	h.workers["w00"].down = true
-	h.addWorkers(1, 16, 1)
-	h.pass(simLease + 200*time.Millisecond)
-	require.Len(t, h.workers["w01"].running, 2)
-	h.pass(500 * time.Millisecond)
-	require.Equal(t, "completed", h.outcome(job))
+	for _, refuses := range []bool{false, true} {
+		h := newHarness(t)
+		h.addWorkers(1, 16, 1)
+		h.pass(200 * time.Millisecond) // until the worker's clock is known
+		job := h.job(2, 7, 400*time.Millisecond, 5*time.Second, 6*time.Second)
+		h.submit(job)
+		h.workers["w00"].down = true
+		h.workers["w00"].unresponsive = !refuses
+		h.addWorkers(2, 16, 1)
+		h.pass(simLease + 200*time.Millisecond)
+		if refuses {
+			require.Len(t, h.workers["w01"].running, 1)
+			require.Len(t, h.workers["w02"].running, 1)
+		} else {
+			require.Len(t, h.workers["w01"].running, 2)
+		}
+		h.pass(500 * time.Millisecond)
+		require.Equal(t, "completed", h.outcome(job))
+	}
 }
 
 // TestJobOfALostWorkerIsAnsweredAsSoonAsItCannotBeServed leaves no room to start its tasks anew.
--- /dev/null
+++ b/entry/pkg/cell/isolation.go
@@ -0,0 +1,70 @@
+package cell
+
+import (
+	"container/heap"
+	"time"
+)
+
+// isolateSuspects makes tasks under which a worker has crashed run alone, so that no other task is lost with the next
+// worker, and the ones that did not cause the crash complete.
+const isolateSuspects = true
+
+// isSuspect reports whether the task may have crashed a worker and has to run alone.
+func (t *Task) isSuspect() bool {
+	return isolateSuspects && t.crashes > 0
+}
+
+// waitingSuspects returns the number of waiting tasks that have to run alone.
+func (j *Job) waitingSuspects() int {
+	count := 0
+	for _, task := range j.Tasks {
+		if task.state == Waiting && task.isSuspect() {
+			count++
+		}
+	}
+	return count
+}
+
+// hasSuspect reports whether the worker has a run that must stay alone.
+func (w *Worker) hasSuspect() bool {
+	return w.suspectRuns > 0
+}
+
+// hasRoomFor reports whether the worker has the free resources for the task, and no other run if it has to run alone.
+func (w *Worker) hasRoomFor(task *Task) bool {
+	return w.free().Fits(task.Demand) && (!task.isSuspect() || len(w.runs) == 0)
+}
+
+// idleAt returns when the runs at the worker are expected to have ended.
+func (w *Worker) idleAt(now time.Time) time.Time {
+	last := now
+	for _, run := range w.runs {
+		if end := run.expectedEnd(now); end.After(last) {
+			last = end
+		}
+	}
+	return last
+}
+
+// forecastSuspects returns the predicted delay until the last waiting task of the job that has to run alone has started
+// on an eligible worker.
+func (c *Cell) forecastSuspects(job *Job, ahead []*Job, eligible func(*Worker) bool, now time.Time) time.Duration {
+	suspects := job.waitingSuspects()
+	if suspects == 0 {
+		return 0
+	}
+	f := &forecast{now: now}
+	for _, worker := range c.ordered {
+		if worker.Group != job.Group || !eligible(worker) || !worker.Capacity.Fits(job.Tasks[0].Demand) {
+			continue
+		}
+		if worker.usableFor(job, now) || worker.unusableReason(now) == reasonSuspect {
+			f.slots = append(f.slots, worker.idleAt(now))
+		}
+	}
+	heap.Init(&f.slots)
+	for _, other := range ahead {
+		f.schedule(other.waitingSuspects(), c.speeds.typical(other.Queue, other.longest()))
+	}
+	return f.schedule(suspects, c.speeds.typical(job.Queue, job.longest())).Sub(now)
+}
--- a/entry/pkg/cell/late.go
+++ b/entry/pkg/cell/late.go
@@ -36,10 +36,15 @@
 func (c *Cell) planLate(job *Job, now time.Time) ([]*Worker, bool) {
 	plan := make([]*Worker, 0, len(job.Tasks))
 	used := map[*Worker]Resources{}
+	alone := map[*Worker]bool{}
+	fits := func(task *Task, worker *Worker) bool {
+		taken, shared := used[worker]
+		return !alone[worker] && (!shared || !task.isSuspect()) && worker.hasRoomFor(task) && worker.free().Minus(taken).Fits(task.Demand)
+	}
 	for _, task := range job.Tasks {
 		var best choice
 		for _, worker := range c.ordered {
-			if worker.Group != job.Group || !worker.usableFor(job, now) || !worker.free().Minus(used[worker]).Fits(task.Demand) {
+			if worker.Group != job.Group || !worker.usableFor(job, now) || !fits(task, worker) {
 				continue
 			}
 			if !worker.leasesEndInTime(job) {
@@ -51,6 +56,7 @@
 			return nil, false
 		}
 		used[best.worker] = used[best.worker].Plus(task.Demand)
+		alone[best.worker] = task.isSuspect()
 		plan = append(plan, best.worker)
 	}
 	return plan, true
--- a/entry/pkg/cell/predict.go
+++ b/entry/pkg/cell/predict.go
@@ -37,6 +37,11 @@
 		switch {
 		case worker.joining && !worker.Leaving && !worker.evacuated():
 			freeAt = now.Add(joinDelay)
+		case worker.hasSuspect() && !worker.evacuated() && worker.unusableReason(now) == reasonSuspect:
+			for range min(worker.Capacity.Slots(demand), tasks) {
+				f.slots = append(f.slots, worker.idleAt(now))
+			}
+			continue
 		case !worker.usableFor(job, now):
 			continue
 		}
@@ -142,7 +147,8 @@
 	for _, other := range ahead {
 		f.schedule(other.waiting(), c.speeds.typical(other.Queue, other.longest()))
 	}
-	return f.schedule(job.waiting(), c.speeds.typical(job.Queue, job.longest())).Sub(now)
+	delay := f.schedule(job.waiting(), c.speeds.typical(job.Queue, job.longest())).Sub(now)
+	return max(delay, c.forecastSuspects(job, ahead, eligible, now))
 }
 
 // ahead returns the waiting jobs that start before the job.
--- a/entry/pkg/cell/sim_test.go
+++ b/entry/pkg/cell/sim_test.go
@@ -58,10 +58,7 @@
 
 // advance ends the runs that are due.
 func (w *simWorker) advance(now time.Time) {
-	if w.down && !w.backAt.IsZero() && !now.Before(w.backAt) {
-		w.down, w.backAt = false, time.Time{}
-		w.restart(now)
-	}
+	w.comeBack(now)
 	lapsed := w.clock(now) > w.lease
 	keys := make([]runKey, 0, len(w.running))
 	for key := range w.running {
@@ -157,16 +154,11 @@
 	silentHomes map[string]time.Time // since when no heartbeat was sent
 	firstStarts map[*Job]time.Time
 
-	crashes    map[string]bool // tasks under which a worker crashes at once
-	crashStart StartResult     // what the worker answers to such a start
-	starts     map[string]int  // starts that a worker has carried out, by task
-
 	told    map[string]Resources // capacity of each worker that the cell was told last
 	learnAt map[string]time.Time // when the cell learns of a changed capacity
-}
 
-// simCrashTime is how long a worker is away after a crash.
-const simCrashTime = 3 * time.Second
+	simCrashes
+}
 
 // lateStart is a start whose answer was lost and that takes effect later.
 type lateStart struct {
@@ -200,10 +192,9 @@
 		tokens:       map[string]int64{},
 		fenced:       map[string]time.Time{},
 		firstStarts:  map[*Job]time.Time{},
-		crashes:      map[string]bool{},
-		starts:       map[string]int{},
 		told:         map[string]Resources{},
 		learnAt:      map[string]time.Time{},
+		simCrashes:   newSimCrashes(),
 	}
 	h.cell = New(Limits{Lease: simLease, Resubmit: resendAfter}, h)
 	return h
@@ -381,11 +372,6 @@
 	return !sim.down && !sim.unresponsive && !h.unreachable
 }
 
-// refusesConnections reports whether the worker's process has ended and the keeper can see that.
-func (h *harness) refusesConnections(sim *simWorker) bool {
-	return sim.down && !sim.unresponsive && !h.unreachable
-}
-
 // acceptsToken records the token of a call and reports whether the worker accepts it.
 func (w *simWorker) acceptsToken(token int64) bool {
 	if token < w.token {
@@ -415,7 +401,6 @@
 		return result
 	}
 	h.started[run.Task.Job] = true
-	h.starts[key.task]++
 	require.True(h.t, capacity.Fits(sim.used()), "worker %s exceeds its capacity", run.Worker.ID)
 	for id, other := range h.workers {
 		if other.down {
@@ -426,12 +411,7 @@
 			require.False(h.t, running == key && id != run.Worker.ID, "run %v runs twice, at %s too", key, id)
 		}
 	}
-	if h.crashes[key.task] {
-		sim.down, sim.backAt = true, h.now.Add(simCrashTime)
-		sim.restart(h.now)
-		return h.crashStart
-	}
-	return result
+	return h.begin(h.t, key.task, sim, h.now)
 }
 
 // pass advances the simulated time in small steps, in which workers are held and late starts arrive.
--- a/entry/pkg/cell/worker.go
+++ b/entry/pkg/cell/worker.go
@@ -16,6 +16,7 @@
 	joining        bool      // its first report is pending
 	held           bool      // the keeper's fencing token is in force; set by each report
 	unresponsive   bool      // its last call was not answered
+	suspectRuns    int       // runs that must stay alone
 	crashed        bool      // its process is known to have ended since the last report
 	reportedAt     time.Time // time of the last report
 	polledAt       time.Time // time of the last extra poll
@@ -53,6 +54,7 @@
 	tombstonedAt time.Time // when a stop was first confirmed, after which a late start is rejected
 	expected     time.Duration
 	crashed      bool // the worker's process has ended while the run may have been running
+	suspect      bool // it must stay alone at its worker
 }
 
 // RunResult is how a run ended.
@@ -159,6 +161,8 @@
 		return reasonFailing
 	case w.shortLease:
 		return reasonShortLease
+	case w.hasSuspect():
+		return reasonSuspect
 	case w.evacuated(): // last, since usableFor makes an exception to it
 		return reasonEvacuated
 	default:
