Raise a worker's token when it has started anew, before it gets work

Cause: a call without an answer may be carried out seconds later. What makes a late start harmless is its lease, a tombstone, or a higher token, and a worker that starts anew under its ID knows none of them: its clock began anew, so that the old lease is far ahead, and the keeper went on with the token of the late start. The task had meanwhile started elsewhere, or its caller had sent it again: a stop that the earlier process had confirmed, or a list without the run, was taken to mean that it would never begin.

Class: a guarantee of one process that is relied on after another has taken its place.

Change: when a report shows another incarnation, the keeper raises its token by the least step and gives the worker nothing until it has answered a hold with it. Starts that were not confirmed before are settled by that answer alone: listed, or not run. One that was decided before and not sent yet is not sent any more. A worker that the directory had dropped and that comes back within 30 s is held with a raised token too. A probe of an isolated host tries the next tokens of the dead keeper in turn, up to 8; none that it tries is above the keeper's.

Ways weighed: a jump ahead of the clock, as after a lost duel, would fence a successor for a second. Stops for all starts without an answer need a memory of them for 12 s, and leave late holds, which renew leases. Waiting 12 s with a task whose start is unconfirmed would lose the job.

Why it works: the new process does nothing for a token below the highest that it has seen, so that no call of before is carried out after the first one with the raised token, whatever lease it carries.

Tests: the model delivers late starts, other starts and stops to a new incarnation too. Its check for two runs at once is as before; the late ones are delivered once a keeper with their token, or a later one, has held the new incarnation. The tests' fixture of probes has more room for calls that nobody reads.

What remains: a late start that comes after the restart and before the first call with the raised token, that is, within the time that the keeper takes to reach the worker again and one call more. No rule that the keeper can follow closes it: it has not heard of the restart yet.

--- a/entry/pkg/cell/keepers_test.go
+++ b/entry/pkg/cell/keepers_test.go
@@ -17,6 +17,8 @@
 	failAfter = 500 * time.Millisecond
 	// cells is the number of cells of the failure domain; a resubmitted job may reach the other one.
 	cells = 2
+	// tokenStep is between the tokens of two claims; a keeper raises its token by 1 when a worker has restarted.
+	tokenStep = 1000
 	// reclaimDelay is the delay before a fenced keeper takes the worker back.
 	reclaimDelay = 300 * time.Millisecond
 )
@@ -93,7 +95,7 @@
 	d.resign(k)
 	k.isKeeper = true
 	clear(k.fenced)
-	d.token++
+	d.token += tokenStep
 	for id := range d.listed {
 		k.tokens[id] = d.token
 	}
@@ -113,7 +115,7 @@
 			continue
 		}
 		if k.tokens[id] == 0 {
-			d.token++
+			d.token += tokenStep
 			k.tokens[id] = d.token
 		}
 		k.add(&Worker{ID: id, Kind: "usual", Group: "desk", Capacity: d.workers[id].capacity})
@@ -162,7 +164,7 @@
 	d.readDirectory(k)
 	for id, since := range k.fenced {
 		if k.isKeeper && d.now.Sub(since) > reclaimDelay {
-			d.token++
+			d.token += tokenStep
 			k.tokens[id] = d.token
 			delete(k.fenced, id)
 		}
--- /dev/null
+++ b/entry/pkg/cell/restart_test.go
@@ -0,0 +1,55 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestLateStartAtARestartedWorkerIsRejected guards against a start whose answer was lost and that a worker carries out after
+// it has started anew under its ID: it has no tombstone and has seen no token, and the lease is not past on its new clock.
+func TestLateStartAtARestartedWorkerIsRejected(t *testing.T) {
+	h := newHarness(t)
+	h.addWorkers(2, 16, 1)
+	h.tokens["w00"], h.tokens["w01"] = tokenStep, tokenStep
+	h.pass(4 * time.Second) // the lease's end on the earlier clock is far ahead of the new one
+	h.script = func(_ string, run int) (hangs, fails, lost bool) { return false, false, run == 1 }
+	job := h.job(1, 5, veryLong, 2*veryLong, 2*veryLong)
+	h.submit(job)
+	require.Len(t, h.late, 1)
+	first := h.late[0].start.Run.Worker.ID
+	h.pass(step)
+	h.workers[first].restart(h.now)
+	h.pass(2 * time.Second) // the task has started elsewhere or anew, and then the first start arrives
+	require.Empty(t, h.late)
+	running := 0
+	for _, sim := range h.workers {
+		running += len(sim.running)
+	}
+	require.Equal(t, 1, running)
+}
+
+// TestUnconfirmedStartIsSettledOnceTheRestartedWorkerHasTheRaisedToken checks that the task waits for no longer than that,
+// and that a start which was decided before the restart is not sent with the raised token.
+func TestUnconfirmedStartIsSettledOnceTheRestartedWorkerHasTheRaisedToken(t *testing.T) {
+	h := newHarness(t)
+	h.addWorkers(1, 16, 1)
+	worker, sim := h.cell.Worker("w00"), h.workers["w00"]
+	job := h.job(1, 5, veryLong, 2*veryLong, 2*veryLong)
+	effects := h.cell.Submit(job, h.now)
+	require.Len(t, effects.Starts, 1)
+	run := effects.Starts[0].Run
+	sim.restart(h.now)
+	report := sim.hold(0, 0, h.now)
+	require.True(t, worker.HasRestarted(report))
+	h.cell.HandleRestart(worker, report)
+	require.False(t, worker.HasRestarted(report))
+	require.False(t, worker.Held())
+	require.True(t, run.Fenced())
+	require.False(t, run.Finished())
+	effects = h.cell.HandleReport(worker, report, h.now, h.now)
+	require.True(t, run.Finished())
+	require.Len(t, effects.Starts, 1)
+	require.False(t, effects.Starts[0].Run.Fenced())
+}
--- a/entry/pkg/cell/sim_test.go
+++ b/entry/pkg/cell/sim_test.go
@@ -17,6 +17,7 @@
 	epoch        time.Time
 	incarnation  int64
 	token        int64 // highest that this incarnation has seen
+	holder       int64 // highest token of a hold that this incarnation has answered, -1 for none
 	lease        time.Duration
 	running      map[runKey]*simRun
 	ends         []EndedRunEntry
@@ -45,6 +46,7 @@
 	w.epoch = now
 	w.incarnation++
 	w.token = 0
+	w.holder = -1
 	w.lease = 0
 	w.running = map[runKey]*simRun{}
 	w.ends = nil
@@ -242,7 +244,14 @@
 		h.applyEffects(&effects)
 		return
 	}
+	sim.holder = max(sim.holder, h.tokens[id])
 	report := sim.hold(worker.AckedSequence(), lease, h.now)
+	if worker.HasRestarted(report) {
+		h.tokens[id]++
+		h.cell.HandleRestart(worker, report)
+		h.hold(id)
+		return
+	}
 	effects := h.cell.HandleReport(worker, report, h.now.Add(time.Nanosecond), h.now)
 	h.applyEffects(&effects)
 }
@@ -327,7 +336,7 @@
 	}
 	for _, stop := range effects.Stops {
 		sim := h.workers[stop.Worker.ID]
-		if !h.isReachable(sim) || sim.incarnation != stop.Worker.incarnation || !sim.acceptsToken(h.tokens[stop.Worker.ID]) || sim.ignoresStops {
+		if !h.isReachable(sim) || !sim.acceptsToken(h.tokens[stop.Worker.ID]) || sim.ignoresStops {
 			continue
 		}
 		sim.stop(runKey{stop.Task, stop.Number}, h.now)
@@ -385,7 +394,7 @@
 func (h *harness) deliverStart(start Start, token int64, capacity Resources) StartResult {
 	run := start.Run
 	sim := h.workers[run.Worker.ID]
-	if sim.incarnation != run.Worker.incarnation || !sim.acceptsToken(token) {
+	if !sim.acceptsToken(token) {
 		return StartRejected
 	}
 	key := runKey{run.Task.Name, run.Number}
@@ -442,8 +451,10 @@
 		if late.at.After(h.now) {
 			return false
 		}
-		// A worker that has restarted since cannot recognise the start; its keeper stops what it finds there.
-		if sim := h.workers[late.start.Run.Worker.ID]; !sim.down && sim.incarnation == late.incarnation {
+		// A worker that has restarted since rejects the start from the first call on after which a keeper with its token, or
+		// a later keeper, knows of the restart. What it does before is not guaranteed.
+		sim := h.workers[late.start.Run.Worker.ID]
+		if !sim.down && (sim.incarnation == late.incarnation || sim.holder >= late.token) {
 			h.deliverStart(late.start, late.token, late.capacity)
 		}
 		return true
--- a/entry/pkg/cell/worker.go
+++ b/entry/pkg/cell/worker.go
@@ -25,6 +25,7 @@
 	runs           map[runKey]*Run
 	unknownRuns    map[runKey]struct{} // runs that this keeper did not start
 	incarnation    int64
+	restartedAs    int64 // incarnation for which HandleRestart was called last
 	ackedSequence  int64
 	clock          workerClock
 	slowness       average // run time over the estimate, adjusted for the queue's mean
@@ -52,6 +53,7 @@
 	stopping     bool      // a stop was sent
 	stoppedAt    time.Time // when the last stop was sent
 	tombstonedAt time.Time // when a stop was first confirmed, after which a late start is rejected
+	fenced       bool      // its start was not confirmed before the worker restarted, and is rejected by the raised token
 	expected     time.Duration
 	crashed      bool // the worker's process has ended while the run may have been running
 	suspect      bool // it must stay alone at its worker
@@ -202,6 +204,11 @@
 	return len(w.unknownRuns) > 0
 }
 
+// Fenced reports whether the start must not be sent any more, since the worker has restarted since it was decided.
+func (r *Run) Fenced() bool {
+	return r.fenced
+}
+
 // Finished reports whether the run has ended or was given up.
 func (r *Run) Finished() bool {
 	return r.finished
--- a/entry/pkg/cell/workers.go
+++ b/entry/pkg/cell/workers.go
@@ -147,6 +147,8 @@
 			continue
 		}
 		switch {
+		case run.acceptedAt.IsZero() && run.fenced:
+			c.handleNotRun(run, now, effects)
 		case run.acceptedAt.IsZero() && !run.tombstonedAt.IsZero() && run.tombstonedAt.Before(sent):
 			c.handleNotRun(run, now, effects)
 		case !run.acceptedAt.IsZero() && run.acceptedAt.Before(sent) && !report.Partial:
--- a/entry/pkg/cellhost/idle_probe.go
+++ b/entry/pkg/cellhost/idle_probe.go
@@ -7,6 +7,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"chervilusher.dev/entry/pkg/cell"
 	"chervilusher.dev/entry/pkg/peer"
 )
 
@@ -19,6 +20,8 @@
 	// idleProbeRounds is how many successive probes must find nothing running; a live keeper's workers are seldom all
 	// idle.
 	idleProbeRounds = 3
+	// maxProbedRaises bounds the raised tokens that are tried at a worker: one for each of its restarts under the keeper.
+	maxProbedRaises = 8
 )
 
 // idleProbe detects for a host that hears too few others whether the keeper of a cell is still running: then tasks
@@ -79,7 +82,7 @@
 	idle, busy := 0, 0
 	for i := range workers {
 		calls.Go(func() {
-			report, err := p.workers.Hold(ctx, Target{ID: workers[i].ID, Address: workers[i].Address}, HoldCall{Token: seen.token})
+			report, err := p.list(ctx, Target{ID: workers[i].ID, Address: workers[i].Address}, seen.token)
 			mu.Lock()
 			defer mu.Unlock()
 			switch {
@@ -100,3 +103,14 @@
 		seen.idleRounds = 0
 	}
 }
+
+// list reads the worker's lists under the keeper's token for it, which is the claim's or has been raised after restarts of
+// the worker. No token that is tried is higher, so that the keeper is not fenced.
+func (p *idleProbe) list(ctx context.Context, target Target, token int64) (*cell.Report, error) {
+	report, err := p.workers.Hold(ctx, target, HoldCall{Token: token})
+	for raises := 0; isFenced(err) && raises < maxProbedRaises; raises++ {
+		token = nextToken(token)
+		report, err = p.workers.Hold(ctx, target, HoldCall{Token: token})
+	}
+	return report, err
+}
--- a/entry/pkg/cellhost/idle_probe_test.go
+++ b/entry/pkg/cellhost/idle_probe_test.go
@@ -17,10 +17,14 @@
 	report *cell.Report
 	err    error
 	asked  chan HoldCall
+	token  int64 // lower ones are fenced
 }
 
 func (l *fixedWorkers) Hold(_ context.Context, _ Target, call HoldCall) (*cell.Report, error) {
 	l.asked <- call
+	if call.Token < l.token {
+		return nil, ErrFenced
+	}
 	return l.report, l.err
 }
 
@@ -28,7 +32,7 @@
 // "b".
 func isolated(t *testing.T, workers *fixedWorkers) *claimant {
 	t.Helper()
-	workers.asked = make(chan HoldCall, 100)
+	workers.asked = make(chan HoldCall, 1000)
 	c := newClaimant("a", north)
 	c.idleProbe = newIdleProbe(workers, c.clock)
 	known := map[string]peer.WorkerInfo{"w1": {ID: "w1", FailureDomain: north}, "w2": {ID: "w2", FailureDomain: north}}
@@ -61,6 +65,19 @@
 	require.Equal(t, HoldCall{Token: 77}, <-workers.asked, "the probe must change nothing at the worker")
 }
 
+// TestIsolatedHostClaimsACellWhoseKeeperHadRaisedItsTokens guards against taking the token that a dead keeper had raised, since
+// a worker had restarted, for that of a newer keeper.
+func TestIsolatedHostClaimsACellWhoseKeeperHadRaisedItsTokens(t *testing.T) {
+	workers := &fixedWorkers{report: &cell.Report{}, token: nextToken(nextToken(77))}
+	c := isolated(t, workers)
+	require.False(t, c.claimsWithin(idleProbeDelay), "leases may not have lapsed yet")
+	require.True(t, c.claimsWithin(2*time.Second))
+	close(workers.asked)
+	for call := range workers.asked {
+		require.LessOrEqual(t, call.Token, workers.token, "the probe must not fence the keeper")
+	}
+}
+
 func TestIsolatedHostDoesNotClaimACellWhoseKeeperIsLive(t *testing.T) {
 	for name, workers := range map[string]*fixedWorkers{
 		"tasks run":      {report: &cell.Report{Running: []cell.RunEntry{{Task: "t", Run: 1}}}},
--- a/entry/pkg/cellhost/keeper.go
+++ b/entry/pkg/cellhost/keeper.go
@@ -47,7 +47,8 @@
 
 	mu             sync.Mutex
 	cell           *cell.Cell
-	loops          map[string]*workerLoop // by worker ID
+	loops          map[string]*workerLoop  // by worker ID
+	droppedTokens  map[string]droppedToken // by worker ID, of workers that were dropped within maxCallDelay
 	waiters        map[*cell.Job]chan *cell.Answer
 	successorSince time.Time // when another host took over from this leaving one
 	forwarder      Forwarder
@@ -77,6 +78,8 @@
 		cell:    cell.New(cell.Limits{Lease: options.MaxLease, Resubmit: options.ResubmitDelay}, &homes{self: options.Name, board: board, clock: c.Clock}),
 		loops:   map[string]*workerLoop{},
 		waiters: map[*cell.Job]chan *cell.Answer{},
+
+		droppedTokens: map[string]droppedToken{},
 	}
 	peer.Handle(server, peer.MethodRun, controller.Run)
 	return controller
@@ -234,7 +237,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	loop := k.loops[run.Worker.ID]
-	if loop == nil || loop.worker != run.Worker || run.Finished() {
+	if loop == nil || loop.worker != run.Worker || run.Finished() || run.Fenced() {
 		return nil, 0
 	}
 	return loop, loop.token.Load()
--- a/entry/pkg/cellhost/keeper_sync.go
+++ b/entry/pkg/cellhost/keeper_sync.go
@@ -1,6 +1,7 @@
 package cellhost
 
 import (
+	"maps"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -116,6 +117,9 @@
 	}
 	loop = newWorkerLoop(k, worker, epoch)
 	k.mu.Lock()
+	if last, held := k.droppedTokens[info.ID]; held && last.token >= epoch {
+		loop.token.Store(nextToken(last.token)) // calls of the earlier loop may still be carried out
+	}
 	k.cell.Add(worker)
 	k.loops[info.ID] = loop
 	k.mu.Unlock()
@@ -158,12 +162,21 @@
 	}
 }
 
+// droppedToken is the last token under which a worker was held.
+type droppedToken struct {
+	token int64
+	at    time.Time
+}
+
 // dropWorker stops holding a worker, whatever runs there.
 func (k *KeeperController) dropWorker(id string) {
 	k.mu.Lock()
+	now := k.common.Clock.Now()
 	loop := k.loops[id]
 	delete(k.loops, id)
-	effects := k.cell.Remove(id, k.common.Clock.Now())
+	maps.DeleteFunc(k.droppedTokens, func(_ string, last droppedToken) bool { return now.Sub(last.at) > maxCallDelay })
+	k.droppedTokens[id] = droppedToken{token: loop.token.Load(), at: now}
+	effects := k.cell.Remove(id, now)
 	k.mu.Unlock()
 	loop.cancel()
 	k.execute(&effects)
@@ -195,7 +208,12 @@
 // ahead of the clock.
 func raiseToken(token int64, attempts int, now time.Time) int64 {
 	ahead := time.Duration(1<<min(attempts, maxRaiseExponent)) * time.Second
-	return max(token+1<<hostBits, now.Add(ahead).UnixMilli()<<hostBits|token&(1<<hostBits-1))
+	return max(nextToken(token), now.Add(ahead).UnixMilli()<<hostBits|token&(1<<hostBits-1))
+}
+
+// nextToken returns the lowest token of the same host above the last one.
+func nextToken(token int64) int64 {
+	return token + 1<<hostBits
 }
 
 // maxRaiseExponent bounds how far a token goes ahead of the clock: 2^4 s is more than the clocks of hosts differ.
--- a/entry/pkg/cellhost/options.go
+++ b/entry/pkg/cellhost/options.go
@@ -33,6 +33,8 @@
 	foreignRunWait = 50 * time.Millisecond
 	// callTimeout bounds a call to a worker, in addition to the time for which the worker delays its answer.
 	callTimeout = 250 * time.Millisecond
+	// maxCallDelay is more than how long after a call without an answer its worker may carry it out, which is some seconds.
+	maxCallDelay = 30 * time.Second
 	// firstBackoff and lastBackoff bound the delay after a failed call to a worker.
 	firstBackoff = 50 * time.Millisecond
 	lastBackoff  = 500 * time.Millisecond
--- a/entry/pkg/cellhost/worker_loop.go
+++ b/entry/pkg/cellhost/worker_loop.go
@@ -87,23 +87,35 @@
 	ctx, cancel := context.WithTimeout(l.ctx, wait+callTimeout)
 	defer cancel()
 	report, err := k.workers.Hold(ctx, l.target, call)
+	if errors.Is(err, ErrFenced) && call.Token != l.token.Load() {
+		return nil // by this keeper's own later token
+	}
 	if err != nil {
 		return err
 	}
 	if l.ctx.Err() != nil {
 		return errors.WithStack(l.ctx.Err())
 	}
-	regained := false
+	regained, restarted := false, false
 	k.apply(func(now time.Time) cell.Effects {
 		if l.ctx.Err() != nil || call.Token != l.token.Load() {
 			return cell.Effects{}
 		}
+		if restarted = l.worker.HasRestarted(report); restarted {
+			l.token.Store(nextToken(call.Token))
+			k.cell.HandleRestart(l.worker, report)
+			return cell.Effects{}
+		}
 		regained = l.worker.Unresponsive()
 		return k.cell.HandleReport(l.worker, report, sent, now)
 	})
 	if regained {
 		k.common.Log.WithField("worker", l.target.ID).Info("worker answers again")
 	}
+	if restarted {
+		k.common.Log.WithField("worker", l.target.ID).WithField("token", call.Token).Info("worker has restarted, raising its token")
+		return l.hold(0)
+	}
 	return nil
 }
 
