Bound leases by the slowest clock since it was read, and assert that no start outlasts them

What callers saw: nothing reported; found beside the incident of the task that ran twice.

Cause: the end of a lease is the estimate of the worker's clock plus the time left. The time left was taken at the slowest rate, the time since the reading at the full rate. A call may go on for 0.65 s after the reading, so that a lease could end 13 ms after the deadline of the job's runs, out of a margin of 40 ms for what callers and their hosts see.

Class: a bound that takes one part of a time at the worst case and another at the usual one.

Change: the lease ends at the latest at the reading that the slowest clock has reached by the deadline. The same bound decides whether a worker's leases end in time for a start, and each start asserts it (invariant leases_end_in_time).

--- a/entry/pkg/cell/assign.go
+++ b/entry/pkg/cell/assign.go
@@ -146,6 +146,7 @@
 	invariant.Check(worker.held && len(worker.unknownRuns) == 0, "only_held_workers", "worker %s", worker.ID)
 	invariant.Check(worker.free().Fits(task.Demand), "room_holds", "worker %s", worker.ID)
 	invariant.Check(!worker.hasSuspect() && worker.hasRoomFor(task), "suspects_run_alone", "worker %s", worker.ID)
+	invariant.Check(worker.leasesEndInTime(task.Job), "leases_end_in_time", "task %s at worker %s", task.Name, worker.ID)
 	if !task.Job.Started() {
 		task.Job.Diagnostics.QueueingDelay = now.Sub(task.Job.Arrived)
 		task.Job.startedAt = now
--- a/entry/pkg/cell/cell.go
+++ b/entry/pkg/cell/cell.go
@@ -170,7 +170,7 @@
 func (c *Cell) Tick(now time.Time) Effects {
 	var effects Effects
 	for _, worker := range c.ordered {
-		worker.shortLease = worker.leaseLimit(now) < c.limits.minStartLease()
+		worker.shortLease = worker.clock.known() && worker.leaseLimit(now) < c.limits.minStartLease()
 		if worker.unresponsive && worker.clock.lapsed(now) {
 			c.expireRuns(worker, now, &effects)
 		}
--- a/entry/pkg/cell/lease.go
+++ b/entry/pkg/cell/lease.go
@@ -32,11 +32,9 @@
 // the job, should the home have failed just after it was last known to wait for the answer. A lease covers the whole
 // worker, so each renewal would keep such a run alive too.
 func (w *Worker) leaseLimit(now time.Time) time.Duration {
-	limits := w.cell.limits
-	limit := limits.Lease
+	limit := w.cell.limits.Lease
 	for _, run := range w.runs {
-		left := w.cell.leaseDeadline(run.Task.Job).Sub(now)
-		limit = min(limit, time.Duration(minClockRate*float64(left)))
+		limit = min(limit, w.clock.least(w.cell.leaseDeadline(run.Task.Job))-w.clock.estimate(now))
 	}
 	return limit
 }
@@ -49,7 +47,7 @@
 // leasesEndInTime reports whether the leases that the worker was already sent, for any run, expire before the job's lease
 // deadline. A start cannot shorten them, so they would keep its run alive after the deadline if the keeper is lost.
 func (w *Worker) leasesEndInTime(job *Job) bool {
-	return !w.clock.lapseTime().After(w.cell.leaseDeadline(job))
+	return w.clock.latestLease <= w.clock.least(w.cell.leaseDeadline(job))
 }
 
 // wantedAt returns when the job's home was last known to wait for the answer; what the home does later does not count
--- a/entry/pkg/cell/lease_test.go
+++ b/entry/pkg/cell/lease_test.go
@@ -73,3 +73,23 @@
 	next.pass(resendAfter - failAfter)
 	require.NotContains(t, next.workers["w00"].running, runKey{job.Tasks[0].Name, 1})
 }
+
+// TestLeaseEndsInTimeOnASlowClockThatWasReadLongAgo guards against counting what has passed since a worker's clock was read at
+// the full rate: calls may go on for 0.65 s.
+func TestLeaseEndsInTimeOnASlowClockThatWasReadLongAgo(t *testing.T) {
+	h := newHarness(t)
+	h.addWorkers(1, 16, 1)
+	worker, sim := h.cell.Worker("w00"), h.workers["w00"]
+	sim.drift = minClockRate
+	h.pass(400 * time.Millisecond)
+	h.submit(h.job(1, 5, veryLong, 2*veryLong, 2*veryLong))
+	h.hold("w00")
+	silentSince := h.now
+	h.silentHomes = map[string]time.Time{"home": silentSince}
+	deadline := silentSince.Add(resendAfter - endMargin)
+	h.now = h.now.Add(650 * time.Millisecond)
+	lease, ok := worker.Lease(h.now, simLease)
+	require.True(t, ok)
+	require.LessOrEqual(t, lease, sim.clock(deadline))
+	require.Greater(t, lease, sim.clock(deadline)-10*time.Millisecond, "no shorter than needed")
+}
--- a/entry/pkg/cell/worker.go
+++ b/entry/pkg/cell/worker.go
@@ -127,13 +127,12 @@
 	if !c.known() {
 		return true
 	}
-	least := c.reading + time.Duration(minClockRate*float64(now.Sub(c.readAt)))
-	return least > c.latestLease+lapseMargin
+	return c.least(now) > c.latestLease+lapseMargin
 }
 
-// lapseTime returns when every lease that was sent has expired, on the slowest clock.
-func (c *workerClock) lapseTime() time.Time {
-	return c.readAt.Add(time.Duration(float64(c.latestLease-c.reading) / minClockRate))
+// least returns the reading that the worker's clock has reached by the given time, however slow it is.
+func (c *workerClock) least(at time.Time) time.Duration {
+	return c.reading + time.Duration(minClockRate*float64(at.Sub(c.readAt)))
 }
 
 // free returns the resources that no run holds; negative after the capacity has shrunk below what is in use.
