Keep counts of crashes by task beyond the job and its keeper

What callers saw: a task that crashes its workers was answered 504, sent again under the same identifier, and began from zero at the next keeper, or at the same one once its job was over.

Cause: what a keeper knew of a task ended with the job and with the keeper.

Class: a bound on attempts for each submission instead of for each task.

Change: each host keeps a table of counts by task name, of at most 4,096 entries for 2 min each. A keeper counts there, and takes the counts of a submitted job from it; one with too many is answered failed before anything starts, whichever keeper is asked and whether it has room. A crash sends heartbeats at once. A host that has just started is told all counts, so a host that takes a cell over knows them. Earlier versions send no such field and ignore it.

What remains: hosts that count at the same moment, or a keeper that is lost before it could tell, leave the count one short each. When all hosts are lost, so are the counts.

--- a/entry/pkg/cell/cell.go
+++ b/entry/pkg/cell/cell.go
@@ -26,6 +26,7 @@
 	homes          Homes
 	evacuatedSince map[string]time.Time // by evacuated failure domain
 	nextSeq        int64
+	crashTable     crashTable
 	returns        map[string]time.Time // by group: when the workers have served all callers told to come back
 }
 
@@ -86,6 +87,7 @@
 		demands:        map[string]*meanDemand{},
 		homes:          homes,
 		evacuatedSince: map[string]time.Time{},
+		crashTable:     newCrashTable(),
 		returns:        map[string]time.Time{},
 	}
 }
@@ -98,6 +100,7 @@
 	c.jobs[job] = struct{}{}
 	c.observeDemand(job)
 	c.replace(job, now, &effects)
+	c.takeCrashes(job, now)
 	if c.failCrashing(job, now, &effects) {
 		return effects
 	}
@@ -138,6 +141,7 @@
 
 // CanStartNow reports whether all tasks of the job could start now on workers where they would meet the objective.
 func (c *Cell) CanStartNow(job *Job, now time.Time) bool {
+	c.takeCrashes(job, now)
 	longest := job.longestTask()
 	inTime := func(worker *Worker) bool { return c.isInTime(longest, worker, now) }
 	return c.forecastDelay(job, inTime, now) <= 0
--- a/entry/pkg/cell/crash.go
+++ b/entry/pkg/cell/crash.go
@@ -46,16 +46,17 @@
 		run.crashed = true
 		crashed.Tasks = append(crashed.Tasks, run.Task.Name)
 		if run.mayHaveBegun() {
-			c.countCrash(run.Task, now, effects)
+			c.countCrash(run.Task, now)
 		}
 	}
+	c.failCrashingJobs(now, effects)
 	effects.Crashes = append(effects.Crashes, crashed)
 }
 
-// countCrash counts a worker's crash under the task, and fails its job when there were too many.
-func (c *Cell) countCrash(task *Task, now time.Time, effects *Effects) {
-	task.crashes++
-	c.failCrashing(task.Job, now, effects)
+// countCrash counts a worker's crash under the task; failCrashingJobs has to follow.
+func (c *Cell) countCrash(task *Task, now time.Time) {
+	task.crashes = max(task.crashes, c.crashTable.count(task.Name, now)) + 1
+	c.crashTable.raise(task.Name, task.crashes, now)
 }
 
 // failCrashing answers the job if too many workers have crashed under one of its tasks, and reports whether it did.
--- a/entry/pkg/cell/job.go
+++ b/entry/pkg/cell/job.go
@@ -116,13 +116,12 @@
 }
 
 // supersede makes the job wait for an earlier one of the same identifier and continue its run numbers, since workers
-// reject a run whose number they have seen, and its count of crashes.
+// reject a run whose number they have seen.
 func (j *Job) supersede(earlier *Job) {
 	j.predecessor = earlier
 	j.began = earlier.Started()
 	for i := range min(len(j.Tasks), len(earlier.Tasks)) {
 		j.Tasks[i].runs = earlier.Tasks[i].runs
-		j.Tasks[i].crashes = earlier.Tasks[i].crashes
 	}
 }
 
--- a/entry/pkg/cell/late.go
+++ b/entry/pkg/cell/late.go
@@ -14,6 +14,9 @@
 // that one of them could use now.
 func (c *Cell) StartLate(job *Job, now time.Time) (Effects, bool) {
 	var effects Effects
+	if c.CrashesWorkers(job, now) {
+		return c.Submit(job, now), true // which fails it
+	}
 	if _, known := c.byID[job.ID]; known {
 		return effects, false // an earlier job of this identifier is undecided or still runs
 	}
--- a/entry/pkg/cellhost/claims_test.go
+++ b/entry/pkg/cellhost/claims_test.go
@@ -42,6 +42,8 @@
 	directory := NewDirectoryController(c, board)
 	keeper := NewKeeperController(c, options, board, load, nil, server)
 	members.SetObservers(keeper)
+	members.SetCrashes(keeper)
+	keeper.SetHeartbeats(members)
 	members.hostsKnownSince = clock.Now()
 	controller := NewClaimsController(c, options, board, keeper, directory, members)
 	controller.cells = map[string]int{north: 1}
--- a/entry/pkg/cellhost/crash.go
+++ b/entry/pkg/cellhost/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"syscall"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
@@ -28,6 +29,59 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
+// HeartbeatSender sends heartbeats to other hosts at once.
+type HeartbeatSender interface {
+	SendHeartbeats()
+}
+
+// SetHeartbeats sets who tells other hosts at once of a crash; it must be called before Serve.
+func (k *KeeperController) SetHeartbeats(heartbeats HeartbeatSender) {
+	k.heartbeats = heartbeats
+}
+
+// RecentCrashes implements CrashExchange.
+func (k *KeeperController) RecentCrashes() []cell.CrashCount {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.cell.RecentCrashes(k.common.Clock.Now())
+}
+
+// KnownCrashes implements CrashExchange.
+func (k *KeeperController) KnownCrashes() []cell.CrashCount {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.cell.KnownCrashes(k.common.Clock.Now())
+}
+
+// MergeCrashes implements CrashExchange.
+func (k *KeeperController) MergeCrashes(counts []cell.CrashCount) {
+	k.apply(func(now time.Time) cell.Effects { return k.cell.MergeCrashes(counts, now) })
+}
+
+// failCrashing answers a job under one of whose tasks too many workers have crashed, wherever and for whichever of its
+// submissions that was; it returns nil for other jobs.
+func (k *KeeperController) failCrashing(job *cell.Job) chan *cell.Answer {
+	var answers chan *cell.Answer
+	k.apply(func(now time.Time) (effects cell.Effects) {
+		if !k.cell.CrashesWorkers(job, now) {
+			return effects
+		}
+		answers = k.addWaiter(job)
+		return k.cell.Submit(job, now)
+	})
+	return answers
+}
+
+// reportCrashes logs crashes and tells other hosts at once.
+func (k *KeeperController) reportCrashes(crashes []cell.CrashedWorker) {
+	for i := range crashes {
+		k.logCrash(&crashes[i])
+	}
+	if len(crashes) > 0 && k.heartbeats != nil {
+		k.heartbeats.SendHeartbeats()
+	}
+}
+
 func (k *KeeperController) logCrash(crash *cell.CrashedWorker) {
 	cellWorkerCrashes.Inc()
 	k.common.Log.WithField("worker", crash.Worker).WithField("evidence", string(crash.Evidence)).
--- a/entry/pkg/cellhost/keeper.go
+++ b/entry/pkg/cellhost/keeper.go
@@ -45,6 +45,8 @@
 	shedder Shedder
 	workers WorkerClient
 
+	heartbeats HeartbeatSender
+
 	mu             sync.Mutex
 	cell           *cell.Cell
 	loops          map[string]*workerLoop  // by worker ID
@@ -142,9 +144,7 @@
 			go loop.poll()
 		}
 	}
-	for i := range effects.Crashes {
-		k.logCrash(&effects.Crashes[i])
-	}
+	k.reportCrashes(effects.Crashes)
 	for i := range effects.EndedRuns {
 		k.logRunEnd(&effects.EndedRuns[i])
 	}
--- a/entry/pkg/cellhost/keeper_run.go
+++ b/entry/pkg/cellhost/keeper_run.go
@@ -18,6 +18,9 @@
 	}
 	job, reason := k.newJob(request)
 	if job != nil {
+		if answers := k.failCrashing(job); answers != nil {
+			return k.awaitAnswer(ctx, job, answers)
+		}
 		if unfit := k.unfitReason(job); unfit != "" {
 			job, reason = nil, unfit
 		}
--- a/entry/pkg/cellhost/members.go
+++ b/entry/pkg/cellhost/members.go
@@ -67,6 +67,7 @@
 	callObserver     CallObserver
 	calls            CallReporter
 	callReceiver     CallReceiver
+	crashes          CrashExchange
 
 	mu              sync.Mutex
 	tracker         *membership.Tracker
@@ -87,6 +88,7 @@
 	heartbeat   *peer.Heartbeat
 	clockOffset time.Duration
 	receivedAt  time.Time
+	firstAt     time.Time // when the first one of this incarnation was received
 	sentAt      time.Time // on this host's clock
 }
 
@@ -224,6 +226,9 @@
 // on, and otherwise after viewInterval only, since its cost grows with the number of hosts.
 func (m *MembersController) handleHeartbeat(heartbeat *peer.Heartbeat) {
 	m.evacuations.ApplyFromPeer(heartbeat.Evacuations, heartbeat.Name)
+	if m.crashes != nil && len(heartbeat.Crashes) > 0 {
+		m.crashes.MergeCrashes(heartbeat.Crashes)
+	}
 	if m.recordHeartbeat(heartbeat) {
 		m.publish()
 	}
@@ -241,7 +246,9 @@
 	changed := m.tracker.RecordHeartbeat(heartbeat.Name, heartbeat.Incarnation, heartbeat.Leaving, now) || m.refused[heartbeat.Name]
 	delete(m.refused, heartbeat.Name)
 	before, ok := m.heartbeats[heartbeat.Name]
+	first := now
 	if ok && before.heartbeat.Incarnation == heartbeat.Incarnation {
+		first = before.firstAt
 		drift := time.Duration(maxClockDrift * float64(now.Sub(before.receivedAt)))
 		offset = min(offset, before.clockOffset+drift)
 	}
@@ -249,6 +256,7 @@
 		heartbeat:   heartbeat,
 		clockOffset: offset,
 		receivedAt:  now,
+		firstAt:     first,
 		sentAt:      time.Unix(0, heartbeat.Clock).Add(offset),
 	}
 	m.viewStale = true
@@ -279,6 +287,9 @@
 	if table := m.board.Queues(); table != nil {
 		heartbeat.QueuesVersion = table.Version
 	}
+	if m.crashes != nil {
+		heartbeat.Crashes = m.crashesFor(receiver)
+	}
 	if m.calls != nil { // after Clock was read: what the list lacks, was sent later
 		heartbeat.Calls = m.calls.OpenCalls(receiver)
 	}
--- a/entry/pkg/peer/cell.go
+++ b/entry/pkg/peer/cell.go
@@ -55,6 +55,8 @@
 	Loads             []cell.Load  `json:"o,omitempty"`
 	// Calls are the sender's open calls to run jobs at the receiver; nil from earlier versions, which do not tell.
 	Calls *OpenCalls `json:"w,omitempty"`
+	// Crashes are tasks under which workers have crashed lately, or all that are known for a host that has just started.
+	Crashes []cell.CrashCount `json:"x,omitempty"`
 	// ShedFraction is the part of jobs, from 0 to 1, that the sender has to shed to finish the others in time.
 	ShedFraction float64 `json:"g,omitempty"`
 }
