Fail a job only after two crashes under a task that is known to have run

Its first start had no answer, since the worker had just crashed under another task, and was never carried out; its second run was lost with a worker.

Cause: a start without an answer counted as much as a run that was known to have begun. Nor does a run that was beside others prove anything: it may have ended just before the crash, unreported.

Class: a possibility counted as a fact, where the answer is final.

Change: three counts for each task: crashes while it was known to run, of these while it ran alone, and all, with starts that have no answer. The job has failed at two known ones of which one alone, or at four in all, since a task may crash its workers before they answer (the platform allows one start more). A task runs alone after the first of either kind.

TestStartWithoutAnAnswerIsNoCrashUnderATask and TestCrashesBesideOthersDoNotSuffice fail with a count of all crashes (failed instead of completed).

What remains: a task whose workers never answer its start is started four times.

--- a/entry/pkg/cell/crash.go
+++ b/entry/pkg/cell/crash.go
@@ -5,9 +5,32 @@
 	"time"
 )
 
-// maxWorkerCrashes is the number of workers that may crash under a task before its job has failed; the platform allows
-// that a task is given up from the second on.
-const maxWorkerCrashes = 2
+const (
+	// maxConfirmedCrashes is the number of workers that may crash under a task before its job has failed; the platform
+	// allows that a task is given up from the second on.
+	maxConfirmedCrashes = 2
+	// maxCrashes bounds all crashes, since a task may crash its workers before they answer; the platform allows one start
+	// more.
+	maxCrashes = 4
+)
+
+// Crashes counts the workers that have crashed under a task.
+type Crashes struct {
+	Confirmed int `json:"c"` // while it was known to run
+	Alone     int `json:"a"` // of these, while it ran alone
+	All       int `json:"n"` // of these too, after a start without an answer, which may not have been carried out
+}
+
+// areTooMany reports whether the task is to be given up. A task that ran beside others may have ended just before a
+// crash, so two crashes beside others do not suffice.
+func (c Crashes) areTooMany() bool {
+	return (c.Confirmed >= maxConfirmedCrashes && c.Alone > 0) || c.All >= maxCrashes
+}
+
+// atLeast returns the larger count of each kind.
+func (c Crashes) atLeast(other Crashes) Crashes {
+	return Crashes{Confirmed: max(c.Confirmed, other.Confirmed), Alone: max(c.Alone, other.Alone), All: max(c.All, other.All)}
+}
 
 // CrashEvidence is how a keeper learnt that the process of a worker has ended.
 type CrashEvidence string
@@ -46,17 +69,26 @@
 		run.crashed = true
 		crashed.Tasks = append(crashed.Tasks, run.Task.Name)
 		if run.mayHaveBegun() {
-			c.countCrash(run.Task, now)
+			c.countCrash(run, now)
 		}
 	}
 	c.failCrashingJobs(now, effects)
 	effects.Crashes = append(effects.Crashes, crashed)
 }
 
-// countCrash counts a worker's crash under the task; failCrashingJobs has to follow.
-func (c *Cell) countCrash(task *Task, now time.Time) {
-	task.crashes = max(task.crashes, c.crashTable.count(task.Name, now)) + 1
-	c.crashTable.raise(task.Name, task.crashes, now)
+// countCrash counts the crash of a run's worker for its task; failCrashingJobs has to follow.
+func (c *Cell) countCrash(run *Run, now time.Time) {
+	task := run.Task
+	crashes := c.crashTable.count(task.Name, now).atLeast(task.crashes)
+	crashes.All++
+	if !run.acceptedAt.IsZero() && run.tombstonedAt.IsZero() {
+		crashes.Confirmed++
+		if run.suspect {
+			crashes.Alone++
+		}
+	}
+	task.crashes = crashes
+	c.crashTable.raise(task.Name, crashes, now)
 }
 
 // failCrashing answers the job if too many workers have crashed under one of its tasks, and reports whether it did.
@@ -64,13 +96,13 @@
 	if job.Decided() || !job.crashesWorkers() {
 		return false
 	}
-	c.answer(job, &Answer{Outcome: Failed, Reason: "two workers crashed under a task"}, effects, now)
+	c.answer(job, &Answer{Outcome: Failed, Reason: "workers crashed under a task"}, effects, now)
 	return true
 }
 
 // crashesWorkers reports whether too many workers have crashed under one of the job's tasks.
 func (j *Job) crashesWorkers() bool {
-	return slices.ContainsFunc(j.Tasks, func(task *Task) bool { return task.crashes >= maxWorkerCrashes })
+	return slices.ContainsFunc(j.Tasks, func(task *Task) bool { return task.crashes.areTooMany() })
 }
 
 // mayHaveBegun reports whether the start was sent and its call has ended, or the run was listed.
--- a/entry/pkg/cell/crash_table.go
+++ b/entry/pkg/cell/crash_table.go
@@ -19,21 +19,21 @@
 	maxTaskName = 128
 )
 
-// CrashCount is how many workers have crashed under a task.
+// CrashCount holds the counts of one task.
 type CrashCount struct {
-	Task  string `json:"t"`
-	Count int    `json:"c"`
+	Task string `json:"t"`
+	Crashes
 }
 
 // crashTable counts crashes by task, since callers resubmit a job under the same task names to any host. Hosts exchange
-// it; the larger count of a task is in force.
+// it; the larger count of each kind is in force.
 type crashTable struct {
 	entries map[string]crashEntry
 	news    []crashChange // of the last crashNews, the oldest first
 }
 
 type crashEntry struct {
-	count     int
+	crashes   Crashes
 	changedAt time.Time
 }
 
@@ -46,30 +46,32 @@
 	return crashTable{entries: map[string]crashEntry{}}
 }
 
-// count returns the number of workers that have crashed under the task.
-func (t *crashTable) count(task string, now time.Time) int {
+// count returns the counts of the task.
+func (t *crashTable) count(task string, now time.Time) Crashes {
 	entry, ok := t.entries[task]
 	if !ok || entry.expired(now) {
-		return 0
+		return Crashes{}
 	}
-	return entry.count
+	return entry.crashes
 }
 
-// raise sets the count of a task, and reports whether it was lower before.
-func (t *crashTable) raise(task string, count int, now time.Time) bool {
-	if count <= t.count(task, now) {
+// raise sets the counts of a task that are larger than before, and reports whether any is.
+func (t *crashTable) raise(task string, crashes Crashes, now time.Time) bool {
+	before := t.count(task, now)
+	crashes = crashes.atLeast(before)
+	if crashes == before {
 		return false
 	}
 	if _, known := t.entries[task]; !known && len(t.entries) >= maxCrashEntries {
 		t.makeRoom(now)
 	}
-	t.entries[task] = crashEntry{count: count, changedAt: now}
+	t.entries[task] = crashEntry{crashes: crashes, changedAt: now}
 	t.trimNews(now)
 	t.news = append(t.news, crashChange{task: task, at: now})
 	return true
 }
 
-// makeRoom drops the expired entries or, if there are none, the oldest of those with the lowest count.
+// makeRoom drops the expired entries or, if there are none, the oldest of those with the fewest crashes.
 func (t *crashTable) makeRoom(now time.Time) {
 	var least string
 	for task, entry := range t.entries {
@@ -77,7 +79,7 @@
 			delete(t.entries, task)
 			continue
 		}
-		if other, ok := t.entries[least]; !ok || cmp.Or(cmp.Compare(entry.count, other.count), entry.changedAt.Compare(other.changedAt)) < 0 {
+		if other, ok := t.entries[least]; !ok || cmp.Or(cmp.Compare(entry.crashes.All, other.crashes.All), entry.changedAt.Compare(other.changedAt)) < 0 {
 			least = task
 		}
 	}
@@ -107,7 +109,7 @@
 		if !ok || !entry.changedAt.Equal(change.at) {
 			continue // it has changed again since, or was dropped
 		}
-		if counts = append(counts, CrashCount{Task: change.task, Count: entry.count}); len(counts) == maxCrashNews {
+		if counts = append(counts, CrashCount{Task: change.task, Crashes: entry.crashes}); len(counts) == maxCrashNews {
 			break
 		}
 	}
@@ -127,7 +129,7 @@
 	})
 	counts := make([]CrashCount, 0, min(len(tasks), maxCrashNews))
 	for _, task := range tasks[:min(len(tasks), maxCrashNews)] {
-		counts = append(counts, CrashCount{Task: task, Count: t.entries[task].count})
+		counts = append(counts, CrashCount{Task: task, Crashes: t.entries[task].crashes})
 	}
 	return counts
 }
@@ -148,7 +150,7 @@
 	var effects Effects
 	raised := false
 	for _, told := range counts {
-		if told.Task != "" && len(told.Task) <= maxTaskName && c.crashTable.raise(told.Task, told.Count, now) {
+		if told.Task != "" && len(told.Task) <= maxTaskName && c.crashTable.raise(told.Task, told.Crashes, now) {
 			raised = true
 		}
 	}
@@ -170,7 +172,7 @@
 		return
 	}
 	for _, task := range job.Tasks {
-		task.crashes = max(task.crashes, c.crashTable.count(task.Name, now))
+		task.crashes = task.crashes.atLeast(c.crashTable.count(task.Name, now))
 	}
 }
 
--- a/entry/pkg/cell/isolation.go
+++ b/entry/pkg/cell/isolation.go
@@ -11,7 +11,7 @@
 
 // isSuspect reports whether the task may have crashed a worker and has to run alone.
 func (t *Task) isSuspect() bool {
-	return isolateSuspects && t.crashes > 0
+	return isolateSuspects && t.crashes.All > 0
 }
 
 // waitingSuspects returns the number of waiting tasks that have to run alone.
--- a/entry/pkg/cell/job.go
+++ b/entry/pkg/cell/job.go
@@ -71,7 +71,7 @@
 	run    *Run    // current run, nil while none can exist
 	avoid  *Worker // where the last run failed
 
-	crashes int // number of workers that crashed while the task may have been running there
+	crashes Crashes // of workers, while the task may have been running there
 }
 
 // Outcome is the outcome of a job.
--- a/entry/pkg/cell/sim_crash_test.go
+++ b/entry/pkg/cell/sim_crash_test.go
@@ -54,3 +54,11 @@
 func (h *harness) refusesConnections(sim *simWorker) bool {
 	return sim.down && !sim.unresponsive && !h.unreachable
 }
+
+// maxStarts returns how often a task may be started that crashes its workers.
+func (s *simCrashes) maxStarts() int {
+	if s.crashStart == StartAccepted {
+		return maxConfirmedCrashes
+	}
+	return maxCrashes
+}
--- a/entry/pkg/cell/workers.go
+++ b/entry/pkg/cell/workers.go
@@ -196,7 +196,7 @@
 		c.stop(run, now, &effects)
 	}
 	if missed && run.mayHaveBegun() {
-		c.countCrash(run.Task, now)
+		c.countCrash(run, now)
 		c.failCrashingJobs(now, &effects)
 	}
 	c.assign(now, &effects)
