--- a/standin/pkg/runner/ledger.go
+++ b/standin/pkg/runner/ledger.go
@@ -13,12 +13,24 @@
 	running  map[string]map[string]int // runs of a task, by the runner
 	starts   map[string]int            // by job
 	startsAt map[string]int            // by runner
+	crashes  map[string]int            // by task: runners that crashed while it ran there
+	after    map[string]int            // by task: starts after crashBudget crashes
 	breaches []string
 }
 
+const (
+	// crashBudget is how many runners a task may crash before its starts are counted.
+	crashBudget = 3
+	// startBudget is how many starts after that are one too many.
+	startBudget = 3
+)
+
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{running: map[string]map[string]int{}, starts: map[string]int{}, startsAt: map[string]int{}}
+	return &Ledger{
+		running: map[string]map[string]int{}, starts: map[string]int{}, startsAt: map[string]int{},
+		crashes: map[string]int{}, after: map[string]int{},
+	}
 }
 
 func (l *Ledger) begin(runner, job, task string, run int, at time.Time) {
@@ -31,10 +43,36 @@
 		l.running[task] = map[string]int{}
 	}
 	l.running[task][runner] = run
+	if l.crashes[task] >= crashBudget {
+		l.after[task]++
+	}
+	if l.after[task] == startBudget {
+		l.breaches = append(l.breaches, fmt.Sprintf("%s task %s has started %d times after %d runners had crashed under it",
+			at.Format(time.RFC3339Nano), task, startBudget, l.crashes[task]))
+	}
 	l.starts[job]++
 	l.startsAt[runner]++
 }
 
+// crash notes that the runner has crashed while the task ran there.
+func (l *Ledger) crash(runner, task string) {
+	l.mu.Lock()
+	l.crashes[task]++
+	l.mu.Unlock()
+	l.end(runner, task)
+}
+
+// Crashes returns how many runs were lost in crashes.
+func (l *Ledger) Crashes() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	lost := 0
+	for _, count := range l.crashes {
+		lost += count
+	}
+	return lost
+}
+
 func (l *Ledger) end(runner, task string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
