Shrink runners and send tasks that crash them in the soak

Fault "shrink": a runner's capacity falls to between nothing and a half, for 4.5 s and the drawn length, and comes back; its entry follows up to 1.5 s (a beat) after each change. One job in a hundred has a task that crashes each runner that starts it, for 2 s.

--- a/soak/pkg/app/callers.go
+++ b/soak/pkg/app/callers.go
@@ -24,6 +24,8 @@
 	answerSlack = time.Second
 	// maxSends bounds how often a caller sends one job.
 	maxSends = 3
+	// deadlyEvery is the mean number of jobs from one that crashes its runners to the next.
+	deadlyEvery = 100
 )
 
 // callers send jobs to all hosts and note what they see.
@@ -52,6 +54,9 @@
 func (c *callers) run(ctx context.Context, gap time.Duration) {
 	for ctx.Err() == nil {
 		job := c.draw()
+		if c.random.IntN(deadlyEvery) == 0 {
+			job = c.drawDeadly()
+		}
 		c.work.Go(func() { c.send(job) })
 		select {
 		case <-ctx.Done():
@@ -65,6 +70,7 @@
 type job struct {
 	id      string
 	tasks   int
+	deadly  bool // its task crashes the runner
 	body    []byte
 	hosts   []int // where it is sent, one after the other
 	leaving time.Duration
@@ -88,6 +94,16 @@
 	return drawn
 }
 
+// drawDeadly draws a job of one task that crashes each runner that starts it.
+func (c *callers) drawDeadly() job {
+	drawn := c.draw()
+	drawn.tasks, drawn.deadly, drawn.leaving = 1, true, 0
+	length := time.Duration(10+c.random.IntN(300)) * time.Millisecond
+	spec, _ := json.Marshal(runner.Work{Length: length, Cores: 3000, Deadly: true}) // a plain struct always encodes
+	drawn.body = fmt.Appendf(nil, `{"best_effort":true,"spec":%q,"steps":[{"count":1,"cpu":3000,"mem_mb":64,"estimated_ms":%d}]}`, spec, length.Milliseconds())
+	return drawn
+}
+
 // send sends the job until it has a final answer, and checks the answer against what the runners saw.
 func (c *callers) send(drawn job) {
 	rejected := 0
@@ -145,6 +161,9 @@
 func (c *callers) check(drawn *job, response *http.Response, raw []byte) {
 	switch response.StatusCode {
 	case http.StatusOK:
+		if drawn.deadly && bytes.Contains(raw, []byte("completed")) {
+			c.breach("job %s is completed, though its task never ends", drawn.id)
+		}
 		if bytes.Contains(raw, []byte("completed")) && c.yard.Ledger.Starts(drawn.id) < drawn.tasks {
 			c.breach("job %s is completed with %d of %d tasks begun", drawn.id, c.yard.Ledger.Starts(drawn.id), drawn.tasks)
 		}
--- a/soak/pkg/faults/faults.go
+++ b/soak/pkg/faults/faults.go
@@ -20,6 +20,8 @@
 	stopTimeout = 6 * time.Second
 	// longestMute bounds how late starts are carried out that were not answered; most arrive within their lease of 1 s.
 	longestMute = 1200 * time.Millisecond
+	// beat is how much later than a change of its capacity a minion may write its entry.
+	beat = 1500 * time.Millisecond
 )
 
 // Breaker breaks one thing at a time of each kind, several kinds at once.
@@ -85,7 +87,7 @@
 func (b *Breaker) choose() fault {
 	host := b.yard.Hosts[b.random.IntN(len(b.yard.Hosts))]
 	worker := b.yard.Workers[b.random.IntN(len(b.yard.Workers))]
-	switch b.random.IntN(14) {
+	switch b.random.IntN(15) {
 	case 0:
 		return fault{"kill", host.Name, func(length time.Duration) { b.kill(host, length) }}
 	case 1:
@@ -113,6 +115,9 @@
 		return fault{"crash", worker.Runner.ID, func(time.Duration) { worker.Runner.Crash() }}
 	case 12:
 		return fault{"drain", worker.Runner.ID, func(length time.Duration) { b.drain(worker, length) }}
+	case 13:
+		left, unwritten := b.random.Int64N(yard.Cores/2+1), time.Duration(b.random.Int64N(int64(beat)))
+		return fault{fmt.Sprintf("shrink to %d", left), worker.Runner.ID, func(length time.Duration) { b.shrink(worker, left, unwritten, length) }}
 	default:
 		faulty := runner.Faults{Fail: 0.3, Hang: 0.1, Mute: 0.3, Delay: time.Duration(b.random.Int64N(int64(longestMute)))}
 		return fault{"failures", worker.Runner.ID, func(length time.Duration) { fail(worker, faulty, length) }}
@@ -179,6 +184,20 @@
 	b.yard.List(worker, "ready")
 }
 
+// shrink lets the runner shrink until starts over its capacity have counted for a while, and grow again; its entry
+// follows a part of a beat later.
+func (b *Breaker) shrink(worker *yard.Worker, left int64, unwritten, length time.Duration) {
+	for _, change := range []struct {
+		cores int64
+		lasts time.Duration
+	}{{left, runner.ShrinkGrace + length}, {yard.Cores, 0}} {
+		worker.Runner.SetCores(change.cores)
+		time.Sleep(unwritten)
+		b.yard.List(worker, "ready")
+		time.Sleep(change.lasts)
+	}
+}
+
 func fail(worker *yard.Worker, faulty runner.Faults, length time.Duration) {
 	worker.Runner.Faults.Set(faulty)
 	time.Sleep(length)
--- a/soak/pkg/yard/yard.go
+++ b/soak/pkg/yard/yard.go
@@ -137,11 +137,15 @@
 func (y *Yard) addWorker(place string) error {
 	id := fmt.Sprintf("i-%d", len(y.Workers))
 	added := runner.New(y.clock, y.Ledger, id, Cores, y.settings.Seed+uint64(len(y.Workers)))
-	address, err := y.serve(added.Handler())
+	listener, err := listen()
+	if err != nil {
+		return err
+	}
+	address := y.serveOn(added.Listener(listener), added.Handler())
 	if err != nil {
 		return err
 	}
-	between, err := y.relay(id, address)
+	between, err := y.relay(id, address) // which resets connections when the runner does
 	if err != nil {
 		return err
 	}
@@ -190,10 +194,14 @@
 	if err != nil {
 		return "", err
 	}
+	return y.serveOn(listener, handler), nil
+}
+
+func (y *Yard) serveOn(listener net.Listener, handler http.Handler) (address string) {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
 	go func() { _ = server.Serve(listener) }()
 	y.closers = append(y.closers, func() { _ = server.Close() })
-	return listener.Addr().String(), nil
+	return listener.Addr().String()
 }
 
 func listen() (net.Listener, error) {
