Ask peers for directory changes in a small fleet too while the store turns a keeper away

What callers saw: starts over the capacity of a minion that has shrunk, by a keeper that the store does not answer while it answers the others (found by the new fleet test; the same would hold for a minion that drains).

Cause: only in fleets of more than 12 hosts do hosts ask peers for changes. In a smaller one a keeper that the store refuses, or whose connection to it is silent, kept the directory that it had, for as long as that lasted.

Class: a fallback that exists for the large fleet, left out of the small one, where every host reads for itself.

The only keeper of a small fleet has nobody to ask.

--- a/entry/pkg/cellhost/capacity_test.go
+++ b/entry/pkg/cellhost/capacity_test.go
@@ -65,3 +65,66 @@
 	k.syncWith(entry)
 	require.Eventually(t, func() bool { return len(k.worker.started()) == 1 }, 5*time.Second, time.Millisecond)
 }
+
+// shrunk returns a change by which the only worker has that many thousandths of a core.
+func shrunk(cores, from, next int64) *DirectoryChange {
+	worker := peer.WorkerInfo{ID: "w", FailureDomain: north, Group: "desk", Capacity: cell.Resources{Cores: cores}}
+	return &DirectoryChange{Entries: listedEntries([]peer.WorkerInfo{worker}), From: from, Next: next}
+}
+
+// TestChangedCapacityReachesTheCellWithTheNextTick guards against a directory that passes a change of the capacity alone
+// over, and against a keeper that looks at entries only when claims change.
+func TestChangedCapacityReachesTheCellWithTheNextTick(t *testing.T) {
+	c := newClaimant("a", north)
+	c.keeper.workers = &scriptedWorker{holds: make(chan heldCall, 1)}
+	c.addHost("a", north, 1)
+	c.board.view.Store(c.view)
+	c.directory.Apply(&DirectoryChange{Entries: shrunk(16_000, 0, 1).Entries, Snapshot: true, Next: 1})
+	c.after(time.Second)
+	c.readAt(c.clock.Now())
+	c.tick()
+	loop := c.keeper.findLoop("w")
+	require.NotNil(t, loop)
+	defer loop.cancel()
+	require.True(t, c.directory.Apply(shrunk(4000, 1, 2)))
+	c.tick()
+	c.keeper.mu.Lock()
+	defer c.keeper.mu.Unlock()
+	require.EqualValues(t, 4000, loop.worker.Capacity.Cores)
+}
+
+// TestCapacityIsRelayedToHostsThatDoNotReadTheDirectory guards against a large fleet in which only directory readers
+// know a changed capacity.
+func TestCapacityIsRelayedToHostsThatDoNotReadTheDirectory(t *testing.T) {
+	relay, c := newRelay(false, 1, 100)
+	first := &DirectoryChange{Entries: shrunk(16_000, 0, 4).Entries, Snapshot: true, Next: 4}
+	c.directory.Apply(first)
+	c.readAt(c.clock.Now())
+	directory, _ := serveDirectory(t, c)
+	directory.Apply(first)
+	directory.Apply(shrunk(4000, 4, 9))
+	fetchOnce(t, relay, c)
+	require.EqualValues(t, 4000, c.board.Workers()["w"].Capacity.Cores)
+	require.EqualValues(t, 9, c.directory.Position())
+}
+
+// TestKeeperOfASmallFleetThatTheStoreTurnsAwayFetchesFromAnother guards against starts over the capacity of a worker that
+// has shrunk since the store last answered this host, though it answers the others.
+func TestKeeperOfASmallFleetThatTheStoreTurnsAwayFetchesFromAnother(t *testing.T) {
+	relay, c := newRelay(true, 1, 2)
+	first := &DirectoryChange{Entries: shrunk(16_000, 0, 4).Entries, Snapshot: true, Next: 4}
+	c.directory.Apply(first)
+	c.readAt(c.clock.Now())
+	directory, clock := serveDirectory(t, c)
+	directory.Apply(first)
+	change := shrunk(4000, 4, 9)
+	change.CompleteAt = clock.Now()
+	directory.Apply(change)
+	c.clock.Advance(keeperFetchInterval)
+	relay.tick(t.Context())
+	require.Zero(t, relay.lastFetch, "the host reads the store itself")
+	c.clock.Advance(keeperMaxDirectoryAge)
+	fetchOnce(t, relay, c)
+	require.EqualValues(t, 4000, c.board.Workers()["w"].Capacity.Cores)
+	require.True(t, relay.ReadsDirectory(), "it keeps trying to read")
+}
--- a/entry/pkg/cellhost/directory_test.go
+++ b/entry/pkg/cellhost/directory_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"chervilusher.dev/entry/pkg/cell"
 	"chervilusher.dev/entry/pkg/common"
 	"chervilusher.dev/entry/pkg/peer"
 )
@@ -132,13 +133,17 @@
 	id      string
 	gone    bool
 	leaving bool
+	cores   int64
+}
+
+func (e *logEntry) worker() peer.WorkerInfo {
+	return peer.WorkerInfo{ID: e.id, Leaving: e.leaving, Capacity: cell.Resources{Cores: e.cores}}
 }
 
 func changeOf(entries []logEntry, from, next int64) *DirectoryChange {
 	change := &DirectoryChange{From: from, Next: next}
 	for _, entry := range entries[from:next] {
-		worker := peer.WorkerInfo{ID: entry.id, Leaving: entry.leaving}
-		change.Entries = append(change.Entries, DirectoryEntry{ID: entry.id, Worker: worker, Listed: !entry.gone})
+		change.Entries = append(change.Entries, DirectoryEntry{ID: entry.id, Worker: entry.worker(), Listed: !entry.gone})
 	}
 	return change
 }
@@ -149,7 +154,7 @@
 	for _, entry := range entries[:position] {
 		delete(workers, entry.id)
 		if !entry.gone {
-			workers[entry.id] = peer.WorkerInfo{ID: entry.id, Leaving: entry.leaving}
+			workers[entry.id] = entry.worker()
 		}
 	}
 	return workers
@@ -200,6 +205,7 @@
 					id:      fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "worker")),
 					gone:    rapid.Bool().Draw(t, "gone"),
 					leaving: rapid.Bool().Draw(t, "leaving"),
+					cores:   rapid.Int64Range(0, 2).Draw(t, "cores"),
 				})
 			},
 			"read": func(t *rapid.T) {
--- a/entry/pkg/cellhost/relay.go
+++ b/entry/pkg/cellhost/relay.go
@@ -145,7 +145,7 @@
 	return len(view.Hosts) >= crowdedHosts
 }
 
-// Serve fetches changes from peers until the context ends.
+// Serve fetches changes from peers until the context ends; in a small fleet while this host cannot read the directory.
 func (r *RelayController) Serve(ctx context.Context) {
 	r.common.Every(ctx, relayCheckInterval, func() { r.tick(ctx) })
 }
@@ -153,9 +153,12 @@
 func (r *RelayController) tick(ctx context.Context) {
 	now := r.common.Clock.Now()
 	view := r.board.View()
-	if len(view.Hosts) <= fullMeshHosts || now.Sub(r.lastFetch) < r.fetchInterval() || (r.directory.Position() == 0 && !isCrowded(view)) {
+	if now.Sub(r.lastFetch) < r.fetchInterval() || (r.directory.Position() == 0 && !isCrowded(view)) {
 		return
 	}
+	if len(view.Hosts) <= fullMeshHosts && !r.directoryStale() {
+		return // each host reads the directory itself, unless the store turns it away
+	}
 	sources := r.sources(view)
 	if slices.Contains(sources, r.options.Name) && !r.directoryStale() {
 		return
