--- a/entry/pkg/cell/isolation_test.go
+++ b/entry/pkg/cell/isolation_test.go
@@ -143,7 +143,8 @@
 			jobs = append(jobs, job)
 			h.pass(time.Duration(rapid.IntRange(0, 300).Draw(t, "pass")) * time.Millisecond)
 		}
-		h.pass(90 * time.Second)
+		// A single worker crashes under one task after the other.
+		h.pass(30*time.Second + time.Duration(len(h.crashes)*h.maxStarts())*(simCrashTime+time.Second))
 		for _, job := range jobs {
 			want := Completed
 			for _, task := range job.Tasks {
