--- /dev/null
+++ b/entry/pkg/cellhost/review_twice_test.go
@@ -0,0 +1,178 @@
+package cellhost
+
+import (
+	"context"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"chervilusher.dev/entry/pkg/blackboard"
+	"chervilusher.dev/entry/pkg/cell"
+	"chervilusher.dev/entry/pkg/peer"
+)
+
+// TestHomeOfAForwardedJobIsAHeartbeatPeerOfItsForwarder guards against leases that end although the caller waits: the forwarder
+// tells the other keeper when it last heard the home, so it must hear the home at the full rate.
+func TestHomeOfAForwardedJobIsAHeartbeatPeerOfItsForwarder(t *testing.T) {
+	hosts := []blackboard.Member{{Name: "home", FailureDomain: south, Size: 1}, {Name: "other", FailureDomain: south, Size: 1}}
+	for i := range fullMeshHosts {
+		hosts = append(hosts, blackboard.Member{Name: strconv.Itoa(i), FailureDomain: south, Size: 1})
+	}
+	c, members := newMembers(t, hosts...)
+	home := NewHomeController(c.common, c.options, c.board, nil, c.keeper)
+	members.SetCalls(home, c.keeper)
+	c.board.claims.Store(&[]peer.Claim{{Cell: northCell, CellCount: 1, Epoch: 1}})
+	members.handleHeartbeat(heartbeatOf(c, "home", "1"))
+	c.clock.Advance(startDelay)
+	members.tick()
+	request := &peer.RunRequest{}
+	home.addCall(&keeperCall{keeper: "other", home: "home"}, request) // as Forward does
+	members.tick()
+	require.True(t, c.board.View().Hosts["home"].HeartbeatPeer)
+}
+
+// TestForwardedCallTellsWhenTheHomeWasLastHeard guards against forwarding a job, after it has waited in a queue, with the time
+// of its arrival as the time at which the caller was last known to wait.
+func TestForwardedCallTellsWhenTheHomeWasLastHeard(t *testing.T) {
+	c, members, home := callsFixture(t)
+	arrived := c.clock.Now()
+	for range 20 {
+		c.clock.Advance(DefaultHeartbeatInterval)
+		members.handleHeartbeat(heartbeatOf(c, "c", "1"))
+	}
+	members.publish()
+	request := &peer.RunRequest{WantedAt: arrived.UnixNano()}
+	home.addCall(&keeperCall{keeper: "b", home: "c"}, request)
+	require.WithinDuration(t, c.clock.Now(), time.Unix(0, request.WantedAt), 200*time.Millisecond)
+}
+
+// TestLateStartAfterWaitingInTheQueueHasALease has a job wait for 2 s in the queue of its keeper, while its home reports the
+// call as open, and then start late at that keeper, as runLateAnywhere does.
+func TestLateStartAfterWaitingInTheQueueHasALease(t *testing.T) {
+	c, members, _ := callsFixture(t)
+	worker := &cell.Worker{ID: "w", Group: "desk", Capacity: cell.Resources{Cores: 1000, Memory: 1}}
+	c.keeper.cell.Add(worker)
+	now := c.clock.Now()
+	request := &peer.RunRequest{
+		ID: "j", Home: "b", HomeIncarnation: "1", KeeperIncarnation: c.common.Incarnation, Group: "desk", Call: 7,
+		Sent: now.UnixNano(), WantedAt: now.UnixNano(), Arrived: now.UnixNano(),
+		Objective: now.Add(1500 * time.Millisecond).UnixNano(), Deadline: now.Add(time.Minute).UnixNano(),
+		Tasks: []peer.RunTask{{Name: "j.0", Need: cell.Resources{Cores: 1000, Memory: 1}, Estimate: int64(time.Second)}},
+	}
+	for range 20 {
+		c.clock.Advance(DefaultHeartbeatInterval)
+		heartbeat := heartbeatOf(c, "b", "1")
+		heartbeat.Calls = &peer.OpenCalls{Numbers: []int64{7}, WantedAt: []int64{heartbeat.Clock}}
+		members.handleHeartbeat(heartbeat)
+	}
+	members.publish()
+	now = c.clock.Now()
+	limits := cell.Limits{Lease: time.Second, Resubmit: DefaultResubmitDelay}
+	c.keeper.cell = cell.New(limits, &homes{self: "a", board: c.board, clock: c.clock})
+	c.keeper.cell.Add(worker)
+	c.keeper.cell.HandleReport(worker, &cell.Report{Incarnation: 1, Clock: time.Minute}, now, now)
+	c.keeper.cell.Tick(now)
+	job, reason := c.keeper.newJob(request)
+	require.Empty(t, reason)
+	effects, started := c.keeper.cell.StartLate(job, now)
+	require.True(t, started)
+	require.Greater(t, effects.Starts[0].Lease, time.Minute, "the worker turns the start down as late")
+}
+
+// TestLostCancellationAtAForwarderEndsTheForwardedJob has the home report that it waits no longer, after the cancellation of its
+// call to the forwarding keeper was lost.
+func TestLostCancellationAtAForwarderEndsTheForwardedJob(t *testing.T) {
+	cancelled, asked := make(chan struct{}), make(chan struct{})
+	other := peer.NewServer()
+	peer.Handle(other, peer.MethodRun, func(ctx context.Context, _ *peer.RunRequest) (*peer.RunResponse, error) {
+		close(asked)
+		<-ctx.Done()
+		close(cancelled)
+		return nil, ctx.Err()
+	})
+	home, own := twoKeepers(t, serveOn(t, other))
+	view := home.board.View()
+	state := view.Hosts["b"]
+	state.Loads = []cell.Load{{Group: "g", FreeSlots: 9}}
+	view.Hosts["b"] = state
+	view.Hosts["c"] = PeerState{Member: blackboard.Member{Name: "c", Alive: true, Incarnation: "c"}, ClockKnown: true, LastHeartbeat: home.common.Clock.Now()}
+	own.cell.Add(&cell.Worker{ID: "w", Group: "g", Capacity: cell.Resources{Cores: 1}})
+	request := home.newRequest(submissionOf(home.common.Clock))
+	request.Home, request.HomeIncarnation, request.KeeperIncarnation = "c", "c", home.common.Incarnation
+	request.Call, request.Sent, request.WantedAt = 7, request.Arrived, request.Arrived
+	ctx, stop := context.WithCancel(t.Context()) // the home's cancellation, which is lost
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		_, _ = own.Run(ctx, request)
+	}()
+	<-asked
+	own.HandleOpenCalls(&peer.Heartbeat{Name: "c", Incarnation: "c", Clock: request.Sent + int64(DefaultHeartbeatInterval), Calls: &peer.OpenCalls{}})
+	select {
+	case <-cancelled:
+	case <-time.After(time.Second):
+		t.Error("the forwarded job runs on")
+	}
+	stop()
+	<-served
+	<-cancelled
+}
+
+// TestHeartbeatsThatAreReadLateForAMinuteCountFromWhenTheyWereSent guards against a clock offset that rises without bound on a
+// host that reads every heartbeat late; the budget has 40 ms for it.
+func TestHeartbeatsThatAreReadLateForAMinuteCountFromWhenTheyWereSent(t *testing.T) {
+	c, members := newMembers(t, blackboard.Member{Name: "b", FailureDomain: north, Size: 1})
+	members.handleHeartbeat(heartbeatOf(c, "b", "1"))
+	var sent time.Time
+	for range 600 {
+		late := heartbeatOf(c, "b", "1")
+		sent = c.clock.Now()
+		c.clock.Advance(DefaultHeartbeatInterval)
+		members.handleHeartbeat(late)
+	}
+	members.publish()
+	require.WithinDuration(t, sent, c.board.View().Hosts["b"].LastHeartbeat, 40*time.Millisecond)
+}
+
+// TestHomeElsewhereIsCalledAtTheFullRate guards against too few heartbeats of a home in another failure domain: it does not know
+// that it is a heartbeat peer of the keeper and never calls, whichever name is lower.
+func TestHomeElsewhereIsCalledAtTheFullRate(t *testing.T) {
+	const name = "A home" // lower than the keeper's
+	hosts := []blackboard.Member{{Name: name, FailureDomain: south, Size: 1}}
+	for i := range fullMeshHosts {
+		hosts = append(hosts, blackboard.Member{Name: strconv.Itoa(i), FailureDomain: south, Size: 1})
+	}
+	c, members := newMembers(t, hosts...)
+	c.board.claims.Store(&[]peer.Claim{{Cell: northCell, CellCount: 1, Epoch: 1}})
+	members.handleHeartbeat(heartbeatOf(c, name, "1"))
+	c.keeper.cell.Add(&cell.Worker{ID: "w", Group: "desk", Capacity: cell.Resources{Cores: 1000, Memory: 1}})
+	now := c.clock.Now()
+	job := &cell.Job{ID: "j", Home: name, HomeIncarnation: "1", Group: "desk", Arrived: now, Objective: now.Add(time.Minute), Deadline: now.Add(time.Minute)}
+	job.Tasks = []*cell.Task{{Job: job, Name: "j.0", Demand: cell.Resources{Cores: 1000, Memory: 1}, Estimate: time.Second}}
+	c.keeper.cell.Submit(job, now)
+	calls := 0
+	for range 30 {
+		c.clock.Advance(DefaultHeartbeatInterval)
+		members.tick()
+		members.ticks = 1 // not the slow heartbeat to a random host
+		for _, target := range members.heartbeatTargets(false) {
+			if target.Name == name {
+				calls++
+				members.handleHeartbeat(heartbeatOf(c, name, "1")) // its answer
+			}
+		}
+	}
+	require.GreaterOrEqual(t, calls, 25, "of 30 ticks")
+}
+
+// TestForwardedCallOfAnEarlierHomeCountsFromItsLastHeartbeat has a home that sends no time be forwarded by this version.
+func TestForwardedCallOfAnEarlierHomeCountsFromItsLastHeartbeat(t *testing.T) {
+	c, _, home := callsFixture(t)
+	heard := c.clock.Now()
+	c.clock.Advance(450 * time.Millisecond)
+	request := &peer.RunRequest{}
+	home.addCall(&keeperCall{keeper: "b", home: "c"}, request)
+	require.WithinDuration(t, heard, time.Unix(0, request.WantedAt), 40*time.Millisecond)
+}
