Hear the homes of forwarded jobs, and abandon a job whose caller is not heard instead of letting its worker's lease end

What callers saw: a job that a keeper forwarded for a home in another failure domain (fleet above 12 hosts) loses its runs after 1.2 s although its caller waits, and the other runs on their workers end with them.

Cause: leases count from when the caller was last known to wait. For a forwarded job the forwarder tells that time, but it heard such a home by chance only: JobHomes covers the jobs of its own cell. After 1.2 s nothing on the worker was renewed; the task then started elsewhere with a lease of 0, which each worker rejects, and so on.

Class: a limit that spares nobody else: one job without news ends the lease that all runs of the worker share.

Change: the homes of the calls that a host has forwarded are its heartbeat peers. A keeper abandons a job whose home has not reported for Limits.Unheard that its caller waits (suspicion and two heartbeats, 700 ms: one hop more than a home's own jobs, and before leases fall under the length to start with); a pause of its own process does not count, as for the tracker of heartbeats. It holds for jobs with a number of a call only: homes of earlier versions are suspected by their heartbeats, as before. No task starts when the time left would give it less than Limits.minStartLease, in the order of queues, at once or late; the limit that other runs put on a worker is now exact and not as of the last tick.

Why it works: the job's runs are stopped, and their ends listed, before their lease would bind the other runs.

What remains: a run of an abandoned job whose stop is not carried out still ends its worker's lease, as it must.

--- a/entry/pkg/cell/assign.go
+++ b/entry/pkg/cell/assign.go
@@ -31,6 +31,10 @@
 			continue
 		}
 		job.predecessor = nil
+		if now.After(c.startDeadline(job)) {
+			remaining = append(remaining, job)
+			continue
+		}
 		if unmet.covers(job) || !c.hasFreeSlot(job, now) {
 			unmet.add(job)
 			remaining = append(remaining, job)
@@ -155,6 +159,7 @@
 	task.run = run
 	worker.runs[runKey{task.Name, run.Number}] = run
 	worker.used = worker.used.Plus(task.Demand)
+	worker.limitStarts(task.Job)
 	lease, _ := worker.Lease(now, c.limits.Lease)
 	return Start{Run: run, Lease: lease}
 }
--- a/entry/pkg/cell/cell.go
+++ b/entry/pkg/cell/cell.go
@@ -11,6 +11,7 @@
 type Limits struct {
 	Lease    time.Duration // maximum lease of a run, on the worker's clock
 	Resubmit time.Duration // after it a caller may resubmit a job that was abandoned or whose connection broke
+	Unheard  time.Duration // a job of a home that reports its calls, but for this long not this one, is abandoned; zero for never
 }
 
 // Cell is the dispatch state of one keeper. Its caller must serialize all calls.
@@ -26,6 +27,8 @@
 	homes          Homes
 	evacuatedSince map[string]time.Time // by evacuated failure domain
 	nextSeq        int64
+	tickedAt       time.Time
+	tickingSince   time.Time            // since when there was no pause between ticks
 	returns        map[string]time.Time // by group: when the workers have served all callers told to come back
 }
 
@@ -134,6 +137,9 @@
 
 // CanStartNow reports whether all tasks of the job could start now on workers where they would meet the objective.
 func (c *Cell) CanStartNow(job *Job, now time.Time) bool {
+	if now.After(c.startDeadline(job)) {
+		return false
+	}
 	longest := job.longestTask()
 	inTime := func(worker *Worker) bool { return c.isInTime(longest, worker, now) }
 	return c.forecastDelay(job, inTime, now) <= 0
@@ -165,8 +171,12 @@
 // Tick applies deadlines and lease expiry.
 func (c *Cell) Tick(now time.Time) Effects {
 	var effects Effects
+	if now.Sub(c.tickedAt) > c.limits.Unheard/2 {
+		c.tickingSince = now
+	}
+	c.tickedAt = now
 	for _, worker := range c.ordered {
-		worker.shortLease = worker.leaseLimit(now) < c.limits.minStartLease()
+		worker.updateStartsUntil()
 		if worker.unresponsive && worker.clock.lapsed(now) {
 			c.expireRuns(worker, now, &effects)
 		}
@@ -177,8 +187,11 @@
 		}
 	}
 	for _, job := range c.sortedJobs() {
-		if !now.Before(job.Deadline) {
+		switch {
+		case !now.Before(job.Deadline):
 			c.giveUp(job, "the deadline passed", now, &effects)
+		case c.isUnheard(job, now): // its runs would end the leases of others on their workers
+			c.answer(job, &Answer{Outcome: Abandoned, Reason: "the caller's host was not heard"}, &effects, now)
 		}
 	}
 	c.giveUpEvacuated(now, &effects)
--- a/entry/pkg/cell/late.go
+++ b/entry/pkg/cell/late.go
@@ -17,6 +17,9 @@
 	if _, known := c.byID[job.ID]; known {
 		return effects, false // an earlier job of this identifier is undecided or still runs
 	}
+	if now.After(c.startDeadline(job)) {
+		return effects, false
+	}
 	plan, ok := c.planLate(job, now)
 	if !ok {
 		return effects, false
--- a/entry/pkg/cell/lease.go
+++ b/entry/pkg/cell/lease.go
@@ -35,12 +35,51 @@
 	limits := w.cell.limits
 	limit := limits.Lease
 	for _, run := range w.runs {
-		left := w.cell.wantedAt(run.Task.Job).Add(limits.Resubmit - endMargin).Sub(now)
+		left := w.cell.leaseDeadline(run.Task.Job).Sub(now)
 		limit = min(limit, time.Duration(minClockRate*float64(left)))
 	}
 	return limit
 }
 
+// isLeaseShort reports whether a new run would get a lease too short to be renewed in time.
+func (w *Worker) isLeaseShort(now time.Time) bool {
+	return now.After(w.startsUntil) && w.leaseLimit(now) < w.cell.limits.minStartLease()
+}
+
+// updateStartsUntil recomputes until when runs may start on the worker; the times at which jobs were wanted rise.
+func (w *Worker) updateStartsUntil() {
+	w.startsUntil = time.Time{}
+	for _, run := range w.runs {
+		w.limitStarts(run.Task.Job)
+	}
+}
+
+func (w *Worker) limitStarts(job *Job) {
+	if until := w.cell.startDeadline(job); w.startsUntil.IsZero() || until.Before(w.startsUntil) {
+		w.startsUntil = until
+	}
+}
+
+// leaseDeadline returns when the leases of the job's runs must have expired at the latest.
+func (c *Cell) leaseDeadline(job *Job) time.Time {
+	return c.wantedAt(job).Add(c.limits.Resubmit - endMargin)
+}
+
+// startDeadline returns until when a run of the job gets a lease that is long enough to start with.
+func (c *Cell) startDeadline(job *Job) time.Time {
+	return c.leaseDeadline(job).Add(-time.Duration(float64(c.limits.minStartLease()) / minClockRate))
+}
+
+// isUnheard reports whether the home has not reported for too long that the job's caller waits, although the home itself may
+// be heard; a pause of this process does not count.
+func (c *Cell) isUnheard(job *Job, now time.Time) bool {
+	wanted := job.WantedAt
+	if wanted.Before(c.tickingSince) {
+		wanted = c.tickingSince
+	}
+	return job.Call > 0 && c.limits.Unheard > 0 && now.Sub(wanted) > c.limits.Unheard
+}
+
 // wantedAt returns when the job's home was last known to wait for the answer; what the home does later does not count
 // for an answered job.
 func (c *Cell) wantedAt(job *Job) time.Time {
--- a/entry/pkg/cell/worker.go
+++ b/entry/pkg/cell/worker.go
@@ -28,7 +28,7 @@
 	slowness       average // run time over the estimate, adjusted for the queue's mean
 	health         health
 	cell           *Cell
-	shortLease     bool      // a new run would get a lease too short to be renewed in time
+	startsUntil    time.Time // until then no run limits the lease too much for a new one, as of the last tick
 	evacuatedSince time.Time // zero unless its failure domain is evacuated
 }
 
@@ -150,7 +150,7 @@
 		return reasonUnconfirmedStart
 	case w.health.ejected(now):
 		return reasonFailing
-	case w.shortLease:
+	case w.isLeaseShort(now):
 		return reasonShortLease
 	case w.evacuated(): // last, since usableFor makes an exception to it
 		return reasonEvacuated
--- a/entry/pkg/cellhost/homes_test.go
+++ b/entry/pkg/cellhost/homes_test.go
@@ -41,3 +41,23 @@
 	require.False(t, c.board.View().Hosts["home"].Alive)
 	require.True(t, job.Decided(), "the job of a home that is not heard")
 }
+
+// TestHomeOfAForwardedJobIsAHeartbeatPeerOfItsForwarder guards against leases that end although the caller waits: the forwarder
+// tells the other keeper when it last heard the home, so it must hear the home at the full rate.
+func TestHomeOfAForwardedJobIsAHeartbeatPeerOfItsForwarder(t *testing.T) {
+	hosts := []blackboard.Member{{Name: "home", FailureDomain: south, Size: 1}, {Name: "other", FailureDomain: south, Size: 1}}
+	for i := range fullMeshHosts {
+		hosts = append(hosts, blackboard.Member{Name: strconv.Itoa(i), FailureDomain: south, Size: 1})
+	}
+	c, members := newMembers(t, hosts...)
+	home := NewHomeController(c.common, c.options, c.board, nil, c.keeper)
+	members.SetCalls(home, c.keeper)
+	c.board.claims.Store(&[]peer.Claim{{Cell: northCell, CellCount: 1, Epoch: 1}})
+	members.handleHeartbeat(heartbeatOf(c, "home", "1"))
+	c.clock.Advance(startDelay)
+	members.tick()
+	request := &peer.RunRequest{}
+	home.addCall(&keeperCall{keeper: "other", home: "home"}, request) // as Forward does
+	members.tick()
+	require.True(t, c.board.View().Hosts["home"].HeartbeatPeer)
+}
--- a/entry/pkg/cellhost/keeper.go
+++ b/entry/pkg/cellhost/keeper.go
@@ -72,7 +72,7 @@
 		board:   board,
 		shedder: shedder,
 		workers: workers,
-		cell:    cell.New(cell.Limits{Lease: options.MaxLease, Resubmit: options.ResubmitDelay}, &homes{self: options.Name, board: board, clock: c.Clock}),
+		cell:    cell.New(options.limits(), &homes{self: options.Name, board: board, clock: c.Clock}),
 		loops:   map[string]*workerLoop{},
 		waiters: map[*cell.Job]chan *cell.Answer{},
 	}
--- a/entry/pkg/cellhost/members.go
+++ b/entry/pkg/cellhost/members.go
@@ -38,9 +38,11 @@
 	HostFailed(name, incarnation string)
 }
 
-// CallReporter reports the open calls to another keeper.
+// CallReporter reports the open calls to other keepers.
 type CallReporter interface {
 	OpenCalls(keeper string) *peer.OpenCalls
+	// ForwardedHomes returns the other hosts at which the callers of forwarded jobs wait.
+	ForwardedHomes() []string
 }
 
 // CallReceiver handles the open calls that the heartbeat of a home reports.
@@ -72,7 +74,7 @@
 	tracker         *membership.Tracker
 	heartbeats      map[string]receivedHeartbeat
 	refused         map[string]bool // hosts whose address refused the connection at the last call
-	jobHomes        map[string]bool // homes of jobs that this host keeps
+	jobHomes        map[string]bool // homes of jobs that this host keeps or has forwarded
 	listedKeepers   map[string]bool // hosts that keep a cell according to the directory
 	ticks           int
 	wake            chan struct{}
@@ -194,6 +196,11 @@
 
 func (m *MembersController) tick() {
 	homes := m.loads.JobHomes()
+	if m.calls != nil {
+		for _, home := range m.calls.ForwardedHomes() {
+			homes[home] = true
+		}
+	}
 	m.mu.Lock()
 	m.viewStale = m.viewStale || !maps.Equal(homes, m.jobHomes)
 	m.jobHomes = homes
--- a/entry/pkg/cellhost/members_send.go
+++ b/entry/pkg/cellhost/members_send.go
@@ -59,7 +59,8 @@
 }
 
 // isHeartbeatPeer reports whether the host and this one exchange heartbeats at the full rate: all hosts of a small
-// fleet, and otherwise keepers with each other, with the hosts of their failure domain and with the homes of their jobs.
+// fleet, and otherwise keepers with each other, with the hosts of their failure domain and with the homes of their jobs,
+// forwarded ones included.
 // A host without a heartbeat for longer than forgetPeerAfter is called at the slow interval only. The caller holds the
 // lock.
 func (m *MembersController) isHeartbeatPeer(member *blackboard.Member) bool {
--- a/entry/pkg/cellhost/open_calls.go
+++ b/entry/pkg/cellhost/open_calls.go
@@ -50,6 +50,19 @@
 	return open
 }
 
+// ForwardedHomes implements CallReporter.
+func (h *HomeController) ForwardedHomes() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var homes []string
+	for call := range h.calls {
+		if call.home != h.options.Name {
+			homes = append(homes, call.home)
+		}
+	}
+	return homes
+}
+
 // HandleOpenCalls implements CallReceiver: it cancels the jobs that their home no longer waits for, in case the
 // cancellation of the call was lost with its connection.
 func (k *KeeperController) HandleOpenCalls(heartbeat *peer.Heartbeat) {
--- a/entry/pkg/cellhost/options.go
+++ b/entry/pkg/cellhost/options.go
@@ -1,6 +1,10 @@
 package cellhost
 
-import "time"
+import (
+	"time"
+
+	"chervilusher.dev/entry/pkg/cell"
+)
 
 // Options identify this host and set its heartbeat and lease times.
 type Options struct {
@@ -14,6 +18,12 @@
 	SuspectTimeout    time.Duration // a host without a heartbeat for this long is suspected and does not count as alive
 }
 
+// limits returns the limits of the keeper's cell. A forwarder tells the keeper with its next heartbeat when it last heard the
+// caller's host, and that host's own heartbeats are as far apart.
+func (o *Options) limits() cell.Limits {
+	return cell.Limits{Lease: o.MaxLease, Resubmit: o.ResubmitDelay, Unheard: o.SuspectTimeout + 2*o.HeartbeatInterval}
+}
+
 const (
 	// DefaultHeartbeatInterval costs each pair of hosts ten small calls a second.
 	DefaultHeartbeatInterval = 100 * time.Millisecond
