Count the leases of a job that has waited from when its caller was last known to wait

A late or forwarded start got a short lease or none, so that it lapsed or was rejected as late, which ends in another start or a 504.

Cause: since leases count from when a home was last known to wait, a request carries that time. A job that had waited in a keeper's queue, and was then started late there or offered to another keeper, still carried the time of its arrival, although the home's heartbeats had told since that its caller waits.

Class: a time that is copied when a request is built and not when it is sent.

Change: a late start takes the time over from the refused job; a forwarded request is stated anew for each offer, with what the heartbeats of the caller's home have told since.

Why it works: both times are those by which the heartbeats' list of open calls would correct the job within 0.1 s anyway.

TestLateStartOfAJobThatHasWaitedGetsAWholeLease and TestForwardedRequestTellsWhenItsCallerWasLastKnownToWait failed before (lease end 2.198 s in place of 3.1 s; a time 1 s old). Tests of cellhost pass with the race detector.

What remains: a job that waits for other keepers' answers to an offer, and then in the own queue, starts with the time of its arrival until the next heartbeat.

--- a/entry/pkg/cellhost/keeper_run.go
+++ b/entry/pkg/cellhost/keeper_run.go
@@ -38,9 +38,8 @@
 	if request.Mode == peer.RunNow {
 		return &peer.RunResponse{Declined: true, Reason: "no room at once"}, nil
 	}
-	restated := k.restateRequest(request, job)
 	if request.Mode == peer.RunAnywhere {
-		if response, taken := k.forwarder.Forward(ctx, request.Home, restated, peer.RunNow); taken {
+		if response, taken := k.forwarder.Forward(ctx, request.Home, k.restateRequest(request, job), peer.RunNow); taken {
 			return response, nil
 		}
 	}
@@ -53,11 +52,11 @@
 		return response, err
 	}
 	if !k.isTooLate(job) {
-		if elsewhere, taken := k.forwarder.Forward(ctx, request.Home, restated, peer.RunHere); taken {
+		if elsewhere, taken := k.forwarder.Forward(ctx, request.Home, k.restateRequest(request, job), peer.RunHere); taken {
 			return elsewhere, nil
 		}
 	}
-	return k.runLateAnywhere(ctx, request, restated, response)
+	return k.runLateAnywhere(ctx, request, job, response)
 }
 
 // isTooLate reports whether the job would miss its objective even if all its tasks started now.
@@ -74,7 +73,7 @@
 		return &peer.RunResponse{Declined: true, Reason: "it comes too late for its objective"}, nil
 	}
 	refusal := &peer.RunResponse{Outcome: cell.Refused, Reason: "it comes too late for its objective", RetryAfter: int64(k.retryDelay(job))}
-	return k.runLateAnywhere(ctx, request, k.restateRequest(request, job), refusal)
+	return k.runLateAnywhere(ctx, request, job, refusal)
 }
 
 func (k *KeeperController) retryDelay(job *cell.Job) time.Duration {
@@ -85,12 +84,13 @@
 
 // runLateAnywhere starts a job that no keeper can run in time on free workers, because a late answer is of more use to
 // the caller than none; otherwise it returns the refusal.
-func (k *KeeperController) runLateAnywhere(ctx context.Context, request, restated *peer.RunRequest, refusal *peer.RunResponse) (*peer.RunResponse, error) {
+func (k *KeeperController) runLateAnywhere(ctx context.Context, request *peer.RunRequest, refused *cell.Job, refusal *peer.RunResponse) (*peer.RunResponse, error) {
 	if job, _ := k.newJob(request); job != nil {
+		job.WantedAt = refused.WantedAt // the request may have waited since it was sent
 		if response, err := k.runLate(ctx, job); err != nil || !response.Declined {
 			return response, err
 		}
-		if elsewhere, taken := k.forwarder.Forward(ctx, request.Home, restated, peer.RunLate); taken {
+		if elsewhere, taken := k.forwarder.Forward(ctx, request.Home, k.restateRequest(request, refused), peer.RunLate); taken {
 			return elsewhere, nil
 		}
 	}
--- a/entry/pkg/cellhost/open_calls.go
+++ b/entry/pkg/cellhost/open_calls.go
@@ -16,7 +16,8 @@
 	call.homeIncarnation = h.board.View().Hosts[call.home].Incarnation
 	call.wantedAt = h.common.Clock.Now()
 	if request.WantedAt > 0 {
-		call.wantedAt = time.Unix(0, request.WantedAt)
+		call.wantedAt = time.Unix(0, request.WantedAt) // of the job's arrival here, which may have waited since
+		call.wantedAt = h.lastWanted(call)
 	}
 	h.calls[call] = struct{}{}
 	request.Call = call.number
@@ -32,7 +33,6 @@
 
 // OpenCalls implements CallReporter. The caller of a forwarded job waits at another home, whose heartbeats count.
 func (h *HomeController) OpenCalls(keeper string) *peer.OpenCalls {
-	seen := homes{self: h.options.Name, board: h.board, clock: h.common.Clock}
 	open := &peer.OpenCalls{}
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -40,16 +40,21 @@
 		if call.keeper != keeper {
 			continue
 		}
-		wanted := call.wantedAt
-		if at := seen.SeenAt(call.home, call.homeIncarnation); at.After(wanted) {
-			wanted = at
-		}
 		open.Numbers = append(open.Numbers, call.number)
-		open.WantedAt = append(open.WantedAt, wanted.UnixNano())
+		open.WantedAt = append(open.WantedAt, h.lastWanted(call).UnixNano())
 	}
 	return open
 }
 
+// lastWanted returns when the call's caller was last known to wait.
+func (h *HomeController) lastWanted(call *keeperCall) time.Time {
+	seen := homes{self: h.options.Name, board: h.board, clock: h.common.Clock}
+	if at := seen.SeenAt(call.home, call.homeIncarnation); at.After(call.wantedAt) {
+		return at
+	}
+	return call.wantedAt
+}
+
 // HandleOpenCalls implements CallReceiver: it cancels the jobs that their home no longer waits for, in case the
 // cancellation of the call was lost with its connection.
 func (k *KeeperController) HandleOpenCalls(heartbeat *peer.Heartbeat) {
--- a/entry/pkg/cellhost/open_calls_test.go
+++ b/entry/pkg/cellhost/open_calls_test.go
@@ -45,6 +45,17 @@
 	require.Empty(t, members.ownHeartbeat("b").Calls.Numbers)
 }
 
+// TestForwardedRequestTellsWhenItsCallerWasLastKnownToWait guards against forwarding a job that has waited in a queue with
+// the time of its arrival there, which leaves it a short lease or none.
+func TestForwardedRequestTellsWhenItsCallerWasLastKnownToWait(t *testing.T) {
+	c, members, home := callsFixture(t)
+	request := peer.RunRequest{WantedAt: c.clock.Now().UnixNano()}
+	c.clock.Advance(time.Second)
+	members.handleHeartbeat(heartbeatOf(c, "c", "1"))
+	home.addCall(&keeperCall{keeper: "b", home: "c"}, &request)
+	require.Equal(t, c.clock.Now().UnixNano(), request.WantedAt)
+}
+
 func TestHeartbeatWithoutAnOpenCallCancelsItsJob(t *testing.T) {
 	c, members, _ := callsFixture(t)
 	c.keeper.cell.Add(&cell.Worker{ID: "w", Group: "desk", Capacity: cell.Resources{Cores: 1000, Memory: 1}})
--- a/entry/pkg/cellhost/worker_loop_test.go
+++ b/entry/pkg/cellhost/worker_loop_test.go
@@ -199,6 +199,36 @@
 	require.Equal(t, workerClock()+time.Second, leaseOfNext())
 }
 
+// TestLateStartOfAJobThatHasWaitedGetsAWholeLease guards against leases that count from when a request was sent, though its
+// home has told since that the caller still waits.
+func TestLateStartOfAJobThatHasWaitedGetsAWholeLease(t *testing.T) {
+	k := newKeeperFixture(t)
+	now := k.clock.Now()
+	k.keeper.cell.HandleReport(k.loop.worker, k.report(), now, now)
+	home := PeerState{Member: blackboard.Member{Name: "b", Incarnation: "1", Alive: true}, ClockKnown: true}
+	k.keeper.board.view.Store(&View{Hosts: map[string]PeerState{"b": home}})
+	request := &peer.RunRequest{
+		ID: "j", Home: "b", HomeIncarnation: "1", KeeperIncarnation: "life", Group: "desk", Call: 7,
+		Sent: now.UnixNano(), WantedAt: now.UnixNano(), Arrived: now.UnixNano(),
+		Objective: now.Add(time.Second).UnixNano(), Deadline: now.Add(time.Minute).UnixNano(),
+		Tasks: []peer.RunTask{{Name: "j.0", Need: cell.Resources{Cores: 1000, Memory: 1}, Estimate: int64(time.Second)}},
+	}
+	refused, reason := k.keeper.newJob(request)
+	require.Empty(t, reason)
+	k.clock.Advance(1100 * time.Millisecond)
+	refused.WantedAt = k.clock.Now()
+	ctx, cancel := context.WithCancel(t.Context())
+	answered := make(chan error)
+	go func() {
+		_, err := k.keeper.runLateAnywhere(ctx, request, refused, &peer.RunResponse{})
+		answered <- err
+	}()
+	require.Eventually(t, func() bool { return len(k.worker.started()) == 1 }, 5*time.Second, time.Millisecond)
+	require.Equal(t, k.report().Clock+k.clock.Since(now)+time.Second, k.worker.started()[0].Lease)
+	cancel()
+	require.ErrorIs(t, <-answered, context.Canceled)
+}
+
 // TestWorkerIsUsedAgainAtOnceAfterALostAnswer has a worker leave a call unanswered: the next call must neither be
 // delayed nor wait for the end of a run, since nothing starts there until the worker answers.
 func TestWorkerIsUsedAgainAtOnceAfterALostAnswer(t *testing.T) {
