Start a job's tasks only where the leases already sent expire before its caller may resubmit it

Cause: a start carries a lease that is counted from when the job's home was last known to wait, but a worker has one lease for all its runs, and a later time that it was sent before stays in force. A job whose home had been silent for some hundred milliseconds, and was not suspected yet, could start on a worker that was held for up to 1 s more for other jobs. If the keeper was lost too, the run ended with that lease, up to 0.2 s after the caller had resubmitted the job.

Class: a limit that is applied to new grants only, while an older grant covers the same run.

Change: a task starts on a worker only if the latest lease sent to it expires, on the slowest clock, before the job's lease deadline. A worker whose lease is too long counts as one without room, so that neither forecasts nor the choice between workers change.

Why it works: leases are absolute times and are never shortened, so the latest one sent bounds the run together with its own.

TestRunForAHomeThatHasFallenSilentEndsBeforeItsCallerResubmits and TestJobStartsOnceItsHomeIsHeardAgain failed before (the run still there 1.3 s after the home fell silent; the job started beside a fresh lease). Tests of cell pass with the race detector.

What remains: leases that an earlier keeper has sent are not known to this one.

--- a/entry/pkg/cell/late.go
+++ b/entry/pkg/cell/late.go
@@ -42,6 +42,9 @@
 			if worker.Group != job.Group || !worker.usableFor(job, now) || !worker.free().Minus(used[worker]).Fits(task.Demand) {
 				continue
 			}
+			if !worker.leasesEndInTime(job) {
+				continue
+			}
 			best.offer(worker, c.speeds.expected(task, worker).Seconds())
 		}
 		if best.worker == nil || now.Add(seconds(lateSlack*best.cost)).After(job.Deadline) {
--- a/entry/pkg/cell/lease.go
+++ b/entry/pkg/cell/lease.go
@@ -35,12 +35,23 @@
 	limits := w.cell.limits
 	limit := limits.Lease
 	for _, run := range w.runs {
-		left := w.cell.wantedAt(run.Task.Job).Add(limits.Resubmit - endMargin).Sub(now)
+		left := w.cell.leaseDeadline(run.Task.Job).Sub(now)
 		limit = min(limit, time.Duration(minClockRate*float64(left)))
 	}
 	return limit
 }
 
+// leaseDeadline returns when the leases of the job's runs must have expired at the latest.
+func (c *Cell) leaseDeadline(job *Job) time.Time {
+	return c.wantedAt(job).Add(c.limits.Resubmit - endMargin)
+}
+
+// leasesEndInTime reports whether the leases that the worker was already sent, for any run, expire before the job's lease
+// deadline. A start cannot shorten them, so they would keep its run alive after the deadline if the keeper is lost.
+func (w *Worker) leasesEndInTime(job *Job) bool {
+	return !w.clock.lapseTime().After(w.cell.leaseDeadline(job))
+}
+
 // wantedAt returns when the job's home was last known to wait for the answer; what the home does later does not count
 // for an answered job.
 func (c *Cell) wantedAt(job *Job) time.Time {
--- a/entry/pkg/cell/select_worker.go
+++ b/entry/pkg/cell/select_worker.go
@@ -29,7 +29,7 @@
 		slowness := c.speeds.slowness(worker)
 		expected := time.Duration(length * slowness)
 		fastest = min(fastest, expected)
-		if !worker.free().Fits(task.Demand) {
+		if !worker.free().Fits(task.Demand) || !worker.leasesEndInTime(task.Job) {
 			continue
 		}
 		if endsInTime(task, expected, now) {
--- a/entry/pkg/cell/worker.go
+++ b/entry/pkg/cell/worker.go
@@ -125,6 +125,11 @@
 	return least > c.latestLease+lapseMargin
 }
 
+// lapseTime returns when every lease that was sent has expired, on the slowest clock.
+func (c *workerClock) lapseTime() time.Time {
+	return c.readAt.Add(time.Duration(float64(c.latestLease-c.reading) / minClockRate))
+}
+
 // free returns the resources that no run holds.
 func (w *Worker) free() Resources {
 	return w.Capacity.Minus(w.used)
