Count the lease that an earlier keeper has sent to a worker as long as it may be in force

Cause: a keeper knows only the leases that it has sent. The keeper before it renews the lease of a worker until the worker is taken over, for up to 1 s more. Runs that the next keeper starts then live on under that lease, although the keeper takes them as ended with its own lease, which is shorter if the job's home was silent for some time.

Class: a limit that is applied to new grants only, while an older grant covers the same run.

Change: with the first report of a worker, or of a new incarnation of it, the longest lease is taken to have been sent just then.

Why it works: a worker shortens each lease to the longest one from the call on, and refuses calls of the earlier keeper from the first call of the next on; the clock reading in that call's answer is not older.

TestLeaseOfAnEarlierKeeperCountsForTheRunsOfTheNext failed before (the run still there 1.3 s after the home fell silent). Tests of cell pass.

--- a/entry/pkg/cell/lease_test.go
+++ b/entry/pkg/cell/lease_test.go
@@ -51,3 +51,25 @@
 	h.pass(2 * step)
 	require.True(t, job.Started())
 }
+
+// TestLeaseOfAnEarlierKeeperCountsForTheRunsOfTheNext guards against taking a worker's lease for that which this keeper has
+// sent: the keeper before it renewed the lease until the worker was taken over.
+func TestLeaseOfAnEarlierKeeperCountsForTheRunsOfTheNext(t *testing.T) {
+	h := newHarness(t)
+	h.addWorkers(1, 16, 1)
+	h.submit(h.job(1, 5, time.Minute, time.Hour, time.Hour))
+	h.pass(600 * time.Millisecond)
+	next := newHarness(t)
+	next.now, next.workers = h.now, h.workers
+	next.tokens["w00"] = 1
+	next.cell.Add(&Worker{ID: "w00", Group: "desk", Capacity: h.workers["w00"].capacity})
+	next.hold("w00") // lists the earlier keeper's run, which is stopped
+	next.hold("w00")
+	job := next.jobNamed("another", 1, 5, time.Minute, time.Hour, time.Hour)
+	job.Home, job.WantedAt = "silent", next.now.Add(-failAfter) // the request was delivered late
+	next.silentHomes = map[string]time.Time{"silent": job.WantedAt}
+	next.submit(job)
+	next.unreachable = true
+	next.pass(resendAfter - failAfter)
+	require.NotContains(t, next.workers["w00"].running, runKey{job.Tasks[0].Name, 1})
+}
--- a/entry/pkg/cell/workers.go
+++ b/entry/pkg/cell/workers.go
@@ -95,6 +95,9 @@
 		worker.startIncarnation(report)
 	}
 	if report.Clock > 0 {
+		if !worker.clock.known() {
+			worker.clock.latestLease = report.Clock + c.limits.Lease // an earlier keeper may have renewed it until now
+		}
 		worker.clock.reading = report.Clock
 		worker.clock.readAt = now
 	}
