--- a/entry/pkg/cell/lease.go
+++ b/entry/pkg/cell/lease.go
@@ -80,6 +80,12 @@
 	return job.Call > 0 && c.limits.Unheard > 0 && now.Sub(wanted) > c.limits.Unheard
 }
 
+// leasesEndInTime reports whether the leases that the worker was already sent, for any run, expire before the job's lease
+// deadline. A start cannot shorten them, so they would keep its run alive after the deadline if the keeper is lost.
+func (w *Worker) leasesEndInTime(job *Job) bool {
+	return !w.clock.lapseTime().After(w.cell.leaseDeadline(job))
+}
+
 // wantedAt returns when the job's home was last known to wait for the answer; what the home does later does not count
 // for an answered job.
 func (c *Cell) wantedAt(job *Job) time.Time {
