Count a job that waited at its keeper from when its home last reported the call, whichever way it starts

What callers saw: nothing reported; a late start after 1.2 s or more in the queue got no lease, which each worker rejects, so that the caller was refused or got a 504 beside free workers.

Cause: the time at which the caller was last known to wait is that of the request. Heartbeats raise it for submitted jobs only: a job between two offers, or made anew from its request to start late, kept the time of the request.

Class: a time that is copied when a request is built and not when it is used.

Change: a keeper keeps the last report of each home, and a job that is about to be submitted or started late takes over the reported time of its call. A late start counts from the later of that and the refused job's time, and so does its offer to others.

Why it works: the same report would correct the job with the next heartbeat.

What remains: nothing known.

--- a/entry/pkg/cellhost/keeper.go
+++ b/entry/pkg/cellhost/keeper.go
@@ -47,7 +47,8 @@
 	cell           *cell.Cell
 	loops          map[string]*workerLoop // by worker ID
 	waiters        map[*cell.Job]chan *cell.Answer
-	successorSince time.Time // when another host took over from this leaving one
+	reports        map[string]*cell.HomeReport // last one of each home
+	successorSince time.Time                   // when another host took over from this leaving one
 	forwarder      Forwarder
 }
 
@@ -75,6 +76,7 @@
 		cell:    cell.New(options.limits(), &homes{self: options.Name, board: board, clock: c.Clock}),
 		loops:   map[string]*workerLoop{},
 		waiters: map[*cell.Job]chan *cell.Answer{},
+		reports: map[string]*cell.HomeReport{},
 	}
 	peer.Handle(server, peer.MethodRun, controller.Run)
 	return controller
--- a/entry/pkg/cellhost/keeper_run.go
+++ b/entry/pkg/cellhost/keeper_run.go
@@ -43,6 +43,7 @@
 			return response, nil
 		}
 	}
+	k.refreshWantedAt(job)
 	answers := k.submit(job, false)
 	if answers == nil {
 		return &peer.RunResponse{Declined: true, Reason: "the keeper is leaving"}, nil
@@ -86,11 +87,13 @@
 // the caller than none; otherwise it returns the refusal.
 func (k *KeeperController) runLateAnywhere(ctx context.Context, request *peer.RunRequest, refused *cell.Job, refusal *peer.RunResponse) (*peer.RunResponse, error) {
 	if job, _ := k.newJob(request); job != nil {
-		job.WantedAt = refused.WantedAt // the request may have waited since it was sent
+		if refused.WantedAt.After(job.WantedAt) {
+			job.WantedAt = refused.WantedAt // the request may have waited since it was sent
+		}
 		if response, err := k.runLate(ctx, job); err != nil || !response.Declined {
 			return response, err
 		}
-		if elsewhere, taken := k.forwarder.Forward(ctx, request.Home, k.restateRequest(request, refused), peer.RunLate); taken {
+		if elsewhere, taken := k.forwarder.Forward(ctx, request.Home, k.restateRequest(request, job), peer.RunLate); taken {
 			return elsewhere, nil
 		}
 	}
@@ -205,6 +208,7 @@
 		job.Call = request.Call
 		job.SentAt = time.Unix(0, request.Sent)
 		job.WantedAt = at(request.WantedAt)
+		k.refreshWantedAt(job)
 	}
 	if !k.common.Clock.Now().Before(job.Deadline) {
 		return nil, "the request came after its deadline"
--- a/entry/pkg/cellhost/open_calls.go
+++ b/entry/pkg/cellhost/open_calls.go
@@ -84,5 +84,23 @@
 	for i, number := range heartbeat.Calls.Numbers {
 		report.WantedAt[number] = time.Unix(0, heartbeat.Calls.WantedAt[i]).Add(home.ClockOffset)
 	}
-	k.apply(func(now time.Time) cell.Effects { return k.cell.HandleHomeReport(&report, now) })
+	k.apply(func(now time.Time) cell.Effects {
+		if last := k.reports[report.Home]; last == nil || last.Incarnation != report.Incarnation || report.Sent.After(last.Sent) {
+			k.reports[report.Home] = &report
+		}
+		return k.cell.HandleHomeReport(&report, now)
+	})
+}
+
+// refreshWantedAt has a job that is not submitted yet count from when its home last reported that the caller waits.
+func (k *KeeperController) refreshWantedAt(job *cell.Job) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	last := k.reports[job.Home]
+	if last == nil || last.Incarnation != job.HomeIncarnation {
+		return
+	}
+	if reported := last.WantedAt[job.Call]; reported.After(job.WantedAt) {
+		job.WantedAt = reported
+	}
 }
--- a/entry/pkg/cellhost/open_calls_test.go
+++ b/entry/pkg/cellhost/open_calls_test.go
@@ -85,3 +85,51 @@
 		require.Equal(t, test.decided, job.Decided())
 	}
 }
+
+// TestForwardedCallTellsWhenTheHomeWasLastHeard guards against forwarding a job, after it has waited in a queue, with the time
+// of its arrival as the time at which the caller was last known to wait.
+func TestForwardedCallTellsWhenTheHomeWasLastHeard(t *testing.T) {
+	c, members, home := callsFixture(t)
+	arrived := c.clock.Now()
+	for range 20 {
+		c.clock.Advance(DefaultHeartbeatInterval)
+		members.handleHeartbeat(heartbeatOf(c, "c", "1"))
+	}
+	members.publish()
+	request := &peer.RunRequest{WantedAt: arrived.UnixNano()}
+	home.addCall(&keeperCall{keeper: "b", home: "c"}, request)
+	require.WithinDuration(t, c.clock.Now(), time.Unix(0, request.WantedAt), 200*time.Millisecond)
+}
+
+// TestLateStartAfterWaitingInTheQueueHasALease guards against a start without a lease of a job that has waited for 2 s in the
+// queue of its keeper, while its home reported the call as open, as runLateAnywhere makes it.
+func TestLateStartAfterWaitingInTheQueueHasALease(t *testing.T) {
+	c, members, _ := callsFixture(t)
+	worker := &cell.Worker{ID: "w", Group: "desk", Capacity: cell.Resources{Cores: 1000, Memory: 1}}
+	c.keeper.cell.Add(worker)
+	now := c.clock.Now()
+	request := &peer.RunRequest{
+		ID: "j", Home: "b", HomeIncarnation: "1", KeeperIncarnation: c.common.Incarnation, Group: "desk", Call: 7,
+		Sent: now.UnixNano(), WantedAt: now.UnixNano(), Arrived: now.UnixNano(),
+		Objective: now.Add(1500 * time.Millisecond).UnixNano(), Deadline: now.Add(time.Minute).UnixNano(),
+		Tasks: []peer.RunTask{{Name: "j.0", Need: cell.Resources{Cores: 1000, Memory: 1}, Estimate: int64(time.Second)}},
+	}
+	for range 20 {
+		c.clock.Advance(DefaultHeartbeatInterval)
+		heartbeat := heartbeatOf(c, "b", "1")
+		heartbeat.Calls = &peer.OpenCalls{Numbers: []int64{7}, WantedAt: []int64{heartbeat.Clock}}
+		members.handleHeartbeat(heartbeat)
+	}
+	members.publish()
+	now = c.clock.Now()
+	limits := cell.Limits{Lease: time.Second, Resubmit: DefaultResubmitDelay}
+	c.keeper.cell = cell.New(limits, &homes{self: "a", board: c.board, clock: c.clock})
+	c.keeper.cell.Add(worker)
+	c.keeper.cell.HandleReport(worker, &cell.Report{Incarnation: 1, Clock: time.Minute}, now, now)
+	c.keeper.cell.Tick(now)
+	job, reason := c.keeper.newJob(request)
+	require.Empty(t, reason)
+	effects, started := c.keeper.cell.StartLate(job, now)
+	require.True(t, started)
+	require.Greater(t, effects.Starts[0].Lease, time.Minute, "the worker turns the start down as late")
+}
