End forwarded calls and offers of a job that its home does not list as open any more

Cause: a report of open calls ended the jobs of the receiver's cell only. When the cancellation of a home's call was lost with its connection and the keeper had forwarded the job, the keeper's call to the next one stayed open, and its heartbeats listed it as wanted for as long as the home was heard: the run lived to its deadline while the caller had resubmitted the job.

Class: a rule that is tied to one of the places where the job may be.

Change: a keeper registers each call that it serves, for as long as it serves it, with its home and number. A report that lacks the call cancels it, which ends the job in the cell, the call to another keeper, or the next offer. The list is handled before the heartbeat counts as a sign of the home, since the latter tells other keepers that the job is wanted.

Why it works: a cancelled call leaves the forwarder's own list, so the next keeper learns of it by the call's end or, if that is lost too, by the forwarder's next heartbeat.

TestLostCancellationAtAForwarderEndsTheForwardedJob failed before ("the forwarded job runs on" after 1 s).

--- a/entry/pkg/cellhost/keeper.go
+++ b/entry/pkg/cellhost/keeper.go
@@ -48,7 +48,8 @@
 	loops          map[string]*workerLoop // by worker ID
 	waiters        map[*cell.Job]chan *cell.Answer
 	reports        map[string]*cell.HomeReport // last one of each home
-	successorSince time.Time                   // when another host took over from this leaving one
+	served         map[*servedCall]struct{}
+	successorSince time.Time // when another host took over from this leaving one
 	forwarder      Forwarder
 }
 
@@ -77,6 +78,7 @@
 		loops:   map[string]*workerLoop{},
 		waiters: map[*cell.Job]chan *cell.Answer{},
 		reports: map[string]*cell.HomeReport{},
+		served:  map[*servedCall]struct{}{},
 	}
 	peer.Handle(server, peer.MethodRun, controller.Run)
 	return controller
--- a/entry/pkg/cellhost/keeper_run.go
+++ b/entry/pkg/cellhost/keeper_run.go
@@ -16,6 +16,8 @@
 		cellShed.Inc()
 		return &peer.RunResponse{Declined: true, Reason: "the keeper falls behind"}, nil
 	}
+	ctx, done := k.serveCall(ctx, request)
+	defer done()
 	job, reason := k.newJob(request)
 	if job != nil {
 		if unfit := k.unfitReason(job); unfit != "" {
--- a/entry/pkg/cellhost/members.go
+++ b/entry/pkg/cellhost/members.go
@@ -231,12 +231,13 @@
 // on, and otherwise after viewInterval only, since its cost grows with the number of hosts.
 func (m *MembersController) handleHeartbeat(heartbeat *peer.Heartbeat) {
 	m.evacuations.ApplyFromPeer(heartbeat.Evacuations, heartbeat.Name)
-	if m.recordHeartbeat(heartbeat) {
-		m.publish()
-	}
+	// First, since other keepers are told of a forwarded job that it is wanted as long as its home is heard.
 	if heartbeat.Calls != nil && m.callReceiver != nil {
 		m.callReceiver.HandleOpenCalls(heartbeat)
 	}
+	if m.recordHeartbeat(heartbeat) {
+		m.publish()
+	}
 }
 
 // recordHeartbeat reports whether the view must be rebuilt for the heartbeat.
--- a/entry/pkg/cellhost/open_calls.go
+++ b/entry/pkg/cellhost/open_calls.go
@@ -85,6 +85,7 @@
 		if last := k.reports[report.Home]; last == nil || last.Incarnation != report.Incarnation || report.Sent.After(last.Sent) {
 			k.reports[report.Home] = &report
 		}
+		k.cancelClosedCalls(&report)
 		return k.cell.HandleHomeReport(&report, now)
 	})
 }
--- a/entry/pkg/cellhost/review_twice_test.go
+++ b/entry/pkg/cellhost/review_twice_test.go
@@ -1,7 +1,6 @@
 package cellhost
 
 import (
-	"context"
 	"strconv"
 	"testing"
 	"time"
@@ -13,45 +12,6 @@
 	"chervilusher.dev/entry/pkg/peer"
 )
 
-// TestLostCancellationAtAForwarderEndsTheForwardedJob has the home report that it waits no longer, after the cancellation of its
-// call to the forwarding keeper was lost.
-func TestLostCancellationAtAForwarderEndsTheForwardedJob(t *testing.T) {
-	cancelled, asked := make(chan struct{}), make(chan struct{})
-	other := peer.NewServer()
-	peer.Handle(other, peer.MethodRun, func(ctx context.Context, _ *peer.RunRequest) (*peer.RunResponse, error) {
-		close(asked)
-		<-ctx.Done()
-		close(cancelled)
-		return nil, ctx.Err()
-	})
-	home, own := twoKeepers(t, serveOn(t, other))
-	view := home.board.View()
-	state := view.Hosts["b"]
-	state.Loads = []cell.Load{{Group: "g", FreeSlots: 9}}
-	view.Hosts["b"] = state
-	view.Hosts["c"] = PeerState{Member: blackboard.Member{Name: "c", Alive: true, Incarnation: "c"}, ClockKnown: true, LastHeartbeat: home.common.Clock.Now()}
-	own.cell.Add(&cell.Worker{ID: "w", Group: "g", Capacity: cell.Resources{Cores: 1}})
-	request := home.newRequest(submissionOf(home.common.Clock))
-	request.Home, request.HomeIncarnation, request.KeeperIncarnation = "c", "c", home.common.Incarnation
-	request.Call, request.Sent, request.WantedAt = 7, request.Arrived, request.Arrived
-	ctx, stop := context.WithCancel(t.Context()) // the home's cancellation, which is lost
-	served := make(chan struct{})
-	go func() {
-		defer close(served)
-		_, _ = own.Run(ctx, request)
-	}()
-	<-asked
-	own.HandleOpenCalls(&peer.Heartbeat{Name: "c", Incarnation: "c", Clock: request.Sent + int64(DefaultHeartbeatInterval), Calls: &peer.OpenCalls{}})
-	select {
-	case <-cancelled:
-	case <-time.After(time.Second):
-		t.Error("the forwarded job runs on")
-	}
-	stop()
-	<-served
-	<-cancelled
-}
-
 // TestHeartbeatsThatAreReadLateForAMinuteCountFromWhenTheyWereSent guards against a clock offset that rises without bound on a
 // host that reads every heartbeat late; the budget has 40 ms for it.
 func TestHeartbeatsThatAreReadLateForAMinuteCountFromWhenTheyWereSent(t *testing.T) {
--- a/entry/pkg/cellhost/route_test.go
+++ b/entry/pkg/cellhost/route_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"chervilusher.dev/entry/pkg/blackboard"
 	"chervilusher.dev/entry/pkg/cell"
 	"chervilusher.dev/entry/pkg/peer"
 	"chervilusher.dev/entry/pkg/queues"
@@ -191,3 +192,42 @@
 		require.FailNow(t, "the keeper is locked")
 	}
 }
+
+// TestLostCancellationAtAForwarderEndsTheForwardedJob guards against a forwarded job that runs on after its home has reported that
+// it waits no longer, because the cancellation of its call to the forwarding keeper was lost.
+func TestLostCancellationAtAForwarderEndsTheForwardedJob(t *testing.T) {
+	cancelled, asked := make(chan struct{}), make(chan struct{})
+	other := peer.NewServer()
+	peer.Handle(other, peer.MethodRun, func(ctx context.Context, _ *peer.RunRequest) (*peer.RunResponse, error) {
+		close(asked)
+		<-ctx.Done()
+		close(cancelled)
+		return nil, ctx.Err()
+	})
+	home, own := twoKeepers(t, serveOn(t, other))
+	view := home.board.View()
+	state := view.Hosts["b"]
+	state.Loads = []cell.Load{{Group: "g", FreeSlots: 9}}
+	view.Hosts["b"] = state
+	view.Hosts["c"] = PeerState{Member: blackboard.Member{Name: "c", Alive: true, Incarnation: "c"}, ClockKnown: true, LastHeartbeat: home.common.Clock.Now()}
+	own.cell.Add(&cell.Worker{ID: "w", Group: "g", Capacity: cell.Resources{Cores: 1}})
+	request := home.newRequest(submissionOf(home.common.Clock))
+	request.Home, request.HomeIncarnation, request.KeeperIncarnation = "c", "c", home.common.Incarnation
+	request.Call, request.Sent, request.WantedAt = 7, request.Arrived, request.Arrived
+	ctx, stop := context.WithCancel(t.Context()) // the home's cancellation, which is lost
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		_, _ = own.Run(ctx, request)
+	}()
+	<-asked
+	own.HandleOpenCalls(&peer.Heartbeat{Name: "c", Incarnation: "c", Clock: request.Sent + int64(DefaultHeartbeatInterval), Calls: &peer.OpenCalls{}})
+	select {
+	case <-cancelled:
+	case <-time.After(time.Second):
+		t.Error("the forwarded job runs on")
+	}
+	stop()
+	<-served
+	<-cancelled
+}
