Call homes in other failure domains at the full rate, whichever name is lower

What callers saw: jobs of homes in other failure domains (fleet above 12 hosts) were at risk of being abandoned, or got short leases.

Cause: one host of each pair calls, the one with the lower name, unless it is silent for two intervals. A home in another failure domain does not know that it is a heartbeat peer of the keeper and never calls, so that a keeper with the higher name called only after each silence: in 9 of 30 ticks, 0.3 s apart, which leaves little of the 0.5 s until it is suspected.

Class: a division of work between two that only one of them knows of.

Change: whether both hosts know that they are peers is a rule of its own, and a host calls each peer that does not know.

TestHomeElsewhereIsCalledAtTheFullRate failed before (9 calls in 30 ticks; 25 are the least).

What remains: nothing known.

--- a/entry/pkg/cellhost/members_send.go
+++ b/entry/pkg/cellhost/members_send.go
@@ -58,21 +58,22 @@
 	return keepers
 }
 
-// isHeartbeatPeer reports whether the host and this one exchange heartbeats at the full rate: all hosts of a small
-// fleet, and otherwise keepers with each other, with the hosts of their failure domain and with the homes of their jobs,
-// forwarded ones included.
-// A host without a heartbeat for longer than forgetPeerAfter is called at the slow interval only. The caller holds the
-// lock.
+// isHeartbeatPeer reports whether the host and this one exchange heartbeats at the full rate: mutual peers, and a keeper
+// and the homes of its jobs, forwarded ones included. A host without a heartbeat for longer than forgetPeerAfter is called
+// at the slow interval only. The caller holds the lock.
 func (m *MembersController) isHeartbeatPeer(member *blackboard.Member) bool {
 	if !member.Alive && m.common.Clock.Since(member.LastSeen) > forgetPeerAfter {
 		return false
 	}
+	return m.jobHomes[member.Name] || m.isMutualPeer(member)
+}
+
+// isMutualPeer reports whether both hosts know that they are heartbeat peers: all hosts of a small fleet, and otherwise
+// keepers with each other and with the hosts of their failure domain. The caller holds the lock.
+func (m *MembersController) isMutualPeer(member *blackboard.Member) bool {
 	if len(m.board.View().Hosts) <= fullMeshHosts {
 		return true
 	}
-	if m.jobHomes[member.Name] {
-		return true
-	}
 	self := len(m.board.Claims()) > 0
 	other := m.listedKeepers[member.Name]
 	if last, ok := m.heartbeats[member.Name]; ok && last.heartbeat.Incarnation == member.Incarnation {
@@ -91,8 +92,11 @@
 }
 
 // initiates reports whether this host calls the heartbeat peer. One call serves both ends, so one host of each pair
-// calls, and both do when the other's calls are missing.
+// calls, and both do when the other's calls are missing. A home elsewhere never calls, as it does not know of the pair.
 func (m *MembersController) initiates(other *PeerState) bool {
+	if !m.isMutualPeer(&other.Member) {
+		return true
+	}
 	if m.options.Name < other.Name || !other.Alive || other.Incarnation == "" {
 		return true
 	}
