Take the offset of another host's clock from the least delay of some minutes, so that a lag does not raise it

What callers saw: nothing reported; on a host that reads every heartbeat late, leases counted from later than they may.

Cause: the offset between two clocks is the least that heartbeats show, and rose by 0.1 % of the time since, for drift. While every heartbeat is read late it rose all the time, by 60 ms in a minute at a lag of 100 ms; the margin of leases is 40 ms.

Class: an allowance that is spent on something else than what it is for.

Change: the least offset of the last two to four minutes counts; it rises only when no heartbeat of these windows was that prompt, and then by 0.1 % at most, so that a lag that lasts for longer comes in slowly. Ways weighed: a smaller drift (a bound on the clocks that we have no statement for), and the round trip of calls (only one host of each pair calls).

Why it works: clocks of hosts do not step, and quartz clocks drift by 24 ms in four minutes at 100 ppm, towards counting a heartbeat as older.

What remains: a host that reads each of 1,200 heartbeats late, for over two minutes, takes in its lag at 1 ms a second. Such a host turns jobs away by its own measure.

--- a/entry/pkg/cellhost/members.go
+++ b/entry/pkg/cellhost/members.go
@@ -87,7 +87,7 @@
 // receivedHeartbeat is the last heartbeat of a host.
 type receivedHeartbeat struct {
 	heartbeat   *peer.Heartbeat
-	clockOffset time.Duration
+	clockOffset clockOffset
 	receivedAt  time.Time
 	sentAt      time.Time // on this host's clock
 }
@@ -243,24 +243,24 @@
 // recordHeartbeat reports whether the view must be rebuilt for the heartbeat.
 func (m *MembersController) recordHeartbeat(heartbeat *peer.Heartbeat) bool {
 	now := m.common.Clock.Now()
-	offset := now.Sub(time.Unix(0, heartbeat.Clock))
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	changed := m.tracker.RecordHeartbeat(heartbeat.Name, heartbeat.Incarnation, heartbeat.Leaving, now) || m.refused[heartbeat.Name]
 	delete(m.refused, heartbeat.Name)
 	before, ok := m.heartbeats[heartbeat.Name]
+	offset := clockOffset{}
 	if ok && before.heartbeat.Incarnation == heartbeat.Incarnation {
-		drift := time.Duration(maxClockDrift * float64(now.Sub(before.receivedAt)))
-		offset = min(offset, before.clockOffset+drift)
+		offset = before.clockOffset
 	}
+	offset.observe(now.Sub(time.Unix(0, heartbeat.Clock)), now)
 	m.heartbeats[heartbeat.Name] = receivedHeartbeat{
 		heartbeat:   heartbeat,
 		clockOffset: offset,
 		receivedAt:  now,
-		sentAt:      time.Unix(0, heartbeat.Clock).Add(offset),
+		sentAt:      time.Unix(0, heartbeat.Clock).Add(offset.estimate),
 	}
 	m.viewStale = true
-	return changed || !ok || changesState(before.heartbeat, heartbeat) || offset < before.clockOffset ||
+	return changed || !ok || changesState(before.heartbeat, heartbeat) || offset.estimate < before.clockOffset.estimate ||
 		now.Sub(before.receivedAt) > 2*m.options.HeartbeatInterval || now.Sub(m.published) >= viewInterval
 }
 
@@ -339,7 +339,7 @@
 		if ok && last.heartbeat.Incarnation == member.Incarnation {
 			state.Claims = last.heartbeat.Claims
 			state.Loads = last.heartbeat.Loads
-			state.ClockOffset = last.clockOffset
+			state.ClockOffset = last.clockOffset.estimate
 			state.ClockKnown = true
 			state.LastHeartbeat = last.sentAt
 			state.UnreleasedWorkers = setOf(last.heartbeat.UnreleasedWorkers)
