Bind no lease to a job that has failed, as long as its home is heard

What callers saw: jobs that lost their runs, or got a 504, since a neighbour on their worker had failed and one of its runs did not carry its stop out.

Cause: a lease ends with the runs of answered jobs whose stops are unconfirmed, since their callers resubmit. That also held for jobs answered as failed, whose callers have a final answer (200) and resubmit nothing.

Class: a rule for all answers that has its reason in some.

Change: for a failed job the time at which the home was last heard counts, also after the answer. As long as the home is heard the job binds nothing. If the home fails just then, it may not have passed the answer on and the caller may resubmit; the run ends before that. Completed jobs have no runs left.

TestUnconfirmedStopOfAFailedJobDoesNotEndItsNeighbours failed before (2 starts of the neighbour in place of 1).

What remains: a failed job that was forwarded counts by its forwarder. If the caller's host fails in the milliseconds in which the answer is on its way, and a stop is not carried out either, the run lives on.

--- a/entry/pkg/cell/lease.go
+++ b/entry/pkg/cell/lease.go
@@ -86,13 +86,12 @@
 	return !w.clock.lapseTime().After(w.cell.leaseDeadline(job))
 }
 
-// wantedAt returns when the job's home was last known to wait for the answer; what the home does later does not count
-// for an answered job.
+// wantedAt returns until when the job's caller is known not to resubmit it: when its home was last known to wait for the
+// answer. The caller of an abandoned job may resubmit it whatever its home does later; that of a failed one has its final
+// answer, unless the home has failed before it passed the answer on.
 func (c *Cell) wantedAt(job *Job) time.Time {
-	if job.Decided() {
-		return job.WantedAt
-	}
-	if job.Call > 0 {
+	failed := job.Decided() && job.answer.Outcome == Failed
+	if !failed && (job.Decided() || job.Call > 0) {
 		return job.WantedAt
 	}
 	wanted := job.WantedAt
--- a/entry/pkg/cell/lease_test.go
+++ b/entry/pkg/cell/lease_test.go
@@ -73,3 +73,44 @@
 	next.pass(resendAfter - failAfter)
 	require.NotContains(t, next.workers["w00"].running, runKey{job.Tasks[0].Name, 1})
 }
+
+// TestUnconfirmedStopOfAFailedJobDoesNotEndItsNeighbours guards against ending a worker's lease for a job that has failed, whose
+// caller has its answer and does not send it again.
+func TestUnconfirmedStopOfAFailedJobDoesNotEndItsNeighbours(t *testing.T) {
+	h := newHarness(t)
+	h.addWorkers(1, 16, 1)
+	h.pass(200 * time.Millisecond)
+	h.script = func(task string, _ int) (hangs, fails, lost bool) { return false, task == "j0002.0", false }
+	neighbour := h.job(1, 5, veryLong, 2*veryLong, 2*veryLong)
+	h.submit(neighbour)
+	failing := h.job(2, 5, veryLong, 2*veryLong, 2*veryLong)
+	failing.Attempts = 1
+	h.runTimes[failing.ID] = time.Second
+	h.workers["w00"].ignoresStops = true
+	h.submit(failing)
+	h.workers["w00"].running[runKey{"j0002.1", 1}].until = h.now.Add(veryLong)
+	h.pass(4 * time.Second)
+	require.Equal(t, "failed", h.outcome(failing))
+	require.Equal(t, 1, neighbour.Tasks[0].runs)
+}
+
+// TestUnconfirmedStopOfAFailedJobOfAFailedHomeEndsInTime guards against a run that goes on although the home failed before it
+// passed the answer on, so that the caller resubmits the job.
+func TestUnconfirmedStopOfAFailedJobOfAFailedHomeEndsInTime(t *testing.T) {
+	h := newHarness(t)
+	h.addWorkers(1, 16, 1)
+	h.pass(200 * time.Millisecond)
+	h.script = func(task string, _ int) (hangs, fails, lost bool) { return false, task == "j0001.0", false }
+	failing := h.job(2, 5, veryLong, 2*veryLong, 2*veryLong)
+	failing.Attempts = 1
+	h.runTimes[failing.ID] = time.Second
+	sim := h.workers["w00"]
+	sim.ignoresStops = true
+	h.submit(failing)
+	sim.running[runKey{"j0001.1", 1}].until = h.now.Add(veryLong)
+	h.pass(1100 * time.Millisecond)
+	require.Equal(t, "failed", h.outcome(failing))
+	h.silentHomes = map[string]time.Time{"home": h.now}
+	h.pass(resendAfter)
+	require.Empty(t, sim.running)
+}
--- a/entry/pkg/cell/review_twice_test.go
+++ b/entry/pkg/cell/review_twice_test.go
@@ -7,25 +7,6 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestUnconfirmedStopOfAFailedJobDoesNotEndItsNeighbours has a job fail, whose caller has its answer and does not send it again.
-func TestUnconfirmedStopOfAFailedJobDoesNotEndItsNeighbours(t *testing.T) {
-	h := newHarness(t)
-	h.addWorkers(1, 16, 1)
-	h.pass(200 * time.Millisecond)
-	h.script = func(task string, _ int) (hangs, fails, lost bool) { return false, task == "j0002.0", false }
-	neighbour := h.job(1, 5, veryLong, 2*veryLong, 2*veryLong)
-	h.submit(neighbour)
-	failing := h.job(2, 5, veryLong, 2*veryLong, 2*veryLong)
-	failing.Attempts = 1
-	h.runTimes[failing.ID] = time.Second
-	h.workers["w00"].ignoresStops = true
-	h.submit(failing)
-	h.workers["w00"].running[runKey{"j0002.1", 1}].until = h.now.Add(veryLong)
-	h.pass(4 * time.Second)
-	require.Equal(t, "failed", h.outcome(failing))
-	require.Equal(t, 1, neighbour.Tasks[0].runs)
-}
-
 // TestStartOnALeaseThatWasRenewedEndsBeforeTheCallerResubmits has a job of a home that was last heard 450 ms ago start on a
 // worker whose lease has just been renewed for another job; then home and keeper are lost.
 func TestStartOnALeaseThatWasRenewedEndsBeforeTheCallerResubmits(t *testing.T) {
