--- a/entry/pkg/cell/late.go
+++ b/entry/pkg/cell/late.go
@@ -20,6 +20,9 @@
 	if _, known := c.byID[job.ID]; known {
 		return effects, false // an earlier job of this identifier is undecided or still runs
 	}
+	if now.After(c.startDeadline(job)) {
+		return effects, false
+	}
 	plan, ok := c.planLate(job, now)
 	if !ok {
 		return effects, false
@@ -53,6 +56,9 @@
 			if !worker.leasesEndInTime(job) {
 				continue
 			}
+			if !worker.leasesEndInTime(job) {
+				continue
+			}
 			best.offer(worker, c.speeds.expected(task, worker).Seconds())
 		}
 		if best.worker == nil || now.Add(seconds(lateSlack*best.cost)).After(job.Deadline) {
--- a/entry/pkg/cell/sim_test.go
+++ b/entry/pkg/cell/sim_test.go
@@ -198,7 +198,7 @@
 		learnAt:      map[string]time.Time{},
 		simCrashes:   newSimCrashes(),
 	}
-	h.cell = New(Limits{Lease: simLease, Resubmit: resendAfter}, h)
+	h.cell = New(Limits{Lease: simLease, Resubmit: resendAfter, Unheard: failAfter + 200*time.Millisecond}, h)
 	return h
 }
 
@@ -248,7 +248,8 @@
 	report := sim.hold(worker.AckedSequence(), lease, h.now)
 	if worker.HasRestarted(report) {
 		h.tokens[id]++
-		h.cell.HandleRestart(worker, report)
+		effects := h.cell.HandleRestart(worker, report, h.now)
+		h.applyEffects(&effects)
 		h.hold(id)
 		return
 	}
@@ -349,6 +350,9 @@
 func (h *harness) start(start Start) {
 	run := start.Run
 	sim := h.workers[run.Worker.ID]
+	if clock := run.Worker.clock; clock.known() {
+		require.GreaterOrEqual(h.t, start.Lease-clock.estimate(h.now), simLease/2-time.Microsecond, "lease of task %s", run.Task.Name)
+	}
 	if since, evacuated := h.evacuated[run.Worker.FailureDomain]; evacuated {
 		require.Less(h.t, h.now.Sub(since), evacuationGrace, "task %s starts on evacuated worker %s", run.Task.Name, run.Worker.ID)
 		began, known := h.firstStarts[run.Task.Job]
--- a/entry/pkg/cellhost/keeper.go
+++ b/entry/pkg/cellhost/keeper.go
@@ -52,6 +52,8 @@
 	loops          map[string]*workerLoop  // by worker ID
 	droppedTokens  map[string]droppedToken // by worker ID, of workers that were dropped within maxCallDelay
 	waiters        map[*cell.Job]chan *cell.Answer
+	reports        map[string]*cell.HomeReport // last one of each home
+	served         map[*servedCall]struct{}
 	successorSince time.Time // when another host took over from this leaving one
 	forwarder      Forwarder
 }
@@ -77,9 +79,11 @@
 		board:   board,
 		shedder: shedder,
 		workers: workers,
-		cell:    cell.New(cell.Limits{Lease: options.MaxLease, Resubmit: options.ResubmitDelay}, &homes{self: options.Name, board: board, clock: c.Clock}),
+		cell:    cell.New(options.limits(), &homes{self: options.Name, board: board, clock: c.Clock}),
 		loops:   map[string]*workerLoop{},
 		waiters: map[*cell.Job]chan *cell.Answer{},
+		reports: map[string]*cell.HomeReport{},
+		served:  map[*servedCall]struct{}{},
 
 		droppedTokens: map[string]droppedToken{},
 	}
--- a/entry/pkg/cellhost/members.go
+++ b/entry/pkg/cellhost/members.go
@@ -38,9 +38,11 @@
 	HostFailed(name, incarnation string)
 }
 
-// CallReporter reports the open calls to another keeper.
+// CallReporter reports the open calls to other keepers.
 type CallReporter interface {
 	OpenCalls(keeper string) *peer.OpenCalls
+	// ForwardedHomes returns the other hosts at which the callers of forwarded jobs wait.
+	ForwardedHomes() []string
 }
 
 // CallReceiver handles the open calls that the heartbeat of a home reports.
@@ -73,7 +75,7 @@
 	tracker         *membership.Tracker
 	heartbeats      map[string]receivedHeartbeat
 	refused         map[string]bool // hosts whose address refused the connection at the last call
-	jobHomes        map[string]bool // homes of jobs that this host keeps
+	jobHomes        map[string]bool // homes of jobs that this host keeps or has forwarded
 	listedKeepers   map[string]bool // hosts that keep a cell according to the directory
 	ticks           int
 	wake            chan struct{}
@@ -86,7 +88,7 @@
 // receivedHeartbeat is the last heartbeat of a host.
 type receivedHeartbeat struct {
 	heartbeat   *peer.Heartbeat
-	clockOffset time.Duration
+	clockOffset clockOffset
 	receivedAt  time.Time
 	firstAt     time.Time // when the first one of this incarnation was received
 	sentAt      time.Time // on this host's clock
@@ -196,6 +198,11 @@
 
 func (m *MembersController) tick() {
 	homes := m.loads.JobHomes()
+	if m.calls != nil {
+		for _, home := range m.calls.ForwardedHomes() {
+			homes[home] = true
+		}
+	}
 	m.mu.Lock()
 	m.viewStale = m.viewStale || !maps.Equal(homes, m.jobHomes)
 	m.jobHomes = homes
@@ -229,38 +236,39 @@
 	if m.crashes != nil && len(heartbeat.Crashes) > 0 {
 		m.crashes.MergeCrashes(heartbeat.Crashes)
 	}
-	if m.recordHeartbeat(heartbeat) {
-		m.publish()
-	}
+	// First, since other keepers are told of a forwarded job that it is wanted as long as its home is heard.
 	if heartbeat.Calls != nil && m.callReceiver != nil {
 		m.callReceiver.HandleOpenCalls(heartbeat)
 	}
+	if m.recordHeartbeat(heartbeat) {
+		m.publish()
+	}
 }
 
 // recordHeartbeat reports whether the view must be rebuilt for the heartbeat.
 func (m *MembersController) recordHeartbeat(heartbeat *peer.Heartbeat) bool {
 	now := m.common.Clock.Now()
-	offset := now.Sub(time.Unix(0, heartbeat.Clock))
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	changed := m.tracker.RecordHeartbeat(heartbeat.Name, heartbeat.Incarnation, heartbeat.Leaving, now) || m.refused[heartbeat.Name]
 	delete(m.refused, heartbeat.Name)
 	before, ok := m.heartbeats[heartbeat.Name]
 	first := now
+	offset := clockOffset{}
 	if ok && before.heartbeat.Incarnation == heartbeat.Incarnation {
 		first = before.firstAt
-		drift := time.Duration(maxClockDrift * float64(now.Sub(before.receivedAt)))
-		offset = min(offset, before.clockOffset+drift)
+		offset = before.clockOffset
 	}
+	offset.observe(now.Sub(time.Unix(0, heartbeat.Clock)), now)
 	m.heartbeats[heartbeat.Name] = receivedHeartbeat{
 		heartbeat:   heartbeat,
 		clockOffset: offset,
 		receivedAt:  now,
 		firstAt:     first,
-		sentAt:      time.Unix(0, heartbeat.Clock).Add(offset),
+		sentAt:      time.Unix(0, heartbeat.Clock).Add(offset.estimate),
 	}
 	m.viewStale = true
-	return changed || !ok || changesState(before.heartbeat, heartbeat) || offset < before.clockOffset ||
+	return changed || !ok || changesState(before.heartbeat, heartbeat) || offset.estimate < before.clockOffset.estimate ||
 		now.Sub(before.receivedAt) > 2*m.options.HeartbeatInterval || now.Sub(m.published) >= viewInterval
 }
 
@@ -342,7 +350,7 @@
 		if ok && last.heartbeat.Incarnation == member.Incarnation {
 			state.Claims = last.heartbeat.Claims
 			state.Loads = last.heartbeat.Loads
-			state.ClockOffset = last.clockOffset
+			state.ClockOffset = last.clockOffset.estimate
 			state.ClockKnown = true
 			state.LastHeartbeat = last.sentAt
 			state.UnreleasedWorkers = setOf(last.heartbeat.UnreleasedWorkers)
--- a/entry/pkg/cellhost/open_calls.go
+++ b/entry/pkg/cellhost/open_calls.go
@@ -14,11 +14,8 @@
 	h.lastCall++
 	call.number = h.lastCall
 	call.homeIncarnation = h.board.View().Hosts[call.home].Incarnation
-	call.wantedAt = h.common.Clock.Now()
-	if request.WantedAt > 0 {
-		call.wantedAt = time.Unix(0, request.WantedAt) // of the job's arrival here, which may have waited since
-		call.wantedAt = h.lastWanted(call)
-	}
+	call.wantedAt = time.Unix(0, max(request.WantedAt, request.Arrived)) // earlier homes send no WantedAt
+	call.wantedAt = h.lastWanted(call)                                   // it may have waited since
 	h.calls[call] = struct{}{}
 	request.Call = call.number
 	request.WantedAt = call.wantedAt.UnixNano()
@@ -46,6 +43,19 @@
 	return open
 }
 
+// ForwardedHomes implements CallReporter.
+func (h *HomeController) ForwardedHomes() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var homes []string
+	for call := range h.calls {
+		if call.home != h.options.Name {
+			homes = append(homes, call.home)
+		}
+	}
+	return homes
+}
+
 // lastWanted returns when the call's caller was last known to wait.
 func (h *HomeController) lastWanted(call *keeperCall) time.Time {
 	seen := homes{self: h.options.Name, board: h.board, clock: h.common.Clock}
@@ -71,5 +81,24 @@
 	for i, number := range heartbeat.Calls.Numbers {
 		report.WantedAt[number] = time.Unix(0, heartbeat.Calls.WantedAt[i]).Add(home.ClockOffset)
 	}
-	k.apply(func(now time.Time) cell.Effects { return k.cell.HandleHomeReport(&report, now) })
+	k.apply(func(now time.Time) cell.Effects {
+		if last := k.reports[report.Home]; last == nil || last.Incarnation != report.Incarnation || report.Sent.After(last.Sent) {
+			k.reports[report.Home] = &report
+		}
+		k.cancelClosedCalls(&report)
+		return k.cell.HandleHomeReport(&report, now)
+	})
+}
+
+// refreshWantedAt has a job that is not submitted yet count from when its home last reported that the caller waits.
+func (k *KeeperController) refreshWantedAt(job *cell.Job) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	last := k.reports[job.Home]
+	if last == nil || last.Incarnation != job.HomeIncarnation {
+		return
+	}
+	if reported := last.WantedAt[job.Call]; reported.After(job.WantedAt) {
+		job.WantedAt = reported
+	}
 }
--- a/entry/pkg/cellhost/restart_test.go
+++ b/entry/pkg/cellhost/restart_test.go
@@ -51,7 +51,7 @@
 	k.keeper.cell.HandleReport(k.loop.worker, k.report(), now, now)
 	effects := k.keeper.cell.Submit(k.job(), now)
 	require.Len(t, effects.Starts, 1)
-	k.keeper.cell.HandleRestart(k.loop.worker, k.reborn())
+	k.keeper.cell.HandleRestart(k.loop.worker, k.reborn(), now)
 	k.keeper.sendStart(effects.Starts[0])
 	require.Empty(t, k.worker.started())
 }
--- a/entry/pkg/cellhost/worker_loop.go
+++ b/entry/pkg/cellhost/worker_loop.go
@@ -103,8 +103,7 @@
 		}
 		if restarted = l.worker.HasRestarted(report); restarted {
 			l.token.Store(nextToken(call.Token))
-			k.cell.HandleRestart(l.worker, report)
-			return cell.Effects{}
+			return k.cell.HandleRestart(l.worker, report, now)
 		}
 		regained = l.worker.Unresponsive()
 		return k.cell.HandleReport(l.worker, report, sent, now)
