--- a/entry/pkg/cell/keepers_test.go
+++ b/entry/pkg/cell/keepers_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"strings"
 	"testing"
 	"time"
 
@@ -45,6 +46,7 @@
 	job      *Job
 	keeper   *simKeeper
 	resend   time.Time // zero while an answer is awaited
+	broken   time.Time // when the caller last saw its connection break or a 504; zero if it got another answer
 	finished bool      // it is answered, or the caller has left
 }
 
@@ -156,6 +158,21 @@
 			}
 		}
 		d.serveCallers()
+		d.checkEnds()
+	}
+}
+
+// checkEnds checks that no run of a job is left when its caller may resubmit it, less the margin in endBound.
+func (d *simDomain) checkEnds() {
+	for _, q := range d.requests {
+		if q.broken.IsZero() || d.now.Sub(q.broken) < endBound {
+			continue
+		}
+		for id, sim := range d.workers {
+			for key := range sim.running {
+				require.False(d.t, strings.HasPrefix(key.task, q.id+"."), "run %v is at %s, %s after its caller saw the break", key, id, d.now.Sub(q.broken))
+			}
+		}
 	}
 }
 
@@ -220,6 +237,7 @@
 }
 
 func (d *simDomain) scheduleResend(q *request) {
+	q.broken = d.now
 	q.resend = d.now.Add(resendAfter)
 }
 
@@ -257,6 +275,7 @@
 	q.keeper = reachable[rapid.IntRange(0, len(reachable)-1).Draw(d.t, "keeper")]
 	q.home = d.home
 	q.resend = time.Time{}
+	q.broken = time.Time{}
 	q.job = q.keeper.jobNamed(q.id, q.tasks, 5, q.length, 2*q.length+longDeadline, 3*q.length+longDeadline)
 	q.job.Home = q.home
 	q.keeper.submit(q.job)
--- a/entry/pkg/cell/sim_test.go
+++ b/entry/pkg/cell/sim_test.go
@@ -155,6 +155,7 @@
 	evacuated   map[string]time.Time // since when, by failure domain
 	silentHomes map[string]time.Time // since when no heartbeat was sent
 	firstStarts map[*Job]time.Time
+	runs        map[runKey]*Job // that this keeper has started
 
 	told    map[string]Resources // capacity of each worker that the cell was told last
 	learnAt map[string]time.Time // when the cell learns of a changed capacity
@@ -173,6 +174,9 @@
 
 const (
 	simLease = time.Second
+	// endBound is how long after an answer, or after the break of a connection, a run of the job may last: the time until
+	// a caller may resubmit it, less that until the caller's host and the caller itself see what happened.
+	endBound = resendAfter - (endMargin - lapseMargin)
 	// step is the increment of the simulated time.
 	step = 5 * time.Millisecond
 )
@@ -194,6 +198,7 @@
 		tokens:       map[string]int64{},
 		fenced:       map[string]time.Time{},
 		firstStarts:  map[*Job]time.Time{},
+		runs:         map[runKey]*Job{},
 		told:         map[string]Resources{},
 		learnAt:      map[string]time.Time{},
 		simCrashes:   newSimCrashes(),
@@ -361,6 +366,7 @@
 	if _, known := h.firstStarts[run.Task.Job]; !known {
 		h.firstStarts[run.Task.Job] = h.now
 	}
+	h.runs[runKey{run.Task.Name, run.Number}] = run.Task.Job
 	_, _, lost := h.script(run.Task.Name, run.Number)
 	var effects Effects
 	switch {
@@ -434,6 +440,7 @@
 		h.learnCapacities()
 		h.deliverLateStarts()
 		h.work()
+		h.checkEnds()
 	}
 }
 
@@ -450,6 +457,17 @@
 	h.applyEffects(&effects)
 }
 
+// checkEnds checks that no run outlives the answer of its job by more than endBound.
+func (h *harness) checkEnds() {
+	for id, sim := range h.workers {
+		for key := range sim.running {
+			if job := h.runs[key]; job != nil && job.Decided() {
+				require.Less(h.t, h.now.Sub(job.answeredAt), endBound, "run %v of a job that was answered (%s) is still at %s", key, job.answer.Reason, id)
+			}
+		}
+	}
+}
+
 func (h *harness) deliverLateStarts() {
 	h.late = slices.DeleteFunc(h.late, func(late lateStart) bool {
 		if late.at.After(h.now) {
--- a/soak/pkg/app/callers.go
+++ b/soak/pkg/app/callers.go
@@ -124,6 +124,9 @@
 			return
 		}
 		time.Sleep(resendDelay)
+		if running := c.yard.Ledger.RunningOf(drawn.id); len(running) > 0 {
+			c.breach("job %s runs on %s after its caller saw status %d: %v", drawn.id, resendDelay, status, running)
+		}
 	}
 }
 
--- a/standin/pkg/runner/ledger.go
+++ b/standin/pkg/runner/ledger.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -109,6 +111,19 @@
 	return l.startsAt[runner]
 }
 
+// RunningOf returns the tasks of a job that run, each with its runners.
+func (l *Ledger) RunningOf(job string) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var running []string
+	for task, runners := range l.running {
+		if of, _, _ := strings.Cut(task, "."); of == job {
+			running = append(running, fmt.Sprintf("%s at %v", task, slices.Sorted(maps.Keys(runners))))
+		}
+	}
+	return running
+}
+
 // Running returns how many tasks run.
 func (l *Ledger) Running() int {
 	l.mu.Lock()
