Name the runs of tasks that must run alone "lone runs"

"Suspected" already means a host whose heartbeats are missing. Names, one reason of a refusal ("lone run") and test names change; nothing else.

--- a/entry/pkg/cell/assign.go
+++ b/entry/pkg/cell/assign.go
@@ -65,7 +65,7 @@
 // add records that the job's waiting tasks do not fit any worker; those that have to run alone say nothing of others.
 func (u unmetDemand) add(job *Job) {
 	demand := job.Tasks[0].Demand
-	sharing := job.waiting() - job.waitingSuspects()
+	sharing := job.waiting() - job.waitingAlone()
 	if smallest, known := u[job.Group]; sharing > 0 && (!known || smallest.Fits(demand)) {
 		u[job.Group] = demand
 	}
@@ -76,7 +76,7 @@
 	var looked struct{ sharing, alone bool } // all tasks of a job have the same demand
 	for _, task := range job.Tasks {
 		kind := &looked.sharing
-		if task.isSuspect() {
+		if task.mustRunAlone() {
 			kind = &looked.alone
 		}
 		if task.state != Waiting || *kind {
@@ -149,7 +149,7 @@
 	invariant.Check(!task.Job.Decided(), "no_start_after_answer", "job %s", task.Job.ID)
 	invariant.Check(worker.held && len(worker.unknownRuns) == 0, "only_held_workers", "worker %s", worker.ID)
 	invariant.Check(worker.free().Fits(task.Demand), "room_holds", "worker %s", worker.ID)
-	invariant.Check(!worker.hasSuspect() && worker.hasRoomFor(task), "suspects_run_alone", "worker %s", worker.ID)
+	invariant.Check(!worker.hasLoneRun() && worker.hasRoomFor(task), "lone_runs_stay_alone", "worker %s", worker.ID)
 	invariant.Check(worker.leasesEndInTime(task.Job), "leases_end_in_time", "task %s at worker %s", task.Name, worker.ID)
 	if !task.Job.Started() {
 		task.Job.Diagnostics.QueueingDelay = now.Sub(task.Job.Arrived)
@@ -163,10 +163,10 @@
 		Worker:   worker,
 		sentAt:   now,
 		expected: c.speeds.expected(task, worker),
-		suspect:  task.isSuspect(),
+		alone:    task.mustRunAlone(),
 	}
-	if run.suspect {
-		worker.suspectRuns++
+	if run.alone {
+		worker.loneRuns++
 	}
 	task.run = run
 	worker.runs[runKey{task.Name, run.Number}] = run
--- a/entry/pkg/cell/crash.go
+++ b/entry/pkg/cell/crash.go
@@ -83,7 +83,7 @@
 	crashes.All++
 	if !run.acceptedAt.IsZero() && run.tombstonedAt.IsZero() {
 		crashes.Confirmed++
-		if run.suspect {
+		if run.alone {
 			crashes.Alone++
 		}
 	}
--- a/entry/pkg/cell/isolation.go
+++ b/entry/pkg/cell/isolation.go
@@ -5,34 +5,34 @@
 	"time"
 )
 
-// isolateSuspects makes tasks under which a worker has crashed run alone, so that no other task is lost with the next
+// isolateAfterCrash makes tasks under which a worker has crashed run alone, so that no other task is lost with the next
 // worker, and the ones that did not cause the crash complete.
-const isolateSuspects = true
+const isolateAfterCrash = true
 
-// isSuspect reports whether the task may have crashed a worker and has to run alone.
-func (t *Task) isSuspect() bool {
-	return isolateSuspects && t.crashes.All > 0
+// mustRunAlone reports whether the task may have crashed a worker and has to run alone.
+func (t *Task) mustRunAlone() bool {
+	return isolateAfterCrash && t.crashes.All > 0
 }
 
-// waitingSuspects returns the number of waiting tasks that have to run alone.
-func (j *Job) waitingSuspects() int {
+// waitingAlone returns the number of waiting tasks that have to run alone.
+func (j *Job) waitingAlone() int {
 	count := 0
 	for _, task := range j.Tasks {
-		if task.state == Waiting && task.isSuspect() {
+		if task.state == Waiting && task.mustRunAlone() {
 			count++
 		}
 	}
 	return count
 }
 
-// hasSuspect reports whether the worker has a run that must stay alone.
-func (w *Worker) hasSuspect() bool {
-	return w.suspectRuns > 0
+// hasLoneRun reports whether the worker has a run that must stay alone.
+func (w *Worker) hasLoneRun() bool {
+	return w.loneRuns > 0
 }
 
 // hasRoomFor reports whether the worker has the free resources for the task, and no other run if it has to run alone.
 func (w *Worker) hasRoomFor(task *Task) bool {
-	return w.free().Fits(task.Demand) && (!task.isSuspect() || len(w.runs) == 0)
+	return w.free().Fits(task.Demand) && (!task.mustRunAlone() || len(w.runs) == 0)
 }
 
 // idleAt returns when the runs at the worker are expected to have ended.
@@ -46,11 +46,11 @@
 	return last
 }
 
-// forecastSuspects returns the predicted delay until the last waiting task of the job that has to run alone has started
+// forecastAlone returns the predicted delay until the last waiting task of the job that has to run alone has started
 // on an eligible worker.
-func (c *Cell) forecastSuspects(job *Job, ahead []*Job, eligible func(*Worker) bool, now time.Time) time.Duration {
-	suspects := job.waitingSuspects()
-	if suspects == 0 {
+func (c *Cell) forecastAlone(job *Job, ahead []*Job, eligible func(*Worker) bool, now time.Time) time.Duration {
+	lone := job.waitingAlone()
+	if lone == 0 {
 		return 0
 	}
 	f := &forecast{now: now}
@@ -58,13 +58,13 @@
 		if worker.Group != job.Group || !eligible(worker) || !worker.Capacity.Fits(job.Tasks[0].Demand) {
 			continue
 		}
-		if worker.usableFor(job, now) || worker.unusableReason(now) == reasonSuspect {
+		if worker.usableFor(job, now) || worker.unusableReason(now) == reasonLoneRun {
 			f.slots = append(f.slots, worker.idleAt(now))
 		}
 	}
 	heap.Init(&f.slots)
 	for _, other := range ahead {
-		f.schedule(other.waitingSuspects(), c.speeds.typical(other.Queue, other.longest()))
+		f.schedule(other.waitingAlone(), c.speeds.typical(other.Queue, other.longest()))
 	}
-	return f.schedule(suspects, c.speeds.typical(job.Queue, job.longest())).Sub(now)
+	return f.schedule(lone, c.speeds.typical(job.Queue, job.longest())).Sub(now)
 }
--- a/entry/pkg/cell/isolation_test.go
+++ b/entry/pkg/cell/isolation_test.go
@@ -9,10 +9,10 @@
 	"pgregory.net/rapid"
 )
 
-// suspectJob returns a job of whose tasks the given number may have crashed a worker.
-func (h *harness) suspectJob(tasks, suspects int, length, objective time.Duration) *Job {
+// loneJob returns a job of whose tasks the given number may have crashed a worker.
+func (h *harness) loneJob(tasks, alone int, length, objective time.Duration) *Job {
 	job := h.job(tasks, 5, length, objective, veryLong)
-	for _, task := range job.Tasks[:suspects] {
+	for _, task := range job.Tasks[:alone] {
 		task.crashes = Crashes{All: 1}
 	}
 	return job
@@ -42,25 +42,25 @@
 	require.Equal(t, 2, h.starts[crashing.ID+".0"])
 }
 
-// TestSuspectStartsWhereNothingRuns guards against starting a task that may have crashed a worker beside others, or others
+// TestLoneTaskStartsWhereNothingRuns guards against starting a task that may have crashed a worker beside others, or others
 // beside it, and against forecasts that count on room for them.
-func TestSuspectStartsWhereNothingRuns(t *testing.T) {
+func TestLoneTaskStartsWhereNothingRuns(t *testing.T) {
 	h := newHarness(t)
 	h.addWorkers(1, 16, 1)
 	worker := h.cell.Worker("w00")
 	first := h.job(1, 5, 300*time.Millisecond, veryLong, veryLong)
 	h.submit(first)
-	suspect := h.suspectJob(1, 1, 300*time.Millisecond, veryLong)
-	require.False(t, h.cell.CanStartNow(suspect, h.now))
-	require.Equal(t, 300*time.Millisecond, h.cell.predictDelay(suspect, h.now))
-	h.submit(suspect)
+	lone := h.loneJob(1, 1, 300*time.Millisecond, veryLong)
+	require.False(t, h.cell.CanStartNow(lone, h.now))
+	require.Equal(t, 300*time.Millisecond, h.cell.predictDelay(lone, h.now))
+	h.submit(lone)
 	h.pass(100 * time.Millisecond)
-	require.False(t, suspect.Started())
+	require.False(t, lone.Started())
 	second := h.job(1, 5, short, veryLong, veryLong)
 	require.True(t, h.cell.CanStartNow(h.job(1, 5, short, veryLong, veryLong), h.now), "one that waits for an idle worker takes no room")
 	h.pass(250 * time.Millisecond)
 	require.Equal(t, "completed", h.outcome(first))
-	require.True(t, suspect.Started())
+	require.True(t, lone.Started())
 	require.False(t, h.cell.CanStartNow(second, h.now))
 	require.Zero(t, h.cell.Loads(h.now)[0].FreeSlots)
 	h.submit(second)
@@ -70,55 +70,55 @@
 	require.Len(t, worker.runs, 1)
 	require.False(t, second.Started())
 	h.pass(200 * time.Millisecond)
-	require.Equal(t, "completed", h.outcome(suspect))
+	require.Equal(t, "completed", h.outcome(lone))
 	require.Equal(t, "completed", h.outcome(second))
 }
 
-// TestSuspectsDoNotHoldOthersUp guards against tasks that wait behind one for which no worker is idle.
-func TestSuspectsDoNotHoldOthersUp(t *testing.T) {
+// TestLoneTasksDoNotHoldOthersUp guards against tasks that wait behind one for which no worker is idle.
+func TestLoneTasksDoNotHoldOthersUp(t *testing.T) {
 	h := newHarness(t)
 	h.addWorkers(1, 16, 1)
 	h.submit(h.job(1, 5, 300*time.Millisecond, veryLong, veryLong))
-	suspect := h.suspectJob(2, 1, short, time.Second) // its other task starts at once
-	h.submit(suspect)
-	require.Equal(t, 1, suspect.waiting())
+	lone := h.loneJob(2, 1, short, time.Second) // its other task starts at once
+	h.submit(lone)
+	require.Equal(t, 1, lone.waiting())
 	other := h.job(1, 5, short, 2*time.Second, veryLong)
 	h.submit(other)
 	require.True(t, other.Started())
 	h.pass(500 * time.Millisecond)
-	require.Equal(t, "completed", h.outcome(suspect))
+	require.Equal(t, "completed", h.outcome(lone))
 }
 
-// TestSuspectWithoutAnIdleWorkerIsGivenUpInTime guards against a job that waits on after it cannot be served any more.
-func TestSuspectWithoutAnIdleWorkerIsGivenUpInTime(t *testing.T) {
+// TestLoneTaskWithoutAnIdleWorkerIsGivenUpInTime guards against a job that waits on after it cannot be served any more.
+func TestLoneTaskWithoutAnIdleWorkerIsGivenUpInTime(t *testing.T) {
 	h := newHarness(t)
 	h.addWorkers(1, 16, 1)
 	h.pass(200 * time.Millisecond) // until the worker's clock is known
 	h.submit(h.job(1, 5, 5*time.Second, veryLong, veryLong))
-	suspect := h.suspectJob(1, 1, short, shortObjective)
-	h.submit(suspect)
-	require.Equal(t, "refused", h.outcome(suspect))
-	started := h.suspectJob(2, 1, short, time.Minute)
+	lone := h.loneJob(1, 1, short, shortObjective)
+	h.submit(lone)
+	require.Equal(t, "refused", h.outcome(lone))
+	started := h.loneJob(2, 1, short, time.Minute)
 	started.Deadline = h.now.Add(time.Second)
 	h.submit(started)
 	h.pass(time.Second)
 	require.Equal(t, "abandoned", h.outcome(started))
 }
 
-// TestSuspectsStartLateOnIdleWorkersOnly guards against late starts, which choose their workers by themselves.
-func TestSuspectsStartLateOnIdleWorkersOnly(t *testing.T) {
+// TestLoneTasksStartLateOnIdleWorkersOnly guards against late starts, which choose their workers by themselves.
+func TestLoneTasksStartLateOnIdleWorkersOnly(t *testing.T) {
 	h := newHarness(t)
 	h.addWorkers(2, 16, 1)
-	_, started := h.cell.StartLate(h.suspectJob(2, 2, short, 0), h.now)
+	_, started := h.cell.StartLate(h.loneJob(2, 2, short, 0), h.now)
 	require.True(t, started)
 	h = newHarness(t)
 	h.addWorkers(2, 16, 1)
-	_, started = h.cell.StartLate(h.suspectJob(3, 2, short, 0), h.now)
+	_, started = h.cell.StartLate(h.loneJob(3, 2, short, 0), h.now)
 	require.False(t, started, "the third task would run beside one of the others")
 	h.submit(h.job(1, 5, time.Second, veryLong, veryLong))
-	_, started = h.cell.StartLate(h.suspectJob(2, 2, short, 0), h.now)
+	_, started = h.cell.StartLate(h.loneJob(2, 2, short, 0), h.now)
 	require.False(t, started)
-	_, started = h.cell.StartLate(h.suspectJob(3, 1, short, 0), h.now)
+	_, started = h.cell.StartLate(h.loneJob(3, 1, short, 0), h.now)
 	require.True(t, started)
 }
 
--- a/entry/pkg/cell/late.go
+++ b/entry/pkg/cell/late.go
@@ -45,7 +45,7 @@
 	alone := map[*Worker]bool{}
 	fits := func(task *Task, worker *Worker) bool {
 		taken, shared := used[worker]
-		return !alone[worker] && (!shared || !task.isSuspect()) && worker.hasRoomFor(task) && worker.free().Minus(taken).Fits(task.Demand)
+		return !alone[worker] && (!shared || !task.mustRunAlone()) && worker.hasRoomFor(task) && worker.free().Minus(taken).Fits(task.Demand)
 	}
 	for _, task := range job.Tasks {
 		var best choice
@@ -65,7 +65,7 @@
 			return nil, false
 		}
 		used[best.worker] = used[best.worker].Plus(task.Demand)
-		alone[best.worker] = task.isSuspect()
+		alone[best.worker] = task.mustRunAlone()
 		plan = append(plan, best.worker)
 	}
 	return plan, true
--- a/entry/pkg/cell/predict.go
+++ b/entry/pkg/cell/predict.go
@@ -37,7 +37,7 @@
 		switch {
 		case worker.joining && !worker.Leaving && !worker.evacuated():
 			freeAt = now.Add(joinDelay)
-		case worker.hasSuspect() && !worker.evacuated() && worker.unusableReason(now) == reasonSuspect:
+		case worker.hasLoneRun() && !worker.evacuated() && worker.unusableReason(now) == reasonLoneRun:
 			for range min(worker.Capacity.Slots(demand), tasks) {
 				f.slots = append(f.slots, worker.idleAt(now))
 			}
@@ -148,7 +148,7 @@
 		f.schedule(other.waiting(), c.speeds.typical(other.Queue, other.longest()))
 	}
 	delay := f.schedule(job.waiting(), c.speeds.typical(job.Queue, job.longest())).Sub(now)
-	return max(delay, c.forecastSuspects(job, ahead, eligible, now))
+	return max(delay, c.forecastAlone(job, ahead, eligible, now))
 }
 
 // ahead returns the waiting jobs that start before the job.
--- a/entry/pkg/cell/shortage.go
+++ b/entry/pkg/cell/shortage.go
@@ -20,7 +20,7 @@
 	reasonUnconfirmedStart UnusableReason = "unsure start"
 	reasonFailing          UnusableReason = "failing"     // or hanging
 	reasonShortLease       UnusableReason = "short lease" // limited by a run whose home is silent or whose stop is unconfirmed
-	reasonSuspect          UnusableReason = "suspect"     // it runs a task under which a worker has crashed
+	reasonLoneRun          UnusableReason = "lone run"    // it runs a task under which a worker has crashed
 	reasonEvacuated        UnusableReason = "evacuated"
 )
 
--- a/entry/pkg/cell/sim_crash_test.go
+++ b/entry/pkg/cell/sim_crash_test.go
@@ -16,11 +16,11 @@
 	starts     map[string]int  // starts that a worker has carried out, by task
 
 	checkIsolation bool            // tasks that were running at a worker when it crashed may only run alone
-	suspects       map[string]bool // such tasks
+	alone          map[string]bool // such tasks
 }
 
 func newSimCrashes() simCrashes {
-	return simCrashes{crashes: map[string]bool{}, starts: map[string]int{}, suspects: map[string]bool{}}
+	return simCrashes{crashes: map[string]bool{}, starts: map[string]int{}, alone: map[string]bool{}}
 }
 
 // begin counts the start of a task at the worker, which crashes if the task is such a one.
@@ -28,14 +28,14 @@
 	s.starts[task]++
 	if s.checkIsolation && len(sim.running) > 1 {
 		for running := range sim.running {
-			require.False(t, s.suspects[running.task], "suspect %s runs beside another task", running.task)
+			require.False(t, s.alone[running.task], "task %s runs beside another task", running.task)
 		}
 	}
 	if !s.crashes[task] {
 		return StartAccepted
 	}
 	for running := range sim.running {
-		s.suspects[running.task] = true
+		s.alone[running.task] = true
 	}
 	sim.down, sim.backAt = true, now.Add(simCrashTime)
 	sim.restart(now)
--- a/entry/pkg/cell/worker.go
+++ b/entry/pkg/cell/worker.go
@@ -16,7 +16,7 @@
 	joining        bool      // its first report is pending
 	held           bool      // the keeper's fencing token is in force; set by each report
 	unresponsive   bool      // its last call was not answered
-	suspectRuns    int       // runs that must stay alone
+	loneRuns       int       // runs that must stay alone
 	crashed        bool      // its process is known to have ended since the last report
 	reportedAt     time.Time // time of the last report
 	polledAt       time.Time // time of the last extra poll
@@ -56,7 +56,7 @@
 	fenced       bool      // its start was not confirmed before the worker restarted, and is rejected by the raised token
 	expected     time.Duration
 	crashed      bool // the worker's process has ended while the run may have been running
-	suspect      bool // it must stay alone at its worker
+	alone        bool // it must stay alone at its worker
 }
 
 // RunResult is how a run ended.
@@ -162,8 +162,8 @@
 		return reasonFailing
 	case w.isLeaseShort(now):
 		return reasonShortLease
-	case w.hasSuspect():
-		return reasonSuspect
+	case w.hasLoneRun():
+		return reasonLoneRun
 	case w.evacuated(): // last, since usableFor makes an exception to it
 		return reasonEvacuated
 	default:
--- a/entry/pkg/cell/workers.go
+++ b/entry/pkg/cell/workers.go
@@ -297,8 +297,8 @@
 	delete(worker.runs, runKey{run.Task.Name, run.Number})
 	worker.used = worker.used.Minus(run.Task.Demand)
 	invariant.Check(worker.used.Cores >= 0, "room_balances", "worker %s", worker.ID)
-	if run.suspect {
-		worker.suspectRuns--
+	if run.alone {
+		worker.loneRuns--
 	}
 	run.finished = true
 	run.Task.run = nil
