Let the soak run the previous build beside the new one

--previous BINARY: each host runs that build first and moves to the new one when a fault makes it start anew (kill, planned stop), so that both run side by side for most of a seed, as during an upgrade.

--- a/soak/pkg/app/app.go
+++ b/soak/pkg/app/app.go
@@ -16,15 +16,16 @@
 var self = program.Program{Name: "soak"}
 
 type arguments struct {
-	Binary  string        `arg:"--binary,required" help:"the entry program"`
-	Folder  string        `arg:"--folder" default:"out/soak" help:"for settings and logs, a folder for each seed"`
-	Seed    uint64        `arg:"--seed" default:"1" help:"first seed"`
-	Seeds   int           `arg:"--seeds" default:"1" help:"how many seeds, one after the other"`
-	Length  time.Duration `arg:"--length" default:"20s" help:"of the faults of one seed"`
-	Gap     time.Duration `arg:"--gap" default:"25ms" help:"mean time between two jobs"`
-	Places  int           `arg:"--places" default:"3"`
-	Hosts   int           `arg:"--hosts" default:"2" help:"in each place"`
-	Runners int           `arg:"--runners" default:"4" help:"in each place"`
+	Binary   string        `arg:"--binary,required" help:"the entry program"`
+	Previous string        `arg:"--previous" help:"an earlier build, which each host runs until its first start anew"`
+	Folder   string        `arg:"--folder" default:"out/soak" help:"for settings and logs, a folder for each seed"`
+	Seed     uint64        `arg:"--seed" default:"1" help:"first seed"`
+	Seeds    int           `arg:"--seeds" default:"1" help:"how many seeds, one after the other"`
+	Length   time.Duration `arg:"--length" default:"20s" help:"of the faults of one seed"`
+	Gap      time.Duration `arg:"--gap" default:"25ms" help:"mean time between two jobs"`
+	Places   int           `arg:"--places" default:"3"`
+	Hosts    int           `arg:"--hosts" default:"2" help:"in each place"`
+	Runners  int           `arg:"--runners" default:"4" help:"in each place"`
 }
 
 // Main runs soaks and returns the program's exit code.
@@ -60,12 +61,13 @@
 	defer func() { _ = out.Close() }()
 	return Run(Settings{
 		Yard: yard.Settings{
-			Binary:  parsed.Binary,
-			Folder:  folder,
-			Places:  parsed.Places,
-			Hosts:   parsed.Hosts,
-			Runners: parsed.Runners,
-			Seed:    seed,
+			Binary:   parsed.Binary,
+			Previous: parsed.Previous,
+			Folder:   folder,
+			Places:   parsed.Places,
+			Hosts:    parsed.Hosts,
+			Runners:  parsed.Runners,
+			Seed:     seed,
 		},
 		Length: parsed.Length,
 		Gap:    parsed.Gap,
--- a/soak/pkg/yard/host.go
+++ b/soak/pkg/yard/host.go
@@ -26,7 +26,7 @@
 	ToStore *relay.Relay
 
 	ready    string
-	binary   string
+	builds   builds
 	settings string
 
 	mu      sync.Mutex
@@ -34,6 +34,23 @@
 	ended   chan struct{}
 }
 
+// builds are the programs of one host, which is upgraded by its first start anew.
+type builds struct {
+	previous string // empty if there is none
+	current  string
+	started  bool
+}
+
+// next returns the program of the next start.
+func (b *builds) next() string {
+	first := !b.started
+	b.started = true
+	if first && b.previous != "" {
+		return b.previous
+	}
+	return b.current
+}
+
 // Start starts the process, whose last one must have ended.
 func (h *Host) Start() error {
 	h.mu.Lock()
@@ -42,7 +59,7 @@
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	command := exec.CommandContext(context.Background(), h.binary, "--settings", h.settings)
+	command := exec.CommandContext(context.Background(), h.builds.next(), "--settings", h.settings)
 	command.Stdout = output
 	command.Stderr = output
 	if err := command.Start(); err != nil {
--- a/soak/pkg/yard/yard.go
+++ b/soak/pkg/yard/yard.go
@@ -32,12 +32,13 @@
 
 // Settings of a yard.
 type Settings struct {
-	Binary  string // the entry program
-	Folder  string // for settings and logs
-	Places  int
-	Hosts   int // a place
-	Runners int // a place
-	Seed    uint64
+	Binary   string // the entry program
+	Previous string // the build that hosts run until they start anew; empty for none
+	Folder   string // for settings and logs
+	Places   int
+	Hosts    int // a place
+	Runners  int // a place
+	Seed     uint64
 }
 
 // Worker is a runner that the hosts reach through a relay.
@@ -175,7 +176,8 @@
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return errors.WithStack(err)
 	}
-	host := &Host{Name: name, Caller: addresses[0], ready: addresses[1], Inward: inward, ToStore: toStore, binary: y.settings.Binary, settings: path}
+	programs := builds{previous: y.settings.Previous, current: y.settings.Binary}
+	host := &Host{Name: name, Caller: addresses[0], ready: addresses[1], Inward: inward, ToStore: toStore, builds: programs, settings: path}
 	y.Hosts = append(y.Hosts, host)
 	return host.Start()
 }
