Recall the slots of a back end that has shrunk

Cause: a changed host list reaches each host's back ends at once, and a lender lends no more than the new number of slots. But what was lent before stayed with the borrowers, who renew it as long as they use it: under overload for ever. Recalls named a group only, were made only while other hosts wait, and did not keep the borrower from using the slots again.

Change: a lender whose back end has more slots lent than it has recalls what is too much, by the back end's name (new field `be` of a recall), from each holder. The holder starts nothing on that many slots and returns them as they fall idle; the next response without the recall ends that. Each holder is asked for all that is too much, since the others may use all that they hold; what comes back beyond it is lent again. Earlier builds do not know the field and take the recall as one of the group: they return idle slots of it.

What remains: a worker whose cores or memory shrink while its slots stay changes what a slot is worth for the tasks that run already (read in the code, no test). Cut-off borrowers keep their slots until the loan ends.

--- a/entry/pkg/blackboard/backend.go
+++ b/entry/pkg/blackboard/backend.go
@@ -97,6 +97,7 @@
 
 	Share    int // this host's share of the slots when all hosts want theirs; zero when Granted is exact
 	Recalled int // slots to return to the lender once they are free
+	Overlent int // granted slots that get no new tasks and are to be returned, since the back end has shrunk
 
 	Ejected        bool      // it gets only probes
 	NextProbe      time.Time // earliest start of the next probe while ejected
@@ -139,11 +140,16 @@
 	if b.IsClosed() || b.GrantExpired(now) || now.Before(b.BackoffUntil) {
 		return 0
 	}
-	granted := b.Granted
+	return max(0, b.Usable()-b.Busy)
+}
+
+// Usable returns the number of granted slots that new tasks may use.
+func (b *Backend) Usable() int {
+	usable := b.Granted - b.Overlent
 	if b.RecoveryLimit > 0 {
-		granted = min(granted, b.RecoveryLimit)
+		usable = min(usable, b.RecoveryLimit)
 	}
-	return max(0, granted-b.Busy)
+	return usable
 }
 
 // GrantExpired reports whether the grant has expired.
--- a/entry/pkg/lending/borrower.go
+++ b/entry/pkg/lending/borrower.go
@@ -301,7 +301,11 @@
 
 // markRecalled marks recalled slots, which are returned once they are idle.
 func (b *Borrower) markRecalled(from *lenderState, recalls []Recall) {
+	b.markOverlent(from, recalls)
 	for _, recall := range recalls {
+		if recall.Backend != "" {
+			continue
+		}
 		left := recall.Slots
 		for name := range from.held {
 			backend := b.backend(name)
@@ -315,6 +319,22 @@
 	}
 }
 
+// markOverlent marks the slots of back ends that have shrunk.
+func (b *Borrower) markOverlent(from *lenderState, recalls []Recall) {
+	overlent := map[string]int{}
+	for _, recall := range recalls {
+		if recall.Backend != "" {
+			overlent[recall.Backend] = recall.Slots
+		}
+	}
+	for name := range from.held {
+		if backend := b.backend(name); backend != nil && backend.Overlent != overlent[name] {
+			backend.Overlent = overlent[name]
+			b.notifyObserver(backend)
+		}
+	}
+}
+
 func (b *Borrower) backend(name string) *blackboard.Backend {
 	for _, group := range b.board.Groups {
 		if backend, ok := group.Backends[name]; ok {
--- a/entry/pkg/lending/fairness.go
+++ b/entry/pkg/lending/fairness.go
@@ -66,6 +66,19 @@
 	return recalls
 }
 
+// shrinkRecalls returns the slots that a host holds of back ends of which more is lent than they have. Each holder is asked
+// for all that is too much, because others may use all that they hold.
+func (k *Lender) shrinkRecalls(from *borrowerState) (recalls []Recall) {
+	for _, name := range slices.Sorted(maps.Keys(from.held)) {
+		entry, ok := k.backends[name]
+		if !ok || entry.lent <= entry.backend.Slots {
+			continue
+		}
+		recalls = append(recalls, Recall{Group: entry.backend.Group, Backend: name, Slots: min(from.held[name], entry.lent-entry.backend.Slots)})
+	}
+	return recalls
+}
+
 func (k *Lender) addUsage(of *borrowerState, groups map[string]*usage) {
 	at := func(group string) *usage {
 		if groups[group] == nil {
--- a/entry/pkg/lending/fleet_test.go
+++ b/entry/pkg/lending/fleet_test.go
@@ -75,6 +75,7 @@
 	learns  bool                     // hosts estimate speeds and kinds from the runs
 	used    map[string]time.Time     // last start on each endpoint
 	gaps    map[string]time.Duration // longest time without a start on each endpoint, after the warm-up
+	onStart func(endpoint string)    // may be nil
 }
 
 type fleetHost struct {
@@ -376,6 +377,9 @@
 		}
 		f.started++
 		f.noteStart(start.Backend.Name)
+		if f.onStart != nil {
+			f.onStart(start.Backend.Name)
+		}
 		took := time.Duration(float64(start.Task.Declared) / f.speed(start.Backend.Name))
 		f.after(travel+took, func() {
 			f.busy[start.Backend.Name]--
--- a/entry/pkg/lending/giveback.go
+++ b/entry/pkg/lending/giveback.go
@@ -39,7 +39,7 @@
 	if backend.Ejected {
 		return max(0, idle-1) // a probe needs one
 	}
-	recalled := min(idle, backend.Recalled)
+	recalled := min(idle, max(backend.Recalled, backend.Overlent))
 	group := b.board.Groups[backend.Group]
 	if group == nil {
 		return recalled
@@ -81,6 +81,7 @@
 	holder.unused[backend.Name] -= unused
 	backend.Granted -= slots
 	backend.Recalled = max(0, backend.Recalled-slots)
+	backend.Overlent = max(0, backend.Overlent-slots)
 	holder.held[backend.Name] -= slots
 	holder.returns[backend.Name] += slots
 	if holder.held[backend.Name] <= 0 {
--- a/entry/pkg/lending/lender.go
+++ b/entry/pkg/lending/lender.go
@@ -98,7 +98,7 @@
 		}
 	}
 	response.Offers = k.offers(request, now)
-	response.Recalls = k.recalls(from)
+	response.Recalls = append(k.recalls(from), k.shrinkRecalls(from)...)
 	response.Terms = k.terms(from, request.Full, response.Granted, now)
 	return response
 }
--- a/entry/pkg/lending/messages.go
+++ b/entry/pkg/lending/messages.go
@@ -54,10 +54,11 @@
 	Left    time.Duration `json:"left"`
 }
 
-// Recall requests the return of slots for which other hosts wait.
+// Recall requests the return of slots for which other hosts wait, or of those of a back end that has shrunk.
 type Recall struct {
-	Group string `json:"grp"`
-	Slots int    `json:"n"`
+	Group   string `json:"grp"`
+	Slots   int    `json:"n"`
+	Backend string `json:"be,omitempty"` // that has shrunk below what is lent of it; its slots are not to be used again
 }
 
 // BorrowResponse is a lender's response to a BorrowRequest.
--- a/entry/pkg/placement/fastest.go
+++ b/entry/pkg/placement/fastest.go
@@ -145,11 +145,7 @@
 	if backend.IsClosed() || backend.ReservedFor != nil {
 		return 0
 	}
-	granted := backend.Granted
-	if backend.RecoveryLimit > 0 {
-		granted = min(granted, backend.RecoveryLimit)
-	}
-	return max(0, granted-backend.Busy)
+	return max(0, backend.Usable()-backend.Busy)
 }
 
 // fastest returns the entry with the lowest key and enough free slots for the task.
