Do not take a task for not run that was seen running, when its worker has forgotten it

What callers saw: nothing reported; a task could run a second time, or be answered as not run, in the product's other engine.

Cause: the answer to a start was lost, queries showed the task as running, and then as absent, since its worker had started anew. An absent task with a tombstone was taken for one that never began, so that it started again.

Class: the last observation taken for all that is known; the same as runs that are freed by an incarnation that does not know them.

Change: a task that was seen running and is absent afterwards keeps the outcome unknown.

TestTaskThatWasSeenRunningIsNotTakenForNotRun failed before (verdict not run).

What remains: a worker that starts anew between the start and the first query that it answers shows the same as one that never got the start. Telling them apart takes the worker's incarnation in its answers, which the interface does not have.

--- a/entry/pkg/controllers/dispatch_controller.go
+++ b/entry/pkg/controllers/dispatch_controller.go
@@ -156,10 +156,12 @@
 
 // resolve determines the outcome of a start whose answer was lost:
 // it polls the task until it ends, or leaves a tombstone so that it never starts.
+// A task that was seen running and is absent later has run: its back end has restarted since.
 func (d *DispatchController) resolve(ctx context.Context, start *dispatch.Start, lost dispatch.Outcome) dispatch.Outcome {
 	resolvedTotal.Inc()
 	stop := &dispatch.Stop{ID: start.ID, Backend: start.Backend, Supported: true}
 	lastAnswer := d.common.Clock.Now()
+	hasRun := false
 	for ctx.Err() == nil && d.common.Clock.Since(lastAnswer) < unresponsiveTimeout {
 		status, err := d.starter(start.Backend.Role).Query(ctx, stop)
 		if err == nil && status.Task == start.ID {
@@ -167,6 +169,7 @@
 			if status.State != platform.TaskRunning {
 				break
 			}
+			hasRun = true
 		}
 		select {
 		case <-ctx.Done():
@@ -174,7 +177,7 @@
 		}
 	}
 	status := d.stopOrTombstone(stop)
-	if status == nil {
+	if status == nil || (hasRun && status.State == platform.TaskAbsent) {
 		return lost
 	}
 	return resolvedOutcome(status, lost)
