Let the randomised model of keepers report open calls, late or not at all, also for hosts that jobs were forwarded from

A part of the requests of TestRandomisedKeepers has calls now, some of them forwarded for a host that fails beside the home; reports come late or are lost, and so are cancellations.

--- a/entry/pkg/cell/keepers_test.go
+++ b/entry/pkg/cell/keepers_test.go
@@ -42,6 +42,7 @@
 	home     string
 	job      *Job
 	keeper   *simKeeper
+	call     *simCall  // nil if the home does not report it
 	resend   time.Time // zero while an answer is awaited
 	finished bool      // it is answered, or the caller has left
 }
@@ -59,10 +60,12 @@
 	token     int64
 	home      string
 	homes     int
+	calls     simCalls
 }
 
 func newSimDomain(t *rapid.T) *simDomain {
 	d := &simDomain{t: t, now: time.Unix(1_000_000, 0), workers: map[string]*simWorker{}, listed: map[string]bool{}, cellOf: map[string]int{}, home: "home-0"}
+	d.calls = simCalls{front: "front-0", frontFailed: map[string]time.Time{}}
 	for range rapid.IntRange(cells, 2*cells).Draw(t, "workers") {
 		d.addWorker()
 	}
@@ -150,6 +153,7 @@
 				d.runKeeper(k)
 			}
 		}
+		d.reportCalls()
 		d.serveCallers()
 	}
 }
@@ -191,9 +195,9 @@
 			if !d.now.Before(q.resend) {
 				d.send(q)
 			}
-		case q.home != d.home:
-			d.scheduleResend(q) // the connection ended with its home
-		case q.keeper.isRunning(d.now) && q.keeper.partitionedSince.IsZero() && q.job.answer != nil:
+		case q.home != d.home, d.isFrontLost(q):
+			d.scheduleResend(q) // the connection ended with its host
+		case d.isReached(q.keeper) && q.job.answer != nil:
 			d.answer(q)
 		case q.keeper.failed, d.silenceOf(q.keeper) > failAfter:
 			d.scheduleResend(q)
@@ -219,6 +223,7 @@
 }
 
 func (d *simDomain) answer(q *request) {
+	d.closeCall(q.call)
 	switch q.job.answer.Outcome {
 	case Abandoned:
 		d.scheduleResend(q)
@@ -231,17 +236,28 @@
 
 // cancel tells the keeper that the caller has left, if the keeper can be reached.
 func (d *simDomain) cancel(q *request) {
-	if q.job != nil && q.keeper.isRunning(d.now) && q.keeper.partitionedSince.IsZero() && q.home == d.home {
+	if q.call != nil {
+		d.closeCall(q.call)
+		if d.isCancellationLost() {
+			return
+		}
+	}
+	if q.job != nil && d.isReached(q.keeper) && q.home == d.home {
 		effects := q.keeper.cell.Cancel(q.job, "the caller left", d.now)
 		q.keeper.applyEffects(&effects)
 	}
 }
 
+// isReached reports whether the home and the keeper reach each other.
+func (d *simDomain) isReached(k *simKeeper) bool {
+	return k.isRunning(d.now) && k.partitionedSince.IsZero()
+}
+
 // send submits the job to a random keeper that the home can reach.
 func (d *simDomain) send(q *request) {
 	var reachable []*simKeeper
 	for _, k := range d.keepers {
-		if k.isRunning(d.now) && k.partitionedSince.IsZero() {
+		if d.isReached(k) {
 			reachable = append(reachable, k)
 		}
 	}
@@ -254,11 +270,12 @@
 	q.resend = time.Time{}
 	q.job = q.keeper.jobNamed(q.id, q.tasks, 5, q.length, 2*q.length+longDeadline, 3*q.length+longDeadline)
 	q.job.Home = q.home
+	d.openCall(q)
 	q.keeper.submit(q.job)
 }
 
-// TestRandomisedKeepers lets two or more keepers contend for the same workers while homes, keepers, workers and the
-// store fail. Each start is checked as in TestRandomisedSteps, across all keepers.
+// TestRandomisedKeepers lets two or more keepers contend for the same workers while homes, the hosts that they forward for,
+// keepers, workers and the store fail. Each start is checked as in TestRandomisedSteps, across all keepers.
 func TestRandomisedKeepers(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		d := newSimDomain(t)
@@ -272,7 +289,7 @@
 
 func (d *simDomain) step() {
 	k := d.keepers[rapid.IntRange(0, len(d.keepers)-1).Draw(d.t, "acting keeper")]
-	switch rapid.IntRange(0, 16).Draw(d.t, "step") {
+	switch rapid.IntRange(0, 18).Draw(d.t, "step") {
 	case 0:
 		d.claim(k)
 	case 1:
@@ -302,6 +319,10 @@
 	case 12:
 		sim := d.workers[d.someWorker()]
 		sim.ignoresStops = !sim.ignoresStops
+	case 13:
+		d.failFront()
+	case 14:
+		d.disturbReports()
 	default:
 		d.submitRequest()
 	}
@@ -352,6 +373,7 @@
 // run is left over.
 func (d *simDomain) settle() {
 	d.storeDown = false
+	d.calls.delay, d.calls.lost = 0, false
 	for _, sim := range d.workers {
 		sim.unresponsive, sim.ignoresStops = false, false
 	}
