Count a crash that shows only when the worker is back

Cause: a crash counted only for runs that were still accounted for when it was seen. A relay or proxy that accepts connections for a worker whose process is gone hides the refusal; the runs then lapse 1.09 s after their start, and the new incarnation, some seconds later, found none to count.

Class: evidence that comes after the state that it explains was dropped.

Change: runs that lapse while their worker is silent are remembered until its next report. If that is of another incarnation, the crash counts for their tasks, but not as confirmed: the worker may have been cut off, and have ended the run by its lease before it crashed. A report of the same incarnation clears them.

TestCrashThatShowsOnlyWhenTheWorkerIsBackCounts failed before (no crash counted). Tests of cell and cellhost pass.

What remains: as long as nothing tells, such a task is started again each time its lease has lapsed: five times where the worker is back after 2 s. A worker that comes back under another ID tells nothing.

--- a/entry/pkg/cell/crash.go
+++ b/entry/pkg/cell/crash.go
@@ -18,7 +18,7 @@
 type Crashes struct {
 	Confirmed int `json:"c"` // while it was known to run
 	Alone     int `json:"a"` // of these, while it ran alone
-	All       int `json:"n"` // of these too, after a start without an answer, which may not have been carried out
+	All       int `json:"n"` // of these too, after a start without an answer, or a lapse while the worker was silent
 }
 
 // areTooMany reports whether the task is to be given up. A task that ran beside others may have ended just before a
@@ -32,6 +32,10 @@
 	return Crashes{Confirmed: max(c.Confirmed, other.Confirmed), Alone: max(c.Alone, other.Alone), All: max(c.All, other.All)}
 }
 
+func (c Crashes) plus(other Crashes) Crashes {
+	return Crashes{Confirmed: c.Confirmed + other.Confirmed, Alone: c.Alone + other.Alone, All: c.All + other.All}
+}
+
 // CrashEvidence is how a keeper learnt that the process of a worker has ended.
 type CrashEvidence string
 
@@ -72,23 +76,36 @@
 			c.countCrash(run, now)
 		}
 	}
+	for _, run := range worker.unexplained {
+		crashed.Tasks = append(crashed.Tasks, run.Task.Name)
+		c.countLapse(run, now)
+	}
+	worker.unexplained = nil
 	c.failCrashingJobs(now, effects)
 	effects.Crashes = append(effects.Crashes, crashed)
 }
 
 // countCrash counts the crash of a run's worker for its task; failCrashingJobs has to follow.
 func (c *Cell) countCrash(run *Run, now time.Time) {
-	task := run.Task
-	crashes := c.crashTable.count(task.Name, now).atLeast(task.crashes)
-	crashes.All++
+	counted := Crashes{All: 1}
 	if !run.acceptedAt.IsZero() && run.tombstonedAt.IsZero() {
-		crashes.Confirmed++
+		counted.Confirmed = 1
 		if run.alone {
-			crashes.Alone++
+			counted.Alone = 1
 		}
 	}
-	task.crashes = crashes
-	c.crashTable.raise(task.Name, crashes, now)
+	c.addCrashes(run.Task, counted, now)
+}
+
+// countLapse counts a run that lapsed before it was known that its worker had crashed, and that may have ended by its
+// lease; failCrashingJobs has to follow.
+func (c *Cell) countLapse(run *Run, now time.Time) {
+	c.addCrashes(run.Task, Crashes{All: 1}, now)
+}
+
+func (c *Cell) addCrashes(task *Task, counted Crashes, now time.Time) {
+	task.crashes = c.crashTable.count(task.Name, now).atLeast(task.crashes).plus(counted)
+	c.crashTable.raise(task.Name, task.crashes, now)
 }
 
 // failCrashing answers the job if too many workers have crashed under one of its tasks, and reports whether it did.
--- a/entry/pkg/cell/crash_count_test.go
+++ b/entry/pkg/cell/crash_count_test.go
@@ -132,3 +132,31 @@
 		require.Equal(t, want, job.Tasks[0].crashes, result)
 	}
 }
+
+// TestCrashThatShowsOnlyWhenTheWorkerIsBackCounts guards against a task that crashes worker after worker behind a proxy or a
+// network that hides the refused connections: its runs lapse, and only the new incarnation shows why.
+func TestCrashThatShowsOnlyWhenTheWorkerIsBackCounts(t *testing.T) {
+	for _, restarts := range []bool{true, false} {
+		h := newHarness(t)
+		h.addWorkers(2, 16, 1)
+		h.pass(200 * time.Millisecond) // until the workers' clocks are known
+		job := h.job(1, 5, veryLong, 2*veryLong, 2*veryLong)
+		h.submit(job)
+		task := job.Tasks[0]
+		sim := h.workers[task.run.Worker.ID]
+		sim.unresponsive = true
+		h.pass(1500 * time.Millisecond)
+		require.Equal(t, 2, task.runs)
+		require.Zero(t, task.crashes.All, "it may have been cut off")
+		if restarts {
+			sim.restart(h.now)
+		}
+		sim.unresponsive = false
+		h.pass(300 * time.Millisecond)
+		if restarts {
+			require.Equal(t, Crashes{All: 1}, task.crashes, "the lease may have ended the run before the crash")
+		} else {
+			require.Zero(t, task.crashes)
+		}
+	}
+}
--- a/entry/pkg/cell/worker.go
+++ b/entry/pkg/cell/worker.go
@@ -24,6 +24,7 @@
 	used           Resources
 	runs           map[runKey]*Run
 	unknownRuns    map[runKey]struct{} // runs that this keeper did not start
+	unexplained    []*Run              // lapsed while the worker was silent; the next report shows whether it had crashed
 	incarnation    int64
 	restartedAs    int64 // incarnation for which HandleRestart was called last
 	ackedSequence  int64
--- a/entry/pkg/cell/workers.go
+++ b/entry/pkg/cell/workers.go
@@ -96,6 +96,7 @@
 		worker.startIncarnation(report)
 	}
 	worker.crashed = false
+	worker.unexplained = nil
 	if report.Clock > 0 {
 		if !worker.clock.known() {
 			worker.clock.latestLease = report.Clock + c.limits.Lease // an earlier keeper may have renewed it until now
@@ -308,6 +309,9 @@
 // expireRuns ends all runs of a worker whose leases have expired.
 func (c *Cell) expireRuns(worker *Worker, now time.Time, effects *Effects) {
 	for _, run := range worker.sortedRuns() {
+		if !run.crashed && run.mayHaveBegun() {
+			worker.unexplained = append(worker.unexplained, run)
+		}
 		c.handleEnd(run, RunLapsed, now, effects)
 	}
 }
