Take a start without an answer at a worker that has restarted for one that may have run

A job could be refused with 503, which says that it has not run and never will, although its task had begun at a worker that crashed before it answered.

Cause: a start without an answer is settled by the first report under the raised token. That the new process does not list the run shows that it will not run there any more, not that the earlier process has not run it.

Class: the end of a possibility taken for its absence in the past.

Change: such a task counts as begun, so that its job is answered 504 if it cannot be served.

TestJobOfARestartedWorkerIsNotToldThatItHasNotRun failed before (Started was false).

--- a/entry/pkg/cell/restart_test.go
+++ b/entry/pkg/cell/restart_test.go
@@ -93,3 +93,23 @@
 	require.Empty(t, h.cell.HandleReport(worker, report, h.now, h.now).Crashes, "the same crash")
 	require.Equal(t, "crashed", job.Diagnostics.EndedRuns[0].Result)
 }
+
+// TestJobOfARestartedWorkerIsNotToldThatItHasNotRun guards against refusing a job whose start had no answer: the worker may
+// have run it before it crashed.
+func TestJobOfARestartedWorkerIsNotToldThatItHasNotRun(t *testing.T) {
+	h := newHarness(t)
+	h.addWorkers(1, 16, 1)
+	h.pass(200 * time.Millisecond) // until the worker's clock is known
+	worker, sim := h.cell.Worker("w00"), h.workers["w00"]
+	job := h.job(1, 5, veryLong, 2*veryLong, 2*veryLong)
+	run := h.cell.Submit(job, h.now).Starts[0].Run
+	h.cell.HandleStartResult(run, StartUnconfirmed, h.now)
+	h.now = h.now.Add(step)
+	sim.restart(h.now)
+	report := sim.hold(0, 0, h.now)
+	h.cell.SetLeaving(worker, true) // nothing starts again
+	h.cell.HandleRestart(worker, report, h.now)
+	h.cell.HandleReport(worker, report, h.now, h.now)
+	require.True(t, run.Finished())
+	require.True(t, job.Started())
+}
--- a/entry/pkg/cell/workers.go
+++ b/entry/pkg/cell/workers.go
@@ -149,6 +149,7 @@
 		}
 		switch {
 		case run.acceptedAt.IsZero() && run.fenced:
+			run.Task.began = true // the earlier incarnation may have run it
 			c.handleNotRun(run, now, effects)
 		case run.acceptedAt.IsZero() && !run.tombstonedAt.IsZero() && run.tombstonedAt.Before(sent):
 			c.handleNotRun(run, now, effects)
