--- a/entry/pkg/cell/sim_capacity_test.go
+++ b/entry/pkg/cell/sim_capacity_test.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// capacityDelay is the longest time until the cell learns of a changed capacity: contact_ms and one beat of the users.
+// capacityDelay is the longest time until the cell learns of a changed capacity, as the platform states it.
 const capacityDelay = 4500 * time.Millisecond
 
 // add adds the worker to the cell.
--- a/entry/pkg/lending/shrink_test.go
+++ b/entry/pkg/lending/shrink_test.go
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// shrinkBound is how long after a shrink starts may count on the slots from before: contact_ms and a beat of the users.
+// shrinkBound is how long after a shrink starts may count on the slots from before, as the platform states it.
 const shrinkBound = 4500 * time.Millisecond
 
 // TestLentSlotsAreRecalledWhenABackendShrinks guards against hosts that renew the loans of slots that a back end does not
