--- a/standin/pkg/worker/worker_test.go
+++ b/standin/pkg/worker/worker_test.go
@@ -29,7 +29,8 @@
 }
 
 func TestStaleFencesAndFullWorkersStartNothing(t *testing.T) {
-	worker, err := New(clockwork.NewRealClock(), Settings{Listen: "127.0.0.1:0", Cores: 2})
+	clock := clockwork.NewFakeClock()
+	worker, err := New(clock, Settings{Listen: "127.0.0.1:0", Cores: 2})
 	require.NoError(t, err)
 	defer worker.Close()
 	base := "http://" + worker.Address()
@@ -46,6 +47,7 @@
 	code, header := call(t, http.MethodPost, base+"/v1/tasks/b", start, &status)
 	require.Equal(t, http.StatusServiceUnavailable, code)
 	require.Equal(t, "no", header.Get(platform.HeaderRan))
+	clock.Advance(30 * time.Millisecond)
 	code, _ = call(t, http.MethodGet, base+"/v1/tasks/a?wait=10s", nil, &status)
 	require.Equal(t, http.StatusOK, code)
 	require.Equal(t, platform.TaskDone, status.State)
