Send jobs in the soak that a host reads only after the reset of their connection

A caller whose request counts as unread sends it again at once: a host that is short of processor time reads the request from its socket after the reset, and starts the job beside the host that got it second.

New in the soak: a host is paused (all threads of the process in state T), gets a whole job on a connection that it had accepted or has yet to accept, the connection is reset, the job goes to another host at once, and up to 60 ms after that the first host goes on. The pause is claimed like any fault, so that nothing else signals this host meanwhile. The ledger's check for two runs of a task at the same time judges the rest.

--- a/soak/pkg/app/app.go
+++ b/soak/pkg/app/app.go
@@ -23,6 +23,7 @@
 	Seeds    int           `arg:"--seeds" default:"1" help:"how many seeds, one after the other"`
 	Length   time.Duration `arg:"--length" default:"20s" help:"of the faults of one seed"`
 	Gap      time.Duration `arg:"--gap" default:"25ms" help:"mean time between two jobs"`
+	Unread   time.Duration `arg:"--unread" default:"1s" help:"mean time between two jobs that a host reads after the reset of their connection; 0 for none"`
 	Places   int           `arg:"--places" default:"3"`
 	Hosts    int           `arg:"--hosts" default:"2" help:"in each place"`
 	Runners  int           `arg:"--runners" default:"4" help:"in each place"`
@@ -71,5 +72,6 @@
 		},
 		Length: parsed.Length,
 		Gap:    parsed.Gap,
+		Unread: parsed.Unread,
 	}, out)
 }
--- a/soak/pkg/app/callers.go
+++ b/soak/pkg/app/callers.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"chervilusher.dev/soak/pkg/yard"
 	"chervilusher.dev/standin/pkg/runner"
 )
@@ -76,6 +78,16 @@
 	leaving time.Duration
 }
 
+func (j *job) request(ctx context.Context, host *yard.Host) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+host.Caller+yard.QueuePath+j.id, bytes.NewReader(j.body))
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	request.Host = yard.QueueHost
+	request.Header.Set("Chervilusher-Deadline-Remaining", fmt.Sprint(callerPatience.Milliseconds()))
+	return request, nil
+}
+
 func (c *callers) draw() job {
 	c.sent++
 	tasks := 1 + c.random.IntN(5)
@@ -142,12 +154,10 @@
 		ctx, cancel = context.WithTimeout(ctx, patience)
 		defer cancel()
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+host.Caller+yard.QueuePath+drawn.id, bytes.NewReader(drawn.body))
+	request, err := drawn.request(ctx, host)
 	if err != nil {
 		return 0
 	}
-	request.Host = yard.QueueHost
-	request.Header.Set("Chervilusher-Deadline-Remaining", fmt.Sprint(callerPatience.Milliseconds()))
 	response, err := c.client.Do(request)
 	if err != nil {
 		return 0
--- a/soak/pkg/app/soak.go
+++ b/soak/pkg/app/soak.go
@@ -28,6 +28,7 @@
 	Yard   yard.Settings
 	Length time.Duration // of the faults
 	Gap    time.Duration // mean time between two jobs
+	Unread time.Duration // mean time between two jobs that a host reads after the reset of their connection; 0 for none
 }
 
 // Result is what a soak saw.
@@ -60,12 +61,19 @@
 	defer stopCalling()
 	var calls sync.WaitGroup
 	calls.Go(func() { sending.run(calling, settings.Gap) })
-	faults.New(under, settings.Yard.Seed, log).Run(breaking)
+	breaker := faults.New(under, settings.Yard.Seed, log)
+	unread := newCallers(under, settings.Yard.Seed)
+	unread.sent = unreadIDs
+	if settings.Unread > 0 {
+		calls.Go(func() { unread.runUnread(calling, breaker, settings.Unread, log) })
+	}
+	breaker.Run(breaking)
 	stopCalling()
 	calls.Wait()
 	result := &Result{Outcomes: sending.outcomes}
 	result.Breaches = append(result.Breaches, recovery(under, sending)...)
 	result.Breaches = append(result.Breaches, sending.breaches...)
+	result.Breaches = append(result.Breaches, unread.breaches...)
 	result.Breaches = append(result.Breaches, under.Ledger.Breaches()...)
 	return result, nil
 }
--- a/soak/pkg/faults/faults.go
+++ b/soak/pkg/faults/faults.go
@@ -53,10 +53,10 @@
 		next := b.choose()
 		length := time.Duration(100+b.random.IntN(2900)) * time.Millisecond
 		pause := time.Duration(50+b.random.IntN(900)) * time.Millisecond
-		if b.begin(next.thing) {
+		if b.Claim(next.thing) {
 			b.log("%s of %s for %s", next.name, next.thing, length)
 			b.work.Go(func() {
-				defer b.end(next.thing)
+				defer b.Release(next.thing)
 				next.run(length)
 			})
 		}
@@ -68,7 +68,8 @@
 	b.work.Wait()
 }
 
-func (b *Breaker) begin(thing string) bool {
+// Claim reserves a thing for the one who breaks it, and reports false while it is broken already.
+func (b *Breaker) Claim(thing string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.busy[thing] {
@@ -78,7 +79,8 @@
 	return true
 }
 
-func (b *Breaker) end(thing string) {
+// Release ends a claim.
+func (b *Breaker) Release(thing string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	delete(b.busy, thing)
--- a/soak/pkg/yard/host.go
+++ b/soak/pkg/yard/host.go
@@ -3,9 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"net/http"
 	"os"
 	"os/exec"
+	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -101,6 +104,33 @@
 	h.Await(time.Second)
 }
 
+// Pause stops the process, and reports whether all of its threads stand still within the timeout; SIGCONT lets it go on.
+func (h *Host) Pause(timeout time.Duration) bool {
+	h.Signal(syscall.SIGSTOP)
+	for end := time.Now().Add(timeout); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if h.IsPaused() {
+			return true
+		}
+	}
+	return false
+}
+
+// IsPaused reports whether all threads of the process are stopped by a signal.
+func (h *Host) IsPaused() bool {
+	h.mu.Lock()
+	pid := h.command.Process.Pid
+	h.mu.Unlock()
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+	if err != nil || len(threads) == 0 {
+		return false
+	}
+	return !slices.ContainsFunc(threads, func(path string) bool {
+		raw, err := os.ReadFile(path)
+		_, state, found := bytes.Cut(raw, []byte(") ")) // after the name of the thread
+		return err != nil || !found || !bytes.HasPrefix(state, []byte("T"))
+	})
+}
+
 // IsReady asks the host whether it should get connections.
 func (h *Host) IsReady() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
