Stop hosts in turn in the soak, and check that each request they read is answered

The soak's planned stops came one at a time among other faults, and its callers sent to random hosts through a pool of connections and counted a broken connection without looking at its cause. Nothing judged what a stopping host had taken.

New is a phase before the faults in which nothing else is broken: all hosts get SIGTERM in turn, one or two at a time, 0.3 s to 1.5 s apart, so that stops overlap; each gets a second SIGTERM or a SIGHUP up to 5 s later, or only a SIGHUP, and starts again when its process is gone. Two callers keep to each host's address and send jobs back to back, at times after a pause, until the process is gone. A request counts as read when it had been sent in full over 200 ms before its connection ended, or when a task of it had begun. One that was read must get a whole answer; one that got 503 must name the time to come back and must not have run, also not later.

--- a/soak/pkg/app/app.go
+++ b/soak/pkg/app/app.go
@@ -21,6 +21,7 @@
 	Folder   string        `arg:"--folder" default:"out/soak" help:"for settings and logs, a folder for each seed"`
 	Seed     uint64        `arg:"--seed" default:"1" help:"first seed"`
 	Seeds    int           `arg:"--seeds" default:"1" help:"how many seeds, one after the other"`
+	Stops    time.Duration `arg:"--stops" default:"15s" help:"of planned stops alone, before the faults; 0 for none"`
 	Length   time.Duration `arg:"--length" default:"20s" help:"of the faults of one seed"`
 	Gap      time.Duration `arg:"--gap" default:"25ms" help:"mean time between two jobs"`
 	Unread   time.Duration `arg:"--unread" default:"1s" help:"mean time between two jobs that a host reads after the reset of their connection; 0 for none"`
@@ -41,7 +42,7 @@
 		if err != nil {
 			return self.Complain(err)
 		}
-		fmt.Printf("seed %d: answers %v, %d breaches\n", seed, result.Outcomes, len(result.Breaches))
+		fmt.Printf("seed %d: answers beside planned stops %v, beside faults %v, %d breaches\n", seed, result.Planned, result.Outcomes, len(result.Breaches))
 		for _, breach := range result.Breaches {
 			fmt.Printf("  %s\n", breach)
 			code = program.ExitFailed
@@ -70,6 +71,7 @@
 			Runners:  parsed.Runners,
 			Seed:     seed,
 		},
+		Stops:  parsed.Stops,
 		Length: parsed.Length,
 		Gap:    parsed.Gap,
 		Unread: parsed.Unread,
--- a/soak/pkg/app/callers.go
+++ b/soak/pkg/app/callers.go
@@ -39,6 +39,7 @@
 	mu       sync.Mutex
 	sent     int
 	outcomes map[string]int
+	refused  []string // identifiers of jobs that were sent once and refused
 	breaches []string
 	work     sync.WaitGroup
 }
@@ -89,14 +90,9 @@
 }
 
 func (c *callers) draw() job {
-	c.sent++
 	tasks := 1 + c.random.IntN(5)
 	length := time.Duration(10+c.random.IntN(300)) * time.Millisecond
-	cores := int64(3000 + c.random.IntN(6000))
-	spec, _ := json.Marshal(runner.Work{Length: length, Cores: cores}) // a plain struct always encodes
-	drawn := job{id: fmt.Sprintf("%016x", c.sent), tasks: tasks}
-	drawn.body = fmt.Appendf(nil, `{"best_effort":true,"spec":%q,"steps":[{"count":%d,"cpu":%d,"mem_mb":64,"estimated_ms":%d}]}`,
-		spec, tasks, cores, length.Milliseconds())
+	drawn := c.compose(tasks, runner.Work{Length: length, Cores: int64(3000 + c.random.IntN(6000))})
 	for range maxSends {
 		drawn.hosts = append(drawn.hosts, c.random.IntN(len(c.yard.Hosts)))
 	}
@@ -108,14 +104,22 @@
 
 // drawDeadly draws a job of one task that crashes each runner that starts it.
 func (c *callers) drawDeadly() job {
-	drawn := c.draw()
-	drawn.tasks, drawn.deadly, drawn.leaving = 1, true, 0
+	hosts := c.draw().hosts
 	length := time.Duration(10+c.random.IntN(300)) * time.Millisecond
-	spec, _ := json.Marshal(runner.Work{Length: length, Cores: 3000, Deadly: true}) // a plain struct always encodes
-	drawn.body = fmt.Appendf(nil, `{"best_effort":true,"spec":%q,"steps":[{"count":1,"cpu":3000,"mem_mb":64,"estimated_ms":%d}]}`, spec, length.Milliseconds())
+	drawn := c.compose(1, runner.Work{Length: length, Cores: 3000, Deadly: true})
+	drawn.deadly, drawn.hosts = true, hosts
 	return drawn
 }
 
+// compose returns the next job, of tasks that are alike.
+func (c *callers) compose(tasks int, work runner.Work) job {
+	c.sent++
+	spec, _ := json.Marshal(work) // a plain struct always encodes
+	body := fmt.Appendf(nil, `{"best_effort":true,"spec":%q,"steps":[{"count":%d,"cpu":%d,"mem_mb":64,"estimated_ms":%d}]}`,
+		spec, tasks, work.Cores, work.Length.Milliseconds())
+	return job{id: fmt.Sprintf("%016x", c.sent), tasks: tasks, body: body}
+}
+
 // send sends the job until it has a final answer, and checks the answer against what the runners saw.
 func (c *callers) send(drawn job) {
 	rejected := 0
--- a/soak/pkg/app/soak.go
+++ b/soak/pkg/app/soak.go
@@ -26,6 +26,7 @@
 // Settings of one soak.
 type Settings struct {
 	Yard   yard.Settings
+	Stops  time.Duration // of planned stops alone, before the faults; 0 for none
 	Length time.Duration // of the faults
 	Gap    time.Duration // mean time between two jobs
 	Unread time.Duration // mean time between two jobs that a host reads after the reset of their connection; 0 for none
@@ -33,7 +34,8 @@
 
 // Result is what a soak saw.
 type Result struct {
-	Outcomes map[string]int // answers by status; 0 counts those without
+	Planned  map[string]int // answers beside planned stops, by status; 0 counts those without
+	Outcomes map[string]int // answers beside faults
 	Breaches []string
 }
 
@@ -55,13 +57,17 @@
 		_, _ = fmt.Fprintf(out, "%8.3f %s\n", time.Since(began).Seconds(), fmt.Sprintf(format, values...))
 	}
 	sending := newCallers(under, settings.Yard.Seed)
+	breaker := faults.New(under, settings.Yard.Seed, log)
+	result := &Result{}
+	if settings.Stops > 0 {
+		result.Planned, result.Breaches = plannedStops(under, breaker, settings.Yard.Seed, settings.Stops)
+	}
 	breaking, stop := context.WithTimeout(context.Background(), settings.Length)
 	defer stop()
 	calling, stopCalling := context.WithCancel(context.Background())
 	defer stopCalling()
 	var calls sync.WaitGroup
 	calls.Go(func() { sending.run(calling, settings.Gap) })
-	breaker := faults.New(under, settings.Yard.Seed, log)
 	unread := newCallers(under, settings.Yard.Seed)
 	unread.sent = unreadIDs
 	if settings.Unread > 0 {
@@ -70,7 +76,7 @@
 	breaker.Run(breaking)
 	stopCalling()
 	calls.Wait()
-	result := &Result{Outcomes: sending.outcomes}
+	result.Outcomes = sending.outcomes
 	result.Breaches = append(result.Breaches, recovery(under, sending)...)
 	result.Breaches = append(result.Breaches, sending.breaches...)
 	result.Breaches = append(result.Breaches, unread.breaches...)
--- a/soak/pkg/app/unread.go
+++ b/soak/pkg/app/unread.go
@@ -20,8 +20,9 @@
 	dialTimeout = 500 * time.Millisecond
 	// longestHoldUp bounds how long after a reset its host goes on.
 	longestHoldUp = 60 * time.Millisecond
-	// unreadIDs is the first identifier of the jobs whose first host reads them after the reset.
+	// unreadIDs and pinnedIDs are where the identifiers of other callers' jobs begin; those of pinned callers are as far apart.
 	unreadIDs = 1 << 32
+	pinnedIDs = 1 << 40
 )
 
 // runUnread sends jobs until the context ends whose first host reads them only after the reset of their connection.
--- a/soak/pkg/faults/faults.go
+++ b/soak/pkg/faults/faults.go
@@ -143,7 +143,12 @@
 
 func (b *Breaker) stop(host *yard.Host) {
 	host.Signal(syscall.SIGTERM)
-	if !host.Await(stopTimeout) {
+	b.startAnew(host, stopTimeout)
+}
+
+// startAnew starts the host once its process has ended, which it may do by itself until the timeout.
+func (b *Breaker) startAnew(host *yard.Host, timeout time.Duration) {
+	if !host.Await(timeout) {
 		b.log("FAULT: %s has not stopped by itself", host.Name)
 		host.Kill()
 	}
