Give the hosts of a soak a loopback address of their own

Ports were looked for when the yard was built and not held, as a host has to listen on them itself.

Each yard now draws an address in 127.0.0.0/8 for its hosts.

--- a/soak/pkg/yard/yard.go
+++ b/soak/pkg/yard/yard.go
@@ -59,6 +59,7 @@
 	settings Settings
 	version  int
 	closers  []func()
+	loopback string          // the hosts' own address, where no other process of the machine listens
 	given    map[string]bool // addresses that were given to hosts
 }
 
@@ -70,6 +71,7 @@
 		Ledger:   runner.NewLedger(),
 		clock:    clock,
 		settings: settings,
+		loopback: drawLoopback(),
 		given:    map[string]bool{},
 	}
 	store, err := yard.serve(yard.Store.Handler())
@@ -219,13 +221,18 @@
 	ports     = 10000
 )
 
+// drawLoopback returns one of the addresses of this machine that reach nothing else.
+func drawLoopback() string {
+	return fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
+}
+
 // freeAddresses returns addresses that nobody listens on at the moment and that were not returned before, since a host
 // that was given one may not listen yet.
 func (y *Yard) freeAddresses(count int) ([]string, error) {
 	var addresses []string
 	var config net.ListenConfig
 	for tries := 0; len(addresses) < count; tries++ {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		address := fmt.Sprintf("%s:%d", y.loopback, firstPort+rand.IntN(ports))
 		if y.given[address] {
 			continue
 		}
