--- a/soak/pkg/app/soak.go
+++ b/soak/pkg/app/soak.go
@@ -26,13 +26,16 @@
 // Settings of one soak.
 type Settings struct {
 	Yard   yard.Settings
+	Stops  time.Duration // of planned stops alone, before the faults; 0 for none
 	Length time.Duration // of the faults
 	Gap    time.Duration // mean time between two jobs
+	Unread time.Duration // mean time between two jobs that a host reads after the reset of their connection; 0 for none
 }
 
 // Result is what a soak saw.
 type Result struct {
-	Outcomes map[string]int // answers by status; 0 counts those without
+	Planned  map[string]int // answers beside planned stops, by status; 0 counts those without
+	Outcomes map[string]int // answers beside faults
 	Breaches []string
 }
 
@@ -54,18 +57,29 @@
 		_, _ = fmt.Fprintf(out, "%8.3f %s\n", time.Since(began).Seconds(), fmt.Sprintf(format, values...))
 	}
 	sending := newCallers(under, settings.Yard.Seed)
+	breaker := faults.New(under, settings.Yard.Seed, log)
+	result := &Result{}
+	if settings.Stops > 0 {
+		result.Planned, result.Breaches = plannedStops(under, breaker, settings.Yard.Seed, settings.Stops)
+	}
 	breaking, stop := context.WithTimeout(context.Background(), settings.Length)
 	defer stop()
 	calling, stopCalling := context.WithCancel(context.Background())
 	defer stopCalling()
 	var calls sync.WaitGroup
 	calls.Go(func() { sending.run(calling, settings.Gap) })
-	faults.New(under, settings.Yard.Seed, log).Run(breaking)
+	unread := newCallers(under, settings.Yard.Seed)
+	unread.sent = unreadIDs
+	if settings.Unread > 0 {
+		calls.Go(func() { unread.runUnread(calling, breaker, settings.Unread, log) })
+	}
+	breaker.Run(breaking)
 	stopCalling()
 	calls.Wait()
-	result := &Result{Outcomes: sending.outcomes}
+	result.Outcomes = sending.outcomes
 	result.Breaches = append(result.Breaches, recovery(under, sending)...)
 	result.Breaches = append(result.Breaches, sending.breaches...)
+	result.Breaches = append(result.Breaches, unread.breaches...)
 	result.Breaches = append(result.Breaches, under.Ledger.Breaches()...)
 	return result, nil
 }
