Keep the live copy of a job when a stale one is read late

Callers saw a 504 for a job that was about to run: a copy that nobody waited for any more had abandoned it.

Cause: a keeper takes the copy of a job that it reads last for the one that the caller waits for. A call between hosts can be read long after it was sent, when the keeper is short of processor time or the home was suspended before it sent the call.

Change: copies are compared by the time at which their homes read the request. The earlier copy is abandoned, which counts as a 504 for a caller that waits after all.

--- a/entry/pkg/cell/cell.go
+++ b/entry/pkg/cell/cell.go
@@ -101,6 +101,10 @@
 	c.nextSeq++
 	job.seq = c.nextSeq
 	c.jobs[job] = struct{}{}
+	if c.isStale(job) {
+		c.answer(job, &Answer{Outcome: Abandoned, Reason: "the caller has sent the job anew since"}, &effects, now)
+		return effects
+	}
 	c.observeDemand(job)
 	c.replace(job, now, &effects)
 	c.takeCrashes(job, now)
@@ -135,6 +139,13 @@
 	c.byID[job.ID] = job
 }
 
+// isStale reports whether an undecided job of the same identifier arrived later: the call of an earlier copy can be read long
+// after it was sent.
+func (c *Cell) isStale(job *Job) bool {
+	other, ok := c.byID[job.ID]
+	return ok && !other.Decided() && job.Arrived.Before(other.Arrived)
+}
+
 // forget drops the identifier of a job that is decided and has no runs left.
 func (c *Cell) forget(id string) {
 	if last, ok := c.byID[id]; ok && last.Decided() && !last.running() {
