Start nothing for a caller that is known to have left

A task was started and stopped at once for a caller whose connection had ended before its keeper decided about the job.

Cause: a keeper looked at the end of the call only after it had submitted the job. A home whose caller leaves during the connection to another keeper takes that one for unreachable and asks the next, which may be its own.

Evidence: TestNothingStartsForACallerThatHasLeft failed before: the start was sent.

Change: the keeper looks before it submits, and after it has declined what it never could run, so that refusals stay as they were.

--- a/entry/pkg/cellhost/keeper_run.go
+++ b/entry/pkg/cellhost/keeper_run.go
@@ -31,6 +31,9 @@
 		k.common.Log.WithField("job", request.ID).WithField("home", request.Home).WithField("reason", reason).Warn("job declined")
 		return &peer.RunResponse{Declined: true, Reason: reason}, nil
 	}
+	if err := ctx.Err(); err != nil {
+		return nil, errors.WithStack(err)
+	}
 	if request.Mode == peer.RunLate {
 		return k.runLate(ctx, job)
 	}
