Add a server whose stop cuts off no request that was read

http.Server closes a connection as idle until the whole header of its next request is read, so that SetKeepAlivesEnabled(false) and Shutdown can end one on which a request is just being read, and Shutdown looks for connections that have become idle with pauses that grow to half a second.

Nothing uses it yet.

--- /dev/null
+++ b/entry/pkg/graceful/connection.go
@@ -0,0 +1,91 @@
+package graceful
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// connection tells whether any byte of a request has been read since the last answer. The states of net/http don't: they
+// change only after the header of a request was read.
+type connection struct {
+	*net.TCPConn
+	server *Server
+
+	mu       sync.Mutex
+	idle     bool      // nothing was read since idleFrom
+	idleFrom time.Time // when it was accepted, or the last answer was sent
+	closing  bool      // it is to be closed while it is idle
+	answered bool      // its last answer was sent, and nothing is read from it any more
+}
+
+// past is a deadline that ends a read at once.
+var past = time.Unix(1, 0)
+
+// Read implements net.Conn.
+func (c *connection) Read(buffer []byte) (int, error) {
+	count, err := c.TCPConn.Read(buffer)
+	if count > 0 {
+		c.mu.Lock()
+		c.idle = false
+		c.mu.Unlock()
+	}
+	return count, err
+}
+
+// SetReadDeadline implements net.Conn. A connection that is to be closed while it is idle keeps its deadline.
+func (c *connection) SetReadDeadline(at time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idle && c.closing {
+		at = past
+	}
+	return c.TCPConn.SetReadDeadline(at)
+}
+
+// SetDeadline implements net.Conn.
+func (c *connection) SetDeadline(at time.Time) error {
+	if err := c.SetReadDeadline(at); err != nil {
+		return err
+	}
+	return c.SetWriteDeadline(at)
+}
+
+// CloseWrite ends the sending side; net/http calls it after the last answer.
+func (c *connection) CloseWrite() error {
+	c.mu.Lock()
+	c.answered = true
+	c.mu.Unlock()
+	return c.TCPConn.CloseWrite()
+}
+
+// Close implements net.Conn.
+func (c *connection) Close() error {
+	c.server.remove(c)
+	return c.TCPConn.Close()
+}
+
+// becomeIdle notes that the connection waits for the next request.
+func (c *connection) becomeIdle(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle, c.idleFrom = true, now
+}
+
+// closeIdle has the server's own reader end the connection if it has been idle since before the given time. Closing it from
+// here could cut a request off that the reader has just read.
+func (c *connection) closeIdle(before time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idle && !c.idleFrom.After(before) {
+		c.closing = true
+		_ = c.TCPConn.SetReadDeadline(past)
+	}
+}
+
+// isPending reports whether a request has been read, at least in part, and its answer wasn't sent.
+func (c *connection) isPending() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.idle && !c.answered
+}
