Answer each request that a stopping host has read

Cause: the host waited until 5.3 s for all work to end and took new jobs meanwhile, with the caller's own deadline, so that the wait never ended where hosts stop together and new connections go on coming. Shutdown then had 0.35 s; what was open at its end was cut by the exit. A keeper ended in the same way the jobs of other hosts, and a job that ran longer than the grace.

Change: the home and the keeper are told when the host must be done. A job that comes later is refused at once if it cannot end by then, and has its deadline there otherwise, so that the cell refuses what it cannot end. A leaving keeper gives jobs of other homes that it refuses back, as the next keeper may have time.

--- /dev/null
+++ b/entry/pkg/cell/stop.go
@@ -0,0 +1,13 @@
+package cell
+
+import "time"
+
+// LimitDeadlines brings the deadlines of the undecided jobs forward, for a keeper that stops at the given time.
+func (c *Cell) LimitDeadlines(latest, now time.Time) Effects {
+	var effects Effects
+	for job := range c.jobs {
+		job.Deadline = minTime(job.Deadline, latest)
+	}
+	c.assign(now, &effects)
+	return effects
+}
--- a/entry/pkg/cellhost/home.go
+++ b/entry/pkg/cellhost/home.go
@@ -79,8 +79,10 @@
 	mu            sync.Mutex
 	calls         map[*keeperCall]struct{}
 	lastCall      int64
-	openJobs      map[string]context.CancelFunc // by job identifier
-	noKeeperSince time.Time                     // when a job first found no keeper; zero while one is known
+	openJobs      map[string]context.CancelCauseFunc // by job identifier
+	noKeeperSince time.Time                          // when a job first found no keeper; zero while one is known
+	stopsAt       time.Time                          // when the open jobs will be abandoned; zero until this host is told to stop
+	stopped       bool                               // they have been
 }
 
 // keeperCall is an unanswered call to a keeper.
@@ -102,37 +104,50 @@
 		client:   client,
 		keeper:   keeper,
 		calls:    map[*keeperCall]struct{}{},
-		openJobs: map[string]context.CancelFunc{},
+		openJobs: map[string]context.CancelCauseFunc{},
 	}
 }
 
 // Serve runs the job and returns its answer; it abandons the job if the caller leaves or cancels it.
 func (h *HomeController) Serve(ctx context.Context, submission *Submission) *cell.Answer {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	if !h.addJob(submission.ID, cancel) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	limited, added := h.addJob(submission, cancel)
+	switch {
+	case !added:
 		h.common.Log.WithField("job", submission.ID).Warn("the job is already running for an earlier request")
 		return &cell.Answer{Outcome: cell.Abandoned, Reason: "the job runs here already, for an earlier request"}
+	case limited == nil:
+		return h.refuseStopping(submission)
 	}
 	defer h.removeJob(submission.ID)
-	route := &route{home: h, submission: submission, request: h.newRequest(submission)}
+	route := &route{home: h, submission: limited, request: h.newRequest(limited)}
 	answer := route.run(ctx)
-	if ctx.Err() != nil && answer.Outcome != cell.Completed {
+	switch {
+	case answer.Outcome == cell.Completed, ctx.Err() == nil:
+	case errors.Is(context.Cause(ctx), errStopping):
+		answer = &cell.Answer{Outcome: cell.Abandoned, Reason: errStopping.Error()}
+	default:
 		answer = &cell.Answer{Outcome: cell.Abandoned, Reason: "the caller left or cancelled the job"}
 	}
+	route.stopping = limited != submission || errors.Is(context.Cause(ctx), errStopping)
 	h.logAnswer(route, answer)
 	return answer
 }
 
-// addJob registers an open job; it returns false if a job with the same identifier is open.
-func (h *HomeController) addJob(id string, cancel context.CancelFunc) bool {
+// addJob registers an open job and returns it with the time that this host has for it, or nil if a stop leaves too little. It
+// returns false if a job with the same identifier is open.
+func (h *HomeController) addJob(submission *Submission, cancel context.CancelCauseFunc) (limited *Submission, added bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if _, ok := h.openJobs[id]; ok {
-		return false
+	if _, ok := h.openJobs[submission.ID]; ok {
+		return nil, false
 	}
-	h.openJobs[id] = cancel
-	return true
+	limited = h.limitToStop(submission)
+	if limited != nil {
+		h.openJobs[submission.ID] = cancel
+	}
+	return limited, true
 }
 
 func (h *HomeController) removeJob(id string) {
@@ -147,7 +162,7 @@
 	cancel, ok := h.openJobs[id]
 	h.mu.Unlock()
 	if ok {
-		cancel()
+		cancel(nil)
 	}
 	return ok
 }
@@ -169,7 +184,7 @@
 	queue := r.submission.Queue.Name
 	metrics.GetOrCreateCounter(fmt.Sprintf(`chervilusher_cell_answers_total{outcome=%q}`, answer.Outcome)).Inc()
 	metrics.GetOrCreateHistogram(fmt.Sprintf(`chervilusher_cell_answer_seconds{outcome=%q}`, answer.Outcome)).Update(took.Seconds())
-	h.common.Log.WithField("job", r.submission.ID).
+	line := h.common.Log.WithField("job", r.submission.ID).
 		WithField("queue", queue).
 		WithField("version", r.submission.QueuesVersion).
 		WithField("tasks", len(r.submission.Tasks)).
@@ -177,8 +192,12 @@
 		WithField("reason", answer.Reason).
 		WithField("tried", r.tried).
 		WithField("objective", time.Duration(r.request.Objective-r.request.Arrived).String()).
-		WithField("took", took.String()).
-		Info("job answered")
+		WithField("took", took.String())
+	if r.stopping {
+		countStopping(answer.Outcome)
+		line = line.WithField("stopping", true)
+	}
+	line.Info("job answered")
 }
 
 func (h *HomeController) newRequest(submission *Submission) *peer.RunRequest {
--- a/entry/pkg/cellhost/keeper.go
+++ b/entry/pkg/cellhost/keeper.go
@@ -55,6 +55,7 @@
 	reports        map[string]*cell.HomeReport // last one of each home
 	served         map[*servedCall]struct{}
 	successorSince time.Time // when another host took over from this leaving one
+	stopsAt        time.Time // when this host can run no more jobs; zero until it is told to stop
 	forwarder      Forwarder
 }
 
--- a/entry/pkg/cellhost/keeper_run.go
+++ b/entry/pkg/cellhost/keeper_run.go
@@ -10,8 +10,7 @@
 	"chervilusher.dev/entry/pkg/peer"
 )
 
-// Run runs a job and waits for its outcome; the end of the context cancels the job.
-func (k *KeeperController) Run(ctx context.Context, request *peer.RunRequest) (*peer.RunResponse, error) {
+func (k *KeeperController) run(ctx context.Context, request *peer.RunRequest) (*peer.RunResponse, error) {
 	if k.shedder.Shed() >= 1 { // home hosts apply smaller fractions themselves
 		cellShed.Inc()
 		return &peer.RunResponse{Declined: true, Reason: "the keeper falls behind"}, nil
@@ -19,6 +18,10 @@
 	ctx, done := k.serveCall(ctx, request)
 	defer done()
 	job, reason := k.newJob(request)
+	if job != nil && !k.limitToStop(job) {
+		cellDeclinedStopping.Inc()
+		return &peer.RunResponse{Declined: true, Reason: "the keeper is leaving"}, nil
+	}
 	if job != nil {
 		if answers := k.failCrashing(job); answers != nil {
 			return k.awaitAnswer(ctx, job, answers)
@@ -91,7 +94,7 @@
 // runLateAnywhere starts a job that no keeper can run in time on free workers, because a late answer is of more use to
 // the caller than none; otherwise it returns the refusal.
 func (k *KeeperController) runLateAnywhere(ctx context.Context, request *peer.RunRequest, refused *cell.Job, refusal *peer.RunResponse) (*peer.RunResponse, error) {
-	if job, _ := k.newJob(request); job != nil {
+	if job, _ := k.newJob(request); job != nil && k.limitToStop(job) {
 		if refused.WantedAt.After(job.WantedAt) {
 			job.WantedAt = refused.WantedAt // the request may have waited since it was sent
 		}
--- a/entry/pkg/cellhost/route.go
+++ b/entry/pkg/cellhost/route.go
@@ -22,6 +22,7 @@
 	tried         []string      // keepers that were asked
 	declineReason string        // why the last keeper declined or was skipped
 	retryAfter    time.Duration // delay before the caller should retry if no keeper takes the job
+	stopping      bool          // a stop of this host has cut the job's time short
 }
 
 // run offers the job to the keepers of this failure domain, and then to those of other ones.
