Start nothing for a call that was read after its connection was closed

A keeper started tasks for a call whose home had closed the connection before the call was read.

Cause: the end of the stream's context comes only after its handler has begun, so that a keeper that is short of processor time starts the job first and stops it then. Leases end before the caller resubmits, so that no task ran twice by this alone; the work was in vain and the call could take the place of a live one.

Change: the context of a call carries its connection, and a keeper asks for its state before it submits a job.

--- a/entry/pkg/cellhost/keeper_run.go
+++ b/entry/pkg/cellhost/keeper_run.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"chervilusher.dev/entry/pkg/callerconn"
 	"chervilusher.dev/entry/pkg/cell"
 	"chervilusher.dev/entry/pkg/peer"
 )
@@ -31,8 +32,8 @@
 		k.common.Log.WithField("job", request.ID).WithField("home", request.Home).WithField("reason", reason).Warn("job declined")
 		return &peer.RunResponse{Declined: true, Reason: reason}, nil
 	}
-	if err := ctx.Err(); err != nil {
-		return nil, errors.WithStack(err)
+	if callerconn.IsClosed(ctx) { // the call may have been read after its connection was closed
+		return nil, errors.WithStack(context.Canceled)
 	}
 	if request.Mode == peer.RunLate {
 		return k.runLate(ctx, job)
--- a/entry/pkg/cellhost/left_test.go
+++ b/entry/pkg/cellhost/left_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"net"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"chervilusher.dev/entry/pkg/blackboard"
+	"chervilusher.dev/entry/pkg/callerconn"
 	"chervilusher.dev/entry/pkg/cell"
 	"chervilusher.dev/entry/pkg/peer"
 )
@@ -16,16 +18,7 @@
 // call, or of the caller, ends before the keeper decides about the job.
 func TestNothingStartsForACallerThatHasLeft(t *testing.T) {
 	for _, mode := range []peer.RunMode{peer.RunAnywhere, peer.RunNow, peer.RunHere, peer.RunLate} {
-		k := newKeeperFixture(t)
-		now := k.clock.Now()
-		k.keeper.cell.HandleReport(k.loop.worker, k.report(), now, now)
-		self := PeerState{Member: blackboard.Member{Name: "a", Incarnation: "life", Alive: true}, ClockKnown: true}
-		k.keeper.board.view.Store(&View{Hosts: map[string]PeerState{"a": self}})
-		request := &peer.RunRequest{
-			ID: "j", Home: "a", HomeIncarnation: "life", KeeperIncarnation: "life", Group: "desk", Attempts: 1, Mode: mode,
-			Arrived: now.UnixNano(), Objective: now.Add(20 * time.Second).UnixNano(), Deadline: now.Add(time.Minute).UnixNano(),
-			Tasks: []peer.RunTask{{Name: "j.0", Need: cell.Resources{Cores: 1000, Memory: 1}, Estimate: int64(time.Second)}},
-		}
+		k, request := leftFixture(t, mode)
 		ctx, cancel := context.WithCancel(t.Context())
 		cancel()
 		_, err := k.keeper.Run(ctx, request)
@@ -33,3 +26,40 @@
 		require.Never(t, func() bool { return len(k.worker.started()) > 0 }, 50*time.Millisecond, time.Millisecond, mode)
 	}
 }
+
+// TestNothingStartsForAClosedConnection guards against a start for a call that was read after its home had closed the
+// connection, which ends the context only later.
+func TestNothingStartsForAClosedConnection(t *testing.T) {
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	caller, err := new(net.Dialer).DialContext(t.Context(), "tcp", listener.Addr().String())
+	require.NoError(t, err)
+	accepted, err := listener.Accept()
+	require.NoError(t, err)
+	defer func() { _ = accepted.Close() }()
+	ctx := callerconn.WithConn(t.Context(), accepted)
+	require.NoError(t, caller.Close())
+	require.Eventually(t, func() bool { return callerconn.IsClosed(ctx) }, time.Second, time.Millisecond)
+	k, request := leftFixture(t, peer.RunAnywhere)
+	done, cancel := context.WithTimeout(ctx, 5*time.Second)
+	defer cancel()
+	_, err = k.keeper.Run(done, request)
+	require.ErrorIs(t, err, context.Canceled)
+	require.Empty(t, k.worker.started())
+}
+
+// leftFixture returns a keeper with a free worker and a request that it can start at once.
+func leftFixture(t *testing.T, mode peer.RunMode) (*keeperFixture, *peer.RunRequest) {
+	t.Helper()
+	k := newKeeperFixture(t)
+	now := k.clock.Now()
+	k.keeper.cell.HandleReport(k.loop.worker, k.report(), now, now)
+	self := PeerState{Member: blackboard.Member{Name: "a", Incarnation: "life", Alive: true}, ClockKnown: true}
+	k.keeper.board.view.Store(&View{Hosts: map[string]PeerState{"a": self}})
+	return k, &peer.RunRequest{
+		ID: "j", Home: "a", HomeIncarnation: "life", KeeperIncarnation: "life", Group: "desk", Attempts: 1, Mode: mode,
+		Arrived: now.UnixNano(), Objective: now.Add(20 * time.Second).UnixNano(), Deadline: now.Add(time.Minute).UnixNano(),
+		Tasks: []peer.RunTask{{Name: "j.0", Need: cell.Resources{Cores: 1000, Memory: 1}, Estimate: int64(time.Second)}},
+	}
+}
--- a/entry/pkg/peer/server.go
+++ b/entry/pkg/peer/server.go
@@ -11,7 +11,10 @@
 	"github.com/apex/log"
 	"github.com/pkg/errors"
 	"storj.io/drpc"
+	"storj.io/drpc/drpcctx"
 	"storj.io/drpc/drpcserver"
+
+	"chervilusher.dev/entry/pkg/callerconn"
 )
 
 // panics counts calls that ended in a panic.
@@ -47,7 +50,7 @@
 		if err := stream.MsgRecv(&request, encoding{}); err != nil {
 			return err
 		}
-		response, err := serve(stream.Context(), &request)
+		response, err := serve(callContext(stream), &request)
 		if err != nil {
 			return err
 		}
@@ -55,6 +58,17 @@
 	}
 }
 
+// callContext returns the stream's context with the connection of its caller, for callerconn.
+func callContext(stream drpc.Stream) context.Context {
+	ctx := stream.Context()
+	if transport, ok := drpcctx.Transport(ctx); ok {
+		if counted, ok := transport.(countedConn); ok {
+			return callerconn.WithConn(ctx, counted.Conn)
+		}
+	}
+	return ctx
+}
+
 // HandleRPC implements drpc.Handler. A panic fails its call and not the process, which serves other callers.
 func (s *Server) HandleRPC(stream drpc.Stream, method string) (err error) {
 	defer func() {
