Start no queued job for a caller who left while its host stood still

A host that was suspended went on to start the jobs in its queue whose callers had left meanwhile and may have sent them to other hosts.

Cause: the contexts of these jobs end only some time after the process goes on, and for the jobs of its own callers a host takes itself for one that waits now. Its first decision starts them. With another host they might run twice, where the pause is as long as callers wait before they send a job again and nobody has taken the workers over.

A home asks for its caller's connection too after it has noted that the caller waits, and before it calls another host's keeper.

--- a/entry/pkg/cell/cell.go
+++ b/entry/pkg/cell/cell.go
@@ -73,6 +73,16 @@
 	Crashes   []CrashedWorker
 }
 
+// Add appends the actions of a later decision.
+func (e *Effects) Add(later *Effects) {
+	e.Starts = append(e.Starts, later.Starts...)
+	e.Stops = append(e.Stops, later.Stops...)
+	e.Answers = append(e.Answers, later.Answers...)
+	e.EndedRuns = append(e.EndedRuns, later.EndedRuns...)
+	e.Polls = append(e.Polls, later.Polls...)
+	e.Crashes = append(e.Crashes, later.Crashes...)
+}
+
 // Homes reports when the homes of jobs were last known to run.
 type Homes interface {
 	// SeenAt returns the time, or zero if that incarnation of the host is not known.
@@ -166,12 +176,23 @@
 
 // Cancel abandons a job whose caller has left and stops its runs.
 func (c *Cell) Cancel(job *Job, reason string, now time.Time) Effects {
+	return c.CancelAll([]*Job{job}, reason, now)
+}
+
+// CancelAll abandons jobs whose callers have left, before any other job is started in their place.
+func (c *Cell) CancelAll(jobs []*Job, reason string, now time.Time) Effects {
 	var effects Effects
-	if job.Decided() {
-		return effects
+	cancelled := false
+	for _, job := range jobs {
+		if job.Decided() {
+			continue
+		}
+		c.answer(job, &Answer{Outcome: Abandoned, Reason: reason}, &effects, now)
+		cancelled = true
+	}
+	if cancelled {
+		c.assign(now, &effects)
 	}
-	c.answer(job, &Answer{Outcome: Abandoned, Reason: reason}, &effects, now)
-	c.assign(now, &effects)
 	return effects
 }
 
--- a/entry/pkg/cellhost/crash.go
+++ b/entry/pkg/cellhost/crash.go
@@ -1,6 +1,7 @@
 package cellhost
 
 import (
+	"context"
 	"syscall"
 	"time"
 
@@ -60,13 +61,13 @@
 
 // failCrashing answers a job under one of whose tasks too many workers have crashed, wherever and for whichever of its
 // submissions that was; it returns nil for other jobs.
-func (k *KeeperController) failCrashing(job *cell.Job) chan *cell.Answer {
+func (k *KeeperController) failCrashing(ctx context.Context, job *cell.Job) chan *cell.Answer {
 	var answers chan *cell.Answer
 	k.apply(func(now time.Time) (effects cell.Effects) {
 		if !k.cell.CrashesWorkers(job, now) {
 			return effects
 		}
-		answers = k.addWaiter(job)
+		answers = k.addWaiter(ctx, job)
 		return k.cell.Submit(job, now)
 	})
 	return answers
--- a/entry/pkg/cellhost/home.go
+++ b/entry/pkg/cellhost/home.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
 
+	"chervilusher.dev/entry/pkg/callerconn"
 	"chervilusher.dev/entry/pkg/cell"
 	"chervilusher.dev/entry/pkg/common"
 	"chervilusher.dev/entry/pkg/peer"
@@ -245,6 +246,9 @@
 	call := &keeperCall{keeper: keeper.Name, incarnation: keeper.Incarnation, home: home, cancel: cancel}
 	h.addCall(call, request)
 	defer h.removeCall(call)
+	if callerconn.IsClosed(ctx) { // this host may have stood still until it took the caller for waiting
+		return nil, errors.WithStack(context.Canceled)
+	}
 	response, err := peer.Call[peer.RunRequest, peer.RunResponse](ctx, h.client, keeper.Address, peer.MethodRun, request)
 	if err != nil && errors.Is(context.Cause(ctx), errKeeperFailed) {
 		return nil, errKeeperFailed
--- a/entry/pkg/cellhost/keeper.go
+++ b/entry/pkg/cellhost/keeper.go
@@ -51,7 +51,8 @@
 	cell           *cell.Cell
 	loops          map[string]*workerLoop  // by worker ID
 	droppedTokens  map[string]droppedToken // by worker ID, of workers that were dropped within maxCallDelay
-	waiters        map[*cell.Job]chan *cell.Answer
+	waiters        map[*cell.Job]*waiter
+	decidedAt      time.Time                   // when the last decision was made
 	reports        map[string]*cell.HomeReport // last one of each home
 	served         map[*servedCall]struct{}
 	successorSince time.Time // when another host took over from this leaving one
@@ -82,7 +83,7 @@
 		workers: workers,
 		cell:    cell.New(options.limits(), &homes{self: options.Name, board: board, clock: c.Clock}),
 		loops:   map[string]*workerLoop{},
-		waiters: map[*cell.Job]chan *cell.Answer{},
+		waiters: map[*cell.Job]*waiter{},
 		reports: map[string]*cell.HomeReport{},
 		served:  map[*servedCall]struct{}{},
 
@@ -121,7 +122,11 @@
 func (k *KeeperController) decide(decide func(now time.Time) cell.Effects) cell.Effects {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return decide(k.common.Clock.Now())
+	now := k.common.Clock.Now()
+	effects := k.cancelLeft(now)
+	decided := decide(now)
+	effects.Add(&decided)
+	return effects
 }
 
 // SetEvacuated sets the failure domains whose workers get no new jobs.
@@ -160,13 +165,13 @@
 
 func (k *KeeperController) deliver(answered cell.AnsweredJob) {
 	k.mu.Lock()
-	waiter := k.waiters[answered.Job]
+	waiting := k.waiters[answered.Job]
 	delete(k.waiters, answered.Job)
 	trace := answered.Job.Diagnostics // runs that end later are not in this copy
 	k.mu.Unlock()
 	k.logJob(answered.Job, &trace, answered.Answer)
-	if waiter != nil {
-		waiter <- answered.Answer
+	if waiting != nil {
+		waiting.answers <- answered.Answer
 	}
 }
 
--- a/entry/pkg/cellhost/keeper_run.go
+++ b/entry/pkg/cellhost/keeper_run.go
@@ -24,7 +24,7 @@
 		return &peer.RunResponse{Declined: true, Reason: "the keeper is leaving"}, nil
 	}
 	if job != nil {
-		if answers := k.failCrashing(job); answers != nil {
+		if answers := k.failCrashing(ctx, job); answers != nil {
 			return k.awaitAnswer(ctx, job, answers)
 		}
 		if unfit := k.unfitReason(job); unfit != "" {
@@ -44,7 +44,7 @@
 	if k.isTooLate(job) {
 		return k.runLateOrDecline(ctx, request, job)
 	}
-	if answers := k.submit(job, true); answers != nil {
+	if answers := k.submit(ctx, job, true); answers != nil {
 		return k.awaitAnswer(ctx, job, answers)
 	}
 	if request.Mode == peer.RunNow {
@@ -56,7 +56,7 @@
 		}
 	}
 	k.refreshWantedAt(job)
-	answers := k.submit(job, false)
+	answers := k.submit(ctx, job, false)
 	if answers == nil {
 		return &peer.RunResponse{Declined: true, Reason: "the keeper is leaving"}, nil
 	}
@@ -121,7 +121,7 @@
 		}
 		effects, started := k.cell.StartLate(job, now)
 		if started {
-			answers = k.addWaiter(job)
+			answers = k.addWaiter(ctx, job)
 		}
 		return effects
 	})
@@ -156,26 +156,18 @@
 
 // submit submits the job to the cell. It returns nil if nowOnly is set and not all tasks can start at once, or if it is
 // not set and another host has taken over.
-func (k *KeeperController) submit(job *cell.Job, nowOnly bool) chan *cell.Answer {
+func (k *KeeperController) submit(ctx context.Context, job *cell.Job, nowOnly bool) chan *cell.Answer {
 	var answers chan *cell.Answer
 	k.apply(func(now time.Time) (effects cell.Effects) {
 		if nowOnly && !k.cell.CanStartNow(job, now) || !nowOnly && !k.successorSince.IsZero() {
 			return effects
 		}
-		answers = k.addWaiter(job)
+		answers = k.addWaiter(ctx, job)
 		return k.cell.Submit(job, now)
 	})
 	return answers
 }
 
-// addWaiter registers a caller that waits for the job and returns the channel of its answer; the caller of addWaiter
-// must hold the lock.
-func (k *KeeperController) addWaiter(job *cell.Job) chan *cell.Answer {
-	answers := make(chan *cell.Answer, 1)
-	k.waiters[job] = answers
-	return answers
-}
-
 // restateRequest returns the request with this host as its home and its times on this host's clock, for another keeper.
 func (k *KeeperController) restateRequest(request *peer.RunRequest, job *cell.Job) *peer.RunRequest {
 	restated := *request
--- a/entry/pkg/cellhost/stop_test.go
+++ b/entry/pkg/cellhost/stop_test.go
@@ -98,7 +98,7 @@
 		job, reason := c.keeper.newJob(remoteRequest(c, id, 100*time.Millisecond))
 		require.Empty(t, reason)
 		require.True(t, c.keeper.limitToStop(job))
-		answers = append(answers, c.keeper.submit(job, false))
+		answers = append(answers, c.keeper.submit(t.Context(), job, false))
 	}
 	submit("before")
 	c.keeper.StopAt(c.clock.Now().Add(time.Second))
