Ask once whether the leases of a worker end in time for a late job

What callers saw: nothing.

Cause: planLate asked leasesEndInTime twice in a row, for each worker and each task.

Change: the second question is gone; no result differs. The tests of cell pass under the race detector.

--- a/entry/pkg/cell/late.go
+++ b/entry/pkg/cell/late.go
@@ -56,9 +56,6 @@
 			if !worker.leasesEndInTime(job) {
 				continue
 			}
-			if !worker.leasesEndInTime(job) {
-				continue
-			}
 			best.offer(worker, c.speeds.expected(task, worker).Seconds())
 		}
 		if best.worker == nil || now.Add(seconds(lateSlack*best.cost)).After(job.Deadline) {
