Refuse no peer's message for one name that is not UTF-8

Cause: the decoder of messages refuses a message that holds one text that is not UTF-8, while the encoder writes it. Keys of the store are bytes: a minion's key among the changes of the directory, or a zone's among the evacuations, made all hosts refuse that peer's directory, or all its heartbeats.

Change: such texts are decoded. No message changes on the wire; hosts of the previous build that pass such names on are understood.

--- a/entry/pkg/peer/encoding.go
+++ b/entry/pkg/peer/encoding.go
@@ -6,6 +6,18 @@
 	"storj.io/drpc"
 )
 
+// decoding takes names that are not UTF-8, which an earlier version may pass on from a store: the receiver leaves them out,
+// instead of refusing all that the message holds.
+var decoding = newDecoding()
+
+func newDecoding() cbor.DecMode {
+	mode, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return mode
+}
+
 // encoding encodes messages as CBOR.
 type encoding struct{}
 
@@ -17,5 +29,5 @@
 
 // Unmarshal implements drpc.Encoding.
 func (encoding) Unmarshal(raw []byte, message drpc.Message) error {
-	return errors.WithStack(cbor.Unmarshal(raw, message))
+	return errors.WithStack(decoding.Unmarshal(raw, message))
 }
