Bound the texts of a log line

Cause: a line that waits for a slow reader was counted on to be short (1,000 lines of about 300 bytes), but errors quote what another writer has left in the store, up to 256 kB of it: the state of an entry, or a number beyond the integers, at each reading. 1,000 such lines are 256 MB, and the process is ended for its memory.

Change: a text is cut to 8 KiB; other values too where the line is longer than 64 KiB.

TestLongValueDoesNotFillTheMemory failed before: one line of 2,097,249 bytes.

--- a/entry/pkg/common/bounded_handler.go
+++ b/entry/pkg/common/bounded_handler.go
@@ -8,6 +8,7 @@
 	"io"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
@@ -17,6 +18,13 @@
 // queuedLines bounds the lines that wait for a slow reader; at about 300 bytes a line they take 0.3 MB.
 const queuedLines = 1000
 
+const (
+	// maxValueBytes bounds one text of a line; errors may quote what another writer has left in a store.
+	maxValueBytes = 8 << 10
+	// maxLineBytes is the length from which on other values than texts are bounded too.
+	maxLineBytes = 64 << 10
+)
+
 // sourceField is where the log library puts the place in the code that made an error; the message tells enough.
 const sourceField = "source"
 
@@ -106,7 +114,9 @@
 		}
 		switch typed := value.(type) {
 		case error:
-			fields[name] = typed.Error()
+			fields[name] = cut(typed.Error())
+		case string:
+			fields[name] = cut(typed)
 		case time.Time:
 			fields[name] = typed.UTC().Format(timeFormat)
 		default:
@@ -115,10 +125,33 @@
 	}
 	fields["time"] = now.UTC().Format(timeFormat)
 	fields["level"] = entry.Level.String()
-	fields["message"] = entry.Message
+	fields["message"] = cut(entry.Message)
+	line := encodeLine(fields)
+	if len(line) <= maxLineBytes {
+		return line
+	}
+	for name, value := range fields {
+		fields[name] = cut(fmt.Sprint(value))
+	}
+	return encodeLine(fields)
+}
+
+func encodeLine(fields map[string]any) []byte {
 	var line bytes.Buffer
 	if err := json.NewEncoder(&line).Encode(fields); err != nil {
-		return fmt.Appendf(nil, "{\"level\":\"error\",\"message\":%q}\n", "cannot write a line: "+err.Error())
+		return fmt.Appendf(nil, "{\"level\":\"error\",\"message\":%q}\n", "cannot write a line: "+cut(err.Error()))
 	}
 	return line.Bytes()
 }
+
+// cut shortens a text to maxValueBytes.
+func cut(text string) string {
+	if len(text) <= maxValueBytes {
+		return text
+	}
+	end := maxValueBytes
+	for end > 0 && !utf8.RuneStart(text[end]) {
+		end--
+	}
+	return text[:end] + "..."
+}
--- a/entry/pkg/common/bounded_handler_test.go
+++ b/entry/pkg/common/bounded_handler_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"strings"
 	"testing"
 	"time"
 
@@ -62,3 +63,21 @@
 		require.Fail(t, "logging blocks")
 	}
 }
+
+// TestLongValueDoesNotFillTheMemory guards against a process that ends for its memory, since lines that quote what another
+// writer has left wait for a slow reader.
+func TestLongValueDoesNotFillTheMemory(t *testing.T) {
+	var out bytes.Buffer
+	handler := common.NewBoundedHandler(&out, clockwork.NewFakeClock(), 10)
+	logger := &log.Logger{Handler: handler, Level: log.InfoLevel}
+	long := strings.Repeat("\u00fc", 1<<18)
+	logger.WithField("key", long).WithField("names", []string{long}).WithError(errors.New(long)).Warn(long)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	handler.Serve(ctx)
+	require.Less(t, out.Len(), 100_000)
+	var line map[string]any
+	require.NoError(t, json.Unmarshal(out.Bytes(), &line))
+	require.True(t, strings.HasPrefix(line["error"].(string), "\u00fc\u00fc\u00fc"))
+	require.True(t, strings.HasSuffix(line["error"].(string), "\u00fc..."), "it is cut between letters")
+}
