Take no worker from an entry that nobody can call or whose capacity is not possible

What callers saw: nothing here; users report machines that ended, or stopped following the list of minions, over one odd entry.

Cause: an entry that decodes was taken for a worker, whatever it said. An address without a host or with a port out of range made a worker that its keeper called in vain for good, and that counted among those of which most must answer before a lost keeper's cell is taken early. Two capacities of the largest integer overflow in the sums of free slots. Zones and services of up to 256 kB went into each heartbeat of their keeper. Keys that are not UTF-8, or have line ends, went into messages, headers and logs. And an entry that could not be decoded was logged as often as it was written.

Change: the directory, through which entries of the store and of peers go alike, checks each: a name of at most 255 bytes in UTF-8 without control characters, host:port with an IP address or a plain host name and a port from 1 to 65535, and at most 2^40 of each resource, which a million workers can sum up. A zone in an IPv6 address is refused, as it has a meaning on one machine only. No message changes on the wire.

Tests of the directory that listed workers without an address or a group now give them, as the directory checks both.

--- a/entry/pkg/cell/capacity_test.go
+++ b/entry/pkg/cell/capacity_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -149,3 +150,22 @@
 	_, changed = h.cell.Update(worker, &entry, h.now)
 	require.False(t, changed)
 }
+
+// TestLargestCapacitiesAddUp guards against a load below zero, or a lower one than that of a small cell, from slots whose
+// sum overflows.
+func TestLargestCapacitiesAddUp(t *testing.T) {
+	const workers = 1 << 20
+	largest := Resources{Cores: maxCapacity, Memory: maxCapacity, Accelerators: maxCapacity}
+	require.NoError(t, largest.CheckCapacity())
+	total := Resources{}
+	slots := 0
+	for range workers {
+		total = total.Plus(largest)
+		slots += largest.Slots(Resources{Cores: 1, Memory: 1, Accelerators: 1})
+	}
+	require.EqualValues(t, workers*maxCapacity, total.Cores)
+	require.EqualValues(t, workers*maxCapacity, slots)
+	for _, impossible := range []Resources{{Cores: maxCapacity + 1}, {Memory: math.MaxInt64}, {Accelerators: -1}} {
+		require.Error(t, impossible.CheckCapacity())
+	}
+}
--- a/entry/pkg/cell/resources.go
+++ b/entry/pkg/cell/resources.go
@@ -1,6 +1,14 @@
 package cell
 
-import "fmt"
+import (
+	"fmt"
+
+	"github.com/pkg/errors"
+)
+
+// maxCapacity bounds a worker's amount of each resource: a thousand million cores, or an exbibyte of memory. The sum over
+// a million workers, and the slots of the smallest tasks there, stay far below the largest integer.
+const maxCapacity = 1 << 40
 
 // Resources is an amount of each resource, of a worker or of one task.
 type Resources struct {
@@ -32,6 +40,16 @@
 	}
 }
 
+// CheckCapacity returns an error unless the amounts are a possible capacity of one worker.
+func (r Resources) CheckCapacity() error {
+	for _, amount := range []int64{r.Cores, r.Memory, r.Accelerators} {
+		if amount < 0 || amount > maxCapacity {
+			return errors.Errorf("capacity %s is not possible", r)
+		}
+	}
+	return nil
+}
+
 // IsOverdrawn reports whether more of a resource is in use than there is, as after a shrink of the capacity.
 func (r Resources) IsOverdrawn() bool {
 	return !r.Fits(Resources{})
--- a/entry/pkg/cellhost/capacity_test.go
+++ b/entry/pkg/cellhost/capacity_test.go
@@ -68,7 +68,8 @@
 
 // shrunk returns a change by which the only worker has that many thousandths of a core.
 func shrunk(cores, from, next int64) *DirectoryChange {
-	worker := peer.WorkerInfo{ID: "w", FailureDomain: north, Group: "desk", Capacity: cell.Resources{Cores: cores}}
+	worker := workerInfo("w")
+	worker.Capacity.Cores = cores
 	return &DirectoryChange{Entries: listedEntries([]peer.WorkerInfo{worker}), From: from, Next: next}
 }
 
--- a/entry/pkg/cellhost/directory.go
+++ b/entry/pkg/cellhost/directory.go
@@ -6,10 +6,15 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"chervilusher.dev/entry/pkg/common"
 	"chervilusher.dev/entry/pkg/peer"
 )
 
+// entriesRefused counts entries of the directory that name no worker that can be used.
+var entriesRefused = metrics.NewCounter(`chervilusher_directory_entries_refused_total`)
+
 // DirectoryChange is what a reading of the directory, or a peer's answer, changes.
 type DirectoryChange struct {
 	Entries    []DirectoryEntry // in the order in which they were written
@@ -31,8 +36,9 @@
 // DirectoryController maintains the workers that the directory lists; a removed one stays in use for removalGrace,
 // since the directory drops live workers in an outage.
 type DirectoryController struct {
-	common *common.Common
-	board  *Board
+	common   *common.Common
+	board    *Board
+	refusals common.Refusals
 
 	mu       sync.Mutex
 	workers  map[string]peer.WorkerInfo
@@ -65,10 +71,20 @@
 	var logged []*peer.WorkerInfo
 	for i := range change.Entries {
 		entry := &change.Entries[i]
+		if err := peer.CheckName(entry.ID); err != nil {
+			d.refuse(entry.ID, err) // no message may hold it
+			continue
+		}
 		if !entry.Listed {
 			d.drop(entry.ID, change)
 			continue
 		}
+		if err := entry.Worker.Check(); err != nil {
+			d.refuse(entry.ID, err)
+			d.drop(entry.ID, change)
+			continue
+		}
+		d.refusals.Remove(entry.ID)
 		differs, toLog := d.upsert(&entry.Worker, change)
 		changed = changed || differs
 		if toLog {
@@ -94,6 +110,14 @@
 	return true
 }
 
+// refuse counts an entry that cannot be used, and logs it once.
+func (d *DirectoryController) refuse(id string, err error) {
+	entriesRefused.Inc()
+	if d.refusals.Add(id) {
+		d.common.Log.WithField("worker", id).WithError(err).Warn("cannot use a worker's entry")
+	}
+}
+
 // upsert stores a listed worker, and reports whether it is new or differs, and whether that is to be logged.
 func (d *DirectoryController) upsert(worker *peer.WorkerInfo, change *DirectoryChange) (differs, toLog bool) {
 	before, known := d.workers[worker.ID]
--- a/entry/pkg/cellhost/directory_test.go
+++ b/entry/pkg/cellhost/directory_test.go
@@ -14,7 +14,6 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"chervilusher.dev/entry/pkg/cell"
 	"chervilusher.dev/entry/pkg/common"
 	"chervilusher.dev/entry/pkg/peer"
 )
@@ -28,10 +27,15 @@
 	return NewDirectoryController(c, NewBoard()), clock
 }
 
+// workerInfo returns the entry of a worker.
+func workerInfo(id string) peer.WorkerInfo {
+	return peer.WorkerInfo{ID: id, Address: "worker-" + id + ":1", FailureDomain: north, Group: "desk"}
+}
+
 func workerInfos(ids ...string) []peer.WorkerInfo {
 	workers := make([]peer.WorkerInfo, 0, len(ids))
 	for _, id := range ids {
-		workers = append(workers, peer.WorkerInfo{ID: id, FailureDomain: north})
+		workers = append(workers, workerInfo(id))
 	}
 	return workers
 }
@@ -137,7 +141,10 @@
 }
 
 func (e *logEntry) worker() peer.WorkerInfo {
-	return peer.WorkerInfo{ID: e.id, Leaving: e.leaving, Capacity: cell.Resources{Cores: e.cores}}
+	worker := workerInfo(e.id)
+	worker.Leaving = e.leaving
+	worker.Capacity.Cores = e.cores
+	return worker
 }
 
 func changeOf(entries []logEntry, from, next int64) *DirectoryChange {
@@ -257,7 +264,9 @@
 	d.common.Log = &log.Logger{Handler: lines, Level: log.InfoLevel}
 	many := make([]peer.WorkerInfo, 0, 3000)
 	for i := range cap(many) {
-		many = append(many, peer.WorkerInfo{ID: fmt.Sprint(i), FailureDomain: north, Leaving: i%10 == 0})
+		worker := workerInfo(fmt.Sprint(i))
+		worker.Leaving = i%10 == 0
+		many = append(many, worker)
 	}
 	require.True(t, d.Apply(&DirectoryChange{Entries: listedEntries(many), Snapshot: true, Next: 1}))
 	require.Len(t, lines.Entries, 1)
--- a/entry/pkg/cellhost/relay_test.go
+++ b/entry/pkg/cellhost/relay_test.go
@@ -99,8 +99,10 @@
 	c.readAt(c.clock.Now())
 	directory, clock := serveDirectory(t, c)
 	directory.Apply(&DirectoryChange{Entries: entriesOf(workerInfos("w", "x")), Snapshot: true, Next: 4})
+	leaving := workerInfo("w")
+	leaving.Leaving = true
 	directory.Apply(&DirectoryChange{
-		Entries: entriesOf([]peer.WorkerInfo{{ID: "w", FailureDomain: north, Leaving: true}}, "x"),
+		Entries: entriesOf([]peer.WorkerInfo{leaving}, "x"),
 		From:    4,
 		Next:    9,
 	})
--- a/entry/pkg/peer/directory.go
+++ b/entry/pkg/peer/directory.go
@@ -1,6 +1,10 @@
 package peer
 
-import "chervilusher.dev/entry/pkg/cell"
+import (
+	"github.com/pkg/errors"
+
+	"chervilusher.dev/entry/pkg/cell"
+)
 
 // WorkerInfo is the directory entry of a worker.
 type WorkerInfo struct {
@@ -14,6 +18,30 @@
 	Leaving       bool           `json:"l,omitempty"`
 }
 
+// Check returns an error unless the entry names a worker that can be called and whose capacity is possible. Entries come
+// from other writers, and from peers of earlier versions, which do not check them.
+func (w *WorkerInfo) Check() error {
+	if err := CheckName(w.ID); err != nil {
+		return errors.Wrap(err, "name")
+	}
+	if err := CheckAddress(w.Address); err != nil {
+		return err
+	}
+	if err := CheckName(w.FailureDomain); err != nil {
+		return errors.Wrap(err, "failure domain")
+	}
+	if err := CheckName(w.Group); err != nil {
+		return errors.Wrap(err, "group")
+	}
+	if err := checkText(w.Rack); err != nil {
+		return errors.Wrap(err, "rack")
+	}
+	if err := checkText(w.Kind); err != nil {
+		return errors.Wrap(err, "kind")
+	}
+	return w.Capacity.CheckCapacity()
+}
+
 // HostInfo is the directory entry of a host.
 type HostInfo struct {
 	Name          string `json:"n"`
