Tell no host of an evacuated failure domain whose name cannot be told

What callers saw: nothing here; found with the odd entries.

Cause: the failure domain of an evacuation is a part of a key of the store, which is bytes. One that is not UTF-8 went into each heartbeat, and hosts that decode strictly, as all did, refuse the whole heartbeat: each host would have counted as silent at every other one.

Change: such a name is left out, whether the store or a peer tells it, and logged once.

TestOddNameOfAnEvacuationIsNotTold failed before: four names in force where one is expected.

--- a/entry/pkg/cellhost/evacuation.go
+++ b/entry/pkg/cellhost/evacuation.go
@@ -32,6 +32,7 @@
 	common    *common.Common
 	board     *Board
 	observers []EvacuationObserver
+	refusals  common.Refusals
 
 	mu sync.Mutex
 }
@@ -76,6 +77,7 @@
 // store puts the evacuations in force; the caller holds the lock.
 func (e *EvacuationController) store(now *peer.Evacuations, source string) {
 	before := e.board.Evacuations()
+	now.Domains = e.named(now.Domains)
 	e.board.evacuations.Store(now)
 	if slices.Equal(before.Domains, now.Domains) {
 		return
@@ -86,6 +88,19 @@
 	}
 }
 
+// named returns the domains whose names can be told to other hosts; the others are logged once.
+func (e *EvacuationController) named(domains []string) []string {
+	var named []string
+	for _, domain := range domains {
+		if err := peer.CheckName(domain); err == nil {
+			named = append(named, domain)
+		} else if e.refusals.Add(domain) {
+			e.common.Log.WithField("place", domain).WithError(err).Warn("cannot use the name of an evacuated failure domain")
+		}
+	}
+	return named
+}
+
 // evacuatedNames returns the names with a true value in order.
 func evacuatedNames(domains map[string]bool) []string {
 	var names []string
--- a/entry/pkg/cellhost/evacuation_test.go
+++ b/entry/pkg/cellhost/evacuation_test.go
@@ -63,6 +63,17 @@
 	require.Equal(t, []string{south}, e.board.Evacuations().Domains)
 }
 
+// TestOddNameOfAnEvacuationIsNotTold guards against heartbeats that no host of an earlier version understands.
+func TestOddNameOfAnEvacuationIsNotTold(t *testing.T) {
+	e, noted := newEvacuations()
+	e.Apply(evacuationOf(5, north, "\xff", "", "a\nb"))
+	require.Equal(t, []string{north}, e.board.Evacuations().Domains)
+	e.ApplyFromPeer(&peer.Evacuations{Position: 6, Domains: []string{north, south, "\xfe"}}, "earlier version")
+	require.Equal(t, []string{north, south}, e.board.Evacuations().Domains)
+	e.Apply(evacuationOf(7, "\xfe"))
+	require.Equal(t, [][]string{{north}, {north, south}}, noted.told)
+}
+
 func TestEvacuatedAndTakenBackInOneReading(t *testing.T) {
 	e, noted := newEvacuations()
 	change := evacuationOf(5, north, south)
