Take no host from a record that cannot be called

What callers saw: nothing here; found with the odd entries.

A record with an address without a port, or with one out of range, a name that is not UTF-8 or a place of 256 kB became a host that is called in vain, and a name that is not UTF-8 made the whole directory unreadable for a host that starts while the store is down.

A bad record leaves what is known of that host as it is, as before.

TestOddRecordOfAPeersDirectoryLeavesTheOthers covers what a peer tells.

--- a/entry/pkg/cellhost/bootstrap.go
+++ b/entry/pkg/cellhost/bootstrap.go
@@ -64,7 +64,12 @@
 func (i *BootstrapController) apply(response *peer.DirectoryResponse) {
 	hosts := make([]blackboard.Member, 0, len(response.Hosts))
 	keepers := make(map[string]bool, len(response.Hosts))
-	for _, host := range response.Hosts {
+	for index := range response.Hosts {
+		host := &response.Hosts[index]
+		if err := host.Check(); err != nil {
+			i.common.Log.WithField("record", host.Name).WithError(err).Warn("cannot use a host's record")
+			continue
+		}
 		hosts = append(hosts, blackboard.Member{Name: host.Name, Address: host.Address, FailureDomain: host.FailureDomain, Size: host.Size})
 		keepers[host.Name] = host.IsKeeper
 	}
--- a/entry/pkg/cellhost/odd_entry_test.go
+++ b/entry/pkg/cellhost/odd_entry_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/memory"
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 
 	"chervilusher.dev/entry/pkg/cell"
@@ -44,6 +45,9 @@
 		for _, removed := range response.Removed {
 			require.NoError(t, peer.CheckName(removed), name)
 		}
+		raw, err := cbor.Marshal(response)
+		require.NoError(t, err)
+		require.NoError(t, cbor.Unmarshal(raw, &peer.ChangesResponse{}), "hosts of the previous build, which decode strictly, take it")
 	}
 }
 
@@ -71,3 +75,24 @@
 	}
 	require.Len(t, lines.Entries, len(oddWorkers()))
 }
+
+// TestOddRecordOfAPeersDirectoryLeavesTheOthers has a host start while the store is down, beside one of an earlier version.
+func TestOddRecordOfAPeersDirectoryLeavesTheOthers(t *testing.T) {
+	c := newClaimant("a", north)
+	bootstrap := &BootstrapController{common: c.common, board: c.board, directory: c.directory, members: c.members}
+	sound := peer.HostInfo{Name: "b", Address: "10.0.0.2:1", FailureDomain: north, Size: 1}
+	hosts := []peer.HostInfo{sound}
+	for _, spoil := range []func(host *peer.HostInfo){
+		func(host *peer.HostInfo) { host.Name = "\xff" },
+		func(host *peer.HostInfo) { host.Address = "10.0.0.2:99999" },
+		func(host *peer.HostInfo) { host.FailureDomain = "" },
+	} {
+		odd := sound
+		odd.Name = "odd"
+		spoil(&odd)
+		hosts = append(hosts, odd)
+	}
+	bootstrap.apply(&peer.DirectoryResponse{Hosts: hosts, Workers: append(oddWorkers(), workerInfo("w"))})
+	require.Equal(t, []string{"b"}, slices.Collect(maps.Keys(c.board.View().Hosts)))
+	require.Equal(t, []string{"w"}, slices.Collect(maps.Keys(c.board.Workers())))
+}
--- a/entry/pkg/peer/directory.go
+++ b/entry/pkg/peer/directory.go
@@ -51,6 +51,17 @@
 	IsKeeper      bool   `json:"k,omitempty"` // it owns a cell
 }
 
+// Check returns an error unless the entry names a host that can be called.
+func (h *HostInfo) Check() error {
+	if err := CheckName(h.Name); err != nil {
+		return errors.Wrap(err, "name")
+	}
+	if err := CheckAddress(h.Address); err != nil {
+		return err
+	}
+	return errors.Wrap(CheckName(h.FailureDomain), "failure domain")
+}
+
 // DirectoryRequest asks for the peer's copy of the directory.
 type DirectoryRequest struct{}
 
