Take no workers back at a leaving keeper while a later one has the cell

Cause: a leaving keeper whose successor is told to stop as well has no successor any more, and went back to holding all workers of its cell, also those that it had released and the later keeper, which is leaving too, was about to hold. Each was fenced by the other, waited 300 ms, raised its token, and so ended what ran for the other, until one of them was gone.

Change: of the live keepers that have claimed a cell, only the last one takes workers while it leaves; the others keep what they hold, and give a worker up on which they were fenced. Before, the test failed with

TestLeavingKeeperTakesBackNoWorkersOfALaterOne/a_later_keeper_that_leaves_too: should be empty, but was [w1 w2]

--- a/entry/pkg/cellhost/claims.go
+++ b/entry/pkg/cellhost/claims.go
@@ -73,7 +73,7 @@
 	claims := c.claims(view, now)
 	changed := !slices.Equal(claims, c.board.Claims())
 	c.board.claims.Store(&claims)
-	c.keeper.Sync(c.wanted(c.usable(claims, view, now)), c.board.Workers(), view.View, c.isSucceeded(claims, view))
+	c.keeper.Sync(c.wanted(c.usable(claims, view, now), view), c.board.Workers(), view.View, c.isSucceeded(claims, view))
 	if changed {
 		// After Sync: the heartbeat that reports a released cell must also report which of its workers are still busy.
 		c.members.SendHeartbeats()
@@ -81,16 +81,31 @@
 }
 
 // wanted returns the workers of the claimed cells.
-func (c *ClaimsController) wanted(claims []peer.Claim) map[string]assignedWorker {
+func (c *ClaimsController) wanted(claims []peer.Claim, view *claimsView) map[string]assignedWorker {
 	wanted := map[string]assignedWorker{}
 	for _, claim := range claims {
+		keepOnly := c.board.Draining.Load() && c.isClaimedLater(claim, view)
 		for _, info := range c.layout.cellWorkers(claim.Cell, c.cells[claim.Cell.FailureDomain]) {
-			wanted[info.ID] = assignedWorker{info: info, epoch: claim.Epoch}
+			wanted[info.ID] = assignedWorker{info: info, epoch: claim.Epoch, keepOnly: keepOnly}
 		}
 	}
 	return wanted
 }
 
+// isClaimedLater reports whether another live host, leaving or not, has claimed the cell after this one.
+func (c *ClaimsController) isClaimedLater(claim peer.Claim, view *claimsView) bool {
+	for name := range view.Hosts {
+		state := view.Hosts[name]
+		if name == c.options.Name || !state.Alive {
+			continue
+		}
+		if later, claims := claimOf(state.Claims, claim.Cell); claims && later.Epoch > claim.Epoch {
+			return true
+		}
+	}
+	return false
+}
+
 // isSucceeded reports whether this host is leaving and another one has claimed each of its cells.
 func (c *ClaimsController) isSucceeded(claims []peer.Claim, view *claimsView) bool {
 	if !c.board.Draining.Load() {
--- a/entry/pkg/cellhost/fleet_test.go
+++ b/entry/pkg/cellhost/fleet_test.go
@@ -34,7 +34,7 @@
 	c := newFleet(100)
 	claims := c.view.Hosts["host005"].Claims
 	require.Len(t, claims, 1)
-	wanted := c.wanted(claims)
+	wanted := c.wanted(claims, newClaimsView(c.view))
 	for id, info := range c.board.Workers() {
 		got, kept := wanted[id]
 		require.Equal(t, cellOf(id, info.FailureDomain, c.cells[info.FailureDomain]) == claims[0].Cell, kept)
--- a/entry/pkg/cellhost/keeper_sync.go
+++ b/entry/pkg/cellhost/keeper_sync.go
@@ -12,8 +12,9 @@
 
 // assignedWorker is a worker that this host has to hold.
 type assignedWorker struct {
-	info  peer.WorkerInfo
-	epoch int64 // of the claim of its cell
+	info     peer.WorkerInfo
+	epoch    int64 // of the claim of its cell
+	keepOnly bool  // it is kept if it is held, but not taken
 }
 
 // Sync holds the claimed workers and releases all others once nothing runs on them. A leaving host that has a successor
@@ -27,8 +28,13 @@
 		if stage == handoverAll || (stage == handoverHalf && isFirstHalf(id)) {
 			continue
 		}
+		loop := k.findLoop(id)
+		if loop != nil && worker.keepOnly && loop.heldByOther.Load() {
+			k.dropWorker(id) // to take it back would end what runs there for the later keeper
+			continue
+		}
 		assigned[id] = true
-		if !elsewhere[id] && stage == handoverNone {
+		if !elsewhere[id] && stage == handoverNone && (!worker.keepOnly || loop != nil) {
 			k.holdWorker(worker.info, worker.epoch)
 		}
 	}
--- a/entry/pkg/cellhost/stop_test.go
+++ b/entry/pkg/cellhost/stop_test.go
@@ -113,3 +113,50 @@
 	}
 	require.True(t, c.keeper.IsIdle())
 }
+
+// TestLeavingKeeperTakesBackNoWorkersOfALaterOne guards against two leaving keepers that take the workers from each other, and
+// end what runs there, once the successor of the first is told to stop as well.
+func TestLeavingKeeperTakesBackNoWorkersOfALaterOne(t *testing.T) {
+	workers := &scriptedWorker{holds: make(chan heldCall, 10)}
+	c := newClaimant("a", north)
+	c.keeper.workers = workers
+	c.directory.Apply(&DirectoryChange{Entries: listedEntries(workerInfos("w1", "w2")), Snapshot: true, Next: 1})
+	c.board.Draining.Store(true)
+	mine := peer.Claim{Cell: northCell, CellCount: 1, Epoch: 1}
+	c.board.claims.Store(&[]peer.Claim{mine})
+	for name, test := range map[string]struct {
+		epoch int64
+		alive bool
+		takes bool
+	}{
+		"a later keeper that leaves too":    {epoch: 2, alive: true, takes: false},
+		"an earlier keeper that leaves too": {epoch: 0, alive: true, takes: true},
+		"a later keeper that is gone":       {epoch: 2, alive: false, takes: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c.addHost("a", north, 1, mine)
+			c.addHost("b", north, 1, peer.Claim{Cell: northCell, CellCount: 1, Epoch: test.epoch})
+			other := c.view.Hosts["b"]
+			other.Leaving, other.Alive = true, test.alive
+			c.view.Hosts["b"] = other
+			view := newClaimsView(c.view)
+			c.keeper.Sync(c.wanted([]peer.Claim{mine}, view), c.board.Workers(), c.view, c.isSucceeded([]peer.Claim{mine}, view))
+			if !test.takes {
+				require.Empty(t, c.keeper.heldWorkers())
+				return
+			}
+			require.Len(t, c.keeper.heldWorkers(), 2)
+			other.Alive, other.Claims[0].Epoch = true, 2
+			c.view.Hosts["b"] = other
+			view = newClaimsView(c.view)
+			c.keeper.Sync(c.wanted([]peer.Claim{mine}, view), c.board.Workers(), c.view, false)
+			require.Len(t, c.keeper.heldWorkers(), 2, "what it still holds it keeps")
+			c.keeper.findLoop("w1").heldByOther.Store(true)
+			c.keeper.Sync(c.wanted([]peer.Claim{mine}, view), c.board.Workers(), c.view, false)
+			require.Equal(t, []string{"w2"}, c.keeper.heldWorkers(), "what the later keeper has taken it gives up")
+			for _, id := range c.keeper.heldWorkers() {
+				c.keeper.dropWorker(id)
+			}
+		})
+	}
+}
