Leave no host while a job that it has forwarded runs elsewhere

Callers saw: 504 "lost the keeper" for a job that ran on at a third host (read in the code, not seen in a run). A keeper that has no room at once forwards a job of another home. Such a job has no waiter in the forwarder's own cell, so that a stopping forwarder took itself for idle and left from 2.5 s on, ending the home's call.

Change: a keeper is idle only once all calls to run jobs have returned, wherever the jobs are; the planned stop asks for that, too.

--- a/entry/pkg/cellhost/keeper.go
+++ b/entry/pkg/cellhost/keeper.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -55,8 +56,9 @@
 	decidedAt      time.Time                   // when the last decision was made
 	reports        map[string]*cell.HomeReport // last one of each home
 	served         map[*servedCall]struct{}
-	successorSince time.Time // when another host took over from this leaving one
-	stopsAt        time.Time // when this host can run no more jobs; zero until it is told to stop
+	runCalls       atomic.Int64 // calls of Run in progress
+	successorSince time.Time    // when another host took over from this leaving one
+	stopsAt        time.Time    // when this host can run no more jobs; zero until it is told to stop
 	forwarder      Forwarder
 }
 
--- a/entry/pkg/cellhost/keeper_stop.go
+++ b/entry/pkg/cellhost/keeper_stop.go
@@ -42,6 +42,8 @@
 // Run runs a job and waits for its outcome; the end of the context cancels the job. A refusal of a leaving keeper is not the
 // last word for another host's job: the next keeper may have more time.
 func (k *KeeperController) Run(ctx context.Context, request *peer.RunRequest) (*peer.RunResponse, error) {
+	k.runCalls.Add(1)
+	defer k.runCalls.Add(-1)
 	response, err := k.run(ctx, request)
 	if err != nil || response.Declined || response.Outcome != cell.Refused || request.Home == k.options.Name || !k.isStopping() {
 		return response, err
@@ -56,7 +58,8 @@
 	return !k.stopsAt.IsZero()
 }
 
-// IsIdle reports whether nothing runs on the workers that this host holds, and no job waits for its answer.
+// IsIdle reports whether nothing runs on the workers that this host holds, and no job waits for its answer here or at a keeper
+// to which this host has forwarded it.
 func (k *KeeperController) IsIdle() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -65,5 +68,5 @@
 			return false
 		}
 	}
-	return len(k.waiters) == 0
+	return len(k.waiters) == 0 && k.runCalls.Load() == 0
 }
--- a/entry/pkg/cellhost/stop_test.go
+++ b/entry/pkg/cellhost/stop_test.go
@@ -160,3 +160,31 @@
 		})
 	}
 }
+
+// heldForwarder is another keeper, whose answer the test gives.
+type heldForwarder struct{ answer chan *peer.RunResponse }
+
+func (f *heldForwarder) Forward(context.Context, string, *peer.RunRequest, peer.RunMode) (*peer.RunResponse, bool) {
+	return <-f.answer, true
+}
+
+// TestForwarderIsNotIdleWhileAForwardedJobRuns guards against a host that leaves, and so ends the call of the job's home, while the
+// job runs at the keeper that took it.
+func TestForwarderIsNotIdleWhileAForwardedJobRuns(t *testing.T) {
+	c, _, _ := callsFixture(t)
+	c.keeper.cell.Add(&cell.Worker{ID: "w", Group: "desk", Capacity: cell.Resources{Cores: 1000, Memory: 1}})
+	other := &heldForwarder{answer: make(chan *peer.RunResponse)}
+	c.keeper.SetForwarder(other)
+	require.True(t, c.keeper.IsIdle())
+	answered := make(chan *peer.RunResponse, 1)
+	go func() {
+		request := remoteRequest(c, "j", 100*time.Millisecond)
+		request.Mode = peer.RunAnywhere
+		response, _ := c.keeper.Run(t.Context(), request)
+		answered <- response
+	}()
+	require.Eventually(t, func() bool { return !c.keeper.IsIdle() }, time.Second, time.Millisecond)
+	other.answer <- &peer.RunResponse{Outcome: cell.Completed}
+	require.Equal(t, cell.Completed, (<-answered).Outcome)
+	require.True(t, c.keeper.IsIdle())
+}
