Wait for the server in the tests of the planned stop

TestNoRequestIsServedAndCutOffWhileIdleConnectionsAreClosed failed once in 40 runs (-race): the closing of one round reached the connection of the next one, whose request had not been read. TestCloseIdleSparesConnectionsInUse failed once in 5: a client has its answer before the connection is idle, and a connection that isn't idle yet is rightly not closed.

Each round now waits for its closing, and the test for the idle state. What is asked of the server is unchanged.

--- a/entry/pkg/graceful/server_test.go
+++ b/entry/pkg/graceful/server_test.go
@@ -119,6 +119,7 @@
 	fresh, used, half, waiting := f.dial(t), f.dial(t), f.dial(t), f.dial(t)
 	used.send(get("/now"))
 	used.receive()
+	f.requirePending(t, 0) // the answer arrives before its connection is idle
 	half.send("GET /now HTT")
 	waiting.send(get("/wait"))
 	<-f.arrived
@@ -146,8 +147,13 @@
 		each := f.dial(t)
 		each.send(get("/now"))
 		each.receive()
-		go f.CloseIdle(0)
+		closed := make(chan struct{})
+		go func() {
+			defer close(closed)
+			f.CloseIdle(0)
+		}()
 		if _, err := io.WriteString(each, get("/wait")); err != nil {
+			<-closed
 			continue
 		}
 		ended := make(chan error, 1)
@@ -164,6 +170,7 @@
 			require.NoError(t, <-ended, "a request was cut off while it was served")
 		case <-ended:
 		}
+		<-closed // it must not close the next connection
 	}
 }
 
