Take no connection for idle while its pipelined request is served

A caller that sends its next request before the answer to the last one: both can come in one read, so that no read is left that marks the second one. Its connection counted as idle while it was served. A planned stop cancelled its job after 0.5 s, and did not wait for its answer.

The handler marks the connection, too, and takes the deadline back that was to end an idle read.

--- a/entry/pkg/graceful/connection.go
+++ b/entry/pkg/graceful/connection.go
@@ -72,6 +72,16 @@
 	c.idle, c.idleFrom = true, now
 }
 
+// becomeActive notes that a request is being served; one that was read together with the request before it needs no Read.
+func (c *connection) becomeActive() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idle && c.closing {
+		_ = c.TCPConn.SetReadDeadline(time.Time{}) // net/http reads on to notice that the client leaves
+	}
+	c.idle = false
+}
+
 // closeIdle has the server's own reader end the connection if it has been idle since before the given time. Closing it from
 // here could cut a request off that the reader has just read.
 func (c *connection) closeIdle(before time.Time) {
--- a/entry/pkg/graceful/server.go
+++ b/entry/pkg/graceful/server.go
@@ -1,6 +1,7 @@
 package graceful
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -26,13 +27,26 @@
 	connections map[*connection]struct{}
 }
 
+// connectionKey is the key of a request's connection in its context.
+type connectionKey struct{}
+
 // New returns a server for the settings and the handler of an http.Server, whose ConnState it sets.
 func New(server *http.Server, clock clockwork.Clock) *Server {
 	s := &Server{http: server, clock: clock, closed: make(chan struct{}), connections: map[*connection]struct{}{}}
 	handler := server.Handler
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if of, ok := r.Context().Value(connectionKey{}).(*connection); ok {
+			of.becomeActive()
+		}
 		handler.ServeHTTP(&response{ResponseWriter: w, draining: &s.draining}, r)
 	})
+	connContext := server.ConnContext
+	server.ConnContext = func(ctx context.Context, raw net.Conn) context.Context {
+		if connContext != nil {
+			ctx = connContext(ctx, raw)
+		}
+		return context.WithValue(ctx, connectionKey{}, raw)
+	}
 	server.ConnState = func(raw net.Conn, state http.ConnState) {
 		if of, ok := raw.(*connection); ok && state == http.StateIdle {
 			of.becomeIdle(clock.Now())
--- a/entry/pkg/graceful/server_test.go
+++ b/entry/pkg/graceful/server_test.go
@@ -194,3 +194,22 @@
 	require.NoError(t, f.Close())
 	require.NoError(t, <-f.ended)
 }
+
+// TestPipelinedRequestIsNotTakenForAnIdleConnection guards against cutting off a request that was read together with the one
+// before it.
+func TestPipelinedRequestIsNotTakenForAnIdleConnection(t *testing.T) {
+	f := newFixture(t)
+	pipelining := f.dial(t)
+	pipelining.send(get("/now") + get("/wait"))
+	pipelining.receive()
+	<-f.arrived
+	require.Equal(t, 1, f.Pending())
+	f.Drain()
+	f.CloseIdle(0)
+	time.Sleep(50 * time.Millisecond) // a read that ends cancels the request's context
+	close(f.release)
+	body, closes := pipelining.receive()
+	require.Equal(t, "waited", body)
+	require.True(t, closes)
+	f.requirePending(t, 0)
+}
