Wait for idle connections to end before a planned stop closes the rest

Cause: an idle connection is ended by its own reader, which may have read a request just before it is told to. The server then counted nothing as pending, and a planned stop closed the connection while its request was being served.

A connection that is being closed as idle is pending until its reader has ended it or its request is answered.

--- a/entry/pkg/graceful/connection.go
+++ b/entry/pkg/graceful/connection.go
@@ -93,9 +93,10 @@
 	}
 }
 
-// isPending reports whether a request has been read, at least in part, and its answer wasn't sent.
+// isPending reports whether a request has been read, at least in part, and its answer wasn't sent, or may be read yet by the
+// reader that is to end the connection.
 func (c *connection) isPending() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.idle && !c.answered
+	return (!c.idle || c.closing) && !c.answered
 }
--- a/entry/pkg/graceful/server.go
+++ b/entry/pkg/graceful/server.go
@@ -102,7 +102,8 @@
 	}
 }
 
-// Pending returns the number of connections with a request that was read, at least in part, and isn't answered.
+// Pending returns the number of connections with a request that was read, at least in part, and isn't answered, and of those
+// that CloseIdle is closing.
 func (s *Server) Pending() int {
 	pending := 0
 	for _, each := range s.all() {
--- a/entry/pkg/graceful/server_test.go
+++ b/entry/pkg/graceful/server_test.go
@@ -213,3 +213,28 @@
 	require.True(t, closes)
 	f.requirePending(t, 0)
 }
+
+// TestNothingIsReadOnceNothingIsPending guards against closing the server while the next request of an idle connection is being
+// read.
+func TestNothingIsReadOnceNothingIsPending(t *testing.T) {
+	for range 1000 {
+		f := newFixture(t)
+		each := f.dial(t)
+		each.send(get("/now"))
+		each.receive()
+		f.requirePending(t, 0)
+		f.Drain()
+		go func() { _, _ = io.WriteString(each, get("/wait")) }()
+		f.CloseIdle(0)
+		if f.Pending() == 0 {
+			select {
+			case <-f.arrived:
+				require.Fail(t, "a request was read once nothing was pending")
+			case <-time.After(time.Millisecond):
+			}
+		}
+		require.NoError(t, f.Close())
+		close(f.release)
+		_ = each.Close()
+	}
+}
