End a job with its keeper that was queued after the keeper's stop began

A job's time was limited when it came, and that of the queued ones when the stop began. One that came before and was queued after, as when other keepers were asked in between, kept its own deadline: the keeper's exit cut its home's call and left its run to its lease.

Change: the deadline is limited where the job is queued.

TestJobThatIsQueuedAfterTheStopBeganEndsWithIt: should have 1 item(s), but has 0

--- a/entry/pkg/cellhost/keeper_run.go
+++ b/entry/pkg/cellhost/keeper_run.go
@@ -116,6 +116,7 @@
 func (k *KeeperController) runLate(ctx context.Context, job *cell.Job) (*peer.RunResponse, error) {
 	var answers chan *cell.Answer
 	k.apply(func(now time.Time) (effects cell.Effects) {
+		k.limitDeadline(job)
 		if !k.successorSince.IsZero() {
 			return effects
 		}
@@ -159,6 +160,7 @@
 func (k *KeeperController) submit(ctx context.Context, job *cell.Job, nowOnly bool) chan *cell.Answer {
 	var answers chan *cell.Answer
 	k.apply(func(now time.Time) (effects cell.Effects) {
+		k.limitDeadline(job) // the stop may have begun since the job came
 		if nowOnly && !k.cell.CanStartNow(job, now) || !nowOnly && !k.successorSince.IsZero() {
 			return effects
 		}
--- a/entry/pkg/cellhost/keeper_stop.go
+++ b/entry/pkg/cellhost/keeper_stop.go
@@ -27,10 +27,9 @@
 func (k *KeeperController) limitToStop(job *cell.Job) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.stopsAt.IsZero() || !job.Deadline.After(k.stopsAt) {
+	if !k.limitDeadline(job) {
 		return true
 	}
-	job.Deadline = k.stopsAt
 	for _, task := range job.Tasks {
 		if k.common.Clock.Now().Add(task.Estimate).After(job.Deadline) {
 			return false
@@ -39,6 +38,16 @@
 	return true
 }
 
+// limitDeadline brings the job's deadline forward to the time at which this host stops, and reports whether it was later. The
+// caller holds the lock.
+func (k *KeeperController) limitDeadline(job *cell.Job) bool {
+	if k.stopsAt.IsZero() || !job.Deadline.After(k.stopsAt) {
+		return false
+	}
+	job.Deadline = k.stopsAt
+	return true
+}
+
 // Run runs a job and waits for its outcome; the end of the context cancels the job. A refusal of a leaving keeper is not the
 // last word for another host's job: the next keeper may have more time.
 func (k *KeeperController) Run(ctx context.Context, request *peer.RunRequest) (*peer.RunResponse, error) {
--- a/entry/pkg/cellhost/stop_test.go
+++ b/entry/pkg/cellhost/stop_test.go
@@ -114,6 +114,22 @@
 	require.True(t, c.keeper.IsIdle())
 }
 
+// TestJobThatIsQueuedAfterTheStopBeganEndsWithIt guards against a job that came before the stop and is queued only then, as after
+// it was offered to other keepers: its home would wait until the connection is cut.
+func TestJobThatIsQueuedAfterTheStopBeganEndsWithIt(t *testing.T) {
+	c, _, _ := callsFixture(t)
+	c.keeper.cell.Add(&cell.Worker{ID: "w", Group: "desk", Capacity: cell.Resources{Cores: 1000, Memory: 1}})
+	job, reason := c.keeper.newJob(remoteRequest(c, "j", 100*time.Millisecond))
+	require.Empty(t, reason)
+	require.True(t, c.keeper.limitToStop(job))
+	c.keeper.StopAt(c.clock.Now().Add(time.Second))
+	answers := c.keeper.submit(t.Context(), job, false)
+	c.clock.Advance(time.Second)
+	c.keeper.tick()
+	require.Len(t, answers, 1)
+	require.Equal(t, cell.Refused, (<-answers).Outcome)
+}
+
 // TestLeavingKeeperTakesBackNoWorkersOfALaterOne guards against two leaving keepers that take the workers from each other, and
 // end what runs there, once the successor of the first is told to stop as well.
 func TestLeavingKeeperTakesBackNoWorkersOfALaterOne(t *testing.T) {
