Close no idle connection whose next request waits to be read

Cause: a planned stop ends a connection that has been idle for 0.5 s, and at its end any that is idle. Where the process has just got no processor time, the next request may have come long before, and a read whose deadline is over does not look for it: the caller saw a reset. Found by reading; the tests of the package met it when the machine was busy.

Change: a connection with unread bytes is in use. What comes between the question and the deadline, a moment later, is still cut.

TestCloseIdleSparesRequestsThatWaitToBeRead: read tcp ...: i/o timeout

--- a/entry/pkg/graceful/connection.go
+++ b/entry/pkg/graceful/connection.go
@@ -4,6 +4,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // connection tells whether any byte of a request has been read since the last answer. The states of net/http don't: they
@@ -87,10 +89,30 @@
 func (c *connection) closeIdle(before time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.idle && !c.idleFrom.After(before) {
-		c.closing = true
-		_ = c.TCPConn.SetReadDeadline(past)
+	if !c.idle || c.idleFrom.After(before) {
+		return
+	}
+	if c.hasUnread() {
+		c.idle = false // its reader is about to read a request, or the end of the connection
+		return
+	}
+	c.closing = true
+	_ = c.TCPConn.SetReadDeadline(past)
+}
+
+// hasUnread reports whether there are bytes to read, or the end of the connection; a failed question leaves it to the reader.
+func (c *connection) hasUnread() bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
 	}
+	unread := false
+	err = raw.Control(func(fd uintptr) {
+		asked := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		ready, err := unix.Poll(asked, 0)
+		unread = err == nil && ready > 0
+	})
+	return err == nil && unread
 }
 
 // isPending reports whether a request has been read, at least in part, and its answer wasn't sent, or may be read yet by the
--- a/entry/pkg/graceful/server_test.go
+++ b/entry/pkg/graceful/server_test.go
@@ -238,3 +238,26 @@
 		_ = each.Close()
 	}
 }
+
+// TestCloseIdleSparesRequestsThatWaitToBeRead guards against closing a connection whose request came while the process got no
+// processor time: its reader would run only after the closing.
+func TestCloseIdleSparesRequestsThatWaitToBeRead(t *testing.T) {
+	f := newFixture(t)
+	var config net.ListenConfig
+	listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	f.address = listener.Addr().String()
+	client := f.dial(t)
+	accepted, err := listener.Accept()
+	require.NoError(t, err)
+	unread := f.add(accepted.(*net.TCPConn))
+	defer func() { _ = unread.Close() }()
+	client.send(get("/now"))
+	time.Sleep(50 * time.Millisecond) // loopback delivers the bytes
+	f.CloseIdle(0)
+	require.Equal(t, 1, f.Pending())
+	count, err := unread.Read(make([]byte, 100))
+	require.NoError(t, err)
+	require.Equal(t, len(get("/now")), count)
+}
