--- a/entry/pkg/graceful/server_test.go
+++ b/entry/pkg/graceful/server_test.go
@@ -119,6 +119,7 @@
 	fresh, used, half, waiting := f.dial(t), f.dial(t), f.dial(t), f.dial(t)
 	used.send(get("/now"))
 	used.receive()
+	f.requirePending(t, 0) // the answer arrives before its connection is idle
 	half.send("GET /now HTT")
 	waiting.send(get("/wait"))
 	<-f.arrived
@@ -146,8 +147,13 @@
 		each := f.dial(t)
 		each.send(get("/now"))
 		each.receive()
-		go f.CloseIdle(0)
+		closed := make(chan struct{})
+		go func() {
+			defer close(closed)
+			f.CloseIdle(0)
+		}()
 		if _, err := io.WriteString(each, get("/wait")); err != nil {
+			<-closed
 			continue
 		}
 		ended := make(chan error, 1)
@@ -164,6 +170,7 @@
 			require.NoError(t, <-ended, "a request was cut off while it was served")
 		case <-ended:
 		}
+		<-closed // it must not close the next connection
 	}
 }
 
@@ -187,3 +194,70 @@
 	require.NoError(t, f.Close())
 	require.NoError(t, <-f.ended)
 }
+
+// TestPipelinedRequestIsNotTakenForAnIdleConnection guards against cutting off a request that was read together with the one
+// before it.
+func TestPipelinedRequestIsNotTakenForAnIdleConnection(t *testing.T) {
+	f := newFixture(t)
+	pipelining := f.dial(t)
+	pipelining.send(get("/now") + get("/wait"))
+	pipelining.receive()
+	<-f.arrived
+	require.Equal(t, 1, f.Pending())
+	f.Drain()
+	f.CloseIdle(0)
+	time.Sleep(50 * time.Millisecond) // a read that ends cancels the request's context
+	close(f.release)
+	body, closes := pipelining.receive()
+	require.Equal(t, "waited", body)
+	require.True(t, closes)
+	f.requirePending(t, 0)
+}
+
+// TestNothingIsReadOnceNothingIsPending guards against closing the server while the next request of an idle connection is being
+// read.
+func TestNothingIsReadOnceNothingIsPending(t *testing.T) {
+	for range 1000 {
+		f := newFixture(t)
+		each := f.dial(t)
+		each.send(get("/now"))
+		each.receive()
+		f.requirePending(t, 0)
+		f.Drain()
+		go func() { _, _ = io.WriteString(each, get("/wait")) }()
+		f.CloseIdle(0)
+		if f.Pending() == 0 {
+			select {
+			case <-f.arrived:
+				require.Fail(t, "a request was read once nothing was pending")
+			case <-time.After(time.Millisecond):
+			}
+		}
+		require.NoError(t, f.Close())
+		close(f.release)
+		_ = each.Close()
+	}
+}
+
+// TestCloseIdleSparesRequestsThatWaitToBeRead guards against closing a connection whose request came while the process got no
+// processor time: its reader would run only after the closing.
+func TestCloseIdleSparesRequestsThatWaitToBeRead(t *testing.T) {
+	f := newFixture(t)
+	var config net.ListenConfig
+	listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	f.address = listener.Addr().String()
+	client := f.dial(t)
+	accepted, err := listener.Accept()
+	require.NoError(t, err)
+	unread := f.add(accepted.(*net.TCPConn))
+	defer func() { _ = unread.Close() }()
+	client.send(get("/now"))
+	time.Sleep(50 * time.Millisecond) // loopback delivers the bytes
+	f.CloseIdle(0)
+	require.Equal(t, 1, f.Pending())
+	count, err := unread.Read(make([]byte, 100))
+	require.NoError(t, err)
+	require.Equal(t, len(get("/now")), count)
+}
