--- a/entry/pkg/peer/name_test.go
+++ b/entry/pkg/peer/name_test.go
@@ -17,7 +17,7 @@
 		"[fe80::1]:80":                      true,
 		"localhost:8080":                    true,
 		"worker-1:8080":                     true,
-		"minion_7.rack-2.example.:8080":     true,
+		"worker_7.rack-2.example.:8080":     true,
 		strings.Repeat("a", 63) + ".x:8080": true,
 
 		"":                                   false,
