--- a/entry/pkg/cellhost/home.go
+++ b/entry/pkg/cellhost/home.go
@@ -83,7 +83,7 @@
 	openJobs      map[string]context.CancelCauseFunc // by job identifier
 	noKeeperSince time.Time                          // when a job first found no keeper; zero while one is known
 	stopsAt       time.Time                          // when the open jobs will be abandoned; zero until this host is told to stop
-	stopped       bool                               // they have been
+	stopped       bool                               // the open jobs have been abandoned
 }
 
 // keeperCall is an unanswered call to a keeper.
