--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -13,6 +13,7 @@
 
 var scenes = map[string]scene{
 	"cancel":  cancelAfterResend,
+	"drains":  failedByDrains,
 	"dropped": cancelOnDroppedQueue,
 	"rebirth": lateStartAfterRebirth,
 }
--- a/review/rig/minion.go
+++ b/review/rig/minion.go
@@ -161,18 +161,38 @@
 	m.store.put("keyed.servers", m.id, raw)
 }
 
-// crash ends all that runs without a trace; connections are refused until rebirth.
+// drain reports that the minion is about to leave; it goes on serving.
+func (m *minion) drain() {
+	m.mu.Lock()
+	m.state = "draining"
+	m.mu.Unlock()
+	m.record.line("%s: drains", m.id)
+	m.register()
+}
+
+// leave ends the minion for good, all that runs there, and its entry.
+func (m *minion) leave() {
+	m.end("leaves")
+	m.store.put("keyed.servers", m.id, nil)
+}
+
+// crash ends the minion's life; connections are refused until rebirth.
 func (m *minion) crash() {
+	m.end("crashes")
+}
+
+// end ends all that runs without a trace, and the minion.
+func (m *minion) end(how string) {
 	m.mu.Lock()
 	m.up = false
 	server := m.server
 	for task, each := range m.running {
 		each.timer.Stop()
-		m.ledger.end(m.id, task, each.number, "crash of the minion")
+		m.ledger.end(m.id, task, each.number, "the minion "+how)
 	}
 	m.running = map[string]*running{}
 	m.mu.Unlock()
-	m.record.line("%s: crashes", m.id)
+	m.record.line("%s: %s", m.id, how)
 	_ = server.Close()
 }
 
@@ -234,7 +254,7 @@
 		return
 	}
 	for task := range m.running {
-		m.end(task, "lapsed")
+		m.list(task, "lapsed")
 	}
 }
 
@@ -298,15 +318,15 @@
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		if m.running[read.Task] == begun {
-			m.end(read.Task, "done")
+			m.list(read.Task, "done")
 		}
 	})
 	m.ledger.begin(m.id, read.Task, read.Run)
 	return ""
 }
 
-// end lists the end of a run; the caller holds the lock.
-func (m *minion) end(task, how string) {
+// list lists the end of a run; the caller holds the lock.
+func (m *minion) list(task, how string) {
 	was := m.running[task]
 	was.timer.Stop()
 	delete(m.running, task)
@@ -329,7 +349,7 @@
 		return
 	}
 	if present, ok := m.running[read.Task]; ok && present.number == read.Run {
-		m.end(read.Task, "stopped")
+		m.list(read.Task, "stopped")
 	}
 	m.barred[read.Task] = max(m.barred[read.Task], read.Run)
 	writeJSON(w, http.StatusOK, map[string]any{"clock_ms": m.now(), "born": m.born})
--- a/review/rig/office.go
+++ b/review/rig/office.go
@@ -20,6 +20,8 @@
 const (
 	queueHost = "nony24.example"
 	queuePath = "/lohu930/"
+	// maxAttempts is that of order-validate.
+	maxAttempts = 4
 )
 
 // host is one process of the program under review.
@@ -79,14 +81,24 @@
 	return o, o.awaitReady(20 * time.Second)
 }
 
+// minion returns the minion of that id.
+func (o *office) minion(id string) *minion {
+	for _, each := range o.minions {
+		if each.id == id {
+			return each
+		}
+	}
+	return nil
+}
+
 // configure writes the next version of the operator's configuration, with routes of these prefixes.
 func (o *office) configure(prefixes ...string) {
 	o.version += 3
 	routes := make([]string, 0, len(prefixes))
 	for i, prefix := range prefixes {
 		routes = append(routes, fmt.Sprintf(
-			`{"name":"queue%d","host":%q,"path_prefix":%q,"service":"desk","route_type":"unsafe","timeout_ms":1500,"target_latency_ms":60,"priority":2,"max_attempts":4,"stretch":1.6}`,
-			i, queueHost, prefix))
+			`{"name":"queue%d","host":%q,"path_prefix":%q,"service":"desk","route_type":"unsafe","timeout_ms":1500,"target_latency_ms":60,"priority":2,"max_attempts":%d,"stretch":1.6}`,
+			i, queueHost, prefix, maxAttempts))
 	}
 	o.record.line("operator: version %d with the prefixes %v", o.version, prefixes)
 	o.store.put("keyed.op", "config", fmt.Appendf(nil,
--- a/review/rig/scenes.go
+++ b/review/rig/scenes.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -25,6 +26,7 @@
 	contact        = 3 * time.Second         // contact_ms
 	ackBound       = 4 * time.Second         // ack_ms
 	configBound    = 2 * time.Second         // config_apply_ms
+	drainBound     = 2 * time.Second         // drain_ms
 )
 
 // cancelAfterResend has a client's connection break with the host that its connections go to. The client sends its job again,
@@ -170,6 +172,40 @@
 	return nil
 }
 
+// failedByDrains has the minion of a task drain and leave, and then the one where the task goes on.
+func failedByDrains(r *record, root string, trouble bool) error {
+	o, err := newOffice(r, root, zones, hostsPerZone, minionsPerZone)
+	defer o.close()
+	if err != nil {
+		return err
+	}
+	const id = "5c0e7a21d94b36fa"
+	begun := make(chan string, 8)
+	o.ledger.onStart = func(minion, _ string, _ int) { begun <- minion }
+	done := make(chan answer, 1)
+	go func() { done <- o.submit(context.Background(), o.hosts[0], id, 1, cpu, longestTask, 40*time.Second) }()
+	for leaving := 0; trouble && leaving < 2; leaving++ {
+		select {
+		case id := <-begun:
+			time.Sleep(time.Second)
+			m := o.minion(id)
+			m.drain()
+			time.Sleep(drainBound + 500*time.Millisecond)
+			m.leave()
+		case <-time.After(8 * time.Second):
+			return errors.New("the task does not start")
+		}
+	}
+	got := <-done
+	if got.status != http.StatusOK {
+		return fmt.Errorf("the job is answered %d", got.status)
+	}
+	if strings.Contains(got.body, "failed") { // no stand-in lists an end failed, and none has crashed
+		r.breach("LOST: job %s is shown as failed; no run has ended failed, no minion has crashed, and max_attempts is %d", id, maxAttempts)
+	}
+	return nil
+}
+
 func await(begun chan struct{}, timeout time.Duration) error {
 	select {
 	case <-begun:
