--- a/review/rig/minion.go
+++ b/review/rig/minion.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -89,7 +90,7 @@
 	number  int64
 	barred  map[string]int
 	ended   chan struct{}
-	// onStartCall may take over a start call: it returns true if the call must not be answered.
+	// onStartCall may hold a start call up on its way: it returns true if the minion must not see it now.
 	onStartCall func(m *minion, call *call) (taken bool)
 }
 
@@ -280,20 +281,25 @@
 	writeJSON(w, http.StatusOK, map[string]any{"clock_ms": m.now(), "born": m.born})
 }
 
-// carryOut executes a start call that was left without an answer.
-func (m *minion) carryOut(read *call) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if !m.up {
-		m.record.line("%s: is down, a late start is gone", m.id)
-		return
+// deliver sends a start call that was held up on its way to whoever serves the minion's address and id by now.
+func (m *minion) deliver(held *call) error {
+	raw, err := json.Marshal(held)
+	if err != nil {
+		return err
 	}
-	if read.Token < m.token {
-		m.record.line("%s: a late start of task %s run %d is fenced", m.id, read.Task, read.Run)
-		return
+	request, err := http.NewRequest(http.MethodPost, "http://"+m.address+"/-/run-start", bytes.NewReader(raw))
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("Chervilusher-Expected-Instance", m.id)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
 	}
-	m.token = read.Token
-	m.record.line("%s: carries a start of task %s run %d out late: %q", m.id, read.Task, read.Run, m.start(read))
+	_ = response.Body.Close()
+	m.record.line("%s: the late start of task %s run %d arrives: %d", m.id, held.Task, held.Run, response.StatusCode)
+	return nil
 }
 
 // start begins a run, or returns why not; the caller holds the lock.
--- a/review/rig/scenes.go
+++ b/review/rig/scenes.go
@@ -86,7 +86,7 @@
 	return nil
 }
 
-// lateStartAfterRebirth leaves one start order unanswered; its minion crashes, starts again, and gets the order then.
+// lateStartAfterRebirth holds one start order up on its way, without an answer; its minion crashes, starts again, and gets it.
 func lateStartAfterRebirth(r *record, root string, trouble bool) error {
 	o, err := newOffice(r, root, zones, hostsPerZone, minionsPerZone)
 	defer o.close()
@@ -105,7 +105,7 @@
 			}
 			first.Do(func() {
 				taken, order = true, read
-				r.line("%s: the start of task %s run %d stays on its way, without an answer", m.id, read.Task, read.Run)
+				r.line("%s: the start of task %s run %d is held up on its way, without an answer", m.id, read.Task, read.Run)
 				held <- m
 			})
 			return taken
@@ -129,7 +129,9 @@
 			return err
 		}
 		time.Sleep(50 * time.Millisecond)
-		m.carryOut(order)
+		if err := m.deliver(order); err != nil {
+			return err
+		}
 	}
 	r.line("the client got %d", (<-done).status)
 	return nil
