--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -33,6 +33,7 @@
 		fmt.Println("no such case")
 		os.Exit(2)
 	}
+	children.endOnSignal()
 	trouble := os.Getenv("TROUBLE") != "0"
 	r.line("case %s, trouble %v", os.Args[1], trouble)
 	if err := run(r, os.Args[2], trouble); err != nil {
--- a/review/rig/office.go
+++ b/review/rig/office.go
@@ -147,6 +147,7 @@
 	if err := h.command.Start(); err != nil {
 		return err
 	}
+	children.add(h.command.Process)
 	h.record.line("%s: process starts", h.name)
 	ended, command := make(chan struct{}), h.command
 	h.ended = ended
