Find blocked tasks by name and worker, and tell when they are free

Callers could still see two runs (TWICE): a job sent again to the keeper that blocks its task ran on beside the late start. Others were refused while workers stood free, and other hosts answered 504 for up to 30 s after the worker was back.

Change: one table in the cell holds unsettled starts by task, worker and run. Answers, a higher token that the worker has seen, and reports sent after the crash settle them; heartbeats tell both ways.

--- a/entry/pkg/cell/cell.go
+++ b/entry/pkg/cell/cell.go
@@ -30,7 +30,7 @@
 	evacuatedSince map[string]time.Time // by evacuated failure domain
 	nextSeq        int64
 	crashTable     crashTable
-	blocked        blockedTasks
+	unsettled      unsettledStarts
 	tickedAt       time.Time
 	tickingSince   time.Time            // since when there was no pause between ticks
 	returns        map[string]time.Time // by group: when the workers have served all callers told to come back
@@ -104,7 +104,7 @@
 		homes:          homes,
 		evacuatedSince: map[string]time.Time{},
 		crashTable:     newCrashTable(),
-		blocked:        blockedTasks{},
+		unsettled:      newUnsettledStarts(),
 		returns:        map[string]time.Time{},
 	}
 }
@@ -222,7 +222,7 @@
 		c.tickingSince = now
 	}
 	c.tickedAt = now
-	c.blocked.dropExpired(now)
+	c.unsettled.trim(now)
 	for _, worker := range c.ordered {
 		worker.updateStartsUntil()
 		if worker.unresponsive && worker.clock.lapsed(now) {
@@ -271,7 +271,7 @@
 
 // giveUp answers a job that cannot be served: refused if nothing of it may have run, abandoned otherwise.
 func (c *Cell) giveUp(job *Job, reason string, now time.Time, effects *Effects) {
-	if job.Started() || job.mayStartLate(now) {
+	if job.Started() || c.mayStartLate(job, now) {
 		c.answer(job, &Answer{Outcome: Abandoned, Reason: reason}, effects, now)
 		return
 	}
@@ -282,7 +282,7 @@
 // answer records the job's final answer, drops its waiting tasks and stops its runs.
 func (c *Cell) answer(job *Job, answer *Answer, effects *Effects, now time.Time) {
 	invariant.Check(!job.Decided(), "one_answer", "job %s", job.ID)
-	invariant.Check(answer.Outcome != Refused || !job.Started() && !job.mayStartLate(now), "refused_has_not_run", "job %s", job.ID)
+	invariant.Check(answer.Outcome != Refused || !job.Started() && !c.mayStartLate(job, now), "refused_has_not_run", "job %s", job.ID)
 	job.WantedAt = minTime(c.wantedAt(job), now)
 	job.answer = answer
 	job.answeredAt = now
--- a/entry/pkg/cell/crash.go
+++ b/entry/pkg/cell/crash.go
@@ -68,9 +68,10 @@
 		return
 	}
 	worker.crashed = true
+	worker.goneAt = now
 	crashed := CrashedWorker{Worker: worker.ID, Evidence: evidence}
 	for _, run := range worker.sortedRuns() {
-		c.blockStart(run, now)
+		c.addUnsettled(run, now)
 		crashed.Tasks = append(crashed.Tasks, run.Task.Name)
 		if run.crashed {
 			continue // a worker that answered in between has not crashed twice under one run
@@ -86,8 +87,7 @@
 	}
 	worker.unexplained = nil
 	c.failCrashingJobs(now, effects)
-	c.blockUnsettled(worker, now)
-	c.abandonUnsettled(worker, now, effects)
+	c.blockUnsettled(worker, now, effects)
 	effects.Crashes = append(effects.Crashes, crashed)
 }
 
--- a/entry/pkg/cell/load.go
+++ b/entry/pkg/cell/load.go
@@ -54,7 +54,7 @@
 		}
 	}
 	for _, job := range c.waiting {
-		if load, ok := byGroup[job.Group]; ok && !job.Decided() {
+		if load, ok := byGroup[job.Group]; ok && !job.Decided() && !c.IsBlocked(job, now) {
 			load.Waiting += job.waiting()
 		}
 	}
--- a/entry/pkg/cell/predict.go
+++ b/entry/pkg/cell/predict.go
@@ -138,7 +138,7 @@
 
 // forecastDelay returns the predicted delay until the last task of the job has started on an eligible worker.
 func (c *Cell) forecastDelay(job *Job, eligible func(*Worker) bool, now time.Time) time.Duration {
-	ahead := c.ahead(job)
+	ahead := c.ahead(job, now)
 	tasks := job.waiting()
 	for _, other := range ahead {
 		tasks += other.waiting()
@@ -152,10 +152,10 @@
 }
 
 // ahead returns the waiting jobs that start before the job.
-func (c *Cell) ahead(job *Job) []*Job {
+func (c *Cell) ahead(job *Job, now time.Time) []*Job {
 	var ahead []*Job
 	for _, other := range c.waiting {
-		if other != job && !other.Decided() && (other.Started() || !c.latestStart(other).After(c.latestStart(job))) {
+		if other != job && !other.Decided() && !c.IsBlocked(other, now) && (other.Started() || !c.latestStart(other).After(c.latestStart(job))) {
 			ahead = append(ahead, other)
 		}
 	}
--- a/entry/pkg/cell/unsettled.go
+++ b/entry/pkg/cell/unsettled.go
@@ -9,111 +9,239 @@
 // unsettledStart is a start without an answer that was not carried out as far as its worker has told. The worker rejects
 // it by its lease, a stop or the fencing token, but no longer knows these once it has started anew.
 type unsettledStart struct {
-	task  *Task
-	until time.Time // the call may be carried out until then
+	unsettledKey
+	until       time.Time // the call may be carried out until then
+	incarnation int64     // of the worker that it was sent to
+	blocks      bool      // the worker is gone and may be back, so the task must not start elsewhere
+	told        bool      // by another host, whose worker it is
+	changedAt   time.Time // when blocks changed
 }
 
-// LateStart tells other hosts that a worker which may have started anew may carry out an earlier start of a task.
+type unsettledKey struct {
+	task   string
+	worker string
+	number int
+}
+
+// LateStart tells other hosts that a worker may carry out an earlier start of a task in its next life.
 type LateStart struct {
 	Task      string        `json:"t"`
-	Remaining time.Duration `json:"r"` // for which it may be carried out
+	Worker    string        `json:"w"`
+	Number    int           `json:"n"`
+	Remaining time.Duration `json:"r"` // for which it may be carried out; zero once it cannot any more
 }
 
-// isUnsettled reports whether the start of a run that the keeper gives up may still be carried out.
-func (r *Run) isUnsettled() bool {
-	return r.acceptedAt.IsZero() && !r.fenced
+// reasonLateStart is why a job is given up, in answers and logs.
+const reasonLateStart = "a worker may carry out an earlier start of a task"
+
+// maxUnsettled bounds the starts that are remembered; a cell that loses half of its answers sends fewer within the delay
+// of a call.
+const maxUnsettled = 4096
+
+// unsettledStarts holds the starts that a worker may carry out in its next life.
+type unsettledStarts struct {
+	byKey     map[unsettledKey]*unsettledStart
+	byWorker  map[string]map[unsettledKey]*unsettledStart
+	blocking  map[string]map[unsettledKey]*unsettledStart // by task
+	news      []*unsettledStart                           // of the last crashNews, the oldest first
+	trimmedAt time.Time
 }
 
-// addUnsettled records the start of a run that the keeper gives up, if it is unsettled.
-func (c *Cell) addUnsettled(run *Run) {
-	if !run.isUnsettled() {
+func newUnsettledStarts() unsettledStarts {
+	return unsettledStarts{
+		byKey:    map[unsettledKey]*unsettledStart{},
+		byWorker: map[string]map[unsettledKey]*unsettledStart{},
+		blocking: map[string]map[unsettledKey]*unsettledStart{},
+	}
+}
+
+// add records a start; if it is known already, the later end is in force. It returns nil if there is no room.
+func (u *unsettledStarts) add(key unsettledKey, until, now time.Time) *unsettledStart {
+	u.trim(now)
+	start := u.byKey[key]
+	if start == nil {
+		if len(u.byKey) >= maxUnsettled {
+			return nil
+		}
+		start = &unsettledStart{unsettledKey: key}
+		u.byKey[key] = start
+		put(u.byWorker, key.worker, start)
+	}
+	if until.After(start.until) {
+		start.until = until
+	}
+	return start
+}
+
+func (u *unsettledStarts) remove(start *unsettledStart, now time.Time) {
+	u.setBlocks(start, false, now)
+	delete(u.byKey, start.unsettledKey)
+	drop(u.byWorker, start.worker, start)
+}
+
+// setBlocks sets whether the start keeps its task from starting elsewhere, and reports whether that has changed.
+func (u *unsettledStarts) setBlocks(start *unsettledStart, blocks bool, now time.Time) bool {
+	if start.blocks == blocks {
+		return false
+	}
+	start.blocks = blocks
+	start.changedAt = now
+	if blocks {
+		put(u.blocking, start.task, start)
+	} else {
+		drop(u.blocking, start.task, start)
+	}
+	if !start.told {
+		u.news = append(u.news, start)
+	}
+	return true
+}
+
+// trim drops the starts that cannot be carried out any more.
+func (u *unsettledStarts) trim(now time.Time) {
+	if now.Sub(u.trimmedAt) < time.Second {
 		return
 	}
-	until := run.sentAt.Add(c.limits.CallDelay)
-	run.Task.startableUntil = until
-	run.Worker.unsettled = append(run.Worker.unsettled, unsettledStart{task: run.Task, until: until})
+	u.trimmedAt = now
+	for _, start := range u.byKey {
+		if !now.Before(start.until) {
+			u.remove(start, now)
+		}
+	}
+	u.news = slices.DeleteFunc(u.news, func(start *unsettledStart) bool { return now.Sub(start.changedAt) > crashNews })
 }
 
-// blockStart keeps the run's task from starting elsewhere while its start is unsettled.
-func (c *Cell) blockStart(run *Run, now time.Time) {
-	if run.isUnsettled() {
-		c.blocked.add(run.Task.Name, run.Worker.ID, run.sentAt.Add(c.limits.CallDelay), now)
+// until returns until when the task is blocked, or zero.
+func (u *unsettledStarts) until(task string) time.Time {
+	var latest time.Time
+	for _, start := range u.blocking[task] {
+		if start.until.After(latest) {
+			latest = start.until
+		}
 	}
+	return latest
+}
+
+func put(index map[string]map[unsettledKey]*unsettledStart, name string, start *unsettledStart) {
+	if index[name] == nil {
+		index[name] = map[unsettledKey]*unsettledStart{}
+	}
+	index[name][start.unsettledKey] = start
 }
 
-// blockUnsettled keeps the tasks of the worker's unsettled starts from starting elsewhere, as its next life may carry
-// these out.
-func (c *Cell) blockUnsettled(worker *Worker, now time.Time) {
-	worker.unsettled = slices.DeleteFunc(worker.unsettled, func(start unsettledStart) bool { return !now.Before(start.until) })
-	for _, start := range worker.unsettled {
-		c.blocked.add(start.task.Name, worker.ID, start.until, now)
+func drop(index map[string]map[unsettledKey]*unsettledStart, name string, start *unsettledStart) {
+	delete(index[name], start.unsettledKey)
+	if len(index[name]) == 0 {
+		delete(index, name)
 	}
 }
 
-// abandonUnsettled gives up the jobs whose tasks run elsewhere while the worker's next life may carry out an earlier
-// start.
-func (c *Cell) abandonUnsettled(worker *Worker, now time.Time, effects *Effects) {
-	for _, start := range worker.unsettled {
-		c.abandonIfRunning(start.task, worker, now, effects)
+// keyOf returns the key of the run's start.
+func keyOf(run *Run) unsettledKey {
+	return unsettledKey{task: run.Task.Name, worker: run.Worker.ID, number: run.Number}
+}
+
+// addUnsettled records the start of a run that the keeper gives up, if it may still be carried out.
+func (c *Cell) addUnsettled(run *Run, now time.Time) {
+	if !run.acceptedAt.IsZero() || run.fenced {
+		return
+	}
+	until := run.sentAt.Add(c.limits.CallDelay)
+	run.Task.startableUntil = until
+	if start := c.unsettled.add(keyOf(run), until, now); start != nil {
+		start.incarnation = run.Worker.incarnation
 	}
 }
 
-func (c *Cell) abandonIfRunning(task *Task, late *Worker, now time.Time, effects *Effects) {
-	if task.run != nil && task.run.Worker != late && !task.Job.Decided() {
-		c.answer(task.Job, &Answer{Outcome: Abandoned, Reason: reasonLateStart}, effects, now)
+// blockUnsettled handles that the worker is gone: it keeps the tasks of its unsettled starts from starting elsewhere, as its
+// next life may carry these out, and gives up the jobs that run them elsewhere.
+func (c *Cell) blockUnsettled(worker *Worker, now time.Time, effects *Effects) {
+	blocked := map[string]bool{}
+	for _, start := range c.unsettled.byWorker[worker.ID] {
+		if c.unsettled.setBlocks(start, true, now) {
+			blocked[start.task] = true
+		}
 	}
+	c.abandonBlocked(blocked, worker, now, effects)
 }
 
-// reasonLateStart is why a job is given up, in answers and logs.
-const reasonLateStart = "a worker may carry out an earlier start of a task"
+// abandonBlocked gives up the jobs of which one of the tasks runs, unless it does at the worker that is gone.
+func (c *Cell) abandonBlocked(tasks map[string]bool, gone *Worker, now time.Time, effects *Effects) {
+	if len(tasks) == 0 {
+		return
+	}
+	for _, job := range c.sortedJobs() {
+		if slices.ContainsFunc(job.Tasks, func(task *Task) bool {
+			return tasks[task.Name] && task.run != nil && task.run.Worker != gone
+		}) {
+			c.answer(job, &Answer{Outcome: Abandoned, Reason: reasonLateStart}, effects, now)
+		}
+	}
+}
 
-// settleStarts handles a report: a worker that has not started anew rejects the unsettled starts, and one that has
-// rejects those with an earlier token, except what it lists.
-func (c *Cell) settleStarts(worker *Worker, restarted bool) {
-	if restarted {
-		worker.unsettled = nil
+// settleAnswered handles that the call of a start was answered.
+func (c *Cell) settleAnswered(run *Run, now time.Time) {
+	if start := c.unsettled.byKey[keyOf(run)]; start != nil {
+		c.unsettled.remove(start, now)
 	}
-	if len(c.blocked) == 0 {
+}
+
+// settleStarts handles a report whose call was sent at the given time: a worker that has not started anew rejects the
+// unsettled starts, and one that has rejects those with an earlier token. What it lists goes on until it is stopped.
+func (c *Cell) settleStarts(worker *Worker, sent, now time.Time) {
+	starts := c.unsettled.byWorker[worker.ID]
+	if len(starts) == 0 || sent.Before(worker.goneAt) {
 		return
 	}
 	running := make(map[string]bool, len(worker.unknownRuns))
 	for key := range worker.unknownRuns {
 		running[key.task] = true
 	}
-	c.blocked.removeWorker(worker.ID, running)
+	for _, start := range starts {
+		switch {
+		case start.told, running[start.task]:
+		case start.incarnation == worker.incarnation:
+			c.unsettled.setBlocks(start, false, now)
+		default:
+			c.unsettled.remove(start, now)
+		}
+	}
 }
 
-// mayStartLate reports whether a worker may carry out an earlier start of one of the job's tasks, should it start anew.
-func (j *Job) mayStartLate(now time.Time) bool {
-	return slices.ContainsFunc(j.Tasks, func(task *Task) bool { return now.Before(task.startableUntil) })
+// settleFenced handles that the worker has seen a higher token, so that its present life rejects all earlier starts.
+func (c *Cell) settleFenced(worker *Worker, now time.Time) {
+	for _, start := range c.unsettled.byWorker[worker.ID] {
+		if !start.told {
+			c.unsettled.setBlocks(start, false, now)
+		}
+	}
 }
 
-// IsBlocked reports whether a task of the job must not start yet, as a worker may carry out an earlier start.
-func (c *Cell) IsBlocked(job *Job, now time.Time) bool {
-	return c.blockedUntil(job, now).After(now)
+// mayStartLate reports whether a worker may carry out an earlier start of one of the job's tasks in its next life.
+func (c *Cell) mayStartLate(job *Job, now time.Time) bool {
+	return c.IsBlocked(job, now) || slices.ContainsFunc(job.Tasks, func(task *Task) bool { return now.Before(task.startableUntil) })
 }
 
-// blockedUntil returns until when a task of the job must not start, or an earlier time. The report of a worker that this
-// keeper has may end that sooner.
-func (c *Cell) blockedUntil(job *Job, now time.Time) time.Time {
-	latest := now
-	if len(c.blocked) == 0 {
-		return latest
-	}
-	for _, task := range job.Tasks {
-		if until := c.blocked.until(task.Name); task.state == Waiting && until.After(latest) {
-			latest = until
-		}
+// IsBlocked reports whether a task of the job must not start yet, as a worker may carry out an earlier start.
+func (c *Cell) IsBlocked(job *Job, now time.Time) bool {
+	if len(c.unsettled.blocking) == 0 {
+		return false
 	}
-	return latest
+	return slices.ContainsFunc(job.Tasks, func(task *Task) bool {
+		return task.state == Waiting && c.unsettled.until(task.Name).After(now)
+	})
 }
 
 // isHopelesslyBlocked reports whether a task of the job must not start in time, whatever the workers of this keeper report.
 func (c *Cell) isHopelesslyBlocked(job *Job) bool {
+	if len(c.unsettled.blocking) == 0 {
+		return false
+	}
 	latestStart := job.Deadline.Add(-c.speeds.typical(job.Queue, job.longest()))
 	return slices.ContainsFunc(job.Tasks, func(task *Task) bool {
-		for worker, block := range c.blocked[task.Name] {
-			if _, held := c.workers[worker]; !held && task.state == Waiting && block.until.After(latestStart) {
+		for _, start := range c.unsettled.blocking[task.Name] {
+			_, listed := c.workers[start.worker]
+			if (start.told || !listed) && task.state == Waiting && start.until.After(latestStart) {
 				return true
 			}
 		}
@@ -121,131 +249,81 @@
 	})
 }
 
-// RecentLateStarts returns the late starts that became possible lately, for the heartbeats to other hosts.
+// RecentLateStarts returns the late starts that became possible or impossible lately, for the heartbeats to other hosts, the
+// latest first.
 func (c *Cell) RecentLateStarts(now time.Time) []LateStart {
-	return c.blocked.own(now, crashNews)
+	var starts []LateStart
+	seen := map[*unsettledStart]bool{}
+	for _, start := range slices.Backward(c.unsettled.news) {
+		if len(starts) == maxCrashNews || now.Sub(start.changedAt) > crashNews {
+			break
+		}
+		if !seen[start] {
+			seen[start] = true
+			starts = append(starts, start.lateStart(now))
+		}
+	}
+	return starts
 }
 
 // KnownLateStarts returns all possible late starts at workers of this keeper, as far as they fit into a heartbeat, for a
 // host that has just started.
 func (c *Cell) KnownLateStarts(now time.Time) []LateStart {
-	return c.blocked.own(now, c.limits.CallDelay)
-}
-
-// MergeLateStarts takes the late starts at another keeper's workers over. A task that runs here meanwhile is given up.
-func (c *Cell) MergeLateStarts(starts []LateStart, now time.Time) Effects {
-	var effects Effects
-	told := map[string]bool{}
-	for _, start := range starts {
-		remaining := min(start.Remaining, c.limits.CallDelay)
-		if start.Task == "" || len(start.Task) > maxTaskName || remaining <= 0 {
-			continue
-		}
-		if c.blocked.add(start.Task, elsewhere, now.Add(remaining), now) {
-			told[start.Task] = true
-		}
-	}
-	if len(told) == 0 {
-		return effects
-	}
-	for _, job := range c.sortedJobs() {
-		for _, task := range job.Tasks {
-			if told[task.Name] {
-				c.abandonIfRunning(task, nil, now, &effects)
+	var starts []LateStart
+	for _, task := range slices.Sorted(maps.Keys(c.unsettled.blocking)) {
+		for _, start := range c.unsettled.blocking[task] {
+			if !start.told && len(starts) < maxCrashNews {
+				starts = append(starts, start.lateStart(now))
 			}
 		}
 	}
-	c.assign(now, &effects)
-	return effects
-}
-
-// elsewhere stands for the workers of other keepers.
-const elsewhere = ""
-
-// maxBlockedTasks bounds the table, whose entries expire with the delay of a call.
-const maxBlockedTasks = 4096
-
-// blockedTasks holds by task name, and then by worker, the starts that a worker may carry out in its next life.
-type blockedTasks map[string]map[string]block
-
-type block struct {
-	until   time.Time
-	addedAt time.Time
-}
-
-// add records a start and reports whether it was not known.
-func (b blockedTasks) add(task, worker string, until, now time.Time) bool {
-	before, known := b[task][worker]
-	if known && !until.After(before.until) || !until.After(now) {
-		return false
-	}
-	if len(b) >= maxBlockedTasks && b[task] == nil {
-		b.dropExpired(now)
-		if len(b) >= maxBlockedTasks {
-			return false
-		}
-	}
-	if b[task] == nil {
-		b[task] = map[string]block{}
-	}
-	if worker == elsewhere && known {
-		b[task][worker] = block{until: until, addedAt: before.addedAt}
-		return false
-	}
-	b[task][worker] = block{until: until, addedAt: now}
-	return true
+	return starts
 }
 
-func (b blockedTasks) until(task string) time.Time {
-	var latest time.Time
-	for _, block := range b[task] {
-		if block.until.After(latest) {
-			latest = block.until
-		}
+func (s *unsettledStart) lateStart(now time.Time) LateStart {
+	told := LateStart{Task: s.task, Worker: s.worker, Number: s.number}
+	if s.blocks {
+		told.Remaining = max(0, s.until.Sub(now))
 	}
-	return latest
+	return told
 }
 
-// removeWorker drops the starts at the worker, except those of the given tasks.
-func (b blockedTasks) removeWorker(worker string, except map[string]bool) {
-	for task, blocks := range b {
-		if except[task] {
-			continue
-		}
-		delete(blocks, worker)
-		if len(blocks) == 0 {
-			delete(b, task)
+// MergeLateStarts takes the late starts at another keeper's workers over. A job whose task runs here meanwhile is given up.
+func (c *Cell) MergeLateStarts(starts []LateStart, now time.Time) Effects {
+	var effects Effects
+	blocked := map[string]bool{}
+	for i := range starts {
+		if task, blocks := c.mergeLateStart(&starts[i], now); blocks {
+			blocked[task] = true
 		}
 	}
+	c.abandonBlocked(blocked, nil, now, &effects)
+	c.assign(now, &effects)
+	return effects
 }
 
-func (b blockedTasks) dropExpired(now time.Time) {
-	for task, blocks := range b {
-		maps.DeleteFunc(blocks, func(_ string, block block) bool { return !now.Before(block.until) })
-		if len(blocks) == 0 {
-			delete(b, task)
-		}
+// mergeLateStart returns the task that is blocked from now on.
+func (c *Cell) mergeLateStart(told *LateStart, now time.Time) (task string, blocks bool) {
+	if told.Task == "" || len(told.Task) > maxTaskName || len(told.Worker) > maxTaskName {
+		return "", false
 	}
-}
-
-// own returns the starts at this keeper's workers that were added within the given time, the latest first.
-func (b blockedTasks) own(now time.Time, within time.Duration) []LateStart {
-	type entry struct {
-		LateStart
-		addedAt time.Time
+	key := unsettledKey{task: told.Task, worker: told.Worker, number: told.Number}
+	start := c.unsettled.byKey[key]
+	if start != nil && !start.told {
+		return "", false // this keeper has sent it as well, and knows its worker
 	}
-	var entries []entry
-	for task, blocks := range b {
-		for worker, block := range blocks {
-			if worker != elsewhere && now.Before(block.until) && now.Sub(block.addedAt) <= within {
-				entries = append(entries, entry{LateStart{Task: task, Remaining: block.until.Sub(now)}, block.addedAt})
-			}
+	remaining := min(told.Remaining, c.limits.CallDelay)
+	if remaining <= 0 {
+		if start != nil {
+			c.unsettled.remove(start, now)
 		}
+		return "", false
 	}
-	slices.SortFunc(entries, func(a, b entry) int { return b.addedAt.Compare(a.addedAt) })
-	starts := make([]LateStart, 0, min(len(entries), maxCrashNews))
-	for _, entry := range entries[:min(len(entries), maxCrashNews)] {
-		starts = append(starts, entry.LateStart)
+	if start == nil {
+		if start = c.unsettled.add(key, now.Add(remaining), now); start == nil {
+			return "", false
+		}
+		start.told = true
 	}
-	return starts
+	return told.Task, c.unsettled.setBlocks(start, true, now)
 }
--- a/entry/pkg/cell/unsettled_test.go
+++ b/entry/pkg/cell/unsettled_test.go
@@ -120,7 +120,7 @@
 	h.workers[id].unresponsive = false
 	h.pass(400 * time.Millisecond)
 	require.Equal(t, 1, h.runningCount())
-	require.Empty(t, h.cell.blocked)
+	require.Empty(t, h.cell.unsettled.blocking)
 }
 
 // TestOtherKeepersDoNotStartATaskThatMayStartLate guards against a job that its caller sends again to another keeper, while
@@ -134,7 +134,7 @@
 	id := first.loseStart(first.job(1, 5, 5*time.Second, veryLong, veryLong))
 	first.crashWorker(id)
 	told := first.cell.RecentLateStarts(first.now)
-	require.Equal(t, []LateStart{{Task: "j0001.0", Remaining: callDelay}}, told)
+	require.Equal(t, []LateStart{{Task: "j0001.0", Worker: id, Number: 1, Remaining: callDelay}}, told)
 	running := second.job(1, 5, 5*time.Second, veryLong, veryLong)
 	second.submit(running)
 	require.Equal(t, 1, second.runningCount())
@@ -156,20 +156,180 @@
 	first.pass(crashNews + time.Second)
 	require.Empty(t, first.cell.RecentLateStarts(first.now))
 	require.Len(t, first.cell.KnownLateStarts(first.now), 1, "for hosts that start")
+	second.cell.MergeLateStarts(first.cell.KnownLateStarts(first.now), second.now)
+	require.NotEmpty(t, second.cell.unsettled.blocking)
+	first.workers[id].down = false
+	first.pass(400 * time.Millisecond)
+	second.cell.MergeLateStarts(first.cell.RecentLateStarts(first.now), second.now)
+	require.Empty(t, second.cell.unsettled.blocking, "the worker's keeper tells that it is settled")
 }
 
 // TestLateStartsOfOtherHostsAreBounded guards against a peer whose message fills the memory or blocks a task for good.
 func TestLateStartsOfOtherHostsAreBounded(t *testing.T) {
 	h := newHarness(t)
-	told := make([]LateStart, 0, 2*maxBlockedTasks+3)
-	for i := range 2 * maxBlockedTasks {
+	told := make([]LateStart, 0, 2*maxUnsettled+3)
+	for i := range 2 * maxUnsettled {
 		told = append(told, LateStart{Task: fmt.Sprint(i), Remaining: time.Hour})
 	}
 	told = append(told, LateStart{Remaining: time.Second}, LateStart{Task: string(make([]byte, maxTaskName+1)), Remaining: time.Second}, LateStart{Task: "past", Remaining: -1})
 	h.cell.MergeLateStarts(told, h.now)
-	require.Len(t, h.cell.blocked, maxBlockedTasks)
-	require.Equal(t, h.now.Add(callDelay), h.cell.blocked.until("0"))
+	require.Len(t, h.cell.unsettled.byKey, maxUnsettled)
+	require.Equal(t, h.now.Add(callDelay), h.cell.unsettled.until("0"))
 	h.now = h.now.Add(callDelay)
 	h.cell.Tick(h.now)
-	require.Empty(t, h.cell.blocked)
+	require.Empty(t, h.cell.unsettled.byKey)
+	require.Empty(t, h.cell.unsettled.byWorker)
+	require.Empty(t, h.cell.unsettled.blocking)
+}
+
+// TestResubmittedJobIsGivenUpWhenTheWorkerOfItsEarlierStartCrashes guards against a job that its caller sends again to the same
+// keeper: the late start of its first submission is one of another task object, but of the same task.
+func TestResubmittedJobIsGivenUpWhenTheWorkerOfItsEarlierStartCrashes(t *testing.T) {
+	h := newHarness(t)
+	h.addWorkers(2, 16, 1)
+	h.pass(4 * time.Second)
+	job := h.job(1, 5, 20*time.Second, veryLong, veryLong)
+	id := h.loseStart(job)
+	late := h.late[0]
+	h.late = nil
+	h.cell.SetLeaving(h.cell.Worker(id), true)
+	h.pass(400 * time.Millisecond)
+	effects := h.cell.Cancel(job, "the caller left", h.now)
+	h.applyEffects(&effects)
+	h.pass(1300 * time.Millisecond)
+	delete(h.answers, "j0001")
+	h.script = func(string, int) (hangs, fails, lost bool) { return false, false, false }
+	h.submit(h.jobNamed("j0001", 1, 5, 20*time.Second, veryLong, veryLong))
+	h.pass(800 * time.Millisecond)
+	require.Equal(t, 1, h.runningCount())
+	h.crashWorker(id)
+	h.pass(1500 * time.Millisecond)
+	h.workers[id].down = false
+	h.deliverStart(late.start, late.token, late.capacity)
+	require.LessOrEqual(t, h.runningCount(), 1)
+}
+
+// TestUnsettledStartsOutliveTheLoopOfTheirWorker guards against forgetting them when the worker is dropped and taken again.
+func TestUnsettledStartsOutliveTheLoopOfTheirWorker(t *testing.T) {
+	h := newHarness(t)
+	h.addWorkers(2, 16, 1)
+	h.pass(200 * time.Millisecond)
+	job := h.job(1, 5, 20*time.Second, veryLong, veryLong)
+	id := h.loseStart(job)
+	h.late = nil
+	h.cell.SetLeaving(h.cell.Worker(id), true)
+	h.pass(400 * time.Millisecond)
+	effects := h.cell.Remove(id, h.now)
+	h.applyEffects(&effects)
+	h.tokens[id]++
+	h.cell.Add(&Worker{ID: id, Kind: "1", Group: "desk", Capacity: h.workers[id].capacity})
+	h.hold(id)
+	h.pass(200 * time.Millisecond)
+	require.Equal(t, "none", h.outcome(job))
+	h.crashWorker(id)
+	h.pass(100 * time.Millisecond)
+	require.Equal(t, "abandoned", h.outcome(job))
+}
+
+// TestStartWithAnAnswerAfterTheCrashBlocksNothing guards against a task that waits for a worker which cannot start it any more.
+func TestStartWithAnAnswerAfterTheCrashBlocksNothing(t *testing.T) {
+	for _, result := range []StartResult{StartUndelivered, StartRejected, StartUnhealthy} {
+		h := newHarness(t)
+		h.addWorkers(2, 16, 1)
+		h.pass(200 * time.Millisecond)
+		effects := h.cell.Submit(h.job(1, 5, 5*time.Second, veryLong, veryLong), h.now)
+		run := effects.Starts[0].Run
+		h.crashWorker(run.Worker.ID)
+		effects = h.cell.HandleStartResult(run, result, h.now)
+		h.applyEffects(&effects)
+		h.pass(200 * time.Millisecond)
+		require.Equal(t, 1, h.runningCount(), result)
+	}
+}
+
+// TestReportFromBeforeTheCrashSettlesNothing guards against an answer that is read after the evidence of the crash.
+func TestReportFromBeforeTheCrashSettlesNothing(t *testing.T) {
+	h := newHarness(t)
+	h.addWorkers(2, 16, 1)
+	h.pass(200 * time.Millisecond)
+	id := h.loseStart(h.job(1, 5, 20*time.Second, veryLong, veryLong))
+	h.late = nil
+	h.cell.SetLeaving(h.cell.Worker(id), true)
+	h.pass(400 * time.Millisecond)
+	worker, sent := h.cell.Worker(id), h.now
+	report := h.workers[id].hold(worker.AckedSequence(), 0, h.now)
+	h.now = h.now.Add(step)
+	h.crashWorker(id)
+	effects := h.cell.HandleReport(worker, report, sent, h.now)
+	h.applyEffects(&effects)
+	require.Contains(t, h.cell.unsettled.blocking, "j0001.0")
+}
+
+// TestFencedWorkerFreesItsTasks guards against a task that waits although the worker has seen a later keeper's token.
+func TestFencedWorkerFreesItsTasks(t *testing.T) {
+	h := newHarness(t)
+	h.addWorkers(2, 16, 1)
+	h.pass(200 * time.Millisecond)
+	id := h.loseStart(h.job(1, 5, 5*time.Second, veryLong, veryLong))
+	h.late = nil
+	h.workers[id].unresponsive = true
+	h.pass(1500 * time.Millisecond)
+	require.Contains(t, h.cell.unsettled.blocking, "j0001.0")
+	h.workers[id].unresponsive = false
+	h.workers[id].token = h.tokens[id] + 1
+	h.pass(400 * time.Millisecond)
+	require.Empty(t, h.cell.unsettled.blocking)
+	require.Zero(t, h.cell.RecentLateStarts(h.now)[0].Remaining, "others are told")
+}
+
+// TestBlockedJobDoesNotHoldOthersUp guards against refusing others for a job that cannot start yet.
+func TestBlockedJobDoesNotHoldOthersUp(t *testing.T) {
+	h := newHarness(t)
+	h.addWorkers(2, 16, 1)
+	h.pass(200 * time.Millisecond)
+	effects := h.cell.MergeLateStarts([]LateStart{{Task: "wide.0", Worker: "w02", Number: 1, Remaining: callDelay}}, h.now)
+	h.applyEffects(&effects)
+	wide := h.jobNamed("wide", 4, 8, 2*time.Second, veryLong, veryLong)
+	h.submit(wide)
+	h.pass(200 * time.Millisecond)
+	require.Equal(t, "none", h.outcome(wide))
+	require.Zero(t, h.cell.Loads(h.now)[0].Waiting)
+	other := h.job(1, 8, 200*time.Millisecond, 600*time.Millisecond, longDeadline)
+	require.True(t, h.cell.CanStartNow(other, h.now))
+	h.submit(other)
+	h.pass(50 * time.Millisecond)
+	require.Equal(t, "none", h.outcome(other), "it runs")
+}
+
+// TestWaitingJobIsNotToldThatItNeverRunsOnceBlocked guards against a refusal that a late start of an earlier submission makes
+// untrue.
+func TestWaitingJobIsNotToldThatItNeverRunsOnceBlocked(t *testing.T) {
+	h := newHarness(t)
+	h.addWorkers(1, 16, 1)
+	h.pass(200 * time.Millisecond)
+	h.submit(h.jobNamed("other", 1, 16, 600*time.Millisecond, veryLong, veryLong))
+	job := h.job(1, 16, 300*time.Millisecond, 1500*time.Millisecond, veryLong)
+	h.submit(job)
+	require.Equal(t, "none", h.outcome(job))
+	effects := h.cell.MergeLateStarts([]LateStart{{Task: "j0001.0", Worker: "w02", Number: 1, Remaining: callDelay}}, h.now)
+	h.applyEffects(&effects)
+	h.pass(4 * time.Second)
+	require.Equal(t, "abandoned", h.outcome(job))
+}
+
+// TestUnsettledStartsOfASoundWorkerAreDropped guards against memory that grows with each unanswered start.
+func TestUnsettledStartsOfASoundWorkerAreDropped(t *testing.T) {
+	h := newHarness(t)
+	h.addWorkers(1, 16, 1)
+	h.pass(200 * time.Millisecond)
+	h.script = func(_ string, run int) (hangs, fails, lost bool) { return false, false, run == 1 }
+	for range 20 {
+		h.submit(h.job(1, 5, 50*time.Millisecond, time.Second, 5*time.Second))
+		h.pass(time.Second)
+		h.late = nil
+	}
+	require.NotEmpty(t, h.cell.unsettled.byKey)
+	h.pass(callDelay + 2*time.Second)
+	require.Empty(t, h.cell.unsettled.byKey)
+	require.Empty(t, h.cell.unsettled.byWorker)
 }
--- a/entry/pkg/cell/worker.go
+++ b/entry/pkg/cell/worker.go
@@ -25,7 +25,7 @@
 	runs           map[runKey]*Run
 	unknownRuns    map[runKey]struct{} // runs that this keeper did not start
 	unexplained    []*Run              // lapsed while the worker was silent; the next report shows whether it had crashed
-	unsettled      []unsettledStart
+	goneAt         time.Time           // when its process was last known to have ended
 	incarnation    int64
 	restartedAs    int64 // incarnation for which HandleRestart was called last
 	ackedSequence  int64
--- a/entry/pkg/cell/workers.go
+++ b/entry/pkg/cell/workers.go
@@ -51,6 +51,9 @@
 		return effects
 	}
 	c.abandonRuns(worker, "the worker is gone", now, &effects)
+	if worker.unresponsive {
+		c.blockUnsettled(worker, now, &effects)
+	}
 	c.unlist(worker)
 	c.assign(now, &effects)
 	return effects
@@ -61,7 +64,9 @@
 	var effects Effects
 	worker.held = false
 	worker.joining = false
+	worker.unresponsive = false
 	worker.unknownRuns = map[runKey]struct{}{}
+	c.settleFenced(worker, now)
 	c.abandonRuns(worker, "another keeper took the worker over", now, &effects)
 	c.assign(now, &effects)
 	return effects
@@ -91,8 +96,7 @@
 	worker.joining = false
 	worker.viewStale = false
 	worker.reportedAt = now
-	restarted := report.Incarnation != worker.incarnation
-	if restarted {
+	if report.Incarnation != worker.incarnation {
 		c.recordCrash(worker, AnotherIncarnation, now, &effects)
 		worker.startIncarnation(report)
 	}
@@ -117,7 +121,7 @@
 		}
 	}
 	c.reconcile(worker, report, sent, now, &effects)
-	c.settleStarts(worker, restarted)
+	c.settleStarts(worker, sent, now)
 	worker.held = true
 	c.assign(now, &effects)
 	return effects
@@ -154,7 +158,7 @@
 			run.Task.began = true // the earlier incarnation may have run it
 			c.handleNotRun(run, now, effects)
 		case run.acceptedAt.IsZero() && !run.tombstonedAt.IsZero() && run.tombstonedAt.Before(sent):
-			c.addUnsettled(run)
+			c.addUnsettled(run, now)
 			c.handleNotRun(run, now, effects)
 		case !run.acceptedAt.IsZero() && run.acceptedAt.Before(sent) && !report.Partial:
 			c.handleEnd(run, RunLapsed, now, effects) // lost with an earlier incarnation of the worker
@@ -185,6 +189,9 @@
 	if run.finished {
 		return effects
 	}
+	if result != StartUnconfirmed {
+		c.settleAnswered(run, now)
+	}
 	missed := run.crashed && !run.mayHaveBegun() // by recordCrash
 	switch result {
 	case StartAccepted:
@@ -316,18 +323,16 @@
 		if !run.crashed && run.mayHaveBegun() {
 			worker.unexplained = append(worker.unexplained, run)
 		}
-		c.addUnsettled(run)
+		c.addUnsettled(run, now)
 		c.handleEnd(run, RunLapsed, now, effects)
 	}
-	c.blockUnsettled(worker, now)
-	c.abandonUnsettled(worker, now, effects)
+	c.blockUnsettled(worker, now, effects)
 }
 
 // abandonRuns abandons the jobs with runs on a worker that this keeper can no longer observe.
 func (c *Cell) abandonRuns(worker *Worker, reason string, now time.Time, effects *Effects) {
 	for _, run := range worker.sortedRuns() {
-		c.addUnsettled(run)
-		c.blockStart(run, now)
+		c.addUnsettled(run, now)
 		c.releaseResources(run)
 		job := run.Task.Job
 		run.Task.state = Dropped
--- a/entry/pkg/cellhost/keeper_run.go
+++ b/entry/pkg/cellhost/keeper_run.go
@@ -85,10 +85,20 @@
 	if request.Mode == peer.RunNow || request.Mode == peer.RunHere {
 		return &peer.RunResponse{Declined: true, Reason: "it comes too late for its objective"}, nil
 	}
+	if k.mayStartLate(job) {
+		return &peer.RunResponse{Outcome: cell.Abandoned, Reason: "it comes too late for its objective, and an earlier start may still be carried out"}, nil
+	}
 	refusal := &peer.RunResponse{Outcome: cell.Refused, Reason: "it comes too late for its objective", RetryAfter: int64(k.retryDelay(job))}
 	return k.runLateAnywhere(ctx, request, job, refusal)
 }
 
+// mayStartLate reports whether a worker may carry out an earlier start of the job, so that it must not be refused.
+func (k *KeeperController) mayStartLate(job *cell.Job) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.cell.IsBlocked(job, k.common.Clock.Now())
+}
+
 func (k *KeeperController) retryDelay(job *cell.Job) time.Duration {
 	k.mu.Lock()
 	defer k.mu.Unlock()
