Start nothing for a caller that left while its job was offered elsewhere

Cause: a keeper asked once, when it had read the call, whether the connection was still open. While it offered the job to other keepers the caller could leave; a dial that ended with the caller's context counted as "not reached", and the job was started here and stopped with the notice.

Evidence: TestNothingStartsForACallerThatLeftWhileItsJobWasOfferedElsewhere failed in both cases (a start was sent) and passes; the package's tests pass. Found by the review, by reading and by that test.

Change: the question is asked under the lock, each time that a job is about to be submitted or started late.

--- a/entry/pkg/cellhost/keeper_run.go
+++ b/entry/pkg/cellhost/keeper_run.go
@@ -35,17 +35,14 @@
 		k.common.Log.WithField("job", request.ID).WithField("home", request.Home).WithField("reason", reason).Warn("job declined")
 		return &peer.RunResponse{Declined: true, Reason: reason}, nil
 	}
-	if callerconn.IsClosed(ctx) { // the call may have been read after its connection was closed
-		return nil, errors.WithStack(context.Canceled)
-	}
 	if request.Mode == peer.RunLate {
 		return k.runLate(ctx, job)
 	}
 	if k.isTooLate(job) {
 		return k.runLateOrDecline(ctx, request, job)
 	}
-	if answers := k.submit(ctx, job, true); answers != nil {
-		return k.awaitAnswer(ctx, job, answers)
+	if answers, err := k.submit(ctx, job, true); err != nil || answers != nil {
+		return k.awaitSubmitted(ctx, job, answers, err)
 	}
 	if request.Mode == peer.RunNow {
 		return &peer.RunResponse{Declined: true, Reason: "no room at once"}, nil
@@ -56,11 +53,11 @@
 		}
 	}
 	k.refreshWantedAt(job)
-	answers := k.submit(ctx, job, false)
-	if answers == nil {
+	answers, err := k.submit(ctx, job, false)
+	if err == nil && answers == nil {
 		return &peer.RunResponse{Declined: true, Reason: "the keeper is leaving"}, nil
 	}
-	response, err := k.awaitAnswer(ctx, job, answers)
+	response, err := k.awaitSubmitted(ctx, job, answers, err)
 	if err != nil || response.Outcome != cell.Refused || request.Mode != peer.RunAnywhere {
 		return response, err
 	}
@@ -125,9 +122,10 @@
 // runLate starts the job at once and waits for its outcome, or declines it.
 func (k *KeeperController) runLate(ctx context.Context, job *cell.Job) (*peer.RunResponse, error) {
 	var answers chan *cell.Answer
+	var err error
 	k.apply(func(now time.Time) (effects cell.Effects) {
 		k.limitDeadline(job)
-		if !k.successorSince.IsZero() {
+		if err = checkCaller(ctx); err != nil || !k.successorSince.IsZero() {
 			return effects
 		}
 		effects, started := k.cell.StartLate(job, now)
@@ -136,11 +134,13 @@
 		}
 		return effects
 	})
-	if answers == nil {
+	if err == nil && answers == nil {
 		return &peer.RunResponse{Declined: true, Reason: "no worker stands free"}, nil
 	}
-	cellLateStarts.Inc()
-	return k.awaitAnswer(ctx, job, answers)
+	if answers != nil {
+		cellLateStarts.Inc()
+	}
+	return k.awaitSubmitted(ctx, job, answers, err)
 }
 
 // unfitReason returns why no worker of this host could ever run the job, or ""; a worker of another keeper may still
@@ -165,19 +165,38 @@
 	}
 }
 
-// submit submits the job to the cell. It returns nil if nowOnly is set and not all tasks can start at once, or if it is
-// not set and another host has taken over.
-func (k *KeeperController) submit(ctx context.Context, job *cell.Job, nowOnly bool) chan *cell.Answer {
-	var answers chan *cell.Answer
+// awaitSubmitted waits for the answer of a job whose submission returned that channel or error.
+func (k *KeeperController) awaitSubmitted(ctx context.Context, job *cell.Job, answers chan *cell.Answer, err error) (*peer.RunResponse, error) {
+	if err != nil {
+		return nil, err
+	}
+	return k.awaitAnswer(ctx, job, answers)
+}
+
+// checkCaller returns an error if the call's connection has ended: its caller may have sent the job to another host since
+// the call was read.
+func checkCaller(ctx context.Context) error {
+	if callerconn.IsClosed(ctx) {
+		return errors.WithStack(context.Canceled)
+	}
+	return nil
+}
+
+// submit submits the job to the cell, unless its caller has left. It returns nil if nowOnly is set and not all tasks can
+// start at once, or if it is not set and another host has taken over.
+func (k *KeeperController) submit(ctx context.Context, job *cell.Job, nowOnly bool) (answers chan *cell.Answer, err error) {
 	k.apply(func(now time.Time) (effects cell.Effects) {
 		k.limitDeadline(job) // the stop may have begun since the job came
+		if err = checkCaller(ctx); err != nil {
+			return effects
+		}
 		if nowOnly && !k.cell.CanStartNow(job, now) || !nowOnly && !k.successorSince.IsZero() {
 			return effects
 		}
 		answers = k.addWaiter(ctx, job)
 		return k.cell.Submit(job, now)
 	})
-	return answers
+	return answers, err
 }
 
 // restateRequest returns the request with this host as its home and its times on this host's clock, for another keeper.
--- a/entry/pkg/cellhost/left_test.go
+++ b/entry/pkg/cellhost/left_test.go
@@ -49,6 +49,49 @@
 	require.Empty(t, k.worker.started())
 }
 
+// TestNothingStartsForACallerThatLeftWhileItsJobWasOfferedElsewhere guards against a start for a job whose connection ended while
+// other keepers were asked: its caller may have sent it to another host.
+func TestNothingStartsForACallerThatLeftWhileItsJobWasOfferedElsewhere(t *testing.T) {
+	for name, ends := range map[string]bool{"connection closed": false, "context ended": true} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer func() { _ = listener.Close() }()
+			caller, err := new(net.Dialer).DialContext(t.Context(), "tcp", listener.Addr().String())
+			require.NoError(t, err)
+			accepted, err := listener.Accept()
+			require.NoError(t, err)
+			defer func() { _ = accepted.Close() }()
+			ctx, cancel := context.WithTimeout(callerconn.WithConn(t.Context(), accepted), 5*time.Second)
+			defer cancel()
+			k, request := leftFixture(t, peer.RunAnywhere)
+			worker, now := k.loop.worker, k.clock.Now()
+			k.keeper.cell.MarkUnresponsive(worker) // no room at once
+			k.keeper.SetForwarder(forwarderFunc(func() {
+				require.NoError(t, caller.Close())
+				require.Eventually(t, func() bool { return callerconn.IsClosed(ctx) }, time.Second, time.Millisecond)
+				if ends {
+					cancel()
+				}
+				k.keeper.mu.Lock()
+				defer k.keeper.mu.Unlock()
+				k.keeper.cell.HandleReport(worker, k.report(), now, now) // room since
+			}))
+			_, err = k.keeper.Run(ctx, request)
+			require.ErrorIs(t, err, context.Canceled)
+			require.Never(t, func() bool { return len(k.worker.started()) > 0 }, 100*time.Millisecond, time.Millisecond)
+		})
+	}
+}
+
+// forwarderFunc is a Forwarder that no other keeper answers; it is called for each offer.
+type forwarderFunc func()
+
+func (f forwarderFunc) Forward(context.Context, string, *peer.RunRequest, peer.RunMode) (*peer.RunResponse, bool) {
+	f()
+	return nil, false
+}
+
 // leftFixture returns a keeper with a free worker and a request that it can start at once.
 func leftFixture(t *testing.T, mode peer.RunMode) (*keeperFixture, *peer.RunRequest) {
 	t.Helper()
