Count hosts that live, not records, and drop the records of hosts that are gone

Cause: nothing dropped the record of a host that is gone; the size of the fleet was the number of records; and a host that starts judged whether it is cut off by hosts that it had never heard.

Change: a host to which all calls were unanswered for 20 s counts for nothing; one keeper drops such records in one call, on condition that nothing was written since they were read. A host that starts calls the hosts of its place until it has heard a keeper there (20 s at most), and does not take itself for cut off while it hears anybody; one that hears nobody still does.

--- a/entry/pkg/cellhost/board.go
+++ b/entry/pkg/cellhost/board.go
@@ -32,6 +32,7 @@
 	ClockKnown        bool          // ClockOffset is known
 	LastHeartbeat     time.Time     // when it sent its last heartbeat, on this host's clock; unlike LastSeen unaffected by delays
 	ShedFraction      float64       // the share of jobs that it has to shed
+	Gone              bool          // its silence is long, so that it counts for nothing
 	HeartbeatPeer     bool          // it and this host exchange heartbeats at the full rate
 }
 
@@ -41,6 +42,14 @@
 	Minority bool // fewer than half of the heartbeat peers are heard
 	Isolated bool // in addition, no other host of the failure domain is heard
 	Complete bool // each heartbeat peer is heard, or its process has ended
+
+	Gone       int // hosts that count for nothing any more, as their silence is long
+	DomainSize int // hosts of this host's failure domain that are not gone, including this one
+}
+
+// Size returns how many hosts the fleet has, without those that are gone.
+func (v *View) Size() int {
+	return len(v.Hosts) - v.Gone
 }
 
 // IsKeeper reports whether the host keeps a cell.
--- a/entry/pkg/cellhost/bootstrap.go
+++ b/entry/pkg/cellhost/bootstrap.go
@@ -85,6 +85,9 @@
 	view := i.board.View()
 	for name := range view.Hosts {
 		host := view.Hosts[name]
+		if host.Gone {
+			continue
+		}
 		response.Hosts = append(response.Hosts, peer.HostInfo{
 			Name:          name,
 			Address:       host.Address,
--- a/entry/pkg/cellhost/members.go
+++ b/entry/pkg/cellhost/members.go
@@ -79,8 +79,9 @@
 	listedKeepers   map[string]bool // hosts that keep a cell according to the directory
 	ticks           int
 	wake            chan struct{}
+	silences        map[string]silence
+	keeperHeard     bool      // a keeper of this failure domain was heard since this host started
 	hostsKnownSince time.Time // when the hosts were first known from the directory
-	domainHosts     int       // hosts of this failure domain, including this one
 	published       time.Time // when the view was last published on the board
 	viewStale       bool      // heartbeats arrived since
 }
@@ -115,6 +116,7 @@
 		shedder:       shedder,
 		heartbeats:    map[string]receivedHeartbeat{},
 		refused:       map[string]bool{},
+		silences:      map[string]silence{},
 		listedKeepers: map[string]bool{},
 		wake:          make(chan struct{}, 1),
 	}
@@ -154,10 +156,7 @@
 	if m.hostsKnownSince.IsZero() {
 		m.hostsKnownSince = m.common.Clock.Now()
 	}
-	m.domainHosts = 0
-	for i := range hosts {
-		m.domainHosts += boolToInt(hosts[i].FailureDomain == m.options.FailureDomain)
-	}
+	m.forgetUnlisted(hosts)
 	m.tracker.SetHosts(hosts, m.common.Clock.Now())
 	m.mu.Unlock()
 	m.publish()
@@ -210,6 +209,7 @@
 	changed = changed || m.viewStale
 	m.mu.Unlock()
 	if paused {
+		m.endSilences()
 		m.common.Log.Warn("this process was paused")
 	}
 	if changed {
@@ -255,6 +255,7 @@
 	defer m.mu.Unlock()
 	changed := m.tracker.RecordHeartbeat(heartbeat.Name, heartbeat.Incarnation, heartbeat.Leaving, now) || m.refused[heartbeat.Name]
 	delete(m.refused, heartbeat.Name)
+	delete(m.silences, heartbeat.Name)
 	before, ok := m.heartbeats[heartbeat.Name]
 	first := now
 	offset := clockOffset{}
@@ -344,11 +345,16 @@
 func (m *MembersController) buildView() *View {
 	members := m.tracker.Table().ByName
 	view := &View{Hosts: make(map[string]PeerState, len(members))}
+	for name, member := range members {
+		gone := m.isGone(name)
+		view.Gone += boolToInt(gone)
+		view.DomainSize += boolToInt(!gone && member.FailureDomain == m.options.FailureDomain)
+	}
 	// A network partition does not refuse connections, but a host that is about to start does.
-	refusalTells := len(members) <= fullMeshHosts || !m.isStarting()
-	peers, heard, down, domainPeers, heardDomainPeers := 0, 0, 0, 0, 0
+	refusalTells := len(members)-view.Gone <= fullMeshHosts || !m.isStarting()
+	peers, heard, down, domainPeers, heardDomainPeers, heardLately := 0, 0, 0, 0, 0, 0
 	for name, member := range members {
-		state := PeerState{Member: member}
+		state := PeerState{Member: member, Gone: m.isGone(name)}
 		last, ok := m.heartbeats[name]
 		if ok && last.heartbeat.Incarnation == member.Incarnation {
 			state.Claims = last.heartbeat.Claims
@@ -365,7 +371,12 @@
 			state.Leaving = m.board.Draining.Load()
 			state.ShedFraction = m.shedder.Shed()
 			state.ClockKnown = true
-		} else if state.HeartbeatPeer = m.isHeartbeatPeer(&member); state.HeartbeatPeer && m.refused[name] && refusalTells {
+			view.Hosts[name] = state
+			continue
+		}
+		m.keeperHeard = m.keeperHeard || (member.FailureDomain == m.options.FailureDomain && state.IsKeeper())
+		heardLately += boolToInt(member.Alive && member.Incarnation != "" && m.common.Clock.Since(member.LastSeen) <= heardLatelyAge)
+		if state.HeartbeatPeer = m.isHeartbeatPeer(&member); state.HeartbeatPeer && m.refused[name] && refusalTells {
 			down++
 		} else if state.HeartbeatPeer {
 			isHeard := member.Alive && member.Incarnation != ""
@@ -380,6 +391,10 @@
 	view.Complete = heard == peers && (peers+down > 0 || len(members) == 1)
 	// A failure domain that is cut off as a whole continues by itself.
 	view.Isolated = view.Minority && domainPeers > 0 && heardDomainPeers == 0
+	// To a host that starts a record is no evidence that its host lives, and any host that it hears shows that it is not cut off.
+	if !m.keeperHeard && heardLately > 0 {
+		view.Isolated = false
+	}
 	return view
 }
 
--- a/entry/pkg/cellhost/members_send.go
+++ b/entry/pkg/cellhost/members_send.go
@@ -71,7 +71,7 @@
 // isMutualPeer reports whether both hosts know that they are heartbeat peers: all hosts of a small fleet, and otherwise
 // keepers with each other and with the hosts of their failure domain. The caller holds the lock.
 func (m *MembersController) isMutualPeer(member *blackboard.Member) bool {
-	if len(m.board.View().Hosts) <= fullMeshHosts {
+	if m.board.View().Size() <= fullMeshHosts {
 		return true
 	}
 	self := len(m.board.Claims()) > 0
@@ -80,15 +80,22 @@
 		other = len(last.heartbeat.Claims) > 0
 	}
 	if member.FailureDomain == m.options.FailureDomain {
-		return self || other || m.isStarting()
+		return self || other || m.seeksKeeper()
 	}
 	return self && other
 }
 
-// isStarting reports whether this host has just learnt of the hosts and calls each one of its failure domain, as any
-// of them may keep a cell: once all are heard it need not wait for keepers any longer. The caller holds the lock.
+// seeksKeeper reports whether this host calls each host of its failure domain, as any of them may keep a cell: since its start
+// it has heard no keeper there, and those that the records name may be gone. The caller holds the lock.
+func (m *MembersController) seeksKeeper() bool {
+	isNew := !m.hostsKnownSince.IsZero() && m.common.Clock.Since(m.hostsKnownSince) < forgetPeerAfter
+	return isNew && !m.keeperHeard && m.board.View().DomainSize <= maxStartupHosts
+}
+
+// isStarting reports whether this host has just learnt of the hosts: once all are heard it need not wait for keepers any
+// longer. The caller holds the lock.
 func (m *MembersController) isStarting() bool {
-	return m.domainHosts <= maxStartupHosts && !m.hostsKnownSince.IsZero() && m.common.Clock.Since(m.hostsKnownSince) < startDelay
+	return m.board.View().DomainSize <= maxStartupHosts && !m.hostsKnownSince.IsZero() && m.common.Clock.Since(m.hostsKnownSince) < startDelay
 }
 
 // initiates reports whether this host calls the heartbeat peer. One call serves both ends, so one host of each pair
@@ -130,6 +137,7 @@
 func (m *MembersController) recordMissed(name string, refused bool) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.extendSilence(name)
 	if refused {
 		m.refused[name] = true
 		return m.tracker.RecordRefusedConnection(name)
--- a/entry/pkg/cellhost/options.go
+++ b/entry/pkg/cellhost/options.go
@@ -51,8 +51,11 @@
 	firstBackoff = 50 * time.Millisecond
 	lastBackoff  = 500 * time.Millisecond
 	// forgetPeerAfter is the time without a heartbeat after which a host no longer counts when this host decides
-	// whether it is cut off; network partitions last up to about 12 s.
+	// whether it is cut off, and of unanswered calls after which its record is dropped; network partitions last up to about 12 s.
 	forgetPeerAfter = 20 * time.Second
+	// heardLatelyAge is how old a heartbeat may be that shows a host without a keeper that it is not cut off; it calls five hosts
+	// a second beyond its heartbeat peers.
+	heardLatelyAge = 2 * time.Second
 	// fetchTimeout bounds how long a peer may take to send its configuration; no other peer is asked meanwhile.
 	fetchTimeout = 500 * time.Millisecond
 	// conflictDelay lets heartbeats report the winner of conflicting claims before a fenced worker is reclaimed.
--- a/entry/pkg/cellhost/relay.go
+++ b/entry/pkg/cellhost/relay.go
@@ -69,7 +69,7 @@
 	if isCrowded(view) {
 		r.crowdedSince.CompareAndSwap(0, r.common.Clock.Now().UnixNano())
 	}
-	if len(view.Hosts) <= fullMeshHosts || r.directoryStale() || r.isUnknownToPeers() {
+	if view.Size() <= fullMeshHosts || r.directoryStale() || r.isUnknownToPeers() {
 		return true
 	}
 	sources := r.sources(view)
@@ -142,7 +142,7 @@
 
 // isCrowded reports whether the fleet is too large for all hosts to read the directory at once.
 func isCrowded(view *View) bool {
-	return len(view.Hosts) >= crowdedHosts
+	return view.Size() >= crowdedHosts
 }
 
 // Serve fetches changes from peers until the context ends; in a small fleet while this host cannot read the directory.
@@ -156,7 +156,7 @@
 	if now.Sub(r.lastFetch) < r.fetchInterval() || (r.directory.Position() == 0 && !isCrowded(view)) {
 		return
 	}
-	if len(view.Hosts) <= fullMeshHosts && !r.directoryStale() {
+	if view.Size() <= fullMeshHosts && !r.directoryStale() {
 		return // each host reads the directory itself, unless the store turns it away
 	}
 	sources := r.sources(view)
--- a/standin/pkg/metastore/service.go
+++ b/standin/pkg/metastore/service.go
@@ -100,6 +100,11 @@
 	s.calls++
 	into := s.topic(r.URL.Query().Get("topic"))
 	first := into.end
+	if at := r.URL.Query().Get("at"); at != "" && at != strconv.FormatInt(first, 10) {
+		s.mu.Unlock()
+		w.WriteHeader(http.StatusPreconditionFailed)
+		return
+	}
 	for len(raw) >= lengthBytes {
 		length := int(binary.BigEndian.Uint32(raw))
 		content := raw[lengthBytes : lengthBytes+length]
