Do not take a worker that leaves as announced for a crash

What callers saw: 200 with failed for a job none of whose runs had failed.

Cause: crashEvidence takes a refused connection, or the next incarnation, for a crash, and recordCrash counted it for each task there, whether the worker had announced its end or not. The keeper knew: the entry was draining for 2.5 s. Leaving was of no help as it stood, as the handover of a worker between keepers set it too.

Change: a worker has announced its end if the directory said so of this incarnation, also when the entry of the next one is read first, or while the worker is being handed over; or its place is evacuated. Its end counts for no task, its tasks need not run alone, its runs are "left" and the log says "worker has left". The blocking of tasks whose starts may be carried out late stays as it is. The handover has a state of its own (SetReleasing), which excuses nothing. A worker announces its end 2 s before or earlier; where the keeper's reading of the directory is older, as the store is away, a crash counts only like one after a start without an answer, so that four are needed and not two.

Existing tests that kept new work off a worker with SetLeaving now do so with SetReleasing, as this is what SetLeaving did; nothing else in them has changed.

Remains: four ends of workers whose notice could not be read, under one task, within 2 min and without the store, still give its job up.

--- a/entry/pkg/cell/cell.go
+++ b/entry/pkg/cell/cell.go
@@ -14,26 +14,30 @@
 	Unheard  time.Duration // a job of a home that reports its calls, but for this long not this one, is abandoned; zero for never
 	// CallDelay is how long after it was sent a call without an answer may still be carried out; zero for never.
 	CallDelay time.Duration
+	// LeaveNotice is how long before its end a worker that leaves has announced it in the directory; zero if the directory is
+	// always up to date.
+	LeaveNotice time.Duration
 }
 
 // Cell is the dispatch state of one keeper. Its caller must serialize all calls.
 type Cell struct {
-	limits         Limits
-	workers        map[string]*Worker
-	ordered        []*Worker         // sorted by ID
-	jobs           map[*Job]struct{} // undecided jobs
-	waiting        []*Job            // jobs with tasks that wait for a start
-	byID           map[string]*Job   // latest job of each identifier that is undecided or still runs
-	speeds         speeds
-	demands        map[string]*meanDemand // by group
-	homes          Homes
-	evacuatedSince map[string]time.Time // by evacuated failure domain
-	nextSeq        int64
-	crashTable     crashTable
-	unsettled      unsettledStarts
-	tickedAt       time.Time
-	tickingSince   time.Time            // since when there was no pause between ticks
-	returns        map[string]time.Time // by group: when the workers have served all callers told to come back
+	limits          Limits
+	workers         map[string]*Worker
+	ordered         []*Worker         // sorted by ID
+	jobs            map[*Job]struct{} // undecided jobs
+	waiting         []*Job            // jobs with tasks that wait for a start
+	byID            map[string]*Job   // latest job of each identifier that is undecided or still runs
+	speeds          speeds
+	demands         map[string]*meanDemand // by group
+	homes           Homes
+	evacuatedSince  map[string]time.Time // by evacuated failure domain
+	nextSeq         int64
+	crashTable      crashTable
+	unsettled       unsettledStarts
+	directoryReadAt time.Time
+	tickedAt        time.Time
+	tickingSince    time.Time            // since when there was no pause between ticks
+	returns         map[string]time.Time // by group: when the workers have served all callers told to come back
 }
 
 // Start requests the start of a task on a worker.
--- a/entry/pkg/cell/cell_test.go
+++ b/entry/pkg/cell/cell_test.go
@@ -195,7 +195,7 @@
 func TestLeavingWorkerGetsNoMoreWork(t *testing.T) {
 	h := newHarness(t)
 	h.addWorkers(1, 16, 1)
-	h.cell.SetLeaving(h.cell.Worker("w00"), true)
+	h.cell.SetReleasing(h.cell.Worker("w00"), true)
 	job := h.job(1, 7, short, shortObjective, longDeadline)
 	h.submit(job)
 	h.pass(200 * time.Millisecond)
@@ -304,8 +304,8 @@
 		h.cell.MarkUnresponsive(h.cell.Worker("w01"))
 	}))
 	require.Equal(t, string(reasonLeaving), causeOf(func(h *harness) {
-		h.cell.SetLeaving(h.cell.Worker("w00"), true)
-		h.cell.SetLeaving(h.cell.Worker("w01"), true)
+		h.cell.SetReleasing(h.cell.Worker("w00"), true)
+		h.cell.SetReleasing(h.cell.Worker("w01"), true)
 		h.cell.MarkUnresponsive(h.cell.Worker("w02"))
 	}))
 }
--- a/entry/pkg/cell/crash.go
+++ b/entry/pkg/cell/crash.go
@@ -18,7 +18,9 @@
 type Crashes struct {
 	Confirmed int `json:"c"` // while it was known to run
 	Alone     int `json:"a"` // of these, while it ran alone
-	All       int `json:"n"` // of these too, after a start without an answer, or a lapse while the worker was silent
+	// All counts these too, and those after a start without an answer, after a lapse while the worker was silent, or of a
+	// worker that may have announced that it leaves.
+	All int `json:"n"`
 }
 
 // areTooMany reports whether the task is to be given up. A task that ran beside others may have ended just before a
@@ -50,6 +52,7 @@
 type CrashedWorker struct {
 	Worker   string
 	Evidence CrashEvidence
+	Left     bool     // as announced, so that it has not crashed
 	Tasks    []string // that may have been running
 }
 
@@ -62,28 +65,31 @@
 }
 
 // recordCrash marks the runs at the worker and counts the crash for their tasks, once for each incarnation of the worker.
-// A run whose start call has no result yet is counted then, if it may have been running.
+// A run whose start call has no result yet is counted then, if it may have been running. The end of a worker that leaves
+// as announced counts for no task, but its next incarnation may carry out earlier starts as well.
 func (c *Cell) recordCrash(worker *Worker, evidence CrashEvidence, now time.Time, effects *Effects) {
 	if !worker.held || worker.crashed {
 		return
 	}
 	worker.crashed = true
 	worker.goneAt = now
-	crashed := CrashedWorker{Worker: worker.ID, Evidence: evidence}
+	crashed := CrashedWorker{Worker: worker.ID, Evidence: evidence, Left: worker.isExpectedToEnd()}
 	for _, run := range worker.sortedRuns() {
 		c.addUnsettled(run, now)
 		crashed.Tasks = append(crashed.Tasks, run.Task.Name)
 		if run.crashed {
 			continue // a worker that answered in between has not crashed twice under one run
 		}
-		run.crashed = true
-		if run.mayHaveBegun() {
+		run.crashed, run.left = !crashed.Left, crashed.Left
+		if run.crashed && run.mayHaveBegun() {
 			c.countCrash(run, now)
 		}
 	}
 	for _, run := range worker.unexplained {
 		crashed.Tasks = append(crashed.Tasks, run.Task.Name)
-		c.countLapse(run, now)
+		if !crashed.Left {
+			c.countLapse(run, now)
+		}
 	}
 	worker.unexplained = nil
 	c.failCrashingJobs(now, effects)
@@ -91,10 +97,27 @@
 	effects.Crashes = append(effects.Crashes, crashed)
 }
 
+// isExpectedToEnd reports whether the end of the worker's process is no crash: it has announced that it leaves, or its
+// failure domain is evacuated.
+func (w *Worker) isExpectedToEnd() bool {
+	return w.announced || w.evacuated()
+}
+
+// SetDirectoryRead sets as of when the directory is known.
+func (c *Cell) SetDirectoryRead(at time.Time) {
+	c.directoryReadAt = at
+}
+
+// mayHaveMissedNotice reports whether a worker whose process has just ended may have announced it in the directory since
+// that was read.
+func (c *Cell) mayHaveMissedNotice(now time.Time) bool {
+	return c.limits.LeaveNotice > 0 && now.Sub(c.directoryReadAt) > c.limits.LeaveNotice
+}
+
 // countCrash counts the crash of a run's worker for its task; failCrashingJobs has to follow.
 func (c *Cell) countCrash(run *Run, now time.Time) {
 	counted := Crashes{All: 1}
-	if !run.acceptedAt.IsZero() && run.tombstonedAt.IsZero() {
+	if !run.acceptedAt.IsZero() && run.tombstonedAt.IsZero() && !c.mayHaveMissedNotice(now) {
 		counted.Confirmed = 1
 		if run.alone {
 			counted.Alone = 1
@@ -135,8 +158,12 @@
 
 // resultName returns the result of the run as logs show it.
 func (r *Run) resultName(result RunResult) string {
-	if r.crashed && result == RunLapsed {
+	switch {
+	case r.crashed && result == RunLapsed:
 		return "crashed"
+	case r.left && result == RunLapsed:
+		return "left"
+	default:
+		return result.String()
 	}
-	return result.String()
 }
--- a/entry/pkg/cell/predict.go
+++ b/entry/pkg/cell/predict.go
@@ -35,7 +35,7 @@
 		}
 		freeAt := now
 		switch {
-		case worker.joining && !worker.Leaving && !worker.evacuated():
+		case worker.joining && !worker.Leaving && !worker.releasing && !worker.evacuated():
 			freeAt = now.Add(joinDelay)
 		case worker.hasLoneRun() && !worker.evacuated() && worker.unusableReason(now) == reasonLoneRun:
 			for range min(worker.Capacity.Slots(demand), tasks) {
--- a/entry/pkg/cell/randomised_test.go
+++ b/entry/pkg/cell/randomised_test.go
@@ -58,7 +58,7 @@
 		effects := h.cell.HandleHomeFailure("home", "", h.now)
 		h.applyEffects(&effects)
 	case 4:
-		h.cell.SetLeaving(h.cell.Worker(id), rapid.Bool().Draw(t, "leaving"))
+		h.cell.SetReleasing(h.cell.Worker(id), rapid.Bool().Draw(t, "leaving"))
 	case 5:
 		name := fmt.Sprintf("j%04d", rapid.IntRange(1, h.jobs+1).Draw(t, "name"))
 		if _, open := h.answers[name]; !open {
--- a/entry/pkg/cell/restart_test.go
+++ b/entry/pkg/cell/restart_test.go
@@ -107,7 +107,7 @@
 	h.now = h.now.Add(step)
 	sim.restart(h.now)
 	report := sim.hold(0, 0, h.now)
-	h.cell.SetLeaving(worker, true) // nothing starts again
+	h.cell.SetReleasing(worker, true) // nothing starts again
 	h.cell.HandleRestart(worker, report, h.now)
 	h.cell.HandleReport(worker, report, h.now, h.now)
 	require.True(t, run.Finished())
--- a/entry/pkg/cell/unsettled_test.go
+++ b/entry/pkg/cell/unsettled_test.go
@@ -69,7 +69,7 @@
 	job := h.job(1, 5, 20*time.Second, veryLong, veryLong)
 	id := h.loseStart(job)
 	h.late = nil
-	h.cell.SetLeaving(h.cell.Worker(id), true)
+	h.cell.SetReleasing(h.cell.Worker(id), true)
 	h.pass(400 * time.Millisecond)
 	require.NotEqual(t, id, job.Tasks[0].run.Worker.ID)
 	h.crashWorker(id)
@@ -95,7 +95,7 @@
 	h.pass(200 * time.Millisecond)
 	job := h.job(1, 5, 100*time.Millisecond, time.Second, longDeadline)
 	h.loseStart(job)
-	h.cell.SetLeaving(h.cell.Worker("w00"), true) // nothing starts again
+	h.cell.SetReleasing(h.cell.Worker("w00"), true) // nothing starts again
 	for deadline := h.now.Add(10 * time.Second); h.outcome(job) == "none" && h.now.Before(deadline); {
 		h.pass(step)
 	}
@@ -192,7 +192,7 @@
 	id := h.loseStart(job)
 	late := h.late[0]
 	h.late = nil
-	h.cell.SetLeaving(h.cell.Worker(id), true)
+	h.cell.SetReleasing(h.cell.Worker(id), true)
 	h.pass(400 * time.Millisecond)
 	effects := h.cell.Cancel(job, "the caller left", h.now)
 	h.applyEffects(&effects)
@@ -217,7 +217,7 @@
 	job := h.job(1, 5, 20*time.Second, veryLong, veryLong)
 	id := h.loseStart(job)
 	h.late = nil
-	h.cell.SetLeaving(h.cell.Worker(id), true)
+	h.cell.SetReleasing(h.cell.Worker(id), true)
 	h.pass(400 * time.Millisecond)
 	effects := h.cell.Remove(id, h.now)
 	h.applyEffects(&effects)
@@ -254,7 +254,7 @@
 	h.pass(200 * time.Millisecond)
 	id := h.loseStart(h.job(1, 5, 20*time.Second, veryLong, veryLong))
 	h.late = nil
-	h.cell.SetLeaving(h.cell.Worker(id), true)
+	h.cell.SetReleasing(h.cell.Worker(id), true)
 	h.pass(400 * time.Millisecond)
 	worker, sent := h.cell.Worker(id), h.now
 	report := h.workers[id].hold(worker.AckedSequence(), 0, h.now)
--- a/entry/pkg/cell/update.go
+++ b/entry/pkg/cell/update.go
@@ -19,7 +19,8 @@
 	worker.Kind = entry.Kind
 	worker.Group = entry.Group
 	worker.Capacity = entry.Capacity
-	worker.Leaving = entry.Leaving
+	worker.setLeaving(entry.Leaving)
+	worker.releasing = false
 	if shrinks {
 		c.refuseUnfit(now, &effects)
 	}
@@ -30,7 +31,13 @@
 // isDescribedBy reports whether the entry says of the worker what the cell knows already.
 func (w *Worker) isDescribedBy(entry *Worker) bool {
 	return w.FailureDomain == entry.FailureDomain && w.Rack == entry.Rack && w.Kind == entry.Kind &&
-		w.Group == entry.Group && w.Capacity == entry.Capacity && w.Leaving == entry.Leaving
+		w.Group == entry.Group && w.Capacity == entry.Capacity && w.Leaving == entry.Leaving && !w.releasing
+}
+
+// setLeaving records what the directory says. An entry that says so no more may be that of the next incarnation.
+func (w *Worker) setLeaving(leaving bool) {
+	w.Leaving = leaving
+	w.announced = w.announced || leaving
 }
 
 // refuseUnfit refuses the waiting jobs that have not started and that no worker is large enough for.
--- a/entry/pkg/cell/worker.go
+++ b/entry/pkg/cell/worker.go
@@ -11,13 +11,15 @@
 	Kind          string // workers of one kind are about equally fast
 	Group         string
 	Capacity      Resources
-	Leaving       bool // it gets no new work
+	Leaving       bool // it has announced that it leaves, and gets no new work
 
 	joining        bool      // its first report is pending
+	releasing      bool      // it is handed over to another keeper and gets no new work
+	announced      bool      // this incarnation has announced that it leaves
 	held           bool      // the keeper's fencing token is in force; set by each report
 	unresponsive   bool      // its last call was not answered
 	loneRuns       int       // runs that must stay alone
-	crashed        bool      // its process is known to have ended since the last report
+	crashed        bool      // its process is known to have ended since the last report, by a crash or as announced
 	reportedAt     time.Time // time of the last report
 	polledAt       time.Time // time of the last extra poll
 	viewStale      bool      // after a rejected or unanswered start, until the next report
@@ -57,7 +59,8 @@
 	tombstonedAt time.Time // when a stop was first confirmed, after which a late start is rejected
 	fenced       bool      // its start was not confirmed before the worker restarted, and is rejected by the raised token
 	expected     time.Duration
-	crashed      bool // the worker's process has ended while the run may have been running
+	crashed      bool // the worker has crashed while the run may have been running
+	left         bool // the worker has left, as announced, while the run may have been running
 	alone        bool // it must stay alone at its worker
 }
 
@@ -150,7 +153,7 @@
 // unusableReason returns why no new run may start on the worker.
 func (w *Worker) unusableReason(now time.Time) UnusableReason {
 	switch {
-	case w.Leaving:
+	case w.Leaving, w.releasing:
 		return reasonLeaving
 	case !w.held:
 		return reasonNotHeld
--- a/entry/pkg/cell/workers.go
+++ b/entry/pkg/cell/workers.go
@@ -15,6 +15,7 @@
 	worker.cell = c
 	worker.evacuatedSince = c.evacuatedSince[worker.FailureDomain]
 	worker.joining = true
+	worker.announced = worker.Leaving
 	if before, ok := c.workers[worker.ID]; ok {
 		c.unlist(before)
 	}
@@ -84,9 +85,14 @@
 	worker.held = false
 }
 
-// SetLeaving sets whether the worker is about to leave.
+// SetReleasing sets whether the worker is being handed over to another keeper. The worker itself need not leave for that.
+func (c *Cell) SetReleasing(worker *Worker, releasing bool) {
+	worker.releasing = releasing
+}
+
+// SetLeaving sets whether the worker has announced that it leaves.
 func (c *Cell) SetLeaving(worker *Worker, leaving bool) {
-	worker.Leaving = leaving
+	worker.setLeaving(leaving)
 }
 
 // HandleReport processes a worker's report, the answer to a call that was sent at the given time.
@@ -101,6 +107,7 @@
 		worker.startIncarnation(report)
 	}
 	worker.crashed = false
+	worker.announced = worker.Leaving
 	worker.unexplained = nil
 	if report.Clock > 0 {
 		if !worker.clock.known() {
@@ -320,7 +327,7 @@
 // expireRuns ends all runs of a worker whose leases have expired.
 func (c *Cell) expireRuns(worker *Worker, now time.Time, effects *Effects) {
 	for _, run := range worker.sortedRuns() {
-		if !run.crashed && run.mayHaveBegun() {
+		if !run.crashed && !run.left && run.mayHaveBegun() {
 			worker.unexplained = append(worker.unexplained, run)
 		}
 		c.addUnsettled(run, now)
--- a/entry/pkg/cellhost/board.go
+++ b/entry/pkg/cellhost/board.go
@@ -19,7 +19,8 @@
 	workers  atomic.Pointer[map[string]peer.WorkerInfo]
 	claims   atomic.Pointer[[]peer.Claim]
 
-	evacuations atomic.Pointer[peer.Evacuations]
+	evacuations     atomic.Pointer[peer.Evacuations]
+	directoryReadAt atomic.Pointer[time.Time]
 }
 
 // PeerState is a host as its heartbeats describe it.
@@ -83,6 +84,7 @@
 	board.workers.Store(&map[string]peer.WorkerInfo{})
 	board.claims.Store(&[]peer.Claim{})
 	board.evacuations.Store(&peer.Evacuations{})
+	board.directoryReadAt.Store(&time.Time{})
 	return board
 }
 
@@ -101,6 +103,11 @@
 	return *b.workers.Load()
 }
 
+// DirectoryReadAt returns as of when the workers are known.
+func (b *Board) DirectoryReadAt() time.Time {
+	return *b.directoryReadAt.Load()
+}
+
 // Claims returns this host's claims of cells.
 func (b *Board) Claims() []peer.Claim {
 	return *b.claims.Load()
--- a/entry/pkg/cellhost/crash.go
+++ b/entry/pkg/cellhost/crash.go
@@ -92,7 +92,7 @@
 	return answers
 }
 
-// reportCrashes logs crashes and tells other hosts at once.
+// reportCrashes logs crashes, and workers that have left, and tells other hosts at once.
 func (k *KeeperController) reportCrashes(crashes []cell.CrashedWorker) {
 	for i := range crashes {
 		k.logCrash(&crashes[i])
@@ -103,7 +103,11 @@
 }
 
 func (k *KeeperController) logCrash(crash *cell.CrashedWorker) {
+	line := k.common.Log.WithField("worker", crash.Worker).WithField("evidence", string(crash.Evidence)).WithField("tasks", crash.Tasks)
+	if crash.Left {
+		line.Info("worker has left")
+		return
+	}
 	cellWorkerCrashes.Inc()
-	k.common.Log.WithField("worker", crash.Worker).WithField("evidence", string(crash.Evidence)).
-		WithField("tasks", crash.Tasks).Warn("worker crashed")
+	line.Warn("worker crashed")
 }
--- a/entry/pkg/cellhost/directory.go
+++ b/entry/pkg/cellhost/directory.go
@@ -103,6 +103,7 @@
 	d.position = change.Next
 	if change.CompleteAt.After(d.lastRead) {
 		d.lastRead = change.CompleteAt
+		d.board.directoryReadAt.Store(&change.CompleteAt)
 	}
 	if changed {
 		d.publish()
--- a/entry/pkg/cellhost/keeper.go
+++ b/entry/pkg/cellhost/keeper.go
@@ -125,6 +125,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.common.Clock.Now()
+	k.cell.SetDirectoryRead(k.board.DirectoryReadAt())
 	effects := k.cancelLeft(now)
 	decided := decide(now)
 	effects.Add(&decided)
--- a/entry/pkg/cellhost/keeper_sync.go
+++ b/entry/pkg/cellhost/keeper_sync.go
@@ -42,8 +42,8 @@
 		if assigned[id] {
 			continue
 		}
-		_, listed := workers[id]
-		k.releaseWorker(id, listed, now)
+		entry, listed := workers[id]
+		k.releaseWorker(id, &entry, listed, now)
 	}
 }
 
@@ -94,13 +94,16 @@
 
 // releaseWorker stops new tasks at a worker and drops it once nothing runs there, it is not listed any more, or
 // releaseTimeout has passed.
-func (k *KeeperController) releaseWorker(id string, listed bool, now time.Time) {
+func (k *KeeperController) releaseWorker(id string, entry *peer.WorkerInfo, listed bool, now time.Time) {
 	k.mu.Lock()
 	loop := k.loops[id]
 	if loop.releasingSince.IsZero() {
 		loop.releasingSince = now
 	}
-	k.cell.SetLeaving(loop.worker, true)
+	k.cell.SetReleasing(loop.worker, true)
+	if listed && entry.Address == loop.target.Address {
+		k.cell.SetLeaving(loop.worker, entry.Leaving)
+	}
 	done := !listed || loop.worker.Idle() || now.Sub(loop.releasingSince) > releaseTimeout
 	k.mu.Unlock()
 	if done {
--- a/entry/pkg/cellhost/options.go
+++ b/entry/pkg/cellhost/options.go
@@ -23,6 +23,7 @@
 func (o *Options) limits() cell.Limits {
 	return cell.Limits{
 		Lease: o.MaxLease, Resubmit: o.ResubmitDelay, Unheard: o.SuspectTimeout + 2*o.HeartbeatInterval, CallDelay: maxCallDelay,
+		LeaveNotice: leaveNotice,
 	}
 }
 
@@ -47,6 +48,8 @@
 	callTimeout = 250 * time.Millisecond
 	// maxCallDelay is more than how long after a call without an answer its worker may carry it out, which is some seconds.
 	maxCallDelay = 30 * time.Second
+	// leaveNotice is how long a worker serves at least after it has announced in the directory that it leaves.
+	leaveNotice = 2 * time.Second
 	// firstBackoff and lastBackoff bound the delay after a failed call to a worker.
 	firstBackoff = 50 * time.Millisecond
 	lastBackoff  = 500 * time.Millisecond
