--- a/entry/pkg/cellhost/members.go
+++ b/entry/pkg/cellhost/members.go
@@ -127,6 +127,7 @@
 		SuspectTimeout:     options.SuspectTimeout,
 		RecoveryHeartbeats: recoveryHeartbeats,
 		IsHeartbeatPeer:    controller.isHeartbeatPeer,
+		KeepHeard:          true,
 	})
 	peer.Handle(server, peer.MethodHeartbeat, controller.serveHeartbeat)
 	return controller
--- a/entry/pkg/membership/tracker.go
+++ b/entry/pkg/membership/tracker.go
@@ -16,6 +16,8 @@
 	// IsHeartbeatPeer selects the hosts that are suspected when their heartbeats are missing; nil selects those of
 	// the same failure domain.
 	IsHeartbeatPeer func(member *blackboard.Member) bool
+	// KeepHeard keeps a host that the list does not name any more while it is heard and does not leave: a record may be lost.
+	KeepHeard bool
 }
 
 // Tracker tracks the state of each entry host of the host list from its heartbeats.
@@ -32,6 +34,7 @@
 	streak          int    // heartbeats without a gap
 	retired         string // the incarnation before the present one
 	heartbeatPeer   bool   // at the last tick
+	unlisted        bool   // kept because it is heard
 }
 
 // New returns a tracker without hosts.
@@ -55,10 +58,23 @@
 		entry.member.Address = host.Address
 		entry.member.FailureDomain = host.FailureDomain
 		entry.member.Size = host.Size
+		entry.unlisted = false
 		entry.listedLeaving = host.Leaving
 		entry.member.Leaving = entry.listedLeaving || entry.reportedLeaving
 		t.members[host.Name] = entry
 	}
+	for name, entry := range known {
+		if _, listed := t.members[name]; !listed && t.options.KeepHeard && t.isHeard(entry, now) {
+			entry.unlisted = true
+			t.members[name] = entry
+		}
+	}
+}
+
+// isHeard reports whether the host was heard within the suspect timeout and does not leave.
+func (t *Tracker) isHeard(entry *memberState, now time.Time) bool {
+	member := &entry.member
+	return member.Alive && !member.Leaving && member.Incarnation != "" && now.Sub(member.LastSeen) <= t.options.SuspectTimeout
 }
 
 // RecordHeartbeat processes a heartbeat and reports whether the view has changed.
@@ -120,6 +136,11 @@
 	}
 	t.ticked = now
 	for name, entry := range t.members {
+		if entry.unlisted && !t.isHeard(entry, now) {
+			delete(t.members, name)
+			changed = true
+			continue
+		}
 		wasNear := entry.heartbeatPeer
 		entry.heartbeatPeer = t.isHeartbeatPeer(&entry.member)
 		if entry.heartbeatPeer && !wasNear {
--- a/entry/pkg/membership/tracker_test.go
+++ b/entry/pkg/membership/tracker_test.go
@@ -75,6 +75,38 @@
 	require.True(t, tracker.Table().ByName["b"].Leaving)
 }
 
+// TestHostThatIsHeardOutlivesItsRecord guards against hosts that forget a live one, since an append that dropped its record in
+// an earlier life was carried out late.
+func TestHostThatIsHeardOutlivesItsRecord(t *testing.T) {
+	tracker := newTracker()
+	tracker.options.KeepHeard = true
+	without := []blackboard.Member{{Name: "a", FailureDomain: "north", Size: 1}, {Name: "far", FailureDomain: "south", Size: 1}}
+	now := start
+	tracker.RecordHeartbeat("b", "i1", false, now)
+	for range 10 {
+		now = now.Add(interval)
+		tracker.SetHosts(without, now)
+		tracker.RecordHeartbeat("b", "i1", false, now)
+		tracker.Tick(now)
+		require.True(t, alive(tracker, "b"))
+	}
+	for range 3 {
+		now = now.Add(interval)
+		tracker.Tick(now)
+	}
+	require.NotContains(t, tracker.Table().ByName, "b", "it is silent")
+	require.Contains(t, tracker.Table().ByName, "far", "it has a record")
+}
+
+// TestHostWithoutARecordIsForgotten has hosts without a record that were never heard, or leave.
+func TestHostWithoutARecordIsForgotten(t *testing.T) {
+	tracker := newTracker()
+	tracker.options.KeepHeard = true
+	tracker.RecordHeartbeat("b", "i1", true, start)
+	tracker.SetHosts([]blackboard.Member{{Name: "a", FailureDomain: "north", Size: 1}}, start)
+	require.Len(t, tracker.Table().ByName, 1)
+}
+
 // TestSuspicionIsBounded checks at random times that a host is never suspected before the timeout, and always within a
 // tick after it.
 func TestSuspicionIsBounded(t *testing.T) {
--- a/standin/pkg/metastore/service.go
+++ b/standin/pkg/metastore/service.go
@@ -102,7 +102,7 @@
 	first := into.end
 	if at := r.URL.Query().Get("at"); at != "" && at != strconv.FormatInt(first, 10) {
 		s.mu.Unlock()
-		w.WriteHeader(http.StatusPreconditionFailed)
+		control.WriteJSON(w, http.StatusPreconditionFailed, map[string]int64{"end": first})
 		return
 	}
 	for len(raw) >= lengthBytes {
