Cancel a job at any host, wherever it is open

Cause: a host looked for the job only among those that callers had handed to it. The class is a caller's operation that takes the host it reaches for the job's home; besides submitting, which any host may do, only cancelling is one on this platform (a GET of a job that its client waits for is answered 410 everywhere).

Change: the host ends what it has and asks all other hosts at once, as homes of open jobs and as keepers of jobs that wait, run or were forwarded (new method cell/cancel). 200: found and cancelled at each host that was reached; 410: no host that can be reached has it; 503 with Retry-After: not found, and a host that may have it was not reached. A refused connection and 3 s of silence account for a host, unless this host hears less than half of the others. A host of an earlier build does not know the method and counts as not reached: 410 would be untrue for a job that it has.

Cancellations share one round of calls at a time, of 256 jobs and 0.5 s at most, spaced by 2 ms for each host; more are answered 503 at once.

Existing tests: ingress.New takes the canceller beside the home, so three call sites pass one, and the scripted home loses its Cancel; FuzzMessages also decodes the two new messages.

--- a/entry/pkg/cellhost/home.go
+++ b/entry/pkg/cellhost/home.go
@@ -157,17 +157,6 @@
 	delete(h.openJobs, id)
 }
 
-// Cancel cancels an open job and reports whether there was one.
-func (h *HomeController) Cancel(id string) bool {
-	h.mu.Lock()
-	cancel, ok := h.openJobs[id]
-	h.mu.Unlock()
-	if ok {
-		cancel(nil)
-	}
-	return ok
-}
-
 // ShouldShed reports whether to shed a job that arrives now, because this process is overloaded.
 func (h *HomeController) ShouldShed() bool {
 	return shouldShed(h.keeper.shedder.Shed())
--- a/entry/pkg/cellhost/served_calls.go
+++ b/entry/pkg/cellhost/served_calls.go
@@ -10,6 +10,7 @@
 
 // servedCall is a call of another host to run a job, whether the job is in this cell, forwarded, or between the two.
 type servedCall struct {
+	job               string
 	home, incarnation string
 	number            int64
 	sentAt            time.Time // on the home's clock
@@ -24,6 +25,7 @@
 		return ctx, cancel
 	}
 	call := &servedCall{
+		job:         request.ID,
 		home:        request.Home,
 		incarnation: request.HomeIncarnation,
 		number:      request.Call,
--- a/entry/pkg/peer/cell.go
+++ b/entry/pkg/peer/cell.go
@@ -14,6 +14,8 @@
 	MethodQueues    = "cell/queues"
 	MethodDirectory = "cell/directory"
 	MethodChanges   = "cell/changes"
+
+	MethodCancelJobs = "cell/cancel"
 )
 
 // CellKey identifies a cell; the claim of the first cell sets the number of cells of the failure domain.
@@ -117,6 +119,16 @@
 	RetryAfter int64        `json:"w,omitempty"` // nanoseconds until the caller should retry
 }
 
+// CancelJobsRequest asks a host to cancel jobs that are open there, whether their callers wait there or it runs them.
+type CancelJobsRequest struct {
+	IDs []string `json:"id"`
+}
+
+// CancelJobsResponse names the jobs that were open.
+type CancelJobsResponse struct {
+	Cancelled []string `json:"c,omitempty"`
+}
+
 // QueuesRequest asks for the active queues.
 type QueuesRequest struct{}
 
--- a/entry/pkg/peer/server_test.go
+++ b/entry/pkg/peer/server_test.go
@@ -84,13 +84,18 @@
 		&RunRequest{ID: "j", Tasks: []RunTask{{Name: "t"}}},
 		&RunResponse{Declined: true},
 		&ChangesResponse{Known: true, Workers: []WorkerInfo{{ID: "w"}}, Removed: []string{"x"}},
+		&CancelJobsRequest{IDs: []string{"j"}},
+		&CancelJobsResponse{Cancelled: []string{"j"}},
 	} {
 		raw, err := encoding{}.Marshal(message)
 		require.NoError(f, err)
 		f.Add(raw)
 	}
 	f.Fuzz(func(t *testing.T, raw []byte) {
-		for _, message := range []any{&Heartbeat{}, &RunRequest{}, &RunResponse{}, &ChangesResponse{}, &DirectoryResponse{}, &QueuesResponse{}} {
+		for _, message := range []any{
+			&Heartbeat{}, &RunRequest{}, &RunResponse{}, &ChangesResponse{}, &DirectoryResponse{}, &QueuesResponse{},
+			&CancelJobsRequest{}, &CancelJobsResponse{},
+		} {
 			if (encoding{}).Unmarshal(raw, message) == nil {
 				_, err := encoding{}.Marshal(message)
 				require.NoError(t, err)
