Send no orders to a worker under a token that was raised to see its lists

A keeper that has lost a worker fences the rightful one, whose runs there are given up, which costs jobs (504).

Cause: handleFenced raises the token before it gives the runs up, so that reports from before are recognised. The answers of their jobs ask for stops of the jobs' other tasks at that worker, and sendStopOnce read the token anew: the raised one. The same class: an attempt of an earlier stop, a stop for a worker that was dropped and taken anew, and a poll that had passed the check just before.

Change: starts and stops go out only while the keeper holds the worker, that is once its lists were read under the token in force, and to the worker that they were decided for (orderTarget). What a reclaimed worker still lists is unknown then, and is stopped under the new token, as before. A call that holds or polls is not made between the raise and the reclaim.

Existing test code: scriptedWorker records the stops that it answers as before.

--- a/entry/pkg/cellhost/keeper.go
+++ b/entry/pkg/cellhost/keeper.go
@@ -249,31 +249,45 @@
 func (k *KeeperController) startTarget(run *cell.Run) (*workerLoop, int64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	loop := k.loops[run.Worker.ID]
-	if loop == nil || loop.worker != run.Worker || run.Finished() || run.Fenced() {
+	if run.Finished() || run.Fenced() {
+		return nil, 0
+	}
+	return k.orderTarget(run.Worker)
+}
+
+// orderTarget returns the worker's loop and the token under which it is held, or no loop if it is not held: with a token that was
+// raised to see the lists, an order would fence the keeper that may hold the worker. The caller holds the lock.
+func (k *KeeperController) orderTarget(worker *cell.Worker) (*workerLoop, int64) {
+	loop := k.loops[worker.ID]
+	if loop == nil || loop.worker != worker || !worker.Held() {
 		return nil, 0
 	}
 	return loop, loop.token.Load()
 }
 
-// sendStop sends a stop until it is answered; the cell repeats it as long as the run is not listed as ended.
+// sendStop sends a stop until it is answered or the worker is lost; the cell repeats it as long as the run is not listed as
+// ended.
 func (k *KeeperController) sendStop(stop cell.Stop) {
-	loop := k.findLoop(stop.Worker.ID)
-	if loop == nil {
-		return
-	}
-	cellStops.Inc()
-	for range stopAttempts {
-		if k.sendStopOnce(loop, stop) {
+	for attempt := range stopAttempts {
+		k.mu.Lock()
+		loop, token := k.orderTarget(stop.Worker)
+		k.mu.Unlock()
+		if loop == nil {
+			return
+		}
+		if attempt == 0 {
+			cellStops.Inc()
+		}
+		if k.sendStopOnce(loop, token, stop) {
 			return
 		}
 	}
 }
 
-func (k *KeeperController) sendStopOnce(loop *workerLoop, stop cell.Stop) bool {
+func (k *KeeperController) sendStopOnce(loop *workerLoop, token int64, stop cell.Stop) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
 	defer cancel()
-	err := k.workers.Stop(ctx, loop.target, StopCall{Token: loop.token.Load(), Task: stop.Task, Run: stop.Number})
+	err := k.workers.Stop(ctx, loop.target, StopCall{Token: token, Task: stop.Task, Run: stop.Number})
 	if err != nil {
 		k.common.Log.WithField("task", stop.Task).WithField("worker", stop.Worker.ID).WithError(err).Warn("cannot stop a run")
 		return errors.Is(err, ErrFenced) || errors.Is(err, ErrOtherIncarnation)
--- a/entry/pkg/cellhost/worker_loop.go
+++ b/entry/pkg/cellhost/worker_loop.go
@@ -78,6 +78,10 @@
 func (l *workerLoop) hold(wait time.Duration) error {
 	k := l.keeper
 	k.mu.Lock()
+	if l.heldByOther.Load() { // the token is raised already
+		k.mu.Unlock()
+		return errors.WithStack(ErrFenced)
+	}
 	sent := k.common.Clock.Now()
 	call := HoldCall{Token: l.token.Load(), Ack: l.worker.AckedSequence(), Wait: wait}
 	if l.worker.Held() {
--- a/entry/pkg/cellhost/worker_loop_test.go
+++ b/entry/pkg/cellhost/worker_loop_test.go
@@ -24,6 +24,7 @@
 	mu       sync.Mutex
 	starts   []StartCall
 	startErr error // of starts, which then are unconfirmed
+	stops    []StopCall
 }
 
 // heldCall is a hold call that waits for its answer.
@@ -58,7 +59,18 @@
 	return cell.StartAccepted, nil
 }
 
-func (s *scriptedWorker) Stop(context.Context, Target, StopCall) error { return nil }
+func (s *scriptedWorker) Stop(_ context.Context, _ Target, call StopCall) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stops = append(s.stops, call)
+	return nil
+}
+
+func (s *scriptedWorker) stopped() []StopCall {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stops
+}
 
 // next returns the next hold call that the keeper sends.
 func (s *scriptedWorker) next(t *testing.T) heldCall {
