Take a host as gone only by dense evidence, and drop no records when nobody is heard

- A keeper cut off from all others, but not from the store, forgot after 20 s that it was, and dropped the records of all hosts.
- In large fleets, where hosts call each other rarely, two unanswered calls 20 s apart made a live host gone.
- There a live host was not asked to cancel a job, and the caller told "no such job", after one missed heartbeat or one failed call.
Every host that is not gone is asked; one that is no heartbeat peer counts as silent after three failed calls in 3 s.
- A block of a late start was lifted by older news of the same run number.
The latest counts.
- A start that its worker lists was still blocked after a refused connection.

TestSilentHostOfALargeFleetStopsNoCancellations asks for a third call, which is stricter.

--- a/entry/pkg/cell/unsettled.go
+++ b/entry/pkg/cell/unsettled.go
@@ -179,9 +179,12 @@
 	}
 }
 
-// settleAnswered handles that the call of a start was answered.
+// settleAnswered handles that the call of a start was answered, or that the worker lists its run or its end.
 func (c *Cell) settleAnswered(run *Run, now time.Time) {
-	if start := c.unsettled.byKey[keyOf(run)]; start != nil {
+	if len(c.unsettled.byKey) == 0 {
+		return
+	}
+	if start := c.unsettled.byKey[keyOf(run)]; start != nil && !start.told {
 		c.unsettled.remove(start, now)
 	}
 }
@@ -253,13 +256,13 @@
 // latest first.
 func (c *Cell) RecentLateStarts(now time.Time) []LateStart {
 	var starts []LateStart
-	seen := map[*unsettledStart]bool{}
+	seen := map[unsettledKey]bool{} // a start may have been settled, and another one of the same run number sent
 	for _, start := range slices.Backward(c.unsettled.news) {
 		if len(starts) == maxCrashNews || now.Sub(start.changedAt) > crashNews {
 			break
 		}
-		if !seen[start] {
-			seen[start] = true
+		if !seen[start.unsettledKey] {
+			seen[start.unsettledKey] = true
 			starts = append(starts, start.lateStart(now))
 		}
 	}
--- a/entry/pkg/cell/unsettled_test.go
+++ b/entry/pkg/cell/unsettled_test.go
@@ -333,3 +333,19 @@
 	require.Empty(t, h.cell.unsettled.byKey)
 	require.Empty(t, h.cell.unsettled.byWorker)
 }
+
+// TestListedRunIsSettled guards against a task that is blocked for a start which its worker has carried out already: a connection
+// was refused before its call was answered.
+func TestListedRunIsSettled(t *testing.T) {
+	h := newHarness(t)
+	h.addWorkers(1, 16, 1)
+	h.pass(200 * time.Millisecond)
+	effects := h.cell.Submit(h.job(1, 5, 5*time.Second, veryLong, veryLong), h.now)
+	run := effects.Starts[0].Run
+	h.cell.HandleCrash(run.Worker, ConnectionRefused, h.now)
+	require.NotEmpty(t, h.cell.unsettled.blocking)
+	require.Equal(t, StartAccepted, h.deliverStart(effects.Starts[0], 0, h.told["w00"]))
+	h.pass(2 * step)
+	require.Equal(t, 1, h.runningCount())
+	require.Empty(t, h.cell.unsettled.byKey)
+}
--- a/entry/pkg/cell/workers.go
+++ b/entry/pkg/cell/workers.go
@@ -124,6 +124,7 @@
 		key := runKey{end.Task, end.Run}
 		delete(worker.unknownRuns, key)
 		if run, ok := worker.runs[key]; ok {
+			c.settleAnswered(run, now)
 			c.handleEnd(run, end.Result, now, &effects)
 		}
 	}
@@ -151,6 +152,7 @@
 		listed[key] = struct{}{}
 		if run, ok := worker.runs[key]; ok {
 			run.confirm(now)
+			c.settleAnswered(run, now)
 			continue
 		}
 		worker.unknownRuns[key] = struct{}{}
--- a/entry/pkg/cellhost/cancel.go
+++ b/entry/pkg/cellhost/cancel.go
@@ -27,6 +27,8 @@
 	// cancelSilence is the silence after which a host no longer keeps others from answering. All that it runs for callers or
 	// keepers elsewhere has ended by then; the platform gives processes 3 s to be in touch again.
 	cancelSilence = 3 * time.Second
+	// minFailingCalls is how many calls in a row a host leaves unanswered within that time before it counts as silent.
+	minFailingCalls = 3
 )
 
 var cancelRounds = metrics.NewCounter(`chervilusher_cell_cancel_rounds_total`)
@@ -75,10 +77,16 @@
 	client  *peer.Client
 	local   []JobCanceller
 
-	mu           sync.Mutex
-	next         *cancelRound         // collects jobs until it starts; nil if there are none
-	serving      bool                 // a round runs, or the time until the next one may start has not passed
-	failingSince map[string]time.Time // by host, when the first of its calls without an answer began
+	mu      sync.Mutex
+	next    *cancelRound            // collects jobs until it starts; nil if there are none
+	serving bool                    // a round runs, or the time until the next one may start has not passed
+	failing map[string]failingCalls // by host
+}
+
+// failingCalls are the latest calls to a host, all without an answer.
+type failingCalls struct {
+	since time.Time // when the first one began
+	count int
 }
 
 // cancelRound asks all other hosts once to cancel a set of jobs.
@@ -92,12 +100,12 @@
 // NewCancelController returns the controller and adds its method to the peer server.
 func NewCancelController(c *common.Common, options Options, board *Board, client *peer.Client, server *peer.Server, local ...JobCanceller) *CancelController {
 	controller := &CancelController{
-		common:       c.Prefixed("cancel"),
-		options:      options,
-		board:        board,
-		client:       client,
-		local:        local,
-		failingSince: map[string]time.Time{},
+		common:  c.Prefixed("cancel"),
+		options: options,
+		board:   board,
+		client:  client,
+		local:   local,
+		failing: map[string]failingCalls{},
 	}
 	peer.Handle(server, peer.MethodCancelJobs, controller.serve)
 	return controller
@@ -190,7 +198,7 @@
 	)
 	for name := range view.Hosts {
 		host := view.Hosts[name]
-		if name == c.options.Name || c.isGone(&host, forgetPeerAfter) {
+		if name == c.options.Name || host.Gone {
 			continue
 		}
 		calls.Go(func() {
@@ -233,26 +241,26 @@
 // and its jobs with it, or it was silent for long while this host is in touch with most. A host of an earlier build, which
 // does not know the method, is not accounted for, since it may have the job.
 func (c *CancelController) isAccountedFor(host *PeerState, err error, minority bool) bool {
-	return err == nil || errors.Is(err, syscall.ECONNREFUSED) || (!minority && c.isGone(host, cancelSilence))
+	return err == nil || errors.Is(err, syscall.ECONNREFUSED) || (!minority && c.isSilent(host))
 }
 
-// isGone reports whether nothing was heard of the host for the time.
-func (c *CancelController) isGone(host *PeerState, silence time.Duration) bool {
+// isSilent reports whether nothing was heard of the host for cancelSilence. One that is no heartbeat peer is heard rarely, so
+// that only calls to it tell.
+func (c *CancelController) isSilent(host *PeerState) bool {
 	now := c.common.Clock.Now()
-	if !host.Alive && !host.LastSeen.IsZero() && now.Sub(host.LastSeen) >= silence {
+	if host.HeartbeatPeer && !host.Alive && !host.LastSeen.IsZero() && now.Sub(host.LastSeen) >= cancelSilence {
 		return true
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	// In a large fleet a host is heard rarely: it counts as alive until a heartbeat to it is missed, or was never heard.
-	since, failing := c.failingSince[host.Name]
-	return failing && since.After(host.LastSeen) && now.Sub(since) >= silence
+	calls := c.failing[host.Name]
+	return calls.count >= minFailingCalls && calls.since.After(host.LastSeen) && now.Sub(calls.since) >= cancelSilence
 }
 
 func (c *CancelController) recordAnswer(name string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.failingSince, name)
+	delete(c.failing, name)
 }
 
 // recordFailure records when the calls to the host began to fail; calls before it was heard last do not count.
@@ -260,14 +268,17 @@
 	hosts := c.board.View().Hosts
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for other := range c.failingSince {
+	for other := range c.failing {
 		if _, known := hosts[other]; !known {
-			delete(c.failingSince, other)
+			delete(c.failing, other)
 		}
 	}
-	if since, failing := c.failingSince[name]; !failing || !since.After(hosts[name].LastSeen) {
-		c.failingSince[name] = at
+	calls := c.failing[name]
+	if calls.count == 0 || !calls.since.After(hosts[name].LastSeen) {
+		calls = failingCalls{since: at}
 	}
+	calls.count++
+	c.failing[name] = calls
 }
 
 // cancelHere cancels the jobs at this host, and returns those that it had.
--- a/entry/pkg/cellhost/cancel_test.go
+++ b/entry/pkg/cellhost/cancel_test.go
@@ -107,7 +107,7 @@
 	require.NoError(t, closed.Close())
 	heard := func(ago time.Duration) func(*claimant, *PeerState) {
 		return func(c *claimant, host *PeerState) {
-			host.Alive = false
+			host.Alive, host.HeartbeatPeer = false, true
 			host.LastSeen = c.clock.Now().Add(-ago)
 		}
 	}
@@ -147,6 +147,8 @@
 	c.clock.Advance(time.Millisecond)
 	require.Equal(t, CancelNotReached, cancels.Cancel(t.Context(), "j"))
 	c.clock.Advance(cancelSilence)
+	require.Equal(t, CancelNotReached, cancels.Cancel(t.Context(), "j"), "two calls far apart may both miss a live host")
+	c.clock.Advance(time.Second) // rounds are spaced
 	require.Equal(t, CancelNoSuchJob, cancels.Cancel(t.Context(), "j"))
 	host := c.view.Hosts["b"]
 	host.LastSeen = c.clock.Now()
@@ -255,3 +257,18 @@
 	require.Equal(t, []string{"job"}, home.CancelJobs(map[string]bool{"job": true, "other": true}))
 	require.Error(t, ctx.Err())
 }
+
+// TestHostThatIsHeardRarelyIsAsked guards against "no such job" for a job of a live host that missed one heartbeat, or one call to
+// cancel jobs, long after it was heard last.
+func TestHostThatIsHeardRarelyIsAsked(t *testing.T) {
+	c, cancels := cancelFixture(silentAddress(t))
+	c.clock.Advance(time.Millisecond)
+	require.Equal(t, CancelNotReached, cancels.Cancel(t.Context(), "x"))
+	address, other := otherHost(t, "j")
+	host := c.view.Hosts["b"]
+	host.Address, host.Alive = address, false
+	c.view.Hosts["b"] = host
+	c.clock.Advance(forgetPeerAfter)
+	require.Equal(t, CancelDone, cancels.Cancel(t.Context(), "j"))
+	require.Equal(t, 1, other.asked)
+}
--- a/entry/pkg/cellhost/members_gone_test.go
+++ b/entry/pkg/cellhost/members_gone_test.go
@@ -12,8 +12,8 @@
 	"chervilusher.dev/entry/pkg/peer"
 )
 
-// longSilence lets each of 30 hosts be called again after forgetPeerAfter, one by chance at a time.
-const longSilence = 5 * forgetPeerAfter
+// longSilence lets each of 30 hosts be called again after forgetDomainAfter, one by chance at a time.
+const longSilence = forgetDomainAfter + 10*forgetPeerAfter
 
 // goneHosts returns records of hosts that are gone, of which each third is in the north, and which say that they keep a cell.
 func goneHosts(count int) (hosts []blackboard.Member, keepers map[string]bool) {
@@ -160,3 +160,50 @@
 	c.live(time.Second)
 	require.Zero(t, c.board.View().Gone)
 }
+
+// TestKeeperThatHearsNobodyDropsNoRecords guards against a keeper that is cut off from all others, but not from the store, and that
+// forgets that it is once their silence is long.
+func TestKeeperThatHearsNobodyDropsNoRecords(t *testing.T) {
+	for _, count := range []int{5, 30} {
+		others, _ := goneHosts(count)
+		names := make([]string, 0, count)
+		for i := range others {
+			names = append(names, others[i].Name)
+		}
+		c, members := newMembers(t, others...)
+		c.board.claims.Store(&[]peer.Claim{{Cell: northCell, CellCount: 1, Epoch: 1}})
+		c.live(5*time.Second, names...)
+		c.live(longSilence)
+		members.publish()
+		require.Positive(t, c.board.View().Gone)
+		require.Empty(t, members.Gone())
+	}
+}
+
+// TestFailureDomainThatIsCutOffKeepsItsRecords has a cut that lasts for longer than cuts usually do.
+func TestFailureDomainThatIsCutOffKeepsItsRecords(t *testing.T) {
+	others, _ := goneHosts(5) // two of them in the north, as this host
+	c, members := newMembers(t, others...)
+	c.board.claims.Store(&[]peer.Claim{{Cell: northCell, CellCount: 1, Epoch: 1}})
+	c.live(5*time.Second, "gone0", "gone1", "gone2", "gone3", "gone4")
+	c.live(2*forgetPeerAfter, "gone0")
+	require.Equal(t, []string{"gone3"}, members.Gone(), "of the north, where another host is heard")
+}
+
+// TestTwoUnansweredCallsMakeNoHostGone guards against dropping the record of a live host that is called rarely.
+func TestTwoUnansweredCallsMakeNoHostGone(t *testing.T) {
+	others, _ := goneHosts(30)
+	c, members := newMembers(t, others...)
+	c.board.claims.Store(&[]peer.Claim{{Cell: northCell, CellCount: 1, Epoch: 1}})
+	members.handleHeartbeat(heartbeatOf(c, "gone1", "1"))
+	members.handleMissed("gone7", context.DeadlineExceeded)
+	for range int(forgetPeerAfter/DefaultHeartbeatInterval) + 1 {
+		c.clock.Advance(DefaultHeartbeatInterval)
+		members.tick()
+	}
+	members.handleHeartbeat(heartbeatOf(c, "gone1", "1"))
+	members.handleMissed("gone7", context.DeadlineExceeded)
+	members.publish()
+	require.Zero(t, c.board.View().Gone)
+	require.Empty(t, members.Gone())
+}
--- a/entry/pkg/cellhost/members_send.go
+++ b/entry/pkg/cellhost/members_send.go
@@ -38,7 +38,11 @@
 	if evacuated { // jobs go to the keepers of other failure domains, whose load is to be known
 		others = m.preferKeepers(others)
 	}
-	if slow && len(others) > 0 {
+	switch {
+	case len(others) > 0 && len(m.heartbeats) == 0 && m.seeksKeeper():
+		rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+		targets = append(targets, others[:min(len(others), maxStartupCalls)]...)
+	case slow && len(others) > 0:
 		targets = append(targets, others[rand.IntN(len(others))])
 	}
 	return targets
--- a/entry/pkg/cellhost/options.go
+++ b/entry/pkg/cellhost/options.go
@@ -74,6 +74,9 @@
 	// maxStartupHosts is the largest failure domain in which a starting host sends heartbeats to all hosts; each
 	// calls all others four times within startDelay.
 	maxStartupHosts = 24
+	// maxStartupCalls is how many hosts elsewhere a starting host calls at a time until it hears one: most records may be
+	// those of hosts that are gone.
+	maxStartupCalls = 8
 	// viewInterval is the interval at which the view is rebuilt if only loads have changed; heartbeats report these
 	// ten times a second.
 	viewInterval = 50 * time.Millisecond
