Report no failure of a planned stop whose listener is closed already

Cause: StopListening closes the listener, and Close closes it once more as long as Serve has not yet seen Accept fail. The listener is now closed once, by whoever comes first. TestCloseSucceedsBeforeServeHasSeenTheListenerClosed holds back Accept's error: it failed 3 of 3 times before; with the fix it and the refused test passed 200 times with the race detector.

--- a/entry/pkg/graceful/server.go
+++ b/entry/pkg/graceful/server.go
@@ -22,7 +22,7 @@
 	end      sync.Once // closes closed
 
 	mu          sync.Mutex
-	listener    net.Listener
+	listener    *acceptor
 	stopped     bool
 	connections map[*connection]struct{}
 }
@@ -57,14 +57,15 @@
 
 // Serve serves on a TCP listener until the server is closed.
 func (s *Server) Serve(listener net.Listener) error {
+	accepting := &acceptor{Listener: listener, server: s, closeOnce: sync.OnceValue(listener.Close)}
 	s.mu.Lock()
-	s.listener = listener
+	s.listener = accepting
 	stopped := s.stopped
 	s.mu.Unlock()
 	if stopped {
-		_ = listener.Close()
+		_ = accepting.Close()
 	}
-	err := s.http.Serve(&acceptor{Listener: listener, server: s})
+	err := s.http.Serve(accepting)
 	s.mu.Lock()
 	stopped = s.stopped
 	s.mu.Unlock()
@@ -147,7 +148,13 @@
 // acceptor is a listener whose connections the server knows.
 type acceptor struct {
 	net.Listener
-	server *Server
+	server    *Server
+	closeOnce func() error
+}
+
+// Close implements net.Listener. Both StopListening and the http.Server close the listener.
+func (a *acceptor) Close() error {
+	return errors.WithStack(a.closeOnce())
 }
 
 // Accept implements net.Listener.
--- a/entry/pkg/graceful/server_test.go
+++ b/entry/pkg/graceful/server_test.go
@@ -195,6 +195,46 @@
 	require.NoError(t, <-f.ended)
 }
 
+// lateListener is a listener whose Accept returns its error only once the test lets it.
+type lateListener struct {
+	net.Listener
+	accepting chan struct{} // closed when Accept is called
+	failed    chan struct{} // closed when Accept has failed
+	release   chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l *lateListener) Accept() (net.Conn, error) {
+	close(l.accepting)
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		close(l.failed)
+		<-l.release
+	}
+	return accepted, err //nolint:wrapcheck // as the listener's own
+}
+
+// TestCloseSucceedsBeforeServeHasSeenTheListenerClosed guards against reporting a planned stop as failed because the listener
+// is already closed.
+func TestCloseSucceedsBeforeServeHasSeenTheListenerClosed(t *testing.T) {
+	var config net.ListenConfig
+	raw, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	listener := &lateListener{Listener: raw, accepting: make(chan struct{}), failed: make(chan struct{}), release: make(chan struct{})}
+	server := New(&http.Server{ReadHeaderTimeout: time.Second}, clockwork.NewRealClock())
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(listener) }()
+	<-listener.accepting
+	require.NoError(t, server.StopListening())
+	<-listener.failed
+	closed := make(chan error, 1)
+	go func() { closed <- server.Close() }()
+	time.Sleep(50 * time.Millisecond) // Close waits for Serve
+	close(listener.release)
+	require.NoError(t, <-closed)
+	require.NoError(t, <-ended)
+}
+
 // TestPipelinedRequestIsNotTakenForAnIdleConnection guards against cutting off a request that was read together with the one
 // before it.
 func TestPipelinedRequestIsNotTakenForAnIdleConnection(t *testing.T) {
