--- a/entry/pkg/cellhost/left_test.go
+++ b/entry/pkg/cellhost/left_test.go
@@ -30,21 +30,12 @@
 // TestNothingStartsForAClosedConnection guards against a start for a call that was read after its home had closed the
 // connection, which ends the context only later.
 func TestNothingStartsForAClosedConnection(t *testing.T) {
-	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = listener.Close() }()
-	caller, err := new(net.Dialer).DialContext(t.Context(), "tcp", listener.Addr().String())
-	require.NoError(t, err)
-	accepted, err := listener.Accept()
-	require.NoError(t, err)
-	defer func() { _ = accepted.Close() }()
-	ctx := callerconn.WithConn(t.Context(), accepted)
-	require.NoError(t, caller.Close())
-	require.Eventually(t, func() bool { return callerconn.IsClosed(ctx) }, time.Second, time.Millisecond)
+	ctx, leave := connectedCaller(t)
+	leave()
 	k, request := leftFixture(t, peer.RunAnywhere)
 	done, cancel := context.WithTimeout(ctx, 5*time.Second)
 	defer cancel()
-	_, err = k.keeper.Run(done, request)
+	_, err := k.keeper.Run(done, request)
 	require.ErrorIs(t, err, context.Canceled)
 	require.Empty(t, k.worker.started())
 }
@@ -54,22 +45,14 @@
 func TestNothingStartsForACallerThatLeftWhileItsJobWasOfferedElsewhere(t *testing.T) {
 	for name, ends := range map[string]bool{"connection closed": false, "context ended": true} {
 		t.Run(name, func(t *testing.T) {
-			listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
-			require.NoError(t, err)
-			defer func() { _ = listener.Close() }()
-			caller, err := new(net.Dialer).DialContext(t.Context(), "tcp", listener.Addr().String())
-			require.NoError(t, err)
-			accepted, err := listener.Accept()
-			require.NoError(t, err)
-			defer func() { _ = accepted.Close() }()
-			ctx, cancel := context.WithTimeout(callerconn.WithConn(t.Context(), accepted), 5*time.Second)
+			connected, leave := connectedCaller(t)
+			ctx, cancel := context.WithTimeout(connected, 5*time.Second)
 			defer cancel()
 			k, request := leftFixture(t, peer.RunAnywhere)
 			worker, now := k.loop.worker, k.clock.Now()
 			k.keeper.cell.MarkUnresponsive(worker) // no room at once
 			k.keeper.SetForwarder(forwarderFunc(func() {
-				require.NoError(t, caller.Close())
-				require.Eventually(t, func() bool { return callerconn.IsClosed(ctx) }, time.Second, time.Millisecond)
+				leave()
 				if ends {
 					cancel()
 				}
@@ -77,7 +60,7 @@
 				defer k.keeper.mu.Unlock()
 				k.keeper.cell.HandleReport(worker, k.report(), now, now) // room since
 			}))
-			_, err = k.keeper.Run(ctx, request)
+			_, err := k.keeper.Run(ctx, request)
 			require.ErrorIs(t, err, context.Canceled)
 			require.Never(t, func() bool { return len(k.worker.started()) > 0 }, 100*time.Millisecond, time.Millisecond)
 		})
@@ -106,3 +89,22 @@
 		Tasks: []peer.RunTask{{Name: "j.0", Need: cell.Resources{Cores: 1000, Memory: 1}, Estimate: int64(time.Second)}},
 	}
 }
+
+// connectedCaller returns the context of a request on a TCP connection, and a function that closes its other end and waits until
+// that is known here.
+func connectedCaller(t *testing.T) (request context.Context, leave func()) {
+	t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	caller, err := new(net.Dialer).DialContext(t.Context(), "tcp", listener.Addr().String())
+	require.NoError(t, err)
+	accepted, err := listener.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = accepted.Close() })
+	request = callerconn.WithConn(t.Context(), accepted)
+	return request, func() {
+		require.NoError(t, caller.Close())
+		require.Eventually(t, func() bool { return callerconn.IsClosed(request) }, time.Second, time.Millisecond)
+	}
+}
