--- /dev/null
+++ b/review/rig-2/restarts.go
@@ -0,0 +1,170 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+)
+
+const (
+	zones       = 3
+	hostsZone   = 2
+	minionsZone = 14
+	minionCPU   = 64000
+
+	warmUp     = 6 * time.Second
+	lossLength = 5500 * time.Millisecond // of applied_late
+	lossShare  = 0.055
+	downTime   = 1400 * time.Millisecond // gap_s of srv_flap
+	flapTime   = 6500 * time.Millisecond
+	latest     = 12 * time.Second // a late order is carried out 2 to 12 s later
+	soonest    = 2 * time.Second
+	longTask   = 7000
+	flapping   = 3 // of 42, 7.1 %
+)
+
+func deployment(o *office) error {
+	for i := range zones * minionsZone {
+		if err := o.addMinion(fmt.Sprintf("i-%02d", i), fmt.Sprintf("zone-%d", i%zones), minionCPU); err != nil {
+			return err
+		}
+	}
+	for i := range zones * hostsZone {
+		if _, err := o.addHost(fmt.Sprintf("front-%d", i), fmt.Sprintf("zone-%d", i%zones), fmt.Sprintf("127.0.%d.1", 31+i)); err != nil {
+			return err
+		}
+	}
+	if !o.awaitReady(15 * time.Second) {
+		return fmt.Errorf("the hosts are not ready")
+	}
+	return nil
+}
+
+// restarts has two minions go down and up by turns, and a share of the orders left unanswered and carried out late.
+func restarts(o *office, trouble bool) error {
+	if err := deployment(o); err != nil {
+		return err
+	}
+	done := make(chan struct{})
+	var traffic sync.WaitGroup
+	every := func(interval time.Duration, do func()) {
+		traffic.Go(func() {
+			for {
+				select {
+				case <-done:
+					return
+				case <-time.After(interval):
+					do()
+				}
+			}
+		})
+	}
+	every(100*time.Millisecond, func() { o.submit(4, 1000, 60, 5*time.Second) })
+	every(350*time.Millisecond, func() { o.submit(1, 3000, longTask, 20*time.Second) })
+	time.Sleep(warmUp)
+	if trouble {
+		flaps := o.busiest(flapping)
+		lose := o.loser(flaps, time.Now().Add(lossLength), 2)
+		o.mu.Lock()
+		o.lose = lose
+		o.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		var all sync.WaitGroup
+		for m := range flaps {
+			all.Go(func() { flap(m) })
+		}
+		all.Wait()
+		time.Sleep(6 * time.Second)
+	} else {
+		time.Sleep(14 * time.Second)
+	}
+	close(done)
+	traffic.Wait()
+	time.Sleep(2 * time.Second)
+	return nil
+}
+
+// flap takes a minion down and up by turns.
+func flap(m *minion) {
+	for end := time.Now().Add(flapTime); time.Now().Before(end); {
+		m.crash()
+		time.Sleep(downTime)
+		if err := m.start(); err != nil {
+			m.office.record("%s cannot start: %s", m.id, err)
+			return
+		}
+		time.Sleep(downTime)
+	}
+}
+
+// loser returns which orders are lost: within the share of all orders so far, starts of long tasks at the minions that will
+// go down. Each is carried out 2 to 12 s later, in that minion's next life but so many.
+func (o *office) loser(at map[*minion]bool, until time.Time, lives int) func(m *minion, path string, read *order) bool {
+	base, lost := 0, map[string]bool{}
+	var mu sync.Mutex
+	o.mu.Lock()
+	base = o.orders
+	o.mu.Unlock()
+	return func(m *minion, path string, read *order) bool {
+		o.mu.Lock()
+		orders := o.orders - base
+		o.mu.Unlock()
+		mu.Lock()
+		defer mu.Unlock()
+		if time.Now().After(until) || !at[m] || path != "/-/run-start" || float64(len(lost)+1) > lossShare*float64(orders) || lost[read.Task] ||
+			!isLong(read) {
+			return false
+		}
+		lost[read.Task] = true
+		go o.carryOutLate(m, *read, time.Now(), lives)
+		return true
+	}
+}
+
+// isLong reports whether the order is for a task that is still at work some seconds later.
+func isLong(read *order) bool {
+	var todo work
+	return json.Unmarshal([]byte(read.Spec), &todo) == nil && todo.Milliseconds >= longTask
+}
+
+// carryOutLate carries an order out as soon as the minion has started anew so many times since it was sent, 2 to 12 s later.
+func (o *office) carryOutLate(m *minion, read order, sent time.Time, lives int) {
+	m.mu.Lock()
+	life := m.life
+	m.mu.Unlock()
+	time.Sleep(soonest)
+	for time.Since(sent) < latest {
+		m.mu.Lock()
+		reborn := m.up && m.life >= life+lives
+		m.mu.Unlock()
+		if reborn {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	status, body := m.begin(&read, true)
+	o.record("late: start of %s run %d at %s after %s: %d %v", read.Task, read.Run, m.id, time.Since(sent).Round(time.Millisecond), status, body)
+}
+
+// busiest returns the minions at which most long tasks run, one of each zone.
+func (o *office) busiest(count int) map[*minion]bool {
+	most := map[string]*minion{}
+	runs := map[*minion]int{}
+	for _, m := range o.minions {
+		m.mu.Lock()
+		runs[m] = len(m.running)
+		m.mu.Unlock()
+		if last := most[m.zone]; last == nil || runs[m] > runs[last] {
+			most[m.zone] = m
+		}
+	}
+	found := map[*minion]bool{}
+	for _, m := range most {
+		if len(found) < count {
+			found[m] = true
+			o.record("%s is to go down and up by turns; %d tasks run there", m.id, runs[m])
+		}
+	}
+	return found
+}
