--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -15,7 +15,8 @@
 )
 
 var scenarios = map[string]func(o *office, trouble bool) error{
-	"restarts": restarts,
+	"restarts":   restarts,
+	"lostKeeper": lostKeeper,
 }
 
 func main() {
--- a/review/rig-2/restarts.go
+++ b/review/rig-2/restarts.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 )
@@ -22,7 +23,6 @@
 	latest     = 12 * time.Second        // a late order is carried out 2 to 12 s later
 	soonest    = 2 * time.Second
 	longTask   = 7000
-	flapping   = 3 // of 60, 5 %
 	rounds     = 2
 )
 
@@ -50,28 +50,14 @@
 		return err
 	}
 	done := make(chan struct{})
-	var traffic sync.WaitGroup
-	every := func(interval time.Duration, do func()) {
-		traffic.Go(func() {
-			for {
-				select {
-				case <-done:
-					return
-				case <-time.After(interval):
-					do()
-				}
-			}
-		})
-	}
-	every(60*time.Millisecond, func() { o.submit(4, 1000, 60, 5*time.Second) })
-	every(200*time.Millisecond, func() { o.submit(1, 3000, longTask, 20*time.Second) })
+	traffic := o.traffic(done)
 	time.Sleep(warmUp)
 	for range rounds {
 		if !trouble {
 			time.Sleep(lossLength + flapTime + latest)
 			continue
 		}
-		flaps := o.busiest(flapping)
+		flaps := o.busiest()
 		lose := o.loser(flaps, time.Now().Add(lossLength))
 		o.mu.Lock()
 		o.lose = lose
@@ -90,6 +76,26 @@
 	return nil
 }
 
+// traffic submits short and long jobs until done is closed.
+func (o *office) traffic(done chan struct{}) *sync.WaitGroup {
+	var traffic sync.WaitGroup
+	every := func(interval time.Duration, do func()) {
+		traffic.Go(func() {
+			for {
+				select {
+				case <-done:
+					return
+				case <-time.After(interval):
+					do()
+				}
+			}
+		})
+	}
+	every(60*time.Millisecond, func() { o.submit(4, 1000, 60, 5*time.Second) })
+	every(200*time.Millisecond, func() { o.submit(1, 3000, longTask, 20*time.Second) })
+	return &traffic
+}
+
 // flap takes a minion down and up by turns.
 func flap(m *minion) {
 	for end := time.Now().Add(flapTime); time.Now().Before(end); {
@@ -140,24 +146,34 @@
 	o.record("late: start of %s run %d at %s after %s: %d %v", read.Task, read.Run, m.id, time.Since(sent).Round(time.Millisecond), status, body)
 }
 
-// busiest returns the minions at which most long tasks run, one of each zone.
-func (o *office) busiest(count int) map[*minion]bool {
-	most := map[string]*minion{}
+// busiest returns the minion of each place at which most tasks run.
+func (o *office) busiest() map[*minion]bool {
+	found := map[*minion]bool{}
+	for i := range zones {
+		for m := range o.busiestOf(fmt.Sprintf("zone-%d", i), 1) {
+			found[m] = true
+		}
+	}
+	return found
+}
+
+// busiestOf returns the minions of the place at which most tasks run.
+func (o *office) busiestOf(zone string, count int) map[*minion]bool {
+	var here []*minion
 	runs := map[*minion]int{}
 	for _, m := range o.minions {
-		m.mu.Lock()
-		runs[m] = len(m.running)
-		m.mu.Unlock()
-		if last := most[m.zone]; last == nil || runs[m] > runs[last] {
-			most[m.zone] = m
+		if m.zone == zone {
+			m.mu.Lock()
+			runs[m] = len(m.running)
+			m.mu.Unlock()
+			here = append(here, m)
 		}
 	}
+	slices.SortStableFunc(here, func(a, b *minion) int { return runs[b] - runs[a] })
 	found := map[*minion]bool{}
-	for _, m := range most {
-		if len(found) < count {
-			found[m] = true
-			o.record("%s is to go down and up by turns; %d tasks run there", m.id, runs[m])
-		}
+	for _, m := range here[:count] {
+		found[m] = true
+		o.record("%s is to go down; %d tasks run there", m.id, runs[m])
 	}
 	return found
 }
