--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -20,14 +20,14 @@
 }
 
 func main() {
-	if len(os.Args) != 3 {
-		fmt.Fprintln(os.Stderr, "usage: rig SCENARIO FOLDER")
+	if len(os.Args) != 4 {
+		fmt.Fprintln(os.Stderr, "usage: rig SCENARIO FOLDER on|off")
 		os.Exit(exitNotRun)
 	}
-	os.Exit(play(os.Args[1], os.Args[2]))
+	os.Exit(play(os.Args[1], os.Args[2], os.Args[3] != "off"))
 }
 
-func play(name, folder string) int {
+func play(name, folder string, trouble bool) int {
 	scenario, ok := scenarios[name]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such scenario:", name)
@@ -49,7 +49,7 @@
 		return exitNotRun
 	}
 	defer o.close()
-	if err := scenario(o, os.Getenv("TROUBLE") != "0"); err != nil {
+	if err := scenario(o, trouble); err != nil {
 		o.record("could not run: %s", err)
 		fmt.Fprintln(os.Stderr, "could not run:", err)
 		return exitNotRun
