Move the order of waiting jobs to a file of its own

Cause: the order, the forecast that follows it and the data structures behind them are about to change side by side. Change: compareOrder and isAhead hold what sortWaiting and ahead compared; no behaviour changes. Result: the tests of entry/pkg/cell pass as before.

--- a/entry/pkg/cell/assign.go
+++ b/entry/pkg/cell/assign.go
@@ -92,20 +92,8 @@
 	return false
 }
 
-// sortWaiting puts started jobs first, since one late task delays the whole job, and then orders by latest start time.
 func (c *Cell) sortWaiting() {
-	slices.SortStableFunc(c.waiting, func(a, b *Job) int {
-		if a.Started() != b.Started() {
-			if a.Started() {
-				return -1
-			}
-			return 1
-		}
-		if order := c.latestStart(a).Compare(c.latestStart(b)); order != 0 {
-			return order
-		}
-		return int(a.seq - b.seq)
-	})
+	slices.SortStableFunc(c.waiting, c.compareOrder)
 }
 
 // latestStart returns the estimated time by which the job's last task must start to meet the objective.
--- a/entry/pkg/cell/predict.go
+++ b/entry/pkg/cell/predict.go
@@ -155,7 +155,7 @@
 func (c *Cell) ahead(job *Job, now time.Time) []*Job {
 	var ahead []*Job
 	for _, other := range c.waiting {
-		if other != job && !other.Decided() && !c.IsBlocked(other, now) && (other.Started() || !c.latestStart(other).After(c.latestStart(job))) {
+		if other != job && !other.Decided() && !c.IsBlocked(other, now) && c.isAhead(other, job) {
 			ahead = append(ahead, other)
 		}
 	}
