Check a configuration before it is sent

Cause: operators sent documents with entries that never match and limits that contradict each other, and learned it from callers.

--- a/cli/pkg/app/arguments.go
+++ b/cli/pkg/app/arguments.go
@@ -92,7 +92,7 @@
 // configArguments hold the commands about configurations.
 type configArguments struct {
 	New     *configNewArguments     `arg:"subcommand:new" help:"print a first document to edit"`
-	Check   *configFileArguments    `arg:"subcommand:check" help:"check a document without publishing it"`
+	Check   *configCheckArguments   `arg:"subcommand:check" help:"check a document without publishing it"`
 	Diff    *configDiffArguments    `arg:"subcommand:diff" help:"compare a document with the one in force"`
 	Publish *configPublishArguments `arg:"subcommand:publish" help:"publish a document"`
 	Show    *configOwnerArguments   `arg:"subcommand:show" help:"print the document in force"`
@@ -110,9 +110,11 @@
 	Owner string `arg:"positional,required" help:"name of the owner"`
 }
 
-// configFileArguments are those of config check.
-type configFileArguments struct {
-	File string `arg:"positional,required" help:"file with the document, - for standard input"`
+// configCheckArguments are those of config check.
+type configCheckArguments struct {
+	sourceFlags
+	File    string `arg:"positional,required" help:"file with the document, - for standard input"`
+	Against string `arg:"--against" placeholder:"FILE|force" help:"show what differs from another file, or from the version in force"`
 }
 
 // configDiffArguments are those of config diff.
--- a/cli/pkg/app/configuration.go
+++ b/cli/pkg/app/configuration.go
@@ -28,7 +28,7 @@
 	case arguments.New != nil:
 		return a.configNew(arguments.New)
 	case arguments.Check != nil:
-		return a.configCheck(arguments.Check)
+		return a.configCheck(ctx, arguments.Check)
 	case arguments.Diff != nil:
 		return a.configDiff(ctx, arguments.Diff)
 	case arguments.Publish != nil:
@@ -61,16 +61,6 @@
 	return &document, nil
 }
 
-func (a *app) configCheck(arguments *configFileArguments) error {
-	document, err := a.document(arguments.File)
-	if err != nil {
-		return err
-	}
-	text := fmt.Sprintf("owner %s: %d places, %d services, %d pools, %d objectives, no fault found", document.Owner,
-		len(document.Places), len(document.Services), len(document.Pools), len(document.Objectives))
-	return a.printer.Text(document, text)
-}
-
 func (a *app) configDiff(ctx context.Context, arguments *configDiffArguments) error {
 	document, err := a.document(arguments.File)
 	if err != nil {
--- a/cli/pkg/app/exit.go
+++ b/cli/pkg/app/exit.go
@@ -41,6 +41,9 @@
 	return &usageError{cause: err}
 }
 
+// errFindings says that a document is valid but holds what can hardly be meant; the findings have been printed.
+var errFindings = errors.New("the document holds what can have no effect or contradicts itself")
+
 // rejectedError marks a configuration that was not accepted.
 type rejectedError struct {
 	reason string
--- a/cli/pkg/output/printer.go
+++ b/cli/pkg/output/printer.go
@@ -26,12 +26,14 @@
 	errOut   io.Writer
 	json     bool
 	terminal bool
+	colors   bool
 	drawn    bool
 }
 
 // New returns a printer; terminal says whether errOut is one.
 func New(out, errOut io.Writer, asJSON, terminal bool) *Printer {
-	return &Printer{out: out, errOut: errOut, json: asJSON, terminal: terminal}
+	file, isFile := out.(*os.File)
+	return &Printer{out: out, errOut: errOut, json: asJSON, terminal: terminal, colors: isFile && IsTerminal(file)}
 }
 
 // IsTerminal reports whether the file is a character device.
@@ -78,6 +80,30 @@
 	return errors.WithStack(err)
 }
 
+// Colors of a terminal, by their escape sequences.
+const (
+	red    = "\x1b[31m"
+	green  = "\x1b[32m"
+	yellow = "\x1b[33m"
+	plain  = "\x1b[0m"
+)
+
+// Warning returns the text in the color of warnings, on a terminal.
+func (p *Printer) Warning(text string) string { return p.color(yellow, text) }
+
+// Removed returns the text in the color of what is removed, on a terminal.
+func (p *Printer) Removed(text string) string { return p.color(red, text) }
+
+// Added returns the text in the color of what is added, on a terminal.
+func (p *Printer) Added(text string) string { return p.color(green, text) }
+
+func (p *Printer) color(color, text string) string {
+	if !p.colors {
+		return text
+	}
+	return color + text + plain
+}
+
 // Progress overwrites the line of progress, if there is a terminal to show it.
 func (p *Printer) Progress(format string, arguments ...any) {
 	if !p.terminal {
--- a/lib/configuration/diff.go
+++ b/lib/configuration/diff.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 
 	"github.com/pkg/errors"
 )
@@ -94,3 +95,32 @@
 	}
 	return fmt.Sprint(index)
 }
+
+// Pointer returns the JSON pointer of a field that Diff names.
+func (d *Document) Pointer(field string) string {
+	lists := map[string]func(name string) int{
+		"tokens":   func(name string) int { return indexByName(d.Tokens, name, func(t *Token) string { return t.Name }) },
+		"places":   func(name string) int { return indexByName(d.Places, name, func(p *Place) string { return p.Name }) },
+		"services": func(name string) int { return indexByName(d.Services, name, func(s *Service) string { return s.Name }) },
+		"pools":    func(name string) int { return indexByName(d.Pools, name, func(p *Pool) string { return p.Name }) },
+		"objectives": func(name string) int {
+			return indexByName(d.Objectives, name, func(o *Objective) string { return o.Name })
+		},
+	}
+	list, rest, ok := strings.Cut(field, "[")
+	index, isList := lists[list]
+	if !ok || !isList {
+		return "/" + strings.ReplaceAll(field, ".", "/")
+	}
+	name, rest, _ := strings.Cut(rest, "]")
+	at := index(name)
+	if at < 0 {
+		return "/" + list
+	}
+	rest, _, _ = strings.Cut(rest, "[")
+	return fmt.Sprintf("/%s/%d%s", list, at, strings.ReplaceAll(rest, ".", "/"))
+}
+
+func indexByName[T any](list []T, name string, nameOf func(*T) string) int {
+	return slices.IndexFunc(list, func(each T) bool { return nameOf(&each) == name })
+}
