Keep the waiting jobs in order between events

Cause: each event sorted all waiting jobs, and each comparison looked through their tasks and learnt factors. Change: what follows from the states of a job's tasks is kept until one of them changes; the learnt factors count for waiting jobs as of the last tick; only jobs that have changed are put in their places, all are checked at a tick. A pass of assign no longer counts a remaining job twice as ahead, which the compaction in place did.

--- a/entry/pkg/cell/assign.go
+++ b/entry/pkg/cell/assign.go
@@ -17,7 +17,6 @@
 func (c *Cell) assign(now time.Time, effects *Effects) {
 	c.sortWaiting()
 	unmet := unmetDemand{}
-	remaining := c.waiting[:0]
 	for _, job := range c.waiting {
 		if job.Decided() {
 			continue
@@ -27,29 +26,22 @@
 			continue
 		}
 		if job.predecessor != nil && job.predecessor.running() {
-			remaining = append(remaining, job)
 			continue
 		}
 		job.predecessor = nil
 		if now.After(c.startDeadline(job)) || c.IsBlocked(job, now) {
-			remaining = append(remaining, job)
 			continue
 		}
 		if unmet.covers(job) || !c.hasFreeSlot(job, now) {
 			unmet.add(job)
-			remaining = append(remaining, job)
 			continue
 		}
 		if !job.Started() && now.Add(c.predictDelay(job, now)).After(c.latestStart(job)) {
-			remaining = append(remaining, job)
 			continue
 		}
-		if c.startTasks(job, now, effects); job.waiting() > 0 {
-			remaining = append(remaining, job)
-		}
+		c.startTasks(job, now, effects)
 	}
-	clear(c.waiting[len(remaining):])
-	c.waiting = remaining
+	c.sortWaiting()
 }
 
 // unmetDemand maps a group to the smallest demand that fits no worker. While jobs are only started, no larger task of
@@ -92,14 +84,10 @@
 	return false
 }
 
-func (c *Cell) sortWaiting() {
-	slices.SortStableFunc(c.waiting, c.compareOrder)
-}
-
 // latestStart returns the estimated time by which the job's last task must start to meet the objective.
 func (c *Cell) latestStart(job *Job) time.Time {
 	tolerance := time.Duration(objectiveTolerance * float64(job.Objective.Sub(job.Arrived)))
-	return job.Objective.Add(tolerance - c.speeds.typical(job.Queue, job.longest()))
+	return job.Objective.Add(tolerance - c.typical(job))
 }
 
 // IsTooLate reports whether the job would miss its objective even if all its tasks started now.
@@ -109,7 +97,7 @@
 
 // giveUpReason returns why the job should not wait any longer, or "".
 func (c *Cell) giveUpReason(job *Job, now time.Time) string {
-	if now.Add(c.speeds.typical(job.Queue, job.longest())).After(job.Deadline) {
+	if now.Add(c.typical(job)).After(job.Deadline) {
 		return "it cannot end before its deadline"
 	}
 	if !job.Started() && c.IsTooLate(job, now) {
@@ -160,6 +148,7 @@
 		worker.loneRuns++
 	}
 	task.run = run
+	c.move(task.Job)
 	worker.runs[runKey{task.Name, run.Number}] = run
 	worker.used = worker.used.Plus(task.Demand)
 	worker.limitStarts(task.Job)
--- a/entry/pkg/cell/cell.go
+++ b/entry/pkg/cell/cell.go
@@ -38,6 +38,9 @@
 	tickedAt        time.Time
 	tickingSince    time.Time            // since when there was no pause between ticks
 	returns         map[string]time.Time // by group: when the workers have served all callers told to come back
+	factors         factors
+	moved           []*Job // listed in waiting, but not in their places
+	sortedAt        int64  // version of the factors by which waiting was sorted
 }
 
 // Start requests the start of a task on a worker.
@@ -110,6 +113,7 @@
 		crashTable:     newCrashTable(),
 		unsettled:      newUnsettledStarts(),
 		returns:        map[string]time.Time{},
+		factors:        factors{version: 1, mean: 1, queues: map[string]float64{}},
 	}
 }
 
@@ -131,13 +135,14 @@
 	}
 	if c.IsBlocked(job, now) {
 		job.began = true // by an earlier submission
+		job.changed()
 	}
 	if !c.CanEverRun(job) {
 		c.giveUp(job, c.UnfitReason(job), now, &effects)
 		return effects
 	}
-	c.waiting = append(c.waiting, job)
 	c.extendObjective(job)
+	c.enqueue(job)
 	wait := c.predictDelay(job, now)
 	job.Diagnostics.PredictedDelay = wait
 	if now.Add(wait).After(c.latestStart(job)) {
@@ -227,6 +232,7 @@
 	}
 	c.tickedAt = now
 	c.unsettled.trim(now)
+	c.refreshFactors()
 	for _, worker := range c.ordered {
 		worker.updateStartsUntil()
 		if worker.unresponsive && worker.clock.lapsed(now) {
@@ -300,6 +306,7 @@
 		case Done, Dropped:
 		}
 	}
+	c.move(job)
 	c.forget(job.ID)
 	effects.Answers = append(effects.Answers, AnsweredJob{Job: job, Answer: answer})
 }
--- a/entry/pkg/cell/cost_bench_test.go
+++ b/entry/pkg/cell/cost_bench_test.go
@@ -72,7 +72,7 @@
 		e.now = e.now.Add(time.Microsecond)
 		var effects Effects
 		e.measure("submit", func() Effects {
-			effects = e.cell.Submit(e.harness.job(1, 2, benchRun, time.Second, 2*time.Second), e.now)
+			effects = e.cell.Submit(e.job(1, 2, benchRun, time.Second, 2*time.Second), e.now)
 			return effects
 		})
 		e.measure("tick", func() Effects { return e.cell.Tick(e.now) })
@@ -105,7 +105,7 @@
 
 // occupyOne fills the room of four tasks, or what is free of it.
 func (e *eventBench) occupyOne() *Job {
-	job := e.harness.job(4, benchCores/4, benchPatient, 2*benchPatient, 3*benchPatient)
+	job := e.job(4, benchCores/4, benchPatient, 2*benchPatient, 3*benchPatient)
 	job.Call = -1
 	for _, task := range job.Tasks {
 		worker := e.cell.selectWorker(task, e.now)
@@ -129,7 +129,7 @@
 	if e.hopeless {
 		objective = 2 * time.Second // far less than the workers' runs last
 	}
-	job := e.harness.job(width[0], int64(width[1]), benchRun, objective, 2*benchPatient)
+	job := e.job(width[0], int64(width[1]), benchRun, objective, 2*benchPatient)
 	job.Queue = fmt.Sprintf("queue-%d", e.serial%len(benchWidths))
 	job.Call = int64(e.serial)
 	job.WantedAt = e.now
@@ -144,7 +144,7 @@
 		job.seq = e.cell.nextSeq
 		e.cell.jobs[job] = struct{}{}
 		e.cell.byID[job.ID] = job
-		e.cell.waiting = append(e.cell.waiting, job)
+		e.cell.enqueue(job)
 	}
 	e.cell.sortWaiting()
 }
--- a/entry/pkg/cell/crash.go
+++ b/entry/pkg/cell/crash.go
@@ -135,6 +135,7 @@
 func (c *Cell) addCrashes(task *Task, counted Crashes, now time.Time) {
 	task.crashes = c.crashTable.count(task.Name, now).atLeast(task.crashes).plus(counted)
 	c.crashTable.raise(task.Name, task.crashes, now)
+	task.Job.changed()
 }
 
 // failCrashing answers the job if too many workers have crashed under one of its tasks, and reports whether it did.
--- a/entry/pkg/cell/crash_table.go
+++ b/entry/pkg/cell/crash_table.go
@@ -174,6 +174,7 @@
 	for _, task := range job.Tasks {
 		task.crashes = task.crashes.atLeast(c.crashTable.count(task.Name, now))
 	}
+	job.changed()
 }
 
 // failCrashingJobs takes the counts of all undecided jobs from the table, and fails those with too many.
--- a/entry/pkg/cell/isolation.go
+++ b/entry/pkg/cell/isolation.go
@@ -14,17 +14,6 @@
 	return isolateAfterCrash && t.crashes.All > 0
 }
 
-// waitingAlone returns the number of waiting tasks that have to run alone.
-func (j *Job) waitingAlone() int {
-	count := 0
-	for _, task := range j.Tasks {
-		if task.state == Waiting && task.mustRunAlone() {
-			count++
-		}
-	}
-	return count
-}
-
 // hasLoneRun reports whether the worker has a run that must stay alone.
 func (w *Worker) hasLoneRun() bool {
 	return w.loneRuns > 0
@@ -64,7 +53,7 @@
 	}
 	heap.Init(&f.slots)
 	for _, other := range ahead {
-		f.schedule(other.waitingAlone(), c.speeds.typical(other.Queue, other.longest()))
+		f.schedule(other.waitingAlone(), c.typical(other))
 	}
-	return f.schedule(lone, c.speeds.typical(job.Queue, job.longest())).Sub(now)
+	return f.schedule(lone, c.typical(job)).Sub(now)
 }
--- a/entry/pkg/cell/job.go
+++ b/entry/pkg/cell/job.go
@@ -43,6 +43,9 @@
 	answer      *Answer
 	answeredAt  time.Time
 	seq         int64
+	listed      bool // among the waiting jobs
+	moved       bool // and not in its place there
+	summary     summary
 }
 
 // Diagnostics records for the log how a job was handled.
@@ -104,24 +107,12 @@
 	return j.answer != nil
 }
 
-// Started reports whether a start was sent that may have been carried out.
-func (j *Job) Started() bool {
-	if j.began {
-		return true
-	}
-	for _, task := range j.Tasks {
-		if task.began || task.run != nil {
-			return true
-		}
-	}
-	return false
-}
-
 // supersede makes the job wait for an earlier one of the same identifier and continue its run numbers, since workers
 // reject a run whose number they have seen.
 func (j *Job) supersede(earlier *Job) {
 	j.predecessor = earlier
 	j.began = earlier.Started()
+	j.changed()
 	for i := range min(len(j.Tasks), len(earlier.Tasks)) {
 		j.Tasks[i].runs = earlier.Tasks[i].runs
 	}
@@ -140,28 +131,6 @@
 	return false
 }
 
-// waiting returns the number of tasks that wait for a start.
-func (j *Job) waiting() int {
-	count := 0
-	for _, task := range j.Tasks {
-		if task.state == Waiting {
-			count++
-		}
-	}
-	return count
-}
-
-// longest returns the largest estimate among the tasks that have not ended.
-func (j *Job) longest() time.Duration {
-	longest := time.Duration(0)
-	for _, task := range j.Tasks {
-		if task.state == Waiting || task.state == Started {
-			longest = max(longest, task.Estimate)
-		}
-	}
-	return longest
-}
-
 // longestTask returns the task with the largest estimate.
 func (j *Job) longestTask() *Task {
 	return slices.MaxFunc(j.Tasks, func(a, b *Task) int { return cmp.Compare(a.Estimate, b.Estimate) })
--- a/entry/pkg/cell/learn.go
+++ b/entry/pkg/cell/learn.go
@@ -48,11 +48,11 @@
 
 // typical returns the expected run time of an estimate of the queue on a worker of mean slowness.
 func (s *speeds) typical(queue string, estimate time.Duration) time.Duration {
-	return time.Duration(float64(estimate) * s.queue(queue) * blendedValue(&s.meanSlowness, meanTrustRuns))
+	return time.Duration(float64(estimate) * s.queue(queue) * blendedValue(&s.meanSlowness))
 }
 
 func (s *speeds) queue(name string) float64 {
-	return blendedValue(s.queues[name], meanTrustRuns)
+	return blendedValue(s.queues[name])
 }
 
 // Number of runs from which on a mean is fully trusted; before, it is blended with a default.
@@ -66,16 +66,16 @@
 	if worker.slowness.count >= workerTrustRuns {
 		return worker.slowness.value
 	}
-	assumed := blendedValue(s.kinds[worker.Kind], meanTrustRuns)
+	assumed := blendedValue(s.kinds[worker.Kind])
 	trust := float64(worker.slowness.count) / workerTrustRuns
 	return trust*worker.slowness.value + (1-trust)*assumed
 }
 
-func blendedValue(mean *average, trusted int) float64 {
+func blendedValue(mean *average) float64 {
 	if mean == nil {
 		return 1
 	}
-	trust := math.Min(1, float64(mean.count)/float64(trusted))
+	trust := math.Min(1, float64(mean.count)/meanTrustRuns)
 	return trust*mean.value + 1 - trust
 }
 
--- a/entry/pkg/cell/predict.go
+++ b/entry/pkg/cell/predict.go
@@ -145,9 +145,9 @@
 	}
 	f := c.newForecast(job, tasks, eligible, now)
 	for _, other := range ahead {
-		f.schedule(other.waiting(), c.speeds.typical(other.Queue, other.longest()))
+		f.schedule(other.waiting(), c.typical(other))
 	}
-	delay := f.schedule(job.waiting(), c.speeds.typical(job.Queue, job.longest())).Sub(now)
+	delay := f.schedule(job.waiting(), c.typical(job)).Sub(now)
 	return max(delay, c.forecastAlone(job, ahead, eligible, now))
 }
 
@@ -170,5 +170,5 @@
 		return
 	}
 	rounds := (len(job.Tasks) - 1) / slots
-	job.Objective = job.Objective.Add(time.Duration(rounds) * c.speeds.typical(job.Queue, job.longest()))
+	job.Objective = job.Objective.Add(time.Duration(rounds) * c.typical(job))
 }
--- /dev/null
+++ b/entry/pkg/cell/summary.go
@@ -0,0 +1,89 @@
+package cell
+
+import "time"
+
+// summary holds what follows from the states of a job's tasks, until one of them changes.
+type summary struct {
+	of      *Job // whose summary it is; nil once a task has changed
+	started bool
+	waiting int // tasks
+	alone   int // of these, that have to run alone
+	longest time.Duration
+
+	typical  time.Duration // run time of the longest task
+	learntAt int64         // version of the factors of that run time
+}
+
+// changed discards what is known of the job's tasks. It follows each change of a task's state, run or crashes.
+func (j *Job) changed() {
+	j.summary.of = nil
+}
+
+// summarize returns the summary of the job's tasks.
+func (j *Job) summarize() *summary {
+	if j.summary.of == j {
+		return &j.summary
+	}
+	found := summary{of: j, started: j.began}
+	for _, task := range j.Tasks {
+		if task.began || task.run != nil {
+			found.started = true
+		}
+		if task.state == Waiting {
+			found.waiting++
+			if task.mustRunAlone() {
+				found.alone++
+			}
+		}
+		if task.state == Waiting || task.state == Started {
+			found.longest = max(found.longest, task.Estimate)
+		}
+	}
+	j.summary = found
+	return &j.summary
+}
+
+// Started reports whether a start was sent that may have been carried out.
+func (j *Job) Started() bool {
+	return j.summarize().started
+}
+
+// waiting returns the number of tasks that wait for a start.
+func (j *Job) waiting() int {
+	return j.summarize().waiting
+}
+
+// waitingAlone returns the number of waiting tasks that have to run alone.
+func (j *Job) waitingAlone() int {
+	return j.summarize().alone
+}
+
+// factors are the learnt factors of run times, as of the last tick: so jobs that wait keep their order in between.
+type factors struct {
+	version int64
+	mean    float64
+	queues  map[string]float64
+}
+
+// refreshFactors makes what was learnt since the last tick count for the order and the forecast of waiting jobs.
+func (c *Cell) refreshFactors() {
+	c.factors.version++
+	c.factors.mean = blendedValue(&c.speeds.meanSlowness)
+	clear(c.factors.queues)
+}
+
+// typical returns the expected run time of the job's longest task on a worker of mean slowness.
+func (c *Cell) typical(job *Job) time.Duration {
+	known := job.summarize()
+	if known.learntAt == c.factors.version {
+		return known.typical
+	}
+	factor, ok := c.factors.queues[job.Queue]
+	if !ok {
+		factor = c.speeds.queue(job.Queue)
+		c.factors.queues[job.Queue] = factor
+	}
+	known.typical = time.Duration(float64(known.longest) * factor * c.factors.mean)
+	known.learntAt = c.factors.version
+	return known.typical
+}
--- a/entry/pkg/cell/unsettled.go
+++ b/entry/pkg/cell/unsettled.go
@@ -240,7 +240,7 @@
 	if len(c.unsettled.blocking) == 0 {
 		return false
 	}
-	latestStart := job.Deadline.Add(-c.speeds.typical(job.Queue, job.longest()))
+	latestStart := job.Deadline.Add(-c.typical(job))
 	return slices.ContainsFunc(job.Tasks, func(task *Task) bool {
 		for _, start := range c.unsettled.blocking[task.Name] {
 			_, listed := c.workers[start.worker]
--- /dev/null
+++ b/entry/pkg/cell/waiting.go
@@ -0,0 +1,70 @@
+package cell
+
+import "slices"
+
+// maxMoved is the number of jobs that are put in their places one by one; more are sorted with all others.
+const maxMoved = 8
+
+// enqueue adds a job with waiting tasks; sortWaiting puts it in its place.
+func (c *Cell) enqueue(job *Job) {
+	if !job.listed {
+		job.listed = true
+		c.waiting = append(c.waiting, job)
+	}
+	c.move(job)
+}
+
+// move notes that the place of the job among the waiting ones may have changed, or that it waits no more. It follows each
+// change of a listed job that compareOrder depends on; changes that concern all jobs take effect at the next tick.
+func (c *Cell) move(job *Job) {
+	job.changed()
+	if job.listed && !job.moved {
+		job.moved = true
+		c.moved = append(c.moved, job)
+	}
+}
+
+// waits reports whether the job has tasks that wait for a start.
+func (j *Job) waits() bool {
+	return !j.Decided() && j.waiting() > 0
+}
+
+// sortWaiting brings the waiting jobs into their order and drops those that wait no more.
+func (c *Cell) sortWaiting() {
+	if c.sortedAt != c.factors.version || len(c.moved) > maxMoved {
+		c.sortAll()
+	}
+	for _, job := range c.moved {
+		at := slices.Index(c.waiting, job)
+		c.waiting = slices.Delete(c.waiting, at, at+1)
+	}
+	for _, job := range c.moved {
+		job.moved = false
+		if job.listed = job.waits(); job.listed {
+			at, _ := slices.BinarySearchFunc(c.waiting, job, c.compareOrder)
+			c.waiting = slices.Insert(c.waiting, at, job)
+		}
+	}
+	c.forgetMoved()
+}
+
+// sortAll sorts all waiting jobs, which are nearly in order already.
+func (c *Cell) sortAll() {
+	c.sortedAt = c.factors.version
+	for _, job := range c.moved {
+		job.moved = false
+	}
+	c.forgetMoved()
+	c.waiting = slices.DeleteFunc(c.waiting, func(job *Job) bool {
+		job.listed = job.waits()
+		return !job.listed
+	})
+	if !slices.IsSortedFunc(c.waiting, c.compareOrder) {
+		slices.SortFunc(c.waiting, c.compareOrder)
+	}
+}
+
+func (c *Cell) forgetMoved() {
+	clear(c.moved)
+	c.moved = c.moved[:0]
+}
--- a/entry/pkg/cell/workers.go
+++ b/entry/pkg/cell/workers.go
@@ -258,11 +258,13 @@
 	}
 	if task.Job.Decided() {
 		task.state = Dropped
+		c.move(task.Job)
 		return
 	}
 	switch result {
 	case RunDone:
 		task.state = Done
+		c.move(task.Job)
 		c.complete(task.Job, now, effects)
 	case RunFailed:
 		task.failed++
@@ -292,12 +294,7 @@
 // requeue makes the task wait for another start.
 func (c *Cell) requeue(task *Task) {
 	task.state = Waiting
-	for _, job := range c.waiting {
-		if job == task.Job {
-			return
-		}
-	}
-	c.waiting = append(c.waiting, task.Job)
+	c.enqueue(task.Job)
 }
 
 // handleNotRun handles a run that never began and never will.
@@ -307,6 +304,7 @@
 	task := run.Task
 	if task.Job.Decided() {
 		task.state = Dropped
+		c.move(task.Job)
 		return
 	}
 	c.requeue(task)
@@ -323,6 +321,7 @@
 	}
 	run.finished = true
 	run.Task.run = nil
+	c.move(run.Task.Job)
 	c.forget(run.Task.Job.ID)
 }
 
@@ -346,6 +345,7 @@
 		job := run.Task.Job
 		run.Task.state = Dropped
 		run.Task.began = true
+		c.move(job)
 		if !job.Decided() {
 			c.answer(job, &Answer{Outcome: Abandoned, Reason: reason}, effects, now)
 		}
