Decide about waiting jobs by kind and with shared forecasts

Cause: for each waiting job a pass looked at all workers, and walked all jobs ahead through a heap with every free slot and every run: O(waiting^2 x workers) while there is room that no job can use in time. Change: jobs of one group and demand are one kind: that no worker has room for it, or that none with room is fast enough, is found out once a pass, which ends when no kind has room. The jobs of a kind share an outlook, walked once in order and only as far as the job's latest start; runs are kept in the order of their ends. Jobs are given up in one pass, only when one is due. A run that took no time teaches nothing (a mean of zero made RetryDelay panic). Differs from before: a started job that may finish on an evacuated worker is no longer held back by one that may not; the delay that is logged for a refused job is one beyond its latest start, not the whole.

--- a/entry/pkg/cell/assign.go
+++ b/entry/pkg/cell/assign.go
@@ -13,10 +13,21 @@
 	objectiveTolerance = 0.15
 )
 
-// assign starts waiting tasks in the order of their latest start times and gives up jobs that can no longer be served.
+// assign gives up jobs that can no longer be served and starts waiting tasks in the order of the jobs.
 func (c *Cell) assign(now time.Time, effects *Effects) {
 	c.sortWaiting()
-	unmet := unmetDemand{}
+	c.giveUpHopeless(now, effects)
+	c.sortWaiting()
+	c.startWaiting(now, effects)
+	c.sortWaiting()
+}
+
+// giveUpHopeless gives up the waiting jobs that can no longer be served.
+func (c *Cell) giveUpHopeless(now time.Time, effects *Effects) {
+	if !now.After(c.servableUntil) && len(c.unsettled.blocking) == 0 {
+		return
+	}
+	c.servableUntil = now.Add(unknownDelay)
 	for _, job := range c.waiting {
 		if job.Decided() {
 			continue
@@ -25,60 +36,95 @@
 			c.giveUp(job, reason, now, effects)
 			continue
 		}
-		if job.predecessor != nil && job.predecessor.running() {
-			continue
+		c.noteServable(job)
+	}
+}
+
+// noteServable notes until when the job need not be given up.
+func (c *Cell) noteServable(job *Job) {
+	c.servableUntil = minTime(c.servableUntil, job.Deadline.Add(-c.typical(job)))
+	if !job.Started() {
+		c.servableUntil = minTime(c.servableUntil, c.latestStart(job))
+	}
+}
+
+// startWaiting starts waiting tasks in the order of their jobs, until no worker has room for a task of any kind.
+func (c *Cell) startWaiting(now time.Time, effects *Effects) {
+	finishing := c.mayFinish(now)
+	c.pass++
+	open := 0
+	for _, kind := range c.kinds {
+		if kind.begin(c.pass); c.hasRoom(kind, now) {
+			open++
 		}
-		job.predecessor = nil
-		if now.After(c.startDeadline(job)) || c.IsBlocked(job, now) {
-			continue
+	}
+	outOfRoom := func(job *Job) bool { return job.kind.full && (!finishing || !job.Started()) }
+	for place, job := range c.waiting {
+		if open == 0 && !finishing {
+			return
 		}
-		if unmet.covers(job) || !c.hasFreeSlot(job, now) {
-			unmet.add(job)
+		if outOfRoom(job) || !c.mayStart(job, now) {
 			continue
 		}
-		if !job.Started() && now.Add(c.predictDelay(job, now)).After(c.latestStart(job)) {
+		if !job.kind.full && !c.hasRoom(job.kind, now) {
+			open--
+		}
+		if outOfRoom(job) || !c.hasFreeSlot(job, now) {
 			continue
 		}
-		c.startTasks(job, now, effects)
+		if job.Started() || c.comesInTime(job, place, now) {
+			c.startTasks(job, !finishing, now, effects)
+		}
 	}
-	c.sortWaiting()
 }
 
-// unmetDemand maps a group to the smallest demand that fits no worker. While jobs are only started, no larger task of
-// the group fits either.
-type unmetDemand map[string]Resources
-
-// covers reports whether the job's tasks are known not to fit any worker.
-func (u unmetDemand) covers(job *Job) bool {
-	demand, known := u[job.Group]
-	return known && job.Tasks[0].Demand.Fits(demand)
+// mayStart reports whether tasks of the job may start, were there room.
+func (c *Cell) mayStart(job *Job, now time.Time) bool {
+	if job.predecessor != nil && job.predecessor.running() {
+		return false
+	}
+	job.predecessor = nil
+	return !now.After(c.startDeadline(job)) && !c.IsBlocked(job, now)
 }
 
-// add records that the job's waiting tasks do not fit any worker; those that have to run alone say nothing of others.
-func (u unmetDemand) add(job *Job) {
-	demand := job.Tasks[0].Demand
-	sharing := job.waiting() - job.waitingAlone()
-	if smallest, known := u[job.Group]; sharing > 0 && (!known || smallest.Fits(demand)) {
-		u[job.Group] = demand
+// comesInTime reports whether the last task of the job, which has not started, is predicted to start in time. The jobs of one
+// kind share an outlook, in which it takes the place of its tasks.
+func (c *Cell) comesInTime(job *Job, place int, now time.Time) bool {
+	limit := c.latestStart(job).Sub(now)
+	isTied := place+1 < len(c.waiting) && c.isAhead(c.waiting[place+1], job)
+	if isTied || job.waitingAlone() > 0 {
+		return c.forecastWithin(job, nil, limit, now) <= limit
 	}
+	k := job.kind
+	if k.lookedOut != c.started {
+		k.lookedOut = c.started
+		k.seen = 0
+		c.lookOut(&k.outlook, job, nil, now)
+	}
+	for ; k.seen < place; k.seen++ {
+		if soonest, _ := k.outlook.earliest(); soonest > limit {
+			return false
+		}
+		if other := c.waiting[k.seen]; c.takesRoom(other, now) {
+			k.outlook.schedule(other.waiting(), c.typical(other))
+		}
+	}
+	if soonest, _ := k.outlook.earliest(); soonest > limit {
+		return false
+	}
+	k.seen++
+	return k.outlook.schedule(job.waiting(), c.typical(job)) <= limit
 }
 
 // hasFreeSlot reports whether a usable worker has free resources for a waiting task of the job.
 func (c *Cell) hasFreeSlot(job *Job, now time.Time) bool {
-	var looked struct{ sharing, alone bool } // all tasks of a job have the same demand
-	for _, task := range job.Tasks {
-		kind := &looked.sharing
-		if task.mustRunAlone() {
-			kind = &looked.alone
-		}
-		if task.state != Waiting || *kind {
-			continue
-		}
-		*kind = true
-		for _, worker := range c.ordered {
-			if worker.Group == job.Group && worker.usableFor(job, now) && worker.hasRoomFor(task) {
-				return true
-			}
+	sharing := job.waitingAlone() < job.waiting()
+	if sharing && !job.kind.full {
+		return true
+	}
+	for _, worker := range c.ordered {
+		if worker.Group == job.Group && worker.free().Fits(job.kind.demand) && (sharing || len(worker.runs) == 0) && worker.usableFor(job, now) {
+			return true
 		}
 	}
 	return false
@@ -109,14 +155,16 @@
 	return ""
 }
 
-// startTasks starts the waiting tasks of the job for which a worker is found.
-func (c *Cell) startTasks(job *Job, now time.Time, effects *Effects) {
+// startTasks starts the waiting tasks of the job for which a worker is found. Unless some may finish their jobs
+// after an evacuation, the speeds of the workers tell when no other task of the kind finds one either.
+func (c *Cell) startTasks(job *Job, bySpeeds bool, now time.Time, effects *Effects) {
 	for _, task := range job.Tasks {
-		if task.state != Waiting {
+		if task.state != Waiting || bySpeeds && job.kind.missed == c.started && !c.mayFind(job.kind, task, now) {
 			continue
 		}
 		worker := c.selectWorker(task, now)
 		if worker == nil {
+			job.kind.missed = c.started
 			continue
 		}
 		effects.Starts = append(effects.Starts, c.start(task, worker, now))
@@ -148,6 +196,8 @@
 		worker.loneRuns++
 	}
 	task.run = run
+	c.started++
+	c.runEnds.add(run)
 	c.move(task.Job)
 	worker.runs[runKey{task.Name, run.Number}] = run
 	worker.used = worker.used.Plus(task.Demand)
--- a/entry/pkg/cell/cell.go
+++ b/entry/pkg/cell/cell.go
@@ -41,6 +41,12 @@
 	factors         factors
 	moved           []*Job // listed in waiting, but not in their places
 	sortedAt        int64  // version of the factors by which waiting was sorted
+	runEnds         runEnds
+	outlook         outlook // of the latest forecast
+	started         int64   // starts
+	kinds           map[kindKey]*kind
+	pass            int64     // of assign
+	servableUntil   time.Time // before it no waiting job has to be given up
 }
 
 // Start requests the start of a task on a worker.
@@ -113,6 +119,7 @@
 		crashTable:     newCrashTable(),
 		unsettled:      newUnsettledStarts(),
 		returns:        map[string]time.Time{},
+		kinds:          map[kindKey]*kind{},
 		factors:        factors{version: 1, mean: 1, queues: map[string]float64{}},
 	}
 }
@@ -143,9 +150,11 @@
 	}
 	c.extendObjective(job)
 	c.enqueue(job)
-	wait := c.predictDelay(job, now)
+	c.sortWaiting()
+	limit := c.latestStart(job).Sub(now)
+	wait := c.forecastWithin(job, nil, limit, now)
 	job.Diagnostics.PredictedDelay = wait
-	if now.Add(wait).After(c.latestStart(job)) {
+	if wait > limit {
 		c.giveUp(job, "it would miss its objective", now, &effects)
 		return effects
 	}
@@ -187,7 +196,8 @@
 	}
 	longest := job.longestTask()
 	inTime := func(worker *Worker) bool { return c.isInTime(longest, worker, now) }
-	return c.forecastDelay(job, inTime, now) <= 0
+	c.sortWaiting()
+	return c.forecastWithin(job, inTime, 0, now) <= 0
 }
 
 // Cancel abandons a job whose caller has left and stops its runs.
@@ -316,6 +326,9 @@
 	if run.stopping && now.Sub(run.stoppedAt) < stopRetryDelay {
 		return
 	}
+	if !run.stopping {
+		c.runEnds.stop(run)
+	}
 	run.stopping = true
 	run.stoppedAt = now
 	effects.Stops = append(effects.Stops, Stop{Worker: run.Worker, Task: run.Task.Name, Number: run.Number, Run: run})
--- a/entry/pkg/cell/cost_bench_test.go
+++ b/entry/pkg/cell/cost_bench_test.go
@@ -129,6 +129,7 @@
 	if e.hopeless {
 		objective = 2 * time.Second // far less than the workers' runs last
 	}
+	objective += time.Duration(e.serial) // no two callers come at once
 	job := e.job(width[0], int64(width[1]), benchRun, objective, 2*benchPatient)
 	job.Queue = fmt.Sprintf("queue-%d", e.serial%len(benchWidths))
 	job.Call = int64(e.serial)
@@ -180,7 +181,9 @@
 // age makes the run as old as its estimate, give or take a tenth.
 func (e *eventBench) age(run *Run) {
 	e.serial++
+	e.cell.runEnds.remove(run)
 	run.sentAt = e.now.Add(-run.Task.Estimate * time.Duration(90+e.serial%21) / 100)
+	e.cell.runEnds.add(run)
 }
 
 // measure adds the time that an event takes.
--- a/entry/pkg/cell/evacuation.go
+++ b/entry/pkg/cell/evacuation.go
@@ -76,6 +76,16 @@
 	return "no worker has room for a task of this size"
 }
 
+// mayFinish reports whether a worker was evacuated so lately that jobs may still start tasks on it.
+func (c *Cell) mayFinish(now time.Time) bool {
+	for _, worker := range c.ordered {
+		if worker.evacuated() && now.Sub(worker.evacuatedSince) < evacuationGrace {
+			return true
+		}
+	}
+	return false
+}
+
 // evacuated reports whether the worker's failure domain is evacuated.
 func (w *Worker) evacuated() bool {
 	return !w.evacuatedSince.IsZero()
--- a/entry/pkg/cell/isolation.go
+++ b/entry/pkg/cell/isolation.go
@@ -1,9 +1,6 @@
 package cell
 
-import (
-	"container/heap"
-	"time"
-)
+import "time"
 
 // isolateAfterCrash makes tasks under which a worker has crashed run alone, so that no other task is lost with the next
 // worker, and the ones that did not cause the crash complete.
@@ -36,24 +33,19 @@
 }
 
 // forecastAlone returns the predicted delay until the last waiting task of the job that has to run alone has started
-// on an eligible worker.
-func (c *Cell) forecastAlone(job *Job, ahead []*Job, eligible func(*Worker) bool, now time.Time) time.Duration {
-	lone := job.waitingAlone()
-	if lone == 0 {
-		return 0
-	}
-	f := &forecast{now: now}
+// on an eligible worker, of all workers if eligible is nil.
+func (c *Cell) forecastAlone(job *Job, eligible func(*Worker) bool, now time.Time) time.Duration {
+	o := outlook{now: now}
 	for _, worker := range c.ordered {
-		if worker.Group != job.Group || !eligible(worker) || !worker.Capacity.Fits(job.Tasks[0].Demand) {
+		if worker.Group != job.Group || eligible != nil && !eligible(worker) || !worker.Capacity.Fits(job.Tasks[0].Demand) {
 			continue
 		}
 		if worker.usableFor(job, now) || worker.unusableReason(now) == reasonLoneRun {
-			f.slots = append(f.slots, worker.idleAt(now))
+			o.add(worker.idleAt(now).Sub(now), 1)
 		}
 	}
-	heap.Init(&f.slots)
-	for _, other := range ahead {
-		f.schedule(other.waitingAlone(), c.typical(other))
+	for other := range c.ahead(job, now) {
+		o.schedule(other.waitingAlone(), c.typical(other))
 	}
-	return f.schedule(lone, c.typical(job)).Sub(now)
+	return o.schedule(job.waitingAlone(), c.typical(job))
 }
--- a/entry/pkg/cell/learn.go
+++ b/entry/pkg/cell/learn.go
@@ -81,7 +81,7 @@
 
 // observe records the run time of a run.
 func (s *speeds) observe(run *Run, took time.Duration) {
-	if run.Task.Estimate <= 0 {
+	if run.Task.Estimate <= 0 || took <= 0 {
 		return
 	}
 	ratio := math.Min(float64(took)/float64(run.Task.Estimate), ratioLimit)
--- a/entry/pkg/cell/shortage.go
+++ b/entry/pkg/cell/shortage.go
@@ -75,7 +75,7 @@
 // shortage returns the state of the workers for a job that is about to be refused.
 func (c *Cell) shortage(job *Job, now time.Time) *Shortage {
 	found := &Shortage{WaitingTasks: job.waiting(), UnusableWorkers: map[UnusableReason]int{}}
-	for _, other := range c.ahead(job, now) {
+	for other := range c.ahead(job, now) {
 		found.TasksAhead += other.waiting()
 	}
 	demand := job.Tasks[0].Demand
--- a/entry/pkg/cell/stop.go
+++ b/entry/pkg/cell/stop.go
@@ -8,6 +8,7 @@
 	for job := range c.jobs {
 		job.Deadline = minTime(job.Deadline, latest)
 	}
+	c.servableUntil = time.Time{}
 	c.assign(now, &effects)
 	return effects
 }
--- a/entry/pkg/cell/waiting.go
+++ b/entry/pkg/cell/waiting.go
@@ -1,6 +1,9 @@
 package cell
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // maxMoved is the number of jobs that are put in their places one by one; more are sorted with all others.
 const maxMoved = 8
@@ -10,6 +13,7 @@
 	if !job.listed {
 		job.listed = true
 		c.waiting = append(c.waiting, job)
+		c.list(job)
 	}
 	c.move(job)
 }
@@ -40,7 +44,10 @@
 	}
 	for _, job := range c.moved {
 		job.moved = false
-		if job.listed = job.waits(); job.listed {
+		if !job.waits() {
+			c.delist(job)
+		} else {
+			c.noteServable(job)
 			at, _ := slices.BinarySearchFunc(c.waiting, job, c.compareOrder)
 			c.waiting = slices.Insert(c.waiting, at, job)
 		}
@@ -56,9 +63,13 @@
 	}
 	c.forgetMoved()
 	c.waiting = slices.DeleteFunc(c.waiting, func(job *Job) bool {
-		job.listed = job.waits()
-		return !job.listed
+		if job.waits() {
+			return false
+		}
+		c.delist(job)
+		return true
 	})
+	c.servableUntil = time.Time{}
 	if !slices.IsSortedFunc(c.waiting, c.compareOrder) {
 		slices.SortFunc(c.waiting, c.compareOrder)
 	}
--- a/entry/pkg/cell/worker.go
+++ b/entry/pkg/cell/worker.go
@@ -36,6 +36,9 @@
 	health         health
 	cell           *Cell
 	startsUntil    time.Time // until then no run limits the lease too much for a new one, as of the last tick
+	place          int       // among the cell's workers, as of the latest outlook; negative if it is gone
+	lookedAt       int64     // pass of assign for which usableNow holds
+	usableNow      bool
 	evacuatedSince time.Time // zero unless its failure domain is evacuated
 }
 
@@ -59,9 +62,10 @@
 	tombstonedAt time.Time // when a stop was first confirmed, after which a late start is rejected
 	fenced       bool      // its start was not confirmed before the worker restarted, and is rejected by the raised token
 	expected     time.Duration
-	crashed      bool // the worker has crashed while the run may have been running
-	left         bool // the worker has left, as announced, while the run may have been running
-	alone        bool // it must stay alone at its worker
+	endsAt       time.Time // when it is expected to end unless it is overdue or stopped
+	crashed      bool      // the worker has crashed while the run may have been running
+	left         bool      // the worker has left, as announced, while the run may have been running
+	alone        bool      // it must stay alone at its worker
 }
 
 // RunResult is how a run ended.
--- a/entry/pkg/cell/workers.go
+++ b/entry/pkg/cell/workers.go
@@ -27,6 +27,7 @@
 // unlist removes the worker from the map and the sorted list of workers.
 func (c *Cell) unlist(worker *Worker) {
 	delete(c.workers, worker.ID)
+	worker.place = -1
 	c.ordered = slices.DeleteFunc(c.ordered, func(other *Worker) bool { return other == worker })
 }
 
@@ -320,6 +321,7 @@
 		worker.loneRuns--
 	}
 	run.finished = true
+	c.runEnds.remove(run)
 	run.Task.run = nil
 	c.move(run.Task.Job)
 	c.forget(run.Task.Job.ID)
