Look at the due jobs alone in a tick

Cause: each tick sorted all undecided jobs and the runs of each worker, and sorted all waiting jobs after a change of the learnt factors as if they came in no order. Change: undecided jobs are kept in a heap by when they are due, the runs of a worker in order; the learnt latest start is kept with its job; waiting jobs that are nearly in order are sorted by insertion.

--- a/entry/pkg/cell/assign.go
+++ b/entry/pkg/cell/assign.go
@@ -130,12 +130,6 @@
 	return false
 }
 
-// latestStart returns the estimated time by which the job's last task must start to meet the objective.
-func (c *Cell) latestStart(job *Job) time.Time {
-	tolerance := time.Duration(objectiveTolerance * float64(job.Objective.Sub(job.Arrived)))
-	return job.Objective.Add(tolerance - c.typical(job))
-}
-
 // IsTooLate reports whether the job would miss its objective even if all its tasks started now.
 func (c *Cell) IsTooLate(job *Job, now time.Time) bool {
 	return now.After(c.latestStart(job))
@@ -199,7 +193,7 @@
 	c.started++
 	c.runEnds.add(run)
 	c.move(task.Job)
-	worker.runs[runKey{task.Name, run.Number}] = run
+	worker.addRun(run)
 	worker.used = worker.used.Plus(task.Demand)
 	worker.limitStarts(task.Job)
 	lease, _ := worker.Lease(now, c.limits.Lease)
--- a/entry/pkg/cell/cell.go
+++ b/entry/pkg/cell/cell.go
@@ -42,6 +42,7 @@
 	moved           []*Job // listed in waiting, but not in their places
 	sortedAt        int64  // version of the factors by which waiting was sorted
 	runEnds         runEnds
+	due             dueJobs
 	outlook         outlook // of the latest forecast
 	started         int64   // starts
 	kinds           map[kindKey]*kind
@@ -120,16 +121,14 @@
 		unsettled:      newUnsettledStarts(),
 		returns:        map[string]time.Time{},
 		kinds:          map[kindKey]*kind{},
-		factors:        factors{version: 1, mean: 1, queues: map[string]float64{}},
+		factors:        factors{version: 1, mean: 1, queues: map[string]*queueFactor{}},
 	}
 }
 
 // Submit admits a job and starts what it can, or refuses the job if it would miss its objective.
 func (c *Cell) Submit(job *Job, now time.Time) Effects {
 	var effects Effects
-	c.nextSeq++
-	job.seq = c.nextSeq
-	c.jobs[job] = struct{}{}
+	c.open(job)
 	if c.isStale(job) {
 		c.answer(job, &Answer{Outcome: Abandoned, Reason: "the caller has sent the job anew since"}, &effects, now)
 		return effects
@@ -254,14 +253,7 @@
 			effects.Polls = append(effects.Polls, worker)
 		}
 	}
-	for _, job := range c.sortedJobs() {
-		switch {
-		case !now.Before(job.Deadline):
-			c.giveUp(job, "the deadline passed", now, &effects)
-		case c.isUnheard(job, now): // its runs would end the leases of others on their workers
-			c.answer(job, &Answer{Outcome: Abandoned, Reason: "the caller's host was not heard"}, &effects, now)
-		}
-	}
+	c.answerDue(now, &effects)
 	c.giveUpEvacuated(now, &effects)
 	c.assign(now, &effects)
 	return effects
@@ -281,7 +273,7 @@
 	if !w.held || w.unresponsive || now.Sub(w.reportedAt) < pollInterval || now.Sub(w.polledAt) < pollInterval {
 		return false
 	}
-	for _, run := range w.runs {
+	for _, run := range w.listed {
 		if now.Sub(run.sentAt) > run.expected+reportSlack {
 			return true
 		}
@@ -340,7 +332,7 @@
 // retryOverdue ejects a worker with overdue runs, moves these runs if they can end in time elsewhere, and resends
 // unconfirmed stops.
 func (c *Cell) retryOverdue(worker *Worker, now time.Time, effects *Effects) {
-	for _, run := range worker.sortedRuns() {
+	for _, run := range worker.listed {
 		if run.stopping {
 			c.stop(run, now, effects)
 			continue
--- a/entry/pkg/cell/cost_bench_test.go
+++ b/entry/pkg/cell/cost_bench_test.go
@@ -96,7 +96,7 @@
 func (e *eventBench) occupy(workers int) {
 	e.addWorkers(workers, benchCores, 1)
 	for range workers {
-		e.cell.jobs[e.occupyOne()] = struct{}{}
+		e.cell.open(e.occupyOne())
 	}
 	if e.hopeless {
 		e.end()
@@ -141,9 +141,7 @@
 func (e *eventBench) fill() {
 	for len(e.cell.waiting) < e.waiting {
 		job := e.next()
-		e.cell.nextSeq++
-		job.seq = e.cell.nextSeq
-		e.cell.jobs[job] = struct{}{}
+		e.cell.open(job)
 		e.cell.byID[job.ID] = job
 		e.cell.enqueue(job)
 	}
--- a/entry/pkg/cell/cost_test.go
+++ b/entry/pkg/cell/cost_test.go
@@ -43,14 +43,14 @@
 		}
 	}
 	for _, worker := range c.ordered {
-		for key, run := range worker.runs {
+		for _, run := range worker.listed {
 			if _, known := tasks[run.Task]; !known {
 				copyJob(run.Task.Job)
 			}
 			copied := *run
 			copied.Worker, copied.Task = workers[worker], tasks[run.Task]
 			copied.Task.run = &copied
-			workers[worker].runs[key] = &copied
+			workers[worker].addRun(&copied)
 			if clone.runEnds.add(&copied); run.stopping {
 				clone.runEnds.stop(&copied)
 			}
--- a/entry/pkg/cell/isolation.go
+++ b/entry/pkg/cell/isolation.go
@@ -24,7 +24,7 @@
 // idleAt returns when the runs at the worker are expected to have ended.
 func (w *Worker) idleAt(now time.Time) time.Time {
 	last := now
-	for _, run := range w.runs {
+	for _, run := range w.listed {
 		if end := run.expectedEnd(now); end.After(last) {
 			last = end
 		}
--- a/entry/pkg/cell/job.go
+++ b/entry/pkg/cell/job.go
@@ -43,8 +43,9 @@
 	answer      *Answer
 	answeredAt  time.Time
 	seq         int64
-	listed      bool  // among the waiting jobs
-	moved       bool  // and not in its place there
+	listed      bool // among the waiting jobs
+	moved       bool // and not in its place there
+	factor      *queueFactor
 	kind        *kind // while it is listed
 	summary     summary
 }
--- a/entry/pkg/cell/late.go
+++ b/entry/pkg/cell/late.go
@@ -27,10 +27,8 @@
 	if !ok {
 		return effects, false
 	}
-	c.nextSeq++
-	job.seq = c.nextSeq
+	c.open(job)
 	job.Diagnostics.StartedLate = true
-	c.jobs[job] = struct{}{}
 	c.byID[job.ID] = job
 	for i, task := range job.Tasks {
 		effects.Starts = append(effects.Starts, c.start(task, plan[i], now))
--- a/entry/pkg/cell/lease.go
+++ b/entry/pkg/cell/lease.go
@@ -33,7 +33,7 @@
 // worker, so each renewal would keep such a run alive too.
 func (w *Worker) leaseLimit(now time.Time) time.Duration {
 	limit := w.cell.limits.Lease
-	for _, run := range w.runs {
+	for _, run := range w.listed {
 		limit = min(limit, w.clock.least(w.cell.leaseDeadline(run.Task.Job))-w.clock.estimate(now))
 	}
 	return limit
@@ -47,7 +47,7 @@
 // updateStartsUntil recomputes until when runs may start on the worker; the times at which jobs were wanted rise.
 func (w *Worker) updateStartsUntil() {
 	w.startsUntil = time.Time{}
-	for _, run := range w.runs {
+	for _, run := range w.listed {
 		w.limitStarts(run.Task.Job)
 	}
 }
@@ -71,11 +71,17 @@
 // isUnheard reports whether the home has not reported for too long that the job's caller waits, although the home itself may
 // be heard; a pause of this process does not count.
 func (c *Cell) isUnheard(job *Job, now time.Time) bool {
+	until, reports := c.heardUntil(job)
+	return reports && now.After(until)
+}
+
+// heardUntil returns until when the home need not report that the job's caller waits, or false if it does not report that.
+func (c *Cell) heardUntil(job *Job) (time.Time, bool) {
 	wanted := job.WantedAt
 	if wanted.Before(c.tickingSince) {
 		wanted = c.tickingSince
 	}
-	return job.Call > 0 && c.limits.Unheard > 0 && now.Sub(wanted) > c.limits.Unheard
+	return wanted.Add(c.limits.Unheard), job.Call > 0 && c.limits.Unheard > 0
 }
 
 // leasesEndInTime reports whether the leases that the worker was already sent, for any run, expire before the job's lease
--- a/entry/pkg/cell/restart.go
+++ b/entry/pkg/cell/restart.go
@@ -16,7 +16,7 @@
 	worker.restartedAs = report.Incarnation
 	worker.held = false
 	worker.joining = true
-	for _, run := range worker.runs {
+	for _, run := range worker.listed {
 		if run.acceptedAt.IsZero() {
 			run.fenced = true
 		}
--- a/entry/pkg/cell/select_worker.go
+++ b/entry/pkg/cell/select_worker.go
@@ -78,16 +78,27 @@
 	return cost
 }
 
+// sortedRuns returns a copy of the runs, sorted by task.
 func (w *Worker) sortedRuns() []*Run {
-	runs := make([]*Run, 0, len(w.runs))
-	for _, run := range w.runs {
-		runs = append(runs, run)
+	return slices.Clone(w.listed)
+}
+
+func (w *Worker) addRun(run *Run) {
+	w.runs[runKey{run.Task.Name, run.Number}] = run
+	at, _ := slices.BinarySearchFunc(w.listed, run, compareRuns)
+	w.listed = slices.Insert(w.listed, at, run)
+}
+
+func (w *Worker) removeRun(run *Run) {
+	delete(w.runs, runKey{run.Task.Name, run.Number})
+	if at := slices.Index(w.listed, run); at >= 0 {
+		w.listed = slices.Delete(w.listed, at, at+1)
 	}
-	slices.SortFunc(runs, func(a, b *Run) int {
-		if order := strings.Compare(a.Task.Name, b.Task.Name); order != 0 {
-			return order
-		}
-		return a.Number - b.Number
-	})
-	return runs
+}
+
+func compareRuns(a, b *Run) int {
+	if order := strings.Compare(a.Task.Name, b.Task.Name); order != 0 {
+		return order
+	}
+	return a.Number - b.Number
 }
--- a/entry/pkg/cell/stop.go
+++ b/entry/pkg/cell/stop.go
@@ -9,6 +9,7 @@
 		job.Deadline = minTime(job.Deadline, latest)
 	}
 	c.servableUntil = time.Time{}
+	c.resetDue()
 	c.assign(now, &effects)
 	return effects
 }
--- a/entry/pkg/cell/summary.go
+++ b/entry/pkg/cell/summary.go
@@ -10,8 +10,10 @@
 	alone   int // of these, that have to run alone
 	longest time.Duration
 
-	typical  time.Duration // run time of the longest task
-	learntAt int64         // version of the factors of that run time
+	typical   time.Duration // run time of the longest task
+	learntAt  int64         // version of the factors of that run time
+	latest    time.Time     // latest start for that run time
+	objective time.Time     // for which that holds
 }
 
 // changed discards what is known of the job's tasks. It follows each change of a task's state, run or crashes.
@@ -62,14 +64,19 @@
 type factors struct {
 	version int64
 	mean    float64
-	queues  map[string]float64
+	queues  map[string]*queueFactor
+}
+
+// queueFactor is the factor of a queue's run times.
+type queueFactor struct {
+	version int64
+	value   float64
 }
 
 // refreshFactors makes what was learnt since the last tick count for the order and the forecast of waiting jobs.
 func (c *Cell) refreshFactors() {
 	c.factors.version++
 	c.factors.mean = blendedValue(&c.speeds.meanSlowness)
-	clear(c.factors.queues)
 }
 
 // typical returns the expected run time of the job's longest task on a worker of mean slowness.
@@ -78,12 +85,34 @@
 	if known.learntAt == c.factors.version {
 		return known.typical
 	}
-	factor, ok := c.factors.queues[job.Queue]
-	if !ok {
-		factor = c.speeds.queue(job.Queue)
-		c.factors.queues[job.Queue] = factor
-	}
-	known.typical = time.Duration(float64(known.longest) * factor * c.factors.mean)
+	known.typical = time.Duration(float64(known.longest) * c.queueFactor(job) * c.factors.mean)
 	known.learntAt = c.factors.version
+	known.objective = time.Time{}
 	return known.typical
 }
+
+func (c *Cell) queueFactor(job *Job) float64 {
+	if job.factor == nil {
+		if job.factor = c.factors.queues[job.Queue]; job.factor == nil {
+			job.factor = &queueFactor{}
+			c.factors.queues[job.Queue] = job.factor
+		}
+	}
+	if job.factor.version != c.factors.version {
+		job.factor.version = c.factors.version
+		job.factor.value = c.speeds.queue(job.Queue)
+	}
+	return job.factor.value
+}
+
+// latestStart returns the estimated time by which the job's last task must start to meet the objective.
+func (c *Cell) latestStart(job *Job) time.Time {
+	typical := c.typical(job)
+	known := &job.summary
+	if known.objective != job.Objective {
+		tolerance := time.Duration(objectiveTolerance * float64(job.Objective.Sub(job.Arrived)))
+		known.latest = job.Objective.Add(tolerance - typical)
+		known.objective = job.Objective
+	}
+	return known.latest
+}
--- a/entry/pkg/cell/waiting.go
+++ b/entry/pkg/cell/waiting.go
@@ -70,8 +70,20 @@
 		return true
 	})
 	c.servableUntil = time.Time{}
-	if !slices.IsSortedFunc(c.waiting, c.compareOrder) {
-		slices.SortFunc(c.waiting, c.compareOrder)
+	sortNearly(c.waiting, c.compareOrder)
+}
+
+// sortNearly sorts jobs of which few are far from their places.
+func sortNearly(jobs []*Job, compare func(a, b *Job) int) {
+	swaps := 4 * len(jobs) // about the cost of a sort
+	for i := range jobs {
+		for j := i; j > 0 && compare(jobs[j], jobs[j-1]) < 0; j-- {
+			if swaps--; swaps < 0 {
+				slices.SortFunc(jobs, compare)
+				return
+			}
+			jobs[j], jobs[j-1] = jobs[j-1], jobs[j]
+		}
 	}
 }
 
--- a/entry/pkg/cell/worker.go
+++ b/entry/pkg/cell/worker.go
@@ -25,6 +25,7 @@
 	viewStale      bool      // after a rejected or unanswered start, until the next report
 	used           Resources
 	runs           map[runKey]*Run
+	listed         []*Run              // the same, sorted by task
 	unknownRuns    map[runKey]struct{} // runs that this keeper did not start
 	unexplained    []*Run              // lapsed while the worker was silent; the next report shows whether it had crashed
 	goneAt         time.Time           // when its process was last known to have ended
--- a/entry/pkg/cell/workers.go
+++ b/entry/pkg/cell/workers.go
@@ -11,6 +11,7 @@
 // Add adds a worker to the cell; it gets no work before its first report.
 func (c *Cell) Add(worker *Worker) {
 	worker.runs = map[runKey]*Run{}
+	worker.listed = nil
 	worker.unknownRuns = map[runKey]struct{}{}
 	worker.cell = c
 	worker.evacuatedSince = c.evacuatedSince[worker.FailureDomain]
@@ -314,7 +315,7 @@
 // releaseResources frees the resources of the run and marks it finished.
 func (c *Cell) releaseResources(run *Run) {
 	worker := run.Worker
-	delete(worker.runs, runKey{run.Task.Name, run.Number})
+	worker.removeRun(run)
 	worker.used = worker.used.Minus(run.Task.Demand)
 	invariant.Check(worker.used.Cores >= 0, "room_balances", "worker %s", worker.ID)
 	if run.alone {
