--- a/entry/pkg/cell/cell.go
+++ b/entry/pkg/cell/cell.go
@@ -38,6 +38,16 @@
 	tickedAt        time.Time
 	tickingSince    time.Time            // since when there was no pause between ticks
 	returns         map[string]time.Time // by group: when the workers have served all callers told to come back
+	factors         factors
+	moved           []*Job // listed in waiting, but not in their places
+	sortedAt        int64  // version of the factors by which waiting was sorted
+	runEnds         runEnds
+	due             dueJobs
+	outlook         outlook // of the latest forecast
+	started         int64   // starts
+	kinds           map[kindKey]*kind
+	pass            int64     // of assign
+	servableUntil   time.Time // before it no waiting job has to be given up
 }
 
 // Start requests the start of a task on a worker.
@@ -110,15 +120,15 @@
 		crashTable:     newCrashTable(),
 		unsettled:      newUnsettledStarts(),
 		returns:        map[string]time.Time{},
+		kinds:          map[kindKey]*kind{},
+		factors:        factors{version: 1, mean: 1, queues: map[string]*queueFactor{}},
 	}
 }
 
 // Submit admits a job and starts what it can, or refuses the job if it would miss its objective.
 func (c *Cell) Submit(job *Job, now time.Time) Effects {
 	var effects Effects
-	c.nextSeq++
-	job.seq = c.nextSeq
-	c.jobs[job] = struct{}{}
+	c.open(job)
 	if c.isStale(job) {
 		c.answer(job, &Answer{Outcome: Abandoned, Reason: "the caller has sent the job anew since"}, &effects, now)
 		return effects
@@ -131,16 +141,19 @@
 	}
 	if c.IsBlocked(job, now) {
 		job.began = true // by an earlier submission
+		job.changed()
 	}
 	if !c.CanEverRun(job) {
 		c.giveUp(job, c.UnfitReason(job), now, &effects)
 		return effects
 	}
-	c.waiting = append(c.waiting, job)
 	c.extendObjective(job)
-	wait := c.predictDelay(job, now)
+	c.enqueue(job)
+	c.sortWaiting()
+	limit := c.latestStart(job).Sub(now)
+	wait := c.forecastWithin(job, nil, limit, now)
 	job.Diagnostics.PredictedDelay = wait
-	if now.Add(wait).After(c.latestStart(job)) {
+	if wait > limit {
 		c.giveUp(job, "it would miss its objective", now, &effects)
 		return effects
 	}
@@ -182,7 +195,8 @@
 	}
 	longest := job.longestTask()
 	inTime := func(worker *Worker) bool { return c.isInTime(longest, worker, now) }
-	return c.forecastDelay(job, inTime, now) <= 0
+	c.sortWaiting()
+	return c.forecastWithin(job, inTime, 0, now) <= 0
 }
 
 // Cancel abandons a job whose caller has left and stops its runs.
@@ -227,6 +241,7 @@
 	}
 	c.tickedAt = now
 	c.unsettled.trim(now)
+	c.refreshFactors()
 	for _, worker := range c.ordered {
 		worker.updateStartsUntil()
 		if worker.unresponsive && worker.clock.lapsed(now) {
@@ -238,14 +253,7 @@
 			effects.Polls = append(effects.Polls, worker)
 		}
 	}
-	for _, job := range c.sortedJobs() {
-		switch {
-		case !now.Before(job.Deadline):
-			c.giveUp(job, "the deadline passed", now, &effects)
-		case c.isUnheard(job, now): // its runs would end the leases of others on their workers
-			c.answer(job, &Answer{Outcome: Abandoned, Reason: "the caller's host was not heard"}, &effects, now)
-		}
-	}
+	c.answerDue(now, &effects)
 	c.giveUpEvacuated(now, &effects)
 	c.assign(now, &effects)
 	return effects
@@ -265,7 +273,7 @@
 	if !w.held || w.unresponsive || now.Sub(w.reportedAt) < pollInterval || now.Sub(w.polledAt) < pollInterval {
 		return false
 	}
-	for _, run := range w.runs {
+	for _, run := range w.listed {
 		if now.Sub(run.sentAt) > run.expected+reportSlack {
 			return true
 		}
@@ -300,6 +308,7 @@
 		case Done, Dropped:
 		}
 	}
+	c.move(job)
 	c.forget(job.ID)
 	effects.Answers = append(effects.Answers, AnsweredJob{Job: job, Answer: answer})
 }
@@ -309,6 +318,9 @@
 	if run.stopping && now.Sub(run.stoppedAt) < stopRetryDelay {
 		return
 	}
+	if !run.stopping {
+		c.runEnds.stop(run)
+	}
 	run.stopping = true
 	run.stoppedAt = now
 	effects.Stops = append(effects.Stops, Stop{Worker: run.Worker, Task: run.Task.Name, Number: run.Number, Run: run})
@@ -320,7 +332,7 @@
 // retryOverdue ejects a worker with overdue runs, moves these runs if they can end in time elsewhere, and resends
 // unconfirmed stops.
 func (c *Cell) retryOverdue(worker *Worker, now time.Time, effects *Effects) {
-	for _, run := range worker.sortedRuns() {
+	for _, run := range worker.listed {
 		if run.stopping {
 			c.stop(run, now, effects)
 			continue
--- a/entry/pkg/cell/stop.go
+++ b/entry/pkg/cell/stop.go
@@ -8,6 +8,8 @@
 	for job := range c.jobs {
 		job.Deadline = minTime(job.Deadline, latest)
 	}
+	c.servableUntil = time.Time{}
+	c.resetDue()
 	c.assign(now, &effects)
 	return effects
 }
--- a/entry/pkg/cell/workers.go
+++ b/entry/pkg/cell/workers.go
@@ -11,6 +11,7 @@
 // Add adds a worker to the cell; it gets no work before its first report.
 func (c *Cell) Add(worker *Worker) {
 	worker.runs = map[runKey]*Run{}
+	worker.listed = nil
 	worker.unknownRuns = map[runKey]struct{}{}
 	worker.cell = c
 	worker.evacuatedSince = c.evacuatedSince[worker.FailureDomain]
@@ -27,6 +28,7 @@
 // unlist removes the worker from the map and the sorted list of workers.
 func (c *Cell) unlist(worker *Worker) {
 	delete(c.workers, worker.ID)
+	worker.place = -1
 	c.ordered = slices.DeleteFunc(c.ordered, func(other *Worker) bool { return other == worker })
 }
 
@@ -258,11 +260,13 @@
 	}
 	if task.Job.Decided() {
 		task.state = Dropped
+		c.move(task.Job)
 		return
 	}
 	switch result {
 	case RunDone:
 		task.state = Done
+		c.move(task.Job)
 		c.complete(task.Job, now, effects)
 	case RunFailed:
 		task.failed++
@@ -292,12 +296,7 @@
 // requeue makes the task wait for another start.
 func (c *Cell) requeue(task *Task) {
 	task.state = Waiting
-	for _, job := range c.waiting {
-		if job == task.Job {
-			return
-		}
-	}
-	c.waiting = append(c.waiting, task.Job)
+	c.enqueue(task.Job)
 }
 
 // handleNotRun handles a run that never began and never will.
@@ -307,6 +306,7 @@
 	task := run.Task
 	if task.Job.Decided() {
 		task.state = Dropped
+		c.move(task.Job)
 		return
 	}
 	c.requeue(task)
@@ -315,14 +315,16 @@
 // releaseResources frees the resources of the run and marks it finished.
 func (c *Cell) releaseResources(run *Run) {
 	worker := run.Worker
-	delete(worker.runs, runKey{run.Task.Name, run.Number})
+	worker.removeRun(run)
 	worker.used = worker.used.Minus(run.Task.Demand)
 	invariant.Check(worker.used.Cores >= 0, "room_balances", "worker %s", worker.ID)
 	if run.alone {
 		worker.loneRuns--
 	}
 	run.finished = true
+	c.runEnds.remove(run)
 	run.Task.run = nil
+	c.move(run.Task.Job)
 	c.forget(run.Task.Job.ID)
 }
 
@@ -346,6 +348,7 @@
 		job := run.Task.Job
 		run.Task.state = Dropped
 		run.Task.began = true
+		c.move(job)
 		if !job.Decided() {
 			c.answer(job, &Answer{Outcome: Abandoned, Reason: reason}, effects, now)
 		}
