Keep tasks apart that slow each other down

Cause: operators see tasks that take longer beside those of some other queue on one worker, and the keeper took that for a slow worker. Change: entry/pkg/interference fits run times to the neighbours of each run, by queue; a keeper whose settings say "apart" adds the slowdown to the cost of a worker. It makes nobody wait and refuses nobody.

--- a/entry/pkg/cell/assign.go
+++ b/entry/pkg/cell/assign.go
@@ -162,6 +162,7 @@
 	task.run = run
 	worker.runs[runKey{task.Name, run.Number}] = run
 	worker.used = worker.used.Plus(task.Demand)
+	c.beginSharing(run, now)
 	worker.limitStarts(task.Job)
 	lease, _ := worker.Lease(now, c.limits.Lease)
 	return Start{Run: run, Lease: lease}
--- a/entry/pkg/cell/cell.go
+++ b/entry/pkg/cell/cell.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"chervilusher.dev/entry/pkg/interference"
 	"chervilusher.dev/entry/pkg/invariant"
 )
 
@@ -17,6 +18,8 @@
 	// LeaveNotice is how long before its end a worker that leaves has announced it in the directory; zero if the directory is
 	// always up to date.
 	LeaveNotice time.Duration
+	// KeepApart is whether tasks that slow each other down start on different workers where there is room.
+	KeepApart bool
 }
 
 // Cell is the dispatch state of one keeper. Its caller must serialize all calls.
@@ -36,8 +39,9 @@
 	unsettled       unsettledStarts
 	directoryReadAt time.Time
 	tickedAt        time.Time
-	tickingSince    time.Time            // since when there was no pause between ticks
-	returns         map[string]time.Time // by group: when the workers have served all callers told to come back
+	tickingSince    time.Time                        // since when there was no pause between ticks
+	learners        map[string]*interference.Learner // by group
+	returns         map[string]time.Time             // by group: when the workers have served all callers told to come back
 }
 
 // Start requests the start of a task on a worker.
@@ -109,6 +113,7 @@
 		evacuatedSince: map[string]time.Time{},
 		crashTable:     newCrashTable(),
 		unsettled:      newUnsettledStarts(),
+		learners:       map[string]*interference.Learner{},
 		returns:        map[string]time.Time{},
 	}
 }
--- a/entry/pkg/cell/job.go
+++ b/entry/pkg/cell/job.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"chervilusher.dev/entry/pkg/interference"
 )
 
 // TaskState is the state of a task.
@@ -37,9 +39,10 @@
 	Tasks           []*Task
 	Diagnostics     Diagnostics
 
-	predecessor *Job      // earlier job of the same identifier; this one waits until no run of it is left
-	began       bool      // the predecessor has been started
-	startedAt   time.Time // when the first start was sent
+	predecessor *Job               // earlier job of the same identifier; this one waits until no run of it is left
+	began       bool               // the predecessor has been started
+	startedAt   time.Time          // when the first start was sent
+	sharedRuns  []interference.Run // of its tasks that are done
 	answer      *Answer
 	answeredAt  time.Time
 	seq         int64
--- a/entry/pkg/cell/select_worker.go
+++ b/entry/pkg/cell/select_worker.go
@@ -33,7 +33,7 @@
 			continue
 		}
 		if endsInTime(task, expected, now) {
-			best.offer(worker, cost(task, worker, slowness))
+			best.offer(worker, cost(task, worker, slowness)+c.interferenceCost(task, worker, now))
 		} else {
 			late.offer(worker, expected.Seconds())
 		}
--- a/entry/pkg/cell/worker.go
+++ b/entry/pkg/cell/worker.go
@@ -32,6 +32,7 @@
 	restartedAs    int64 // incarnation for which HandleRestart was called last
 	ackedSequence  int64
 	clock          workerClock
+	sharing        sharing
 	slowness       average // run time over the estimate, adjusted for the queue's mean
 	health         health
 	cell           *Cell
@@ -62,6 +63,7 @@
 	crashed      bool // the worker has crashed while the run may have been running
 	left         bool // the worker has left, as announced, while the run may have been running
 	alone        bool // it must stay alone at its worker
+	shared       sharedRun
 }
 
 // RunResult is how a run ended.
--- a/entry/pkg/cell/workers.go
+++ b/entry/pkg/cell/workers.go
@@ -244,13 +244,13 @@
 func (c *Cell) handleEnd(run *Run, result RunResult, now time.Time, effects *Effects) {
 	task := run.Task
 	task.began = true
-	c.releaseResources(run)
+	c.releaseResources(run, now)
 	effects.recordEnd(run, run.resultName(result), now)
 	switch result {
 	case RunDone:
 		run.Worker.health.recordSuccess()
 		if !run.stopping {
-			c.speeds.observe(run, now.Sub(run.sentAt))
+			c.speeds.observe(run, c.observeSharing(run, now.Sub(run.sentAt)))
 		}
 	case RunFailed:
 		run.Worker.health.recordFailure(now)
@@ -286,6 +286,7 @@
 			return
 		}
 	}
+	c.observeJob(job, now)
 	c.answer(job, &Answer{Outcome: Completed}, effects, now)
 }
 
@@ -302,7 +303,7 @@
 
 // handleNotRun handles a run that never began and never will.
 func (c *Cell) handleNotRun(run *Run, now time.Time, effects *Effects) {
-	c.releaseResources(run)
+	c.releaseResources(run, now)
 	effects.recordEnd(run, "not run", now)
 	task := run.Task
 	if task.Job.Decided() {
@@ -313,8 +314,9 @@
 }
 
 // releaseResources frees the resources of the run and marks it finished.
-func (c *Cell) releaseResources(run *Run) {
+func (c *Cell) releaseResources(run *Run, now time.Time) {
 	worker := run.Worker
+	c.endSharing(run, now)
 	delete(worker.runs, runKey{run.Task.Name, run.Number})
 	worker.used = worker.used.Minus(run.Task.Demand)
 	invariant.Check(worker.used.Cores >= 0, "room_balances", "worker %s", worker.ID)
@@ -342,7 +344,7 @@
 func (c *Cell) abandonRuns(worker *Worker, reason string, now time.Time, effects *Effects) {
 	for _, run := range worker.sortedRuns() {
 		c.addUnsettled(run, now)
-		c.releaseResources(run)
+		c.releaseResources(run, now)
 		job := run.Task.Job
 		run.Task.state = Dropped
 		run.Task.began = true
--- a/entry/pkg/cellhost/keeper.go
+++ b/entry/pkg/cellhost/keeper.go
@@ -102,6 +102,9 @@
 
 // Serve enforces deadlines and leases until the context ends, and then stops the worker loops.
 func (k *KeeperController) Serve(ctx context.Context) {
+	if k.options.KeepApart {
+		k.common.Log.Info("no queues are known yet to slow each other down")
+	}
 	k.common.Every(ctx, tickInterval, k.tick)
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -112,6 +115,7 @@
 
 func (k *KeeperController) tick() {
 	k.apply(func(now time.Time) cell.Effects { return k.cell.Tick(now) })
+	k.reportInterference()
 }
 
 // apply makes a decision under the lock and executes its effects.
