--- a/entry/pkg/cell/cell.go
+++ b/entry/pkg/cell/cell.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"chervilusher.dev/entry/pkg/interference"
 	"chervilusher.dev/entry/pkg/invariant"
 )
 
@@ -17,6 +18,8 @@
 	// LeaveNotice is how long before its end a worker that leaves has announced it in the directory; zero if the directory is
 	// always up to date.
 	LeaveNotice time.Duration
+	// KeepApart is whether tasks that slow each other down start on different workers where there is room.
+	KeepApart bool
 }
 
 // Cell is the dispatch state of one keeper. Its caller must serialize all calls.
@@ -46,8 +49,9 @@
 	outlook         outlook // of the latest forecast
 	started         int64   // starts
 	kinds           map[kindKey]*kind
-	pass            int64     // of assign
-	servableUntil   time.Time // before it no waiting job has to be given up
+	pass            int64                            // of assign
+	servableUntil   time.Time                        // before it no waiting job has to be given up
+	learners        map[string]*interference.Learner // by group
 }
 
 // Start requests the start of a task on a worker.
@@ -119,6 +123,7 @@
 		evacuatedSince: map[string]time.Time{},
 		crashTable:     newCrashTable(),
 		unsettled:      newUnsettledStarts(),
+		learners:       map[string]*interference.Learner{},
 		returns:        map[string]time.Time{},
 		kinds:          map[kindKey]*kind{},
 		factors:        factors{version: 1, mean: 1, queues: map[string]*queueFactor{}},
