Bound the forecast of a job behind many others

Cause: a submission walked all tasks ahead one by one, twice or three times if it was refused. Change: the first 256 jobs ahead are scheduled task by task, the others by the sum of their work; a refused job's time to come back follows from the same forecast, and jobs of one kind and width that are given up in one pass share it. Where more than 256 jobs are ahead forecasts differ from before by less than a run time.

--- a/entry/pkg/cell/assign.go
+++ b/entry/pkg/cell/assign.go
@@ -27,13 +27,14 @@
 	if !now.After(c.servableUntil) && len(c.unsettled.blocking) == 0 {
 		return
 	}
+	c.pass++
 	c.servableUntil = now.Add(unknownDelay)
 	for _, job := range c.waiting {
 		if job.Decided() {
 			continue
 		}
 		if reason := c.giveUpReason(job, now); reason != "" {
-			c.giveUp(job, reason, now, effects)
+			c.giveUpWith(job, reason, func() refusal { return c.sharedRefusalOf(job, now) }, now, effects)
 			continue
 		}
 		c.noteServable(job)
--- a/entry/pkg/cell/cell.go
+++ b/entry/pkg/cell/cell.go
@@ -151,10 +151,10 @@
 	c.enqueue(job)
 	c.sortWaiting()
 	limit := c.latestStart(job).Sub(now)
-	wait := c.forecastWithin(job, nil, limit, now)
+	wait := c.forecastWithin(job, nil, max(limit, maxRetryDelay), now)
 	job.Diagnostics.PredictedDelay = wait
 	if wait > limit {
-		c.giveUp(job, "it would miss its objective", now, &effects)
+		c.giveUpWith(job, "it would miss its objective", func() refusal { return refusal{c.shortage(job, now), wait} }, now, &effects)
 		return effects
 	}
 	c.assign(now, &effects)
@@ -283,12 +283,18 @@
 
 // giveUp answers a job that cannot be served: refused if nothing of it may have run, abandoned otherwise.
 func (c *Cell) giveUp(job *Job, reason string, now time.Time, effects *Effects) {
+	c.giveUpWith(job, reason, func() refusal { return c.refusalOf(job, now) }, now, effects)
+}
+
+// giveUpWith does so with the reasons that are looked for if the job is refused.
+func (c *Cell) giveUpWith(job *Job, reason string, explain func() refusal, now time.Time, effects *Effects) {
 	if job.Started() || c.mayStartLate(job, now) {
 		c.answer(job, &Answer{Outcome: Abandoned, Reason: reason}, effects, now)
 		return
 	}
-	job.Diagnostics.Shortage = c.shortage(job, now)
-	c.answer(job, &Answer{Outcome: Refused, Reason: reason, RetryAfter: c.RetryDelay(job, now)}, effects, now)
+	why := explain()
+	job.Diagnostics.Shortage = why.shortage
+	c.answer(job, &Answer{Outcome: Refused, Reason: reason, RetryAfter: c.retryDelay(job, why.delay, now)}, effects, now)
 }
 
 // answer records the job's final answer, drops its waiting tasks and stops its runs.
--- a/entry/pkg/cell/cost_test.go
+++ b/entry/pkg/cell/cost_test.go
@@ -165,3 +165,26 @@
 	h.cell.assign(h.now, &found)
 	require.ElementsMatch(t, decisions(&expected), decisions(&found))
 }
+
+// TestForecastBeyondTheLookAheadIsClose compares a forecast that adds up the work of many jobs ahead with one that schedules
+// each task: it differs by less than one run time.
+func TestForecastBeyondTheLookAheadIsClose(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := newHarness(t)
+		h.addWorkers(rapid.IntRange(1, 20).Draw(t, "workers"), 16, 1)
+		longest := 400 * time.Millisecond
+		for range rapid.IntRange(0, 60).Draw(t, "running") {
+			h.submit(h.job(1, 4, time.Duration(rapid.IntRange(1, 400).Draw(t, "run"))*time.Millisecond, veryLong, veryLong))
+		}
+		for range rapid.IntRange(maxLookAhead, 3*maxLookAhead).Draw(t, "waiting") {
+			length := longest * time.Duration(1+len(h.cell.waiting)%7) / 7
+			job := h.job(1+len(h.cell.waiting)%5, 4, length, time.Minute, veryLong)
+			h.cell.open(job)
+			h.cell.enqueue(job)
+		}
+		probe := h.job(4, 4, longest, 2*time.Minute, veryLong)
+		h.cell.sortWaiting()
+		exact := reference{h.cell}.delay(probe, h.cell.waiting, everyWorker, h.now)
+		require.InDelta(t, exact, h.cell.predictDelay(probe, h.now), float64(longest))
+	})
+}
--- a/entry/pkg/cell/kind.go
+++ b/entry/pkg/cell/kind.go
@@ -14,7 +14,8 @@
 
 	lookedOut int64 // number of starts for which the outlook holds
 	outlook   outlook
-	seen      int   // waiting jobs that it has scheduled
+	seen      int     // waiting jobs that it has scheduled
+	refusal   refusal // of the last job that was refused
 	missed    int64 // number of starts after which a task found no worker
 	compared  int64 // number of starts for which the following holds
 	roomy     float64
@@ -48,6 +49,7 @@
 // begin discards the state of an earlier pass.
 func (k *kind) begin(pass int64) {
 	if k.pass != pass {
+		k.refusal = refusal{}
 		k.pass, k.full, k.at, k.lookedOut, k.missed, k.compared = pass, false, 0, -1, -1, -1
 	}
 }
--- a/entry/pkg/cell/outlook.go
+++ b/entry/pkg/cell/outlook.go
@@ -131,7 +131,7 @@
 		tasks -= taken
 		if taken == o.slots[0].count {
 			o.slots[0].after += length
-			o.sink()
+			o.sink(0)
 			continue
 		}
 		o.slots[0].count -= taken
@@ -156,9 +156,9 @@
 	}
 }
 
-// sink restores the heap after its first slots have become later.
-func (o *outlook) sink() {
-	for at := 0; ; {
+// sink restores the heap after the slots at the given place have become later.
+func (o *outlook) sink(at int) {
+	for {
 		first := 2*at + 1
 		if first >= len(o.slots) {
 			return
--- a/entry/pkg/cell/predict.go
+++ b/entry/pkg/cell/predict.go
@@ -23,12 +23,19 @@
 // forecastWithin does so for a delay of at most the limit; of a longer one it returns some time beyond the limit.
 func (c *Cell) forecastWithin(job *Job, eligible func(*Worker) bool, limit time.Duration, now time.Time) time.Duration {
 	c.lookOut(&c.outlook, job, eligible, now)
+	var rest load
+	jobs := 0
 	for other := range c.ahead(job, now) {
+		if jobs++; jobs > maxLookAhead {
+			rest.add(other.waiting(), c.typical(other))
+			continue
+		}
 		if soonest, _ := c.outlook.earliest(); soonest > limit {
 			return soonest
 		}
 		c.outlook.schedule(other.waiting(), c.typical(other))
 	}
+	c.outlook.pour(rest)
 	delay := c.outlook.schedule(job.waiting(), c.typical(job))
 	if job.waitingAlone() == 0 {
 		return delay
@@ -36,6 +43,10 @@
 	return max(delay, c.forecastAlone(job, eligible, now))
 }
 
+// maxLookAhead is the number of jobs ahead whose tasks a forecast schedules one by one. Of those after them only the sum of
+// their work counts: no run time is known well enough for more.
+const maxLookAhead = 256
+
 // takesRoom reports whether the waiting job may start before others.
 func (c *Cell) takesRoom(job *Job, now time.Time) bool {
 	return !job.Decided() && !c.IsBlocked(job, now)
--- a/entry/pkg/cell/returns.go
+++ b/entry/pkg/cell/returns.go
@@ -19,13 +19,18 @@
 // random within twice the time that the workers need for all callers who were refused before, so that these do not
 // return together.
 func (c *Cell) RetryDelay(job *Job, now time.Time) time.Duration {
+	return c.retryDelay(job, c.forecastWithin(job, nil, maxRetryDelay, now), now)
+}
+
+// retryDelay does so for a job with that forecast delay.
+func (c *Cell) retryDelay(job *Job, delay time.Duration, now time.Time) time.Duration {
 	slots := c.slots(job)
 	if slots == 0 {
 		return maxRetryDelay
 	}
 	work := time.Duration(len(job.Tasks)) * c.speeds.typical(job.Queue, job.longestTask().Estimate)
 	backlog := c.addRefused(job.Group, work/time.Duration(slots), now)
-	delay := c.predictDelay(job, now) + rand.N(min(2*backlog, maxRetryDelay)+1)
+	delay += rand.N(min(2*backlog, maxRetryDelay)+1)
 	return min(max(delay, minRetryDelay), maxRetryDelay-rand.N(retrySpread))
 }
 
--- a/entry/pkg/cell/shortage.go
+++ b/entry/pkg/cell/shortage.go
@@ -72,6 +72,26 @@
 	return strings.Join(parts, ", ")
 }
 
+// refusal is why a job is refused and how long it would have waited.
+type refusal struct {
+	shortage *Shortage
+	delay    time.Duration
+}
+
+func (c *Cell) refusalOf(job *Job, now time.Time) refusal {
+	return refusal{c.shortage(job, now), c.forecastWithin(job, nil, maxRetryDelay, now)}
+}
+
+// sharedRefusalOf returns the refusal of the first of the jobs that are given up in the present pass, of those of one kind
+// and width: each of them costs no more than its answer.
+func (c *Cell) sharedRefusalOf(job *Job, now time.Time) refusal {
+	k := job.kind
+	if k.begin(c.pass); k.refusal.shortage == nil || k.refusal.shortage.WaitingTasks != job.waiting() {
+		k.refusal = c.refusalOf(job, now)
+	}
+	return k.refusal
+}
+
 // shortage returns the state of the workers for a job that is about to be refused.
 func (c *Cell) shortage(job *Job, now time.Time) *Shortage {
 	found := &Shortage{WaitingTasks: job.waiting(), UnusableWorkers: map[UnusableReason]int{}}
