Look at workers and jobs no more than needed for an event

Cause: a job that starts at once paid for a forecast of all workers, each choice of a worker computed the job's lease deadline for each, and a home's report walked the jobs of all homes. Change: a job with none ahead and room for all its tasks needs no forecast; usability and lease deadline are found once a pass; undecided jobs are kept by home; until when a waiting job can be served is kept with it.

--- a/entry/pkg/cell/assign.go
+++ b/entry/pkg/cell/assign.go
@@ -24,18 +24,18 @@
 
 // giveUpHopeless gives up the waiting jobs that can no longer be served.
 func (c *Cell) giveUpHopeless(now time.Time, effects *Effects) {
-	if !now.After(c.servableUntil) && len(c.unsettled.blocking) == 0 {
+	anyBlocked := len(c.unsettled.blocking) > 0
+	if !now.After(c.servableUntil) && !anyBlocked {
 		return
 	}
 	c.pass++
 	c.servableUntil = now.Add(unknownDelay)
 	for _, job := range c.waiting {
-		if job.Decided() {
-			continue
-		}
-		if reason := c.giveUpReason(job, now); reason != "" {
-			c.giveUpWith(job, reason, func() refusal { return c.sharedRefusalOf(job, now) }, now, effects)
-			continue
+		if until := c.isServableUntil(job); anyBlocked || now.After(until) {
+			if reason := c.giveUpReason(job, now); reason != "" {
+				c.giveUpWith(job, reason, func() refusal { return c.sharedRefusalOf(job, now) }, now, effects)
+				continue
+			}
 		}
 		c.noteServable(job)
 	}
@@ -43,10 +43,20 @@
 
 // noteServable notes until when the job need not be given up.
 func (c *Cell) noteServable(job *Job) {
-	c.servableUntil = minTime(c.servableUntil, job.Deadline.Add(-c.typical(job)))
-	if !job.Started() {
-		c.servableUntil = minTime(c.servableUntil, c.latestStart(job))
+	c.servableUntil = minTime(c.servableUntil, c.isServableUntil(job))
+}
+
+// isServableUntil returns until when the job need not be given up, unless it becomes blocked.
+func (c *Cell) isServableUntil(job *Job) time.Time {
+	typical := c.typical(job)
+	if known := &job.summary; known.deadline != job.Deadline {
+		known.deadline = job.Deadline
+		known.servable = job.Deadline.Add(-typical)
+		if !known.started {
+			known.servable = minTime(known.servable, c.latestStart(job))
+		}
 	}
+	return job.summary.servable
 }
 
 // startWaiting starts waiting tasks in the order of their jobs, until no worker has room for a task of any kind.
@@ -97,6 +107,9 @@
 		return c.forecastWithin(job, nil, limit, now) <= limit
 	}
 	k := job.kind
+	if k.lookedOut != c.started && c.startsAtOnce(job, nil, now) {
+		return true
+	}
 	if k.lookedOut != c.started {
 		k.lookedOut = c.started
 		k.seen = 0
--- a/entry/pkg/cell/cell.go
+++ b/entry/pkg/cell/cell.go
@@ -25,8 +25,9 @@
 	workers         map[string]*Worker
 	ordered         []*Worker         // sorted by ID
 	jobs            map[*Job]struct{} // undecided jobs
-	waiting         []*Job            // jobs with tasks that wait for a start
-	byID            map[string]*Job   // latest job of each identifier that is undecided or still runs
+	byHome          map[string]map[*Job]struct{}
+	waiting         []*Job          // jobs with tasks that wait for a start
+	byID            map[string]*Job // latest job of each identifier that is undecided or still runs
 	speeds          speeds
 	demands         map[string]*meanDemand // by group
 	homes           Homes
@@ -112,6 +113,7 @@
 		limits:         limits,
 		workers:        map[string]*Worker{},
 		jobs:           map[*Job]struct{}{},
+		byHome:         map[string]map[*Job]struct{}{},
 		speeds:         newSpeeds(),
 		byID:           map[string]*Job{},
 		demands:        map[string]*meanDemand{},
@@ -304,7 +306,7 @@
 	job.WantedAt = minTime(c.wantedAt(job), now)
 	job.answer = answer
 	job.answeredAt = now
-	delete(c.jobs, job)
+	c.close(job)
 	for _, task := range job.Tasks {
 		switch task.state {
 		case Waiting:
--- a/entry/pkg/cell/due.go
+++ b/entry/pkg/cell/due.go
@@ -40,12 +40,25 @@
 	c.nextSeq++
 	job.seq = c.nextSeq
 	c.jobs[job] = struct{}{}
+	if c.byHome[job.Home] == nil {
+		c.byHome[job.Home] = map[*Job]struct{}{}
+	}
+	c.byHome[job.Home][job] = struct{}{}
 	heap.Push(&c.due, dueJob{c.dueAt(job), job})
 	if len(c.due) > 2*len(c.jobs)+maxMoved {
 		c.resetDue()
 	}
 }
 
+// close drops a job that is decided.
+func (c *Cell) close(job *Job) {
+	delete(c.jobs, job)
+	delete(c.byHome[job.Home], job)
+	if len(c.byHome[job.Home]) == 0 {
+		delete(c.byHome, job.Home)
+	}
+}
+
 // dueAt returns a time before which no tick has to answer the job, unless its deadline is brought forward.
 func (c *Cell) dueAt(job *Job) time.Time {
 	if until, may := c.heardUntil(job); may {
--- a/entry/pkg/cell/home_report.go
+++ b/entry/pkg/cell/home_report.go
@@ -17,8 +17,8 @@
 func (c *Cell) HandleHomeReport(report *HomeReport, now time.Time) Effects {
 	var effects Effects
 	var closed []*Job
-	for job := range c.jobs {
-		if job.Call == 0 || job.Home != report.Home || job.HomeIncarnation != report.Incarnation {
+	for job := range c.byHome[report.Home] {
+		if job.Call == 0 || job.HomeIncarnation != report.Incarnation {
 			continue
 		}
 		if wanted, open := report.WantedAt[job.Call]; !open && job.SentAt.Before(report.Sent) {
--- a/entry/pkg/cell/kind.go
+++ b/entry/pkg/cell/kind.go
@@ -16,8 +16,8 @@
 	outlook   outlook
 	seen      int     // waiting jobs that it has scheduled
 	refusal   refusal // of the last job that was refused
-	missed    int64 // number of starts after which a task found no worker
-	compared  int64 // number of starts for which the following holds
+	missed    int64   // number of starts after which a task found no worker
+	compared  int64   // number of starts for which the following holds
 	roomy     float64
 	fastest   float64 // whether it has room or not
 }
@@ -63,6 +63,11 @@
 	return worker.usableNow && !worker.hasLoneRun()
 }
 
+// isUsableFor reports whether a new run of the job may start on the worker in this pass.
+func (c *Cell) isUsableFor(job *Job, worker *Worker, now time.Time) bool {
+	return c.isUsable(worker, now) || worker.evacuated() && worker.usableFor(job, now)
+}
+
 // hasRoom reports whether a usable worker has room for a task of the kind.
 func (c *Cell) hasRoom(k *kind, now time.Time) bool {
 	for ; k.at < len(c.ordered); k.at++ {
--- a/entry/pkg/cell/lease.go
+++ b/entry/pkg/cell/lease.go
@@ -87,7 +87,11 @@
 // leasesEndInTime reports whether the leases that the worker was already sent, for any run, expire before the job's lease
 // deadline. A start cannot shorten them, so they would keep its run alive after the deadline if the keeper is lost.
 func (w *Worker) leasesEndInTime(job *Job) bool {
-	return w.clock.latestLease <= w.clock.least(w.cell.leaseDeadline(job))
+	return w.leasesEndBy(w.cell.leaseDeadline(job))
+}
+
+func (w *Worker) leasesEndBy(deadline time.Time) bool {
+	return w.clock.latestLease <= w.clock.least(deadline)
 }
 
 // wantedAt returns until when the job's caller is known not to resubmit it: when its home was last known to wait for the
@@ -111,8 +115,8 @@
 // JobHomes returns the homes of the jobs without an answer.
 func (c *Cell) JobHomes() map[string]bool {
 	homes := map[string]bool{}
-	for job := range c.jobs {
-		homes[job.Home] = true
+	for home := range c.byHome {
+		homes[home] = true
 	}
 	return homes
 }
--- a/entry/pkg/cell/predict.go
+++ b/entry/pkg/cell/predict.go
@@ -22,6 +22,9 @@
 
 // forecastWithin does so for a delay of at most the limit; of a longer one it returns some time beyond the limit.
 func (c *Cell) forecastWithin(job *Job, eligible func(*Worker) bool, limit time.Duration, now time.Time) time.Duration {
+	if c.startsAtOnce(job, eligible, now) {
+		return 0
+	}
 	c.lookOut(&c.outlook, job, eligible, now)
 	var rest load
 	jobs := 0
@@ -43,6 +46,23 @@
 	return max(delay, c.forecastAlone(job, eligible, now))
 }
 
+// startsAtOnce reports whether no job is ahead and the eligible workers have room for all tasks.
+func (c *Cell) startsAtOnce(job *Job, eligible func(*Worker) bool, now time.Time) bool {
+	for range c.ahead(job, now) {
+		return false
+	}
+	missing := job.waiting()
+	for _, worker := range c.ordered {
+		if missing <= 0 || job.waitingAlone() > 0 {
+			break
+		}
+		if worker.Group == job.Group && !worker.joining && (eligible == nil || eligible(worker)) && worker.Capacity.Fits(job.Tasks[0].Demand) && worker.usableFor(job, now) {
+			missing -= worker.free().Slots(job.Tasks[0].Demand)
+		}
+	}
+	return missing <= 0
+}
+
 // maxLookAhead is the number of jobs ahead whose tasks a forecast schedules one by one. Of those after them only the sum of
 // their work counts: no run time is known well enough for more.
 const maxLookAhead = 256
@@ -57,7 +77,7 @@
 func (c *Cell) ahead(job *Job, now time.Time) iter.Seq[*Job] {
 	return func(yield func(*Job) bool) {
 		for _, other := range c.waiting {
-			if other == job || other.Decided() {
+			if other == job || !other.waits() {
 				continue
 			}
 			if isAhead := c.isAhead(other, job); !isAhead && !other.moved {
@@ -72,7 +92,7 @@
 // extendObjective extends the objective of a job with more tasks than the cell has slots, since its tasks must run in
 // several rounds.
 func (c *Cell) extendObjective(job *Job) {
-	slots := c.slots(job)
+	slots := c.slotsUpTo(len(job.Tasks), job)
 	if slots == 0 {
 		return
 	}
--- a/entry/pkg/cell/returns.go
+++ b/entry/pkg/cell/returns.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 )
@@ -30,7 +31,7 @@
 	}
 	work := time.Duration(len(job.Tasks)) * c.speeds.typical(job.Queue, job.longestTask().Estimate)
 	backlog := c.addRefused(job.Group, work/time.Duration(slots), now)
-	delay += rand.N(min(2*backlog, maxRetryDelay)+1)
+	delay += rand.N(min(2*backlog, maxRetryDelay) + 1)
 	return min(max(delay, minRetryDelay), maxRetryDelay-rand.N(retrySpread))
 }
 
@@ -44,8 +45,16 @@
 
 // slots returns how many tasks of the job's size the workers that take new jobs run at once.
 func (c *Cell) slots(job *Job) int {
+	return c.slotsUpTo(math.MaxInt, job)
+}
+
+// slotsUpTo returns the same number if it is less than the given one, and else one that is not.
+func (c *Cell) slotsUpTo(enough int, job *Job) int {
 	slots := 0
 	for _, worker := range c.ordered {
+		if slots >= enough {
+			break
+		}
 		if worker.Group == job.Group && worker.isExpected() {
 			slots += worker.Capacity.Slots(job.Tasks[0].Demand)
 		}
--- a/entry/pkg/cell/select_worker.go
+++ b/entry/pkg/cell/select_worker.go
@@ -17,19 +17,20 @@
 )
 
 // selectWorker returns a worker for the task, or nil if the task should wait. A worker where the task would be late is
-// chosen only if no worker could still finish it in time.
+// chosen only if no worker could still finish it in time. It belongs to a pass of assign.
 func (c *Cell) selectWorker(task *Task, now time.Time) *Worker {
 	best, late := choice{}, choice{}
 	fastest := time.Duration(math.MaxInt64)
 	length := c.speeds.length(task)
+	leaseDeadline := c.leaseDeadline(task.Job)
 	for _, worker := range c.ordered {
-		if worker.Group != task.Job.Group || !worker.usableFor(task.Job, now) {
+		if worker.Group != task.Job.Group || !c.isUsableFor(task.Job, worker, now) {
 			continue
 		}
 		slowness := c.speeds.slowness(worker)
 		expected := time.Duration(length * slowness)
 		fastest = min(fastest, expected)
-		if !worker.hasRoomFor(task) || !worker.leasesEndInTime(task.Job) {
+		if !worker.hasRoomFor(task) || !worker.leasesEndBy(leaseDeadline) {
 			continue
 		}
 		if endsInTime(task, expected, now) {
--- a/entry/pkg/cell/summary.go
+++ b/entry/pkg/cell/summary.go
@@ -14,6 +14,8 @@
 	learntAt  int64         // version of the factors of that run time
 	latest    time.Time     // latest start for that run time
 	objective time.Time     // for which that holds
+	servable  time.Time     // the job need not be given up before
+	deadline  time.Time     // for which that holds
 }
 
 // changed discards what is known of the job's tasks. It follows each change of a task's state, run or crashes.
@@ -88,6 +90,7 @@
 	known.typical = time.Duration(float64(known.longest) * c.queueFactor(job) * c.factors.mean)
 	known.learntAt = c.factors.version
 	known.objective = time.Time{}
+	known.deadline = time.Time{}
 	return known.typical
 }
 
