Skip what an outlook or an idle cell shows at once

Cause: in a pass a job that the outlook of its kind had shown to be late still paid for its lease deadline and its room; a tick recomputed until when each worker may start runs; each event looked for workers that were just evacuated. Change: these are looked at only where they can matter. The benchmark's hopeless jobs are hopeless by their run times, not by equal objectives, and the preparation of a report is not measured.

--- a/entry/pkg/cell/assign.go
+++ b/entry/pkg/cell/assign.go
@@ -61,6 +61,9 @@
 
 // startWaiting starts waiting tasks in the order of their jobs, until no worker has room for a task of any kind.
 func (c *Cell) startWaiting(now time.Time, effects *Effects) {
+	if len(c.waiting) == 0 {
+		return
+	}
 	finishing := c.mayFinish(now)
 	c.pass++
 	open := 0
@@ -74,7 +77,7 @@
 		if open == 0 && !finishing {
 			return
 		}
-		if outOfRoom(job) || !c.mayStart(job, now) {
+		if outOfRoom(job) || c.isLate(job, now) || !c.mayStart(job, now) {
 			continue
 		}
 		if !job.kind.full && !c.hasRoom(job.kind, now) {
@@ -98,6 +101,16 @@
 	return !now.After(c.startDeadline(job)) && !c.IsBlocked(job, now)
 }
 
+// isLate reports whether the outlook for jobs of this kind shows already that the job, which has not started, does not come
+// in time.
+func (c *Cell) isLate(job *Job, now time.Time) bool {
+	if job.kind.lookedOut != c.started || job.Started() {
+		return false
+	}
+	soonest, _ := job.kind.outlook.earliest()
+	return soonest > c.latestStart(job).Sub(now)
+}
+
 // comesInTime reports whether the last task of the job, which has not started, is predicted to start in time. The jobs of one
 // kind share an outlook, in which it takes the place of its tasks.
 func (c *Cell) comesInTime(job *Job, place int, now time.Time) bool {
--- a/entry/pkg/cell/cell.go
+++ b/entry/pkg/cell/cell.go
@@ -245,7 +245,9 @@
 	c.unsettled.trim(now)
 	c.refreshFactors()
 	for _, worker := range c.ordered {
-		worker.updateStartsUntil()
+		if now.After(worker.startsUntil) {
+			worker.updateStartsUntil()
+		}
 		if worker.unresponsive && worker.clock.lapsed(now) {
 			c.expireRuns(worker, now, &effects)
 		}
--- a/entry/pkg/cell/cost_bench_test.go
+++ b/entry/pkg/cell/cost_bench_test.go
@@ -10,6 +10,9 @@
 	benchCores   = 32
 	benchRun     = 100 * time.Millisecond
 	benchPatient = time.Hour
+
+	hopelessObjective = 2 * time.Second // up to a second more: in it, half of the tasks find room
+	hopelessRun       = 1900 * time.Millisecond
 )
 
 // benchWidths are the tasks of a job and the cores of each; the kinds take turns.
@@ -55,7 +58,8 @@
 		e.now = e.now.Add(time.Microsecond)
 		e.measure("submit", func() Effects { return e.cell.Submit(e.next(time.Second), e.now) })
 		e.restore()
-		e.measure("end", e.end)
+		worker, report := e.reportEnd()
+		e.measure("end", func() Effects { return e.cell.HandleReport(worker, report, e.now, e.now) })
 		e.restore()
 		e.measure("tick", func() Effects { return e.cell.Tick(e.now) })
 		e.restore()
@@ -105,7 +109,9 @@
 
 // occupyOne fills the room of four tasks, or what is free of it.
 func (e *eventBench) occupyOne() *Job {
-	job := e.job(4, benchCores/4, benchPatient, 2*benchPatient, 3*benchPatient)
+	e.serial++
+	length := benchPatient + time.Duration(e.serial)*time.Millisecond // no two end at once
+	job := e.job(4, benchCores/4, length, 2*length, 3*length)
 	job.Call = -1
 	e.cell.pass++
 	for _, task := range job.Tasks {
@@ -127,12 +133,12 @@
 		width = hopelessWidths[e.serial%len(benchWidths)]
 	}
 	e.serial++
-	objective := benchPatient
+	objective, length := benchPatient, benchRun
 	if e.hopeless {
-		objective = 2 * time.Second // far less than the workers' runs last
+		objective, length = hopelessObjective, hopelessRun
 	}
 	objective += patience + time.Duration(e.serial) // no two callers come at once
-	job := e.job(width[0], int64(width[1]), benchRun, objective, 2*benchPatient)
+	job := e.job(width[0], int64(width[1]), length, objective, 2*benchPatient)
 	job.Queue = fmt.Sprintf("queue-%d", e.serial%len(benchWidths))
 	job.Call = int64(e.serial)
 	job.WantedAt = e.now
@@ -163,7 +169,12 @@
 }
 
 // end reports the end of the oldest run of a worker, with the others still listed.
-func (e *eventBench) end() Effects {
+func (e *eventBench) end() {
+	worker, report := e.reportEnd()
+	e.cell.HandleReport(worker, report, e.now, e.now)
+}
+
+func (e *eventBench) reportEnd() (*Worker, *Report) {
 	worker := e.cell.ordered[int(e.ends)%len(e.cell.ordered)]
 	e.ends++
 	runs := worker.sortedRuns()
@@ -175,7 +186,7 @@
 		e.age(runs[0])
 		report.Ended = []EndedRunEntry{{Sequence: worker.ackedSequence + 1, Task: runs[0].Task.Name, Run: runs[0].Number, Result: RunDone}}
 	}
-	return e.cell.HandleReport(worker, report, e.now, e.now)
+	return worker, report
 }
 
 // age makes the run as old as its estimate, give or take a tenth.
--- a/entry/pkg/cell/cost_test.go
+++ b/entry/pkg/cell/cost_test.go
@@ -102,12 +102,9 @@
 	case 3:
 		worker.joining = !worker.joining
 	case 4:
-		domain := rapid.SampledFrom([]string{"", "east", "west"}).Draw(t, "evacuated")
+		h.cell.evacuatedSince = map[string]time.Time{rapid.SampledFrom([]string{"", "east", "west"}).Draw(t, "evacuated"): h.now}
 		for _, other := range h.cell.ordered {
-			other.evacuatedSince = time.Time{}
-			if other.FailureDomain == domain {
-				other.evacuatedSince = h.now
-			}
+			other.evacuatedSince = h.cell.evacuatedSince[other.FailureDomain]
 		}
 	case 5, 6, 7:
 		result := rapid.SampledFrom([]RunResult{RunDone, RunDone, RunFailed, RunLapsed}).Draw(t, "result")
--- a/entry/pkg/cell/evacuation.go
+++ b/entry/pkg/cell/evacuation.go
@@ -78,6 +78,9 @@
 
 // mayFinish reports whether a worker was evacuated so lately that jobs may still start tasks on it.
 func (c *Cell) mayFinish(now time.Time) bool {
+	if len(c.evacuatedSince) == 0 {
+		return false
+	}
 	for _, worker := range c.ordered {
 		if worker.evacuated() && now.Sub(worker.evacuatedSince) < evacuationGrace {
 			return true
--- a/entry/pkg/cell/worker.go
+++ b/entry/pkg/cell/worker.go
@@ -36,7 +36,7 @@
 	slowness       average // run time over the estimate, adjusted for the queue's mean
 	health         health
 	cell           *Cell
-	startsUntil    time.Time // until then no run limits the lease too much for a new one, as of the last tick
+	startsUntil    time.Time // until then no run limits the lease too much for a new one; afterwards one may
 	place          int       // among the cell's workers, as of the latest outlook; negative if it is gone
 	lookedAt       int64     // pass of assign for which usableNow holds
 	usableNow      bool
