--- a/entry/pkg/cell/assign.go
+++ b/entry/pkg/cell/assign.go
@@ -24,17 +24,18 @@
 
 // giveUpHopeless gives up the waiting jobs that can no longer be served.
 func (c *Cell) giveUpHopeless(now time.Time, effects *Effects) {
-	if !now.After(c.servableUntil) && len(c.unsettled.blocking) == 0 {
+	anyBlocked := len(c.unsettled.blocking) > 0
+	if !now.After(c.servableUntil) && !anyBlocked {
 		return
 	}
+	c.pass++
 	c.servableUntil = now.Add(unknownDelay)
 	for _, job := range c.waiting {
-		if job.Decided() {
-			continue
-		}
-		if reason := c.giveUpReason(job, now); reason != "" {
-			c.giveUp(job, reason, now, effects)
-			continue
+		if until := c.isServableUntil(job); anyBlocked || now.After(until) {
+			if reason := c.giveUpReason(job, now); reason != "" {
+				c.giveUpWith(job, reason, func() refusal { return c.sharedRefusalOf(job, now) }, now, effects)
+				continue
+			}
 		}
 		c.noteServable(job)
 	}
@@ -42,14 +43,27 @@
 
 // noteServable notes until when the job need not be given up.
 func (c *Cell) noteServable(job *Job) {
-	c.servableUntil = minTime(c.servableUntil, job.Deadline.Add(-c.typical(job)))
-	if !job.Started() {
-		c.servableUntil = minTime(c.servableUntil, c.latestStart(job))
+	c.servableUntil = minTime(c.servableUntil, c.isServableUntil(job))
+}
+
+// isServableUntil returns until when the job need not be given up, unless it becomes blocked.
+func (c *Cell) isServableUntil(job *Job) time.Time {
+	typical := c.typical(job)
+	if known := &job.summary; known.deadline != job.Deadline {
+		known.deadline = job.Deadline
+		known.servable = job.Deadline.Add(-typical)
+		if !known.started {
+			known.servable = minTime(known.servable, c.latestStart(job))
+		}
 	}
+	return job.summary.servable
 }
 
 // startWaiting starts waiting tasks in the order of their jobs, until no worker has room for a task of any kind.
 func (c *Cell) startWaiting(now time.Time, effects *Effects) {
+	if len(c.waiting) == 0 {
+		return
+	}
 	finishing := c.mayFinish(now)
 	c.pass++
 	open := 0
@@ -63,7 +77,7 @@
 		if open == 0 && !finishing {
 			return
 		}
-		if outOfRoom(job) || !c.mayStart(job, now) {
+		if outOfRoom(job) || c.isLate(job, now) || !c.mayStart(job, now) {
 			continue
 		}
 		if !job.kind.full && !c.hasRoom(job.kind, now) {
@@ -87,6 +101,16 @@
 	return !now.After(c.startDeadline(job)) && !c.IsBlocked(job, now)
 }
 
+// isLate reports whether the outlook for jobs of this kind shows already that the job, which has not started, does not come
+// in time.
+func (c *Cell) isLate(job *Job, now time.Time) bool {
+	if job.kind.lookedOut != c.started || job.Started() {
+		return false
+	}
+	soonest, _ := job.kind.outlook.earliest()
+	return soonest > c.latestStart(job).Sub(now)
+}
+
 // comesInTime reports whether the last task of the job, which has not started, is predicted to start in time. The jobs of one
 // kind share an outlook, in which it takes the place of its tasks.
 func (c *Cell) comesInTime(job *Job, place int, now time.Time) bool {
@@ -96,6 +120,9 @@
 		return c.forecastWithin(job, nil, limit, now) <= limit
 	}
 	k := job.kind
+	if k.lookedOut != c.started && c.startsAtOnce(job, nil, now) {
+		return true
+	}
 	if k.lookedOut != c.started {
 		k.lookedOut = c.started
 		k.seen = 0
--- a/entry/pkg/cell/cell.go
+++ b/entry/pkg/cell/cell.go
@@ -28,8 +28,9 @@
 	workers         map[string]*Worker
 	ordered         []*Worker         // sorted by ID
 	jobs            map[*Job]struct{} // undecided jobs
-	waiting         []*Job            // jobs with tasks that wait for a start
-	byID            map[string]*Job   // latest job of each identifier that is undecided or still runs
+	byHome          map[string]map[*Job]struct{}
+	waiting         []*Job          // jobs with tasks that wait for a start
+	byID            map[string]*Job // latest job of each identifier that is undecided or still runs
 	speeds          speeds
 	demands         map[string]*meanDemand // by group
 	homes           Homes
@@ -116,6 +117,7 @@
 		limits:         limits,
 		workers:        map[string]*Worker{},
 		jobs:           map[*Job]struct{}{},
+		byHome:         map[string]map[*Job]struct{}{},
 		speeds:         newSpeeds(),
 		byID:           map[string]*Job{},
 		demands:        map[string]*meanDemand{},
@@ -156,10 +158,10 @@
 	c.enqueue(job)
 	c.sortWaiting()
 	limit := c.latestStart(job).Sub(now)
-	wait := c.forecastWithin(job, nil, limit, now)
+	wait := c.forecastWithin(job, nil, max(limit, maxRetryDelay), now)
 	job.Diagnostics.PredictedDelay = wait
 	if wait > limit {
-		c.giveUp(job, "it would miss its objective", now, &effects)
+		c.giveUpWith(job, "it would miss its objective", func() refusal { return refusal{c.shortage(job, now), wait} }, now, &effects)
 		return effects
 	}
 	c.assign(now, &effects)
@@ -248,7 +250,9 @@
 	c.unsettled.trim(now)
 	c.refreshFactors()
 	for _, worker := range c.ordered {
-		worker.updateStartsUntil()
+		if now.After(worker.startsUntil) {
+			worker.updateStartsUntil()
+		}
 		if worker.unresponsive && worker.clock.lapsed(now) {
 			c.expireRuns(worker, now, &effects)
 		}
@@ -288,12 +292,18 @@
 
 // giveUp answers a job that cannot be served: refused if nothing of it may have run, abandoned otherwise.
 func (c *Cell) giveUp(job *Job, reason string, now time.Time, effects *Effects) {
+	c.giveUpWith(job, reason, func() refusal { return c.refusalOf(job, now) }, now, effects)
+}
+
+// giveUpWith does so with the reasons that are looked for if the job is refused.
+func (c *Cell) giveUpWith(job *Job, reason string, explain func() refusal, now time.Time, effects *Effects) {
 	if job.Started() || c.mayStartLate(job, now) {
 		c.answer(job, &Answer{Outcome: Abandoned, Reason: reason}, effects, now)
 		return
 	}
-	job.Diagnostics.Shortage = c.shortage(job, now)
-	c.answer(job, &Answer{Outcome: Refused, Reason: reason, RetryAfter: c.RetryDelay(job, now)}, effects, now)
+	why := explain()
+	job.Diagnostics.Shortage = why.shortage
+	c.answer(job, &Answer{Outcome: Refused, Reason: reason, RetryAfter: c.retryDelay(job, why.delay, now)}, effects, now)
 }
 
 // answer records the job's final answer, drops its waiting tasks and stops its runs.
@@ -303,7 +313,7 @@
 	job.WantedAt = minTime(c.wantedAt(job), now)
 	job.answer = answer
 	job.answeredAt = now
-	delete(c.jobs, job)
+	c.close(job)
 	for _, task := range job.Tasks {
 		switch task.state {
 		case Waiting:
--- a/entry/pkg/cell/kind.go
+++ b/entry/pkg/cell/kind.go
@@ -14,9 +14,10 @@
 
 	lookedOut int64 // number of starts for which the outlook holds
 	outlook   outlook
-	seen      int   // waiting jobs that it has scheduled
-	missed    int64 // number of starts after which a task found no worker
-	compared  int64 // number of starts for which the following holds
+	seen      int     // waiting jobs that it has scheduled
+	refusal   refusal // of the last job that was refused
+	missed    int64   // number of starts after which a task found no worker
+	compared  int64   // number of starts for which the following holds
 	roomy     float64
 	fastest   float64 // whether it has room or not
 }
@@ -48,6 +49,7 @@
 // begin discards the state of an earlier pass.
 func (k *kind) begin(pass int64) {
 	if k.pass != pass {
+		k.refusal = refusal{}
 		k.pass, k.full, k.at, k.lookedOut, k.missed, k.compared = pass, false, 0, -1, -1, -1
 	}
 }
@@ -61,6 +63,11 @@
 	return worker.usableNow && !worker.hasLoneRun()
 }
 
+// isUsableFor reports whether a new run of the job may start on the worker in this pass.
+func (c *Cell) isUsableFor(job *Job, worker *Worker, now time.Time) bool {
+	return c.isUsable(worker, now) || worker.evacuated() && worker.usableFor(job, now)
+}
+
 // hasRoom reports whether a usable worker has room for a task of the kind.
 func (c *Cell) hasRoom(k *kind, now time.Time) bool {
 	for ; k.at < len(c.ordered); k.at++ {
