Refuse jobs at once that no keeper can start in time

Cause: a refused job has waited most of its objective before its caller hears so: it queues at its keeper, then at others. Change: a keeper determines for each queue which fraction of its jobs is beyond what it and the others start, from what is offered against what starts and how long the first job waits, and its heartbeats tell; homes refuse that fraction before they read the job. Forwards go to keepers with room by their heartbeats, at random by that room, less what was sent since.

--- /dev/null
+++ b/entry/pkg/cellhost/forward.go
@@ -0,0 +1,158 @@
+package cellhost
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"chervilusher.dev/entry/pkg/cell"
+	"chervilusher.dev/entry/pkg/peer"
+)
+
+const (
+	// maxForwards bounds the other keepers that are asked to start a job at once; each call takes about a millisecond.
+	maxForwards = 2
+	// freshReport is the age up to which what a heartbeat reports counts in full; from DefaultSuspectTimeout on it counts nothing.
+	freshReport = 2 * DefaultHeartbeatInterval
+)
+
+// sentTasks counts the tasks forwarded to a keeper since a heartbeat of it, which its room does not show yet.
+type sentTasks struct {
+	heartbeat time.Time
+	tasks     int
+}
+
+// Forward offers a job that cannot start here at once to other keepers that have room for it by their last heartbeats. It
+// chooses among them at random, weighted by their room: all keepers see the same room at the same time.
+func (h *HomeController) Forward(ctx context.Context, home string, request *peer.RunRequest, mode peer.RunMode) (*peer.RunResponse, bool) {
+	for _, other := range h.chooseForwards(request, mode) {
+		h.addSent(other, len(request.Tasks))
+		forwarded := *request
+		forwarded.KeeperIncarnation = other.Incarnation
+		forwarded.Mode = mode
+		response, err := h.call(ctx, home, other, &forwarded)
+		switch {
+		case err == nil && !response.Declined && response.Outcome != cell.Refused:
+			return response, true
+		case err == nil, errors.Is(err, peer.ErrUnreachable):
+		default:
+			h.common.Log.WithField("job", request.ID).WithField("keeper", other.Name).WithError(err).Warn("call to the keeper failed; the job is abandoned")
+			return &peer.RunResponse{Outcome: cell.Abandoned, Reason: "lost the keeper: " + errors.Cause(err).Error()}, true
+		}
+	}
+	return nil, false
+}
+
+func (h *HomeController) chooseForwards(request *peer.RunRequest, mode peer.RunMode) []*PeerState {
+	now := h.common.Clock.Now()
+	keepers := h.keepers()
+	candidates := make([]forwardCandidate, 0, len(keepers))
+	for i := range keepers {
+		other := &keepers[i]
+		if other.Name == h.options.Name || other.ShedFraction > 0 {
+			continue
+		}
+		load := groupLoad(other, request.Group)
+		refused, _ := refusedFraction(other, request.Queue, now)
+		candidates = append(candidates, forwardCandidate{
+			keeper: other, room: load.FreeSlots - h.sentSince(other), waiting: load.Waiting, refused: refused,
+		})
+	}
+	return chooseForwards(candidates, len(request.Tasks), mode, rand.Float64)
+}
+
+// forwardCandidate is another keeper as its last heartbeat describes it.
+type forwardCandidate struct {
+	keeper  *PeerState
+	room    int // tasks of mean demand that can start
+	waiting int
+	refused float64 // fraction of the queue's jobs that it cannot take
+}
+
+// weight returns how much room speaks for the candidate, zero if it cannot take the job.
+func (c *forwardCandidate) weight(tasks int, mode peer.RunMode) float64 {
+	switch {
+	case (mode == peer.RunNow || mode == peer.RunLate) && c.room < tasks:
+		return 0
+	case mode == peer.RunHere && c.refused > 0:
+		return 0
+	}
+	return (1 - c.refused) * float64(max(1, 1+c.room-c.waiting))
+}
+
+// chooseForwards returns at most maxForwards candidates that may take a job of so many tasks, at random by their weights.
+func chooseForwards(candidates []forwardCandidate, tasks int, mode peer.RunMode, random func() float64) []*PeerState {
+	var chosen []*PeerState
+	var keys []float64
+	for i := range candidates {
+		weight := candidates[i].weight(tasks, mode)
+		if weight <= 0 {
+			continue
+		}
+		key := math.Pow(random(), 1/weight)
+		at := len(keys)
+		for at > 0 && keys[at-1] < key {
+			at--
+		}
+		if at == maxForwards {
+			continue
+		}
+		chosen = append(chosen[:at:at], append([]*PeerState{candidates[i].keeper}, chosen[at:]...)...)
+		keys = append(keys[:at:at], append([]float64{key}, keys[at:]...)...)
+		chosen, keys = chosen[:min(len(chosen), maxForwards)], keys[:min(len(keys), maxForwards)]
+	}
+	return chosen
+}
+
+func (h *HomeController) addSent(keeper *PeerState, tasks int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	sent := h.sent[keeper.Name]
+	if !sent.heartbeat.Equal(keeper.LastHeartbeat) {
+		sent = sentTasks{heartbeat: keeper.LastHeartbeat}
+	}
+	sent.tasks += tasks
+	h.sent[keeper.Name] = sent
+}
+
+// sentSince returns how many tasks were forwarded to the keeper since its last heartbeat.
+func (h *HomeController) sentSince(keeper *PeerState) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if sent := h.sent[keeper.Name]; sent.heartbeat.Equal(keeper.LastHeartbeat) {
+		return sent.tasks
+	}
+	return 0
+}
+
+// refusedFraction returns which fraction of the queue's jobs the keeper cannot take by its last heartbeat, less the older that
+// is, and when their callers should retry.
+func refusedFraction(keeper *PeerState, queue string, now time.Time) (fraction float64, retryAfter time.Duration) {
+	for i := range keeper.Refusing {
+		if keeper.Refusing[i].Queue != queue {
+			continue
+		}
+		age := now.Sub(keeper.LastHeartbeat)
+		left := float64(DefaultSuspectTimeout-age) / float64(DefaultSuspectTimeout-freshReport)
+		told := min(max(0, float64(keeper.Refusing[i].Thousandth)/1000), maxFraction)
+		return told * min(max(0, left), 1), time.Duration(keeper.Refusing[i].RetryAfter) * time.Millisecond
+	}
+	return 0, 0
+}
+
+// freeSlots returns how many typical tasks of the group the keeper could start at its last heartbeat.
+func freeSlots(keeper *PeerState, group string) int {
+	return groupLoad(keeper, group).FreeSlots
+}
+
+func groupLoad(keeper *PeerState, group string) cell.Load {
+	for _, load := range keeper.Loads {
+		if load.Group == group {
+			return load
+		}
+	}
+	return cell.Load{}
+}
--- a/entry/pkg/cellhost/home.go
+++ b/entry/pkg/cellhost/home.go
@@ -1,10 +1,8 @@
 package cellhost
 
 import (
-	"cmp"
 	"context"
 	"fmt"
-	"slices"
 	"sync"
 	"time"
 
@@ -32,8 +30,6 @@
 	keeperPoll = 10 * time.Millisecond
 	// answerMargin lets a keeper's answer at the deadline arrive before the home host gives up.
 	answerMargin = 20 * time.Millisecond
-	// maxForwards bounds the other keepers that are asked to start a job at once; each call takes about a millisecond.
-	maxForwards = 2
 )
 
 // Causes for cancelling a call to a keeper.
@@ -80,6 +76,7 @@
 	mu            sync.Mutex
 	calls         map[*keeperCall]struct{}
 	lastCall      int64
+	sent          map[string]sentTasks               // by keeper
 	openJobs      map[string]context.CancelCauseFunc // by job identifier
 	noKeeperSince time.Time                          // when a job first found no keeper; zero while one is known
 	stopsAt       time.Time                          // when the open jobs will be abandoned; zero until this host is told to stop
@@ -106,6 +103,7 @@
 		keeper:   keeper,
 		calls:    map[*keeperCall]struct{}{},
 		openJobs: map[string]context.CancelCauseFunc{},
+		sent:     map[string]sentTasks{},
 	}
 }
 
@@ -245,33 +243,6 @@
 	return response, err
 }
 
-// Forward offers a job that cannot start here at once to the keepers that had the most headroom at their last
-// heartbeats.
-func (h *HomeController) Forward(ctx context.Context, home string, request *peer.RunRequest, mode peer.RunMode) (*peer.RunResponse, bool) {
-	others := slices.DeleteFunc(h.keepers(), func(other PeerState) bool {
-		full := (mode == peer.RunNow || mode == peer.RunLate) && freeSlots(&other, request.Group) < len(request.Tasks)
-		return other.Name == h.options.Name || full || other.ShedFraction > 0
-	})
-	slices.SortFunc(others, func(a, b PeerState) int {
-		return cmp.Compare(headroom(&b, request.Group), headroom(&a, request.Group))
-	})
-	for i := range others[:min(len(others), maxForwards)] {
-		forwarded := *request
-		forwarded.KeeperIncarnation = others[i].Incarnation
-		forwarded.Mode = mode
-		response, err := h.call(ctx, home, &others[i], &forwarded)
-		switch {
-		case err == nil && !response.Declined && response.Outcome != cell.Refused:
-			return response, true
-		case err == nil, errors.Is(err, peer.ErrUnreachable):
-		default:
-			h.common.Log.WithField("job", request.ID).WithField("keeper", others[i].Name).WithError(err).Warn("call to the keeper failed; the job is abandoned")
-			return &peer.RunResponse{Outcome: cell.Abandoned, Reason: "lost the keeper: " + errors.Cause(err).Error()}, true
-		}
-	}
-	return nil, false
-}
-
 // isEverythingEvacuated reports whether no failure domain is left that takes new tasks.
 func (h *HomeController) isEverythingEvacuated() bool {
 	evacuations := h.board.Evacuations()
@@ -315,23 +286,3 @@
 	}
 	return found
 }
-
-// freeSlots returns how many typical tasks of the group the keeper could start at its last heartbeat.
-func freeSlots(keeper *PeerState, group string) int {
-	return groupLoad(keeper, group).FreeSlots
-}
-
-// headroom returns the free slots minus the queued tasks.
-func headroom(keeper *PeerState, group string) int {
-	load := groupLoad(keeper, group)
-	return load.FreeSlots - load.Waiting
-}
-
-func groupLoad(keeper *PeerState, group string) cell.Load {
-	for _, load := range keeper.Loads {
-		if load.Group == group {
-			return load
-		}
-	}
-	return cell.Load{}
-}
--- a/entry/pkg/cellhost/keeper.go
+++ b/entry/pkg/cellhost/keeper.go
@@ -60,6 +60,7 @@
 	successorSince time.Time    // when another host took over from this leaving one
 	stopsAt        time.Time    // when this host can run no more jobs; zero until it is told to stop
 	forwarder      Forwarder
+	rates          *refusalRates
 }
 
 // Forwarder offers a job that cannot start at once to other keepers.
@@ -88,6 +89,7 @@
 		waiters: map[*cell.Job]*waiter{},
 		reports: map[string]*cell.HomeReport{},
 		served:  map[*servedCall]struct{}{},
+		rates:   newRefusalRates(),
 
 		droppedTokens: map[string]droppedToken{},
 	}
@@ -112,6 +114,7 @@
 
 func (k *KeeperController) tick() {
 	k.apply(func(now time.Time) cell.Effects { return k.cell.Tick(now) })
+	k.stepRates()
 }
 
 // apply makes a decision under the lock and executes its effects.
@@ -144,6 +147,7 @@
 
 // execute sends starts and stops and delivers answers, without waiting for any of them.
 func (k *KeeperController) execute(effects *cell.Effects) {
+	k.countStarts(effects.Starts)
 	for i := range effects.Starts {
 		start := effects.Starts[i]
 		go k.sendStart(start)
--- a/entry/pkg/cellhost/keeper_run.go
+++ b/entry/pkg/cellhost/keeper_run.go
@@ -47,8 +47,9 @@
 	if request.Mode == peer.RunNow {
 		return &peer.RunResponse{Declined: true, Reason: "no room at once"}, nil
 	}
+	k.rates.addOffered(job.Queue, len(job.Tasks), k.common.Clock.Now())
 	if request.Mode == peer.RunAnywhere {
-		if response, taken := k.forwarder.Forward(ctx, request.Home, k.restateRequest(request, job), peer.RunNow); taken {
+		if response, taken := k.forward(ctx, request, job, peer.RunNow); taken {
 			return response, nil
 		}
 	}
@@ -59,13 +60,17 @@
 	}
 	response, err := k.awaitSubmitted(ctx, job, answers, err)
 	if err != nil || response.Outcome != cell.Refused || request.Mode != peer.RunAnywhere {
+		if err == nil && response.Outcome == cell.Refused {
+			k.countRefusal(job, response)
+		}
 		return response, err
 	}
 	if !k.isTooLate(job) {
-		if elsewhere, taken := k.forwarder.Forward(ctx, request.Home, k.restateRequest(request, job), peer.RunHere); taken {
+		if elsewhere, taken := k.forward(ctx, request, job, peer.RunHere); taken {
 			return elsewhere, nil
 		}
 	}
+	k.countRefusal(job, response)
 	return k.runLateAnywhere(ctx, request, job, response)
 }
 
@@ -194,6 +199,9 @@
 			return effects
 		}
 		answers = k.addWaiter(ctx, job)
+		if nowOnly {
+			k.rates.addOffered(job.Queue, len(job.Tasks), now)
+		}
 		return k.cell.Submit(job, now)
 	})
 	return answers, err
--- a/entry/pkg/cellhost/members.go
+++ b/entry/pkg/cellhost/members.go
@@ -30,6 +30,8 @@
 	Loads() []cell.Load
 	UnreleasedWorkers() []string
 	JobHomes() map[string]bool
+	// Refusing returns the queues of which homes are to refuse jobs at once.
+	Refusing() []peer.Refusing
 }
 
 // FailureObserver is notified of hosts that are suspected or restarted.
@@ -296,6 +298,7 @@
 		Evacuations:       m.board.Evacuations(),
 		Clock:             m.common.Clock.Now().UnixNano(),
 		ShedFraction:      m.shedder.Shed(),
+		Refusing:          m.loads.Refusing(),
 	}
 	if table := m.board.Queues(); table != nil {
 		heartbeat.QueuesVersion = table.Version
@@ -365,6 +368,7 @@
 			state.LastHeartbeat = last.sentAt
 			state.UnreleasedWorkers = setOf(last.heartbeat.UnreleasedWorkers)
 			state.ShedFraction = last.heartbeat.ShedFraction
+			state.Refusing = last.heartbeat.Refusing
 		}
 		if name == m.options.Name {
 			state.Incarnation = m.common.Incarnation
--- a/entry/pkg/cellhost/route.go
+++ b/entry/pkg/cellhost/route.go
@@ -78,9 +78,11 @@
 // orderKeepers puts the keepers of this failure domain first. Within each group the order is random, weighted by free
 // slots, so that not all home hosts choose the same keeper.
 func (r *route) orderKeepers(keepers []PeerState) []PeerState {
+	now := r.home.common.Clock.Now()
 	keys := make(map[string]float64, len(keepers))
 	for i := range keepers {
-		slots := float64(freeSlots(&keepers[i], r.submission.Queue.Group) + 1)
+		refused, _ := refusedFraction(&keepers[i], r.submission.Queue.Name, now)
+		slots := (1 - refused) * float64(freeSlots(&keepers[i], r.submission.Queue.Group)+1)
 		keys[keepers[i].Name] = math.Pow(rand.Float64(), 1/slots)
 		if keepers[i].FailureDomain == r.home.options.FailureDomain {
 			keys[keepers[i].Name] += 2
--- a/entry/pkg/peer/cell.go
+++ b/entry/pkg/peer/cell.go
@@ -63,6 +63,15 @@
 	LateStarts []cell.LateStart `json:"s,omitempty"`
 	// ShedFraction is the part of jobs, from 0 to 1, that the sender has to shed to finish the others in time.
 	ShedFraction float64 `json:"g,omitempty"`
+	// Refusing lists the queues of which the sender refuses jobs for want of room; homes refuse that part of them at once.
+	Refusing []Refusing `json:"r,omitempty"`
+}
+
+// Refusing says which part of a queue's jobs is to be refused before it is sent to the keeper.
+type Refusing struct {
+	Queue      string `json:"q"`
+	Thousandth int    `json:"f"`
+	RetryAfter int64  `json:"w,omitempty"` // milliseconds until callers should retry
 }
 
 // OpenCalls lists calls to run jobs whose callers wait; WantedAt holds for each number the time, in nanoseconds on the
