--- a/entry/pkg/cellhost/refusal_rates.go
+++ b/entry/pkg/cellhost/refusal_rates.go
@@ -140,7 +140,7 @@
 func (r *refusalRates) reported() []peer.Refusing {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var found []peer.Refusing
+	var found []peer.Refusing //nolint:prealloc // in calm there is none
 	for queue, rate := range r.byQueue {
 		if rate.fractions[0] < reportedFraction {
 			continue
--- a/entry/pkg/cellhost/refusal_rates_test.go
+++ b/entry/pkg/cellhost/refusal_rates_test.go
@@ -81,8 +81,9 @@
 	p.queue = append(p.queue, now)
 }
 
-// play offers the pool a multiple of its room from one second to another, and half of the room before and after.
-func play(load float64, early bool, from, to, until time.Duration) *pool {
+// play offers the pool a multiple of its room from one second to nine, and half of it before and after.
+func play(load float64, early bool, until time.Duration) *pool {
+	const from, to = time.Second, 9 * time.Second
 	p := &pool{random: rand.New(rand.NewPCG(1, 1)), rates: newRefusalRates(), early: early}
 	rate := poolSlots / 2 / runTime.Seconds()
 	next := time.Duration(0)
@@ -102,9 +103,8 @@
 // TestRefusalsAreHeardInTimeAtThreeTimesTheRoom offers three times the room for 8 s: nineteen of twenty refused callers hear it
 // within a tenth of the objective, and the room is as busy as when all jobs wait for it.
 func TestRefusalsAreHeardInTimeAtThreeTimesTheRoom(t *testing.T) {
-	const from, to = time.Second, 9 * time.Second
 	for _, load := range []float64{1.5, 2, 3} {
-		early, late := play(load, true, from, to, to), play(load, false, from, to, to)
+		early, late := play(load, true, 9*time.Second), play(load, false, 9*time.Second)
 		t.Logf("load %.1f: %d served, %d of %d within a tenth; without %d served", load, early.served, inTenth(early), len(early.heard), late.served)
 		require.GreaterOrEqual(t, float64(early.served), 0.95*float64(late.served), fmt.Sprintf("room stands idle at %.1f", load))
 		require.GreaterOrEqual(t, float64(inTenth(early)), 0.95*float64(len(early.heard)), fmt.Sprintf("at %.1f", load))
@@ -123,8 +123,29 @@
 
 // TestNobodyIsRefusedBesideRoom offers less than the room, and then looks at the second after a burst.
 func TestNobodyIsRefusedBesideRoom(t *testing.T) {
-	require.Empty(t, play(0.8, true, time.Second, 9*time.Second, 9*time.Second).heard)
-	burst := len(play(3, true, time.Second, 9*time.Second, 10*time.Second).heard)
-	after := len(play(3, true, time.Second, 9*time.Second, 14*time.Second).heard)
+	require.Empty(t, play(0.8, true, 9*time.Second).heard)
+	burst := len(play(3, true, 10*time.Second).heard)
+	after := len(play(3, true, 14*time.Second).heard)
 	require.Equal(t, burst, after, "a second after the burst nobody is refused any more")
 }
+
+// TestReportOfManyQueuesIsBounded has more queues short of room than a heartbeat may name.
+func TestReportOfManyQueuesIsBounded(t *testing.T) {
+	rates := newRefusalRates()
+	now := at(0)
+	for i := range 3 * maxReportedQueues {
+		queue := fmt.Sprintf("q%02d", i)
+		rates.addOffered(queue, 100+i, now)
+		rates.addRefused(queue, 100+i, 2*time.Second)
+	}
+	rates.addOffered("calm", 100, now)
+	rates.addStarted("calm", 100)
+	rates.step(map[string]float64{"q00": 1, "q47": 1}, now)
+	reported := rates.reported()
+	require.Len(t, reported, maxReportedQueues)
+	require.Equal(t, "q47", reported[0].Queue, "the one that refuses most")
+	require.Equal(t, int64(2000), reported[0].RetryAfter)
+	rates.step(nil, now.Add(forgetRateAfter+time.Second))
+	require.Empty(t, rates.reported())
+	require.Zero(t, rates.fraction("q47"))
+}
