Determine the refused part by the mean wait

Cause: a job that cannot start for another reason keeps its queue's longest wait at its end, and the fraction too high; homes refuse by the keeper that takes most, while the others count as if by their own. Change: the mean of the waits decides; a home asks a keeper last for the fraction that this one refuses.

--- a/entry/pkg/cell/refusal.go
+++ b/entry/pkg/cell/refusal.go
@@ -2,9 +2,11 @@
 
 import "time"
 
-// Waits returns for each queue the largest part of its time until its latest start that a job has waited for its first start.
+// Waits returns for each queue with jobs that wait for their first start the part of their time until the latest start that they
+// have waited on average.
 func (c *Cell) Waits(now time.Time) map[string]float64 {
 	waits := map[string]float64{}
+	jobs := map[string]int{}
 	for _, job := range c.waiting {
 		if job.Decided() || job.Started() || job.predecessor != nil || c.IsBlocked(job, now) {
 			continue
@@ -14,7 +16,8 @@
 		if allowed > 0 {
 			part = min(1, max(0, waited.Seconds()/allowed.Seconds()))
 		}
-		waits[job.Queue] = max(waits[job.Queue], part)
+		jobs[job.Queue]++
+		waits[job.Queue] += (part - waits[job.Queue]) / float64(jobs[job.Queue])
 	}
 	return waits
 }
--- a/entry/pkg/cellhost/refusal_rates.go
+++ b/entry/pkg/cellhost/refusal_rates.go
@@ -11,18 +11,18 @@
 )
 
 const (
-	// rateWindow is the time constant of the counts, about two runs of a short task.
-	rateWindow = 400 * time.Millisecond
+	// rateWindow is the time constant of the counts, about that of the runs of short tasks.
+	rateWindow = 300 * time.Millisecond
 	// rateStep is the interval between two corrections of the fractions.
 	rateStep = 50 * time.Millisecond
 	// reportSteps is how many steps homes are behind with the fractions.
 	reportSteps = 2
-	// waitTarget is the part of its time until the latest start that the first job of a queue is to wait: long enough that no
-	// room stands idle, and short enough that it is not refused in the end.
-	waitTarget = 0.4
+	// waitTarget is the part of their time until the latest start that the waiting jobs of a queue are to have waited on average:
+	// long enough that no room stands idle, and short enough that few are refused in the end.
+	waitTarget = 0.25
 	// waitGain is how much a wait beside waitTarget changes the accepted work; with the delay of the reports twice as much
 	// would oscillate.
-	waitGain = 0.5
+	waitGain = 0.7
 	// idleGrowth is the factor by which the accepted work grows while no job waits.
 	idleGrowth = 2
 	// priorTasks are added to the offered and the started tasks, so that a single refusal has little effect.
@@ -103,8 +103,8 @@
 	return now.Sub(r.steppedAt) >= rateStep
 }
 
-// step corrects the fractions. Waits holds for each queue with waiting jobs the part of its time until the latest start that
-// the first one has waited.
+// step corrects the fractions. Waits holds for each queue with waiting jobs the part of their time until the latest start that
+// they have waited on average.
 func (r *refusalRates) step(waits map[string]float64, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -124,7 +124,7 @@
 	}
 }
 
-// next returns the fraction for the counts and the wait of the queue's first job.
+// next returns the fraction for the counts and the wait of the queue's jobs.
 func (r *refusalRate) next(wait float64, waiting bool) float64 {
 	if r.fractions[0] == 0 && r.refused < shortThreshold*(r.demand+priorTasks) {
 		return 0
--- a/entry/pkg/cellhost/route.go
+++ b/entry/pkg/cellhost/route.go
@@ -76,17 +76,21 @@
 }
 
 // orderKeepers puts the keepers of this failure domain first. Within each group the order is random, weighted by free
-// slots, so that not all home hosts choose the same keeper.
+// slots, so that not all home hosts choose the same keeper; each keeper comes last for the fraction of jobs that it refuses.
 func (r *route) orderKeepers(keepers []PeerState) []PeerState {
 	now := r.home.common.Clock.Now()
+	least := leastRefusal(keepers, r.home.options.FailureDomain, r.submission.Queue.Name, now).fraction
+	draw := least + (1-least)*rand.Float64() // the job has not been refused
 	keys := make(map[string]float64, len(keepers))
 	for i := range keepers {
-		refused, _ := refusedFraction(&keepers[i], r.submission.Queue.Name, now)
-		slots := (1 - refused) * float64(freeSlots(&keepers[i], r.submission.Queue.Group)+1)
+		slots := float64(freeSlots(&keepers[i], r.submission.Queue.Group) + 1)
 		keys[keepers[i].Name] = math.Pow(rand.Float64(), 1/slots)
 		if keepers[i].FailureDomain == r.home.options.FailureDomain {
 			keys[keepers[i].Name] += 2
 		}
+		if refused, _ := refusedFraction(&keepers[i], r.submission.Queue.Name, now); draw < refused {
+			keys[keepers[i].Name]-- // after those that can take it
+		}
 		if keepers[i].Leaving {
 			keys[keepers[i].Name]-- // after those that are not leaving
 		}
