Forward jobs beyond the room before they queue, and build log lines once

Cause: a keeper short of room queued jobs that others had room for, and homes refused them; each line of a job was copied through five maps and a reflecting encoder, and each waiting job of this host read the clock by a system call in each decision. Change: heartbeats tell which part of a queue's jobs a keeper cannot start itself, and which part finds no room elsewhere: homes refuse the latter, other keepers go by the former. Accepted work is corrected by the waits of the jobs that start. Lines are built from one set of fields; the encoder copies plain text; a decision reads the clock once.

--- a/entry/pkg/cellhost/board.go
+++ b/entry/pkg/cellhost/board.go
@@ -33,9 +33,9 @@
 	ClockKnown        bool          // ClockOffset is known
 	LastHeartbeat     time.Time     // when it sent its last heartbeat, on this host's clock; unlike LastSeen unaffected by delays
 	ShedFraction      float64       // the share of jobs that it has to shed
-	Refusing          []peer.Refusing
-	Gone              bool // its silence is long, so that it counts for nothing
-	HeartbeatPeer     bool // it and this host exchange heartbeats at the full rate
+	Excesses          []peer.Excess // queues of which it cannot start all jobs in time
+	Gone              bool          // its silence is long, so that it counts for nothing
+	HeartbeatPeer     bool          // it and this host exchange heartbeats at the full rate
 }
 
 // View is what this host knows of all hosts, including itself; it is immutable once stored.
--- a/entry/pkg/cellhost/early.go
+++ b/entry/pkg/cellhost/early.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
 
 	"chervilusher.dev/entry/pkg/cell"
 	"chervilusher.dev/entry/pkg/queues"
@@ -26,8 +27,9 @@
 	}
 	retryAfter := refusal.spreadRetry(rand.Float64())
 	metrics.GetOrCreateCounter(fmt.Sprintf(`chervilusher_home_refused_early_total{queue=%q}`, queue.Name)).Inc()
-	h.common.Log.WithField("job", id).WithField("queue", queue.Name).WithField("keeper", refusal.keeper).
-		WithField("fraction", refusal.fraction).WithField("retry", retryAfter.String()).Info("job refused early")
+	h.common.Log.WithFields(log.Fields{
+		"job": id, "queue": queue.Name, "keeper": refusal.keeper, "fraction": refusal.fraction, "retry": retryAfter.String(),
+	}).Info("job refused early")
 	return &cell.Answer{Outcome: cell.Refused, Reason: "no keeper can start it in time", RetryAfter: retryAfter}
 }
 
@@ -52,7 +54,7 @@
 	keepers := h.keepers()
 	for i := range keepers {
 		if keepers[i].Name == h.options.Name {
-			keepers[i].Refusing, keepers[i].LastHeartbeat = h.keeper.Refusing(), now
+			keepers[i].Excesses, keepers[i].LastHeartbeat = h.keeper.Excesses(), now
 		}
 	}
 	return leastRefusal(keepers, h.options.FailureDomain, queue, now)
@@ -66,12 +68,12 @@
 		if keeper.Leaving {
 			continue
 		}
-		fraction, retryAfter := refusedFraction(keeper, queue, now)
-		refusal := earlyRefusal{keeper: keeper.Name, fraction: fraction, retryAfter: retryAfter}
-		if !found || fraction < least.fraction {
+		told := excessOf(keeper, queue, now)
+		refusal := earlyRefusal{keeper: keeper.Name, fraction: told.refused, retryAfter: told.retryAfter}
+		if !found || told.refused < least.fraction {
 			least, found = refusal, true
 		}
-		if keeper.FailureDomain == domain && (!foundLocal || fraction < leastLocal.fraction) {
+		if keeper.FailureDomain == domain && (!foundLocal || told.refused < leastLocal.fraction) {
 			leastLocal, foundLocal = refusal, true
 		}
 	}
--- a/entry/pkg/cellhost/forward.go
+++ b/entry/pkg/cellhost/forward.go
@@ -47,6 +47,21 @@
 }
 
 func (h *HomeController) chooseForwards(request *peer.RunRequest, mode peer.RunMode) []*PeerState {
+	return chooseForwards(h.forwardCandidates(request.Queue, request.Group), len(request.Tasks), mode, rand.Float64)
+}
+
+// RoomElsewhere implements Forwarder.
+func (h *HomeController) RoomElsewhere(queue, group string) int {
+	room := 0
+	for _, other := range h.forwardCandidates(queue, group) {
+		if other.beyond == 0 {
+			room += max(0, other.room-other.waiting)
+		}
+	}
+	return room
+}
+
+func (h *HomeController) forwardCandidates(queue, group string) []forwardCandidate {
 	now := h.common.Clock.Now()
 	keepers := h.keepers()
 	candidates := make([]forwardCandidate, 0, len(keepers))
@@ -55,13 +70,12 @@
 		if other.Name == h.options.Name || other.ShedFraction > 0 {
 			continue
 		}
-		load := groupLoad(other, request.Group)
-		refused, _ := refusedFraction(other, request.Queue, now)
+		load := groupLoad(other, group)
 		candidates = append(candidates, forwardCandidate{
-			keeper: other, room: load.FreeSlots - h.sentSince(other), waiting: load.Waiting, refused: refused,
+			keeper: other, room: load.FreeSlots - h.sentSince(other), waiting: load.Waiting, beyond: excessOf(other, queue, now).beyond,
 		})
 	}
-	return chooseForwards(candidates, len(request.Tasks), mode, rand.Float64)
+	return candidates
 }
 
 // forwardCandidate is another keeper as its last heartbeat describes it.
@@ -69,7 +83,7 @@
 	keeper  *PeerState
 	room    int // tasks of mean demand that can start
 	waiting int
-	refused float64 // fraction of the queue's jobs that it cannot take
+	beyond  float64 // fraction of the queue's jobs that it cannot start
 }
 
 // weight returns how much room speaks for the candidate, zero if it cannot take the job.
@@ -77,10 +91,10 @@
 	switch {
 	case (mode == peer.RunNow || mode == peer.RunLate) && c.room < tasks:
 		return 0
-	case mode == peer.RunHere && c.refused > 0:
+	case mode == peer.RunHere && c.beyond > 0:
 		return 0
 	}
-	return (1 - c.refused) * float64(max(1, 1+c.room-c.waiting))
+	return (1 - c.beyond) * float64(max(1, 1+c.room-c.waiting))
 }
 
 // chooseForwards returns at most maxForwards candidates that may take a job of so many tasks, at random by their weights.
@@ -128,19 +142,29 @@
 	return 0
 }
 
-// refusedFraction returns which fraction of the queue's jobs the keeper cannot take by its last heartbeat, less the older that
-// is, and when their callers should retry.
-func refusedFraction(keeper *PeerState, queue string, now time.Time) (fraction float64, retryAfter time.Duration) {
-	for i := range keeper.Refusing {
-		if keeper.Refusing[i].Queue != queue {
+// excess is what a keeper cannot take of a queue, as its last heartbeat tells.
+type excess struct {
+	beyond     float64 // fraction of the jobs that it cannot start itself
+	refused    float64 // fraction that homes are to refuse
+	retryAfter time.Duration
+}
+
+// excessOf returns what the keeper cannot take of the queue; the older its last heartbeat is, the less this counts.
+func excessOf(keeper *PeerState, queue string, now time.Time) excess {
+	for i := range keeper.Excesses {
+		told := &keeper.Excesses[i]
+		if told.Queue != queue {
 			continue
 		}
-		age := now.Sub(keeper.LastHeartbeat)
-		left := float64(DefaultSuspectTimeout-age) / float64(DefaultSuspectTimeout-freshReport)
-		told := min(max(0, float64(keeper.Refusing[i].Thousandth)/1000), maxFraction)
-		return told * min(max(0, left), 1), time.Duration(keeper.Refusing[i].RetryAfter) * time.Millisecond
+		left := float64(DefaultSuspectTimeout-now.Sub(keeper.LastHeartbeat)) / float64(DefaultSuspectTimeout-freshReport)
+		weight := min(max(0, left), 1) / 1000
+		return excess{
+			beyond:     weight * min(max(0, float64(told.Beyond)), 1000*maxFraction),
+			refused:    weight * min(max(0, float64(told.Refused)), 1000*maxFraction),
+			retryAfter: time.Duration(told.RetryAfter) * time.Millisecond,
+		}
 	}
-	return 0, 0
+	return excess{}
 }
 
 // freeSlots returns how many typical tasks of the group the keeper could start at its last heartbeat.
--- a/entry/pkg/cellhost/forward_test.go
+++ b/entry/pkg/cellhost/forward_test.go
@@ -47,7 +47,7 @@
 	require.Empty(t, chooseForwards(candidates, 2, peer.RunNow, rand.Float64))
 	require.Empty(t, chooseForwards(candidates, 2, peer.RunLate, rand.Float64))
 	require.Len(t, chooseForwards(candidates, 2, peer.RunHere, rand.Float64), 2, "a place in their queues may still do")
-	candidates[0].refused = 0.3
+	candidates[0].beyond = 0.3
 	require.Equal(t, []*PeerState{candidates[1].keeper}, chooseForwards(candidates, 2, peer.RunHere, rand.Float64))
 }
 
@@ -90,7 +90,7 @@
 func refusingState(domain string, thousandth int, heard time.Time) PeerState {
 	return PeerState{
 		Member:        blackboard.Member{Name: domain, FailureDomain: domain, Alive: true},
-		Refusing:      []peer.Refusing{{Queue: "q", Thousandth: thousandth, RetryAfter: 1500}},
+		Excesses:      []peer.Excess{{Queue: "q", Beyond: 900, Refused: thousandth, RetryAfter: 1500}},
 		LastHeartbeat: heard,
 	}
 }
@@ -100,12 +100,11 @@
 	now := time.Unix(1000, 0)
 	state := refusingState(north, 800, now)
 	for age, want := range map[time.Duration]float64{0: 0.8, freshReport: 0.8, 350 * time.Millisecond: 0.4, DefaultSuspectTimeout: 0, time.Hour: 0} {
-		fraction, retryAfter := refusedFraction(&state, "q", now.Add(age))
-		require.InDelta(t, want, fraction, 0.001, age)
-		require.Equal(t, 1500*time.Millisecond, retryAfter)
+		told := excessOf(&state, "q", now.Add(age))
+		require.InDelta(t, want, told.refused, 0.001, age)
+		require.Equal(t, 1500*time.Millisecond, told.retryAfter)
 	}
-	fraction, _ := refusedFraction(&state, "other", now)
-	require.Zero(t, fraction)
+	require.Zero(t, excessOf(&state, "other", now))
 }
 
 // TestHomeGoesByTheKeeperThatTakesMost has one keeper of a failure domain refuse more than the other.
--- a/entry/pkg/cellhost/home.go
+++ b/entry/pkg/cellhost/home.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
 	"github.com/pkg/errors"
 
 	"chervilusher.dev/entry/pkg/callerconn"
@@ -38,6 +39,26 @@
 	errHomeFailed   = errors.New("the caller's host is gone")
 )
 
+// outcomeMetrics counts the answers of one outcome.
+type outcomeMetrics struct {
+	answers *metrics.Counter
+	times   *metrics.Histogram
+}
+
+var answerMetrics = map[cell.Outcome]outcomeMetrics{
+	cell.Completed: newOutcomeMetrics(cell.Completed),
+	cell.Failed:    newOutcomeMetrics(cell.Failed),
+	cell.Refused:   newOutcomeMetrics(cell.Refused),
+	cell.Abandoned: newOutcomeMetrics(cell.Abandoned),
+}
+
+func newOutcomeMetrics(outcome cell.Outcome) outcomeMetrics {
+	return outcomeMetrics{
+		answers: metrics.GetOrCreateCounter(fmt.Sprintf(`chervilusher_cell_answers_total{outcome=%q}`, outcome)),
+		times:   metrics.GetOrCreateHistogram(fmt.Sprintf(`chervilusher_cell_answer_seconds{outcome=%q}`, outcome)),
+	}
+}
+
 // Submission is a job whose caller waits for its answer.
 type Submission struct {
 	ID            string
@@ -169,23 +190,25 @@
 
 func (h *HomeController) logAnswer(r *route, answer *cell.Answer) {
 	took := h.common.Clock.Since(r.submission.Arrived)
-	queue := r.submission.Queue.Name
-	metrics.GetOrCreateCounter(fmt.Sprintf(`chervilusher_cell_answers_total{outcome=%q}`, answer.Outcome)).Inc()
-	metrics.GetOrCreateHistogram(fmt.Sprintf(`chervilusher_cell_answer_seconds{outcome=%q}`, answer.Outcome)).Update(took.Seconds())
-	line := h.common.Log.WithField("job", r.submission.ID).
-		WithField("queue", queue).
-		WithField("version", r.submission.QueuesVersion).
-		WithField("tasks", len(r.submission.Tasks)).
-		WithField("outcome", answer.Outcome.String()).
-		WithField("reason", answer.Reason).
-		WithField("tried", r.tried).
-		WithField("objective", time.Duration(r.request.Objective-r.request.Arrived).String()).
-		WithField("took", took.String())
+	outcome := answerMetrics[answer.Outcome]
+	outcome.answers.Inc()
+	outcome.times.Update(took.Seconds())
+	fields := log.Fields{
+		"job":       r.submission.ID,
+		"queue":     r.submission.Queue.Name,
+		"version":   r.submission.QueuesVersion,
+		"tasks":     len(r.submission.Tasks),
+		"outcome":   answer.Outcome.String(),
+		"reason":    answer.Reason,
+		"tried":     r.tried,
+		"objective": time.Duration(r.request.Objective - r.request.Arrived).String(),
+		"took":      took.String(),
+	}
 	if r.stopping {
 		countStopping(answer.Outcome)
-		line = line.WithField("stopping", true)
+		fields["stopping"] = true
 	}
-	line.Info("job answered")
+	h.common.Log.WithFields(fields).Info("job answered")
 }
 
 func (h *HomeController) newRequest(submission *Submission) *peer.RunRequest {
--- a/entry/pkg/cellhost/keeper.go
+++ b/entry/pkg/cellhost/keeper.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
 	"github.com/pkg/errors"
 
 	"chervilusher.dev/entry/pkg/cell"
@@ -67,6 +68,8 @@
 type Forwarder interface {
 	// Forward returns false if no other keeper accepted the job; nothing of it has run then.
 	Forward(ctx context.Context, home string, request *peer.RunRequest, mode peer.RunMode) (*peer.RunResponse, bool)
+	// RoomElsewhere returns how many tasks of the queue other keepers could start by their last heartbeats.
+	RoomElsewhere(queue, group string) int
 }
 
 // NewKeeperController returns a keeper without workers and registers its method with the peer server.
@@ -84,7 +87,6 @@
 		board:   board,
 		shedder: shedder,
 		workers: workers,
-		cell:    cell.New(options.limits(), &homes{self: options.Name, board: board, clock: c.Clock}),
 		loops:   map[string]*workerLoop{},
 		waiters: map[*cell.Job]*waiter{},
 		reports: map[string]*cell.HomeReport{},
@@ -93,6 +95,8 @@
 
 		droppedTokens: map[string]droppedToken{},
 	}
+	seen := &homes{self: options.Name, board: board, clock: c.Clock, decidedAt: &controller.decidedAt}
+	controller.cell = cell.New(options.limits(), seen)
 	peer.Handle(server, peer.MethodRun, controller.Run)
 	return controller
 }
@@ -131,6 +135,7 @@
 	k.cell.SetDirectoryRead(k.board.DirectoryReadAt())
 	effects := k.cancelLeft(now)
 	decided := decide(now)
+	k.countStarts(decided.Starts)
 	effects.Add(&decided)
 	return effects
 }
@@ -147,7 +152,6 @@
 
 // execute sends starts and stops and delivers answers, without waiting for any of them.
 func (k *KeeperController) execute(effects *cell.Effects) {
-	k.countStarts(effects.Starts)
 	for i := range effects.Starts {
 		start := effects.Starts[i]
 		go k.sendStart(start)
@@ -188,18 +192,25 @@
 		end := &trace.EndedRuns[i]
 		runs = append(runs, fmt.Sprintf("%s/%d at %s %s after %s", end.Task, end.Number, end.Worker, end.Result, end.Took.Round(time.Millisecond)))
 	}
-	line := k.common.Log.WithField("job", job.ID).WithField("home", job.Home).WithField("outcome", answer.Outcome.String()).
-		WithField("reason", answer.Reason).WithField("tasks", len(job.Tasks)).WithField("foreseen", trace.PredictedDelay.String()).
-		WithField("waited", trace.QueueingDelay.String()).WithField("runs", runs)
+	fields := log.Fields{
+		"job":      job.ID,
+		"home":     job.Home,
+		"outcome":  answer.Outcome.String(),
+		"reason":   answer.Reason,
+		"tasks":    len(job.Tasks),
+		"foreseen": trace.PredictedDelay.String(),
+		"waited":   trace.QueueingDelay.String(),
+		"runs":     runs,
+	}
 	if trace.StartedLate {
-		line = line.WithField("late", true)
+		fields["late"] = true
 	}
 	if trace.Shortage != nil {
 		cause := trace.Shortage.Cause()
 		metrics.GetOrCreateCounter(fmt.Sprintf(`chervilusher_cell_refused_total{cause=%q}`, cause)).Inc()
-		line = line.WithField("cause", cause).WithField("shortage", trace.Shortage.String())
+		fields["cause"], fields["shortage"] = cause, trace.Shortage.String()
 	}
-	line.Info("job decided")
+	k.common.Log.WithFields(fields).Info("job decided")
 }
 
 func (k *KeeperController) logRunEnd(end *cell.EndedRun) {
--- a/entry/pkg/cellhost/keeper_rates.go
+++ b/entry/pkg/cellhost/keeper_rates.go
@@ -14,27 +14,41 @@
 	if !k.rates.isStepDue(now) {
 		return
 	}
-	k.mu.Lock()
-	waits := k.cell.Waits(now)
-	k.mu.Unlock()
-	k.rates.step(waits, now)
+	k.rates.step(k.roomElsewhere, now)
+}
+
+func (k *KeeperController) roomElsewhere(queue, group string) int {
+	if k.forwarder == nil {
+		return 0
+	}
+	return k.forwarder.RoomElsewhere(queue, group)
 }
 
-// countStarts counts the first starts of tasks that are expected to end in time.
+// countStarts counts the first starts of tasks that are expected to end in time. The caller holds the lock.
 func (k *KeeperController) countStarts(starts []cell.Start) {
 	for i := range starts {
 		if run := starts[i].Run; run.Number == 1 && !run.Task.Job.Diagnostics.StartedLate {
-			k.rates.addStarted(run.Task.Job.Queue, 1)
+			k.rates.addStarted(run.Task.Job.Queue, 1, waitedPart(run.Task))
 		}
 	}
 }
 
+// waitedPart returns the part of its time until the latest start after which the task's job has started.
+func waitedPart(task *cell.Task) float64 {
+	job := task.Job
+	allowed := max(job.Objective.Sub(job.Arrived)-task.Estimate, minAllowedWait)
+	return min(1, max(0, job.Diagnostics.QueueingDelay.Seconds()/allowed.Seconds()))
+}
+
+// minAllowedWait is the least time until the latest start for which a wait is compared with it.
+const minAllowedWait = 20 * time.Millisecond
+
 // forward offers a job to other keepers. It counts as started unless no keeper takes it, since the call returns at its end.
 func (k *KeeperController) forward(ctx context.Context, request *peer.RunRequest, job *cell.Job, mode peer.RunMode) (*peer.RunResponse, bool) {
-	k.rates.addStarted(job.Queue, len(job.Tasks))
+	k.rates.addStarted(job.Queue, len(job.Tasks), waitTarget)
 	response, taken := k.forwarder.Forward(ctx, request.Home, k.restateRequest(request, job), mode)
 	if !taken {
-		k.rates.addStarted(job.Queue, -len(job.Tasks))
+		k.rates.addStarted(job.Queue, -len(job.Tasks), waitTarget)
 	}
 	return response, taken
 }
@@ -44,9 +58,9 @@
 	k.rates.addRefused(job.Queue, len(job.Tasks), time.Duration(response.RetryAfter))
 }
 
-// Refusing implements LoadReporter.
-func (k *KeeperController) Refusing() []peer.Refusing {
-	return k.rates.reported()
+// Excesses implements LoadReporter.
+func (k *KeeperController) Excesses() []peer.Excess {
+	return k.rates.excesses()
 }
 
 // hasBlockedTasks reports whether a worker may carry out an earlier start of any task.
--- a/entry/pkg/cellhost/keeper_run.go
+++ b/entry/pkg/cellhost/keeper_run.go
@@ -47,9 +47,14 @@
 	if request.Mode == peer.RunNow {
 		return &peer.RunResponse{Declined: true, Reason: "no room at once"}, nil
 	}
-	k.rates.addOffered(job.Queue, len(job.Tasks), k.common.Clock.Now())
+	k.rates.addOffered(job, k.common.Clock.Now())
+	leaves := k.rates.fraction(job.Queue) > 0
 	if request.Mode == peer.RunAnywhere {
-		if response, taken := k.forward(ctx, request, job, peer.RunNow); taken {
+		mode := peer.RunNow
+		if leaves {
+			mode = peer.RunHere // it would be refused here in the end
+		}
+		if response, taken := k.forward(ctx, request, job, mode); taken {
 			return response, nil
 		}
 	}
@@ -65,7 +70,7 @@
 		}
 		return response, err
 	}
-	if !k.isTooLate(job) {
+	if !leaves && !k.isTooLate(job) {
 		if elsewhere, taken := k.forward(ctx, request, job, peer.RunHere); taken {
 			return elsewhere, nil
 		}
@@ -200,7 +205,7 @@
 		}
 		answers = k.addWaiter(ctx, job)
 		if nowOnly {
-			k.rates.addOffered(job.Queue, len(job.Tasks), now)
+			k.rates.addOffered(job, now)
 		}
 		return k.cell.Submit(job, now)
 	})
--- a/entry/pkg/cellhost/left_test.go
+++ b/entry/pkg/cellhost/left_test.go
@@ -108,3 +108,5 @@
 		require.Eventually(t, func() bool { return callerconn.IsClosed(request) }, time.Second, time.Millisecond)
 	}
 }
+
+func (forwarderFunc) RoomElsewhere(string, string) int { return 0 }
--- a/entry/pkg/cellhost/members.go
+++ b/entry/pkg/cellhost/members.go
@@ -30,8 +30,8 @@
 	Loads() []cell.Load
 	UnreleasedWorkers() []string
 	JobHomes() map[string]bool
-	// Refusing returns the queues of which homes are to refuse jobs at once.
-	Refusing() []peer.Refusing
+	// Excesses returns the queues of which more is offered than can be started in time.
+	Excesses() []peer.Excess
 }
 
 // FailureObserver is notified of hosts that are suspected or restarted.
@@ -298,7 +298,7 @@
 		Evacuations:       m.board.Evacuations(),
 		Clock:             m.common.Clock.Now().UnixNano(),
 		ShedFraction:      m.shedder.Shed(),
-		Refusing:          m.loads.Refusing(),
+		Excesses:          m.loads.Excesses(),
 	}
 	if table := m.board.Queues(); table != nil {
 		heartbeat.QueuesVersion = table.Version
@@ -368,7 +368,7 @@
 			state.LastHeartbeat = last.sentAt
 			state.UnreleasedWorkers = setOf(last.heartbeat.UnreleasedWorkers)
 			state.ShedFraction = last.heartbeat.ShedFraction
-			state.Refusing = last.heartbeat.Refusing
+			state.Excesses = last.heartbeat.Excesses
 		}
 		if name == m.options.Name {
 			state.Incarnation = m.common.Incarnation
--- a/entry/pkg/cellhost/refusal_rates.go
+++ b/entry/pkg/cellhost/refusal_rates.go
@@ -7,23 +7,28 @@
 	"sync"
 	"time"
 
+	"chervilusher.dev/entry/pkg/cell"
 	"chervilusher.dev/entry/pkg/peer"
 )
 
 const (
 	// rateWindow is the time constant of the counts, about that of the runs of short tasks.
 	rateWindow = 300 * time.Millisecond
+	// waitWindow is the time constant of the waits.
+	waitWindow = 120 * time.Millisecond
 	// rateStep is the interval between two corrections of the fractions.
 	rateStep = 50 * time.Millisecond
 	// reportSteps is how many steps homes are behind with the fractions.
 	reportSteps = 2
-	// waitTarget is the part of their time until the latest start that the waiting jobs of a queue are to have waited on average:
-	// long enough that no room stands idle, and short enough that few are refused in the end.
-	waitTarget = 0.25
+	// waitTarget is the part of their time until the latest start after which the jobs of a queue are to start: so late that no room
+	// stands idle, and so early that few are refused in the end.
+	waitTarget = 0.4
 	// waitGain is how much a wait beside waitTarget changes the accepted work; with the delay of the reports twice as much
 	// would oscillate.
-	waitGain = 0.7
-	// idleGrowth is the factor by which the accepted work grows while no job waits.
+	waitGain = 0.4
+	// idleWait is the wait below which room is taken to stand idle.
+	idleWait = 0.1
+	// idleGrowth is the factor by which the accepted work grows while room stands idle.
 	idleGrowth = 2
 	// priorTasks are added to the offered and the started tasks, so that a single refusal has little effect.
 	priorTasks = 8
@@ -40,7 +45,7 @@
 )
 
 // refusalRates determines for each queue which fraction of its jobs homes are to refuse at once, because this keeper could not
-// start them in time: the part of the offered tasks beyond those that start, corrected by how long the jobs wait.
+// start them in time: the part of the offered tasks beyond those that start, corrected by how long these have waited.
 type refusalRates struct {
 	mu        sync.Mutex
 	byQueue   map[string]*refusalRate
@@ -50,7 +55,10 @@
 // refusalRate holds what was counted of one queue; the counts decay with rateWindow.
 type refusalRate struct {
 	demand, started, refused float64 // tasks; the demand includes those that homes have refused
-	fractions                [reportSteps + 1]float64
+	recent, waited           float64 // started tasks and the sum of their waits, which decay with waitWindow
+	fraction                 float64
+	refusable                [reportSteps + 1]float64 // to homes, the last one first
+	group                    string
 	retryAfter               time.Duration // mean of the last refusals
 	offeredAt                time.Time
 }
@@ -59,25 +67,27 @@
 	return &refusalRates{byQueue: map[string]*refusalRate{}}
 }
 
-// addOffered counts the tasks of a job that is to start on this keeper's workers.
-func (r *refusalRates) addOffered(queue string, tasks int, now time.Time) {
+// addOffered counts a job that is to start on this keeper's workers.
+func (r *refusalRates) addOffered(job *cell.Job, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	rate, ok := r.byQueue[queue]
+	rate, ok := r.byQueue[job.Queue]
 	if !ok {
-		rate = &refusalRate{}
-		r.byQueue[queue] = rate
+		rate = &refusalRate{group: job.Group}
+		r.byQueue[job.Queue] = rate
 	}
 	rate.offeredAt = now
-	rate.demand += float64(tasks) / (1 - rate.fractions[reportSteps])
+	rate.demand += float64(len(job.Tasks)) / (1 - rate.refusable[reportSteps])
 }
 
-// addStarted counts started tasks.
-func (r *refusalRates) addStarted(queue string, tasks int) {
+// addStarted counts started tasks, whose job has waited for a part of its time until the latest start.
+func (r *refusalRates) addStarted(queue string, tasks int, waited float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if rate, ok := r.byQueue[queue]; ok {
 		rate.started += float64(tasks)
+		rate.recent += float64(tasks)
+		rate.waited += float64(tasks) * waited
 	}
 }
 
@@ -103,66 +113,80 @@
 	return now.Sub(r.steppedAt) >= rateStep
 }
 
-// step corrects the fractions. Waits holds for each queue with waiting jobs the part of their time until the latest start that
-// they have waited on average.
-func (r *refusalRates) step(waits map[string]float64, now time.Time) {
+// step corrects the fractions. What finds room at other keepers is not to be refused: this one forwards it.
+func (r *refusalRates) step(roomElsewhere func(queue, group string) int, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	decay := math.Exp(-now.Sub(r.steppedAt).Seconds() / rateWindow.Seconds())
+	passed := now.Sub(r.steppedAt).Seconds()
+	decay, waitDecay := math.Exp(-passed/rateWindow.Seconds()), math.Exp(-passed/waitWindow.Seconds())
 	r.steppedAt = now
 	for queue, rate := range r.byQueue {
 		if now.Sub(rate.offeredAt) > forgetRateAfter {
 			delete(r.byQueue, queue)
 			continue
 		}
-		wait, waiting := waits[queue]
-		copy(rate.fractions[1:], rate.fractions[:reportSteps])
-		rate.fractions[0] = rate.next(wait, waiting)
+		rate.fraction = rate.next()
+		copy(rate.refusable[1:], rate.refusable[:reportSteps])
+		rate.refusable[0] = rate.withoutRoom(roomElsewhere(queue, rate.group))
 		rate.demand *= decay
 		rate.started *= decay
+		rate.recent *= waitDecay
+		rate.waited *= waitDecay
 		rate.refused *= decay
 	}
 }
 
-// next returns the fraction for the counts and the wait of the queue's jobs.
-func (r *refusalRate) next(wait float64, waiting bool) float64 {
-	if r.fractions[0] == 0 && r.refused < shortThreshold*(r.demand+priorTasks) {
+// next returns the fraction for the counts.
+func (r *refusalRate) next() float64 {
+	if r.fraction == 0 && r.refused < shortThreshold*(r.demand+priorTasks) {
 		return 0
 	}
-	factor := 1 + waitGain*(waitTarget-min(wait, 1))
-	if !waiting {
+	wait := min(max(0, r.waited/max(r.recent, 1)), 1)
+	factor := 1 + waitGain*(waitTarget-wait)
+	if wait < idleWait {
 		factor = idleGrowth
 	}
 	return min(max(0, 1-factor*(r.started+priorTasks)/(r.demand+priorTasks)), maxFraction)
 }
 
-// reported returns the queues of which jobs are to be refused, those with the largest fractions if there are many.
-func (r *refusalRates) reported() []peer.Refusing {
+// withoutRoom returns the fraction without the tasks for which there is room elsewhere until the next heartbeat.
+func (r *refusalRate) withoutRoom(room int) float64 {
+	interval := DefaultHeartbeatInterval.Seconds() / rateWindow.Seconds()
+	excess := r.fraction * r.demand * interval
+	if excess <= float64(room) {
+		return 0
+	}
+	return r.fraction * (1 - float64(room)/excess)
+}
+
+// excesses returns the queues of which not all jobs can start in time, those with the largest fractions if there are many.
+func (r *refusalRates) excesses() []peer.Excess {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var found []peer.Refusing //nolint:prealloc // in calm there is none
+	var found []peer.Excess //nolint:prealloc // in calm there is none
 	for queue, rate := range r.byQueue {
-		if rate.fractions[0] < reportedFraction {
+		if rate.fraction < reportedFraction {
 			continue
 		}
-		found = append(found, peer.Refusing{
+		found = append(found, peer.Excess{
 			Queue:      queue,
-			Thousandth: int(math.Round(1000 * rate.fractions[0])),
+			Beyond:     int(math.Round(1000 * rate.fraction)),
+			Refused:    int(math.Round(1000 * rate.refusable[0])),
 			RetryAfter: rate.retryAfter.Milliseconds(),
 		})
 	}
-	slices.SortFunc(found, func(a, b peer.Refusing) int {
-		return cmp.Or(cmp.Compare(b.Thousandth, a.Thousandth), cmp.Compare(a.Queue, b.Queue))
+	slices.SortFunc(found, func(a, b peer.Excess) int {
+		return cmp.Or(cmp.Compare(b.Beyond, a.Beyond), cmp.Compare(a.Queue, b.Queue))
 	})
 	return found[:min(len(found), maxReportedQueues)]
 }
 
-// fraction returns the fraction of the queue's jobs that is to be refused.
+// fraction returns the fraction of the queue's jobs that this keeper cannot start in time.
 func (r *refusalRates) fraction(queue string) float64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if rate, ok := r.byQueue[queue]; ok {
-		return rate.fractions[0]
+		return rate.fraction
 	}
 	return 0
 }
--- a/entry/pkg/cellhost/refusal_rates_test.go
+++ b/entry/pkg/cellhost/refusal_rates_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"chervilusher.dev/entry/pkg/cell"
 )
 
 const (
@@ -33,6 +35,8 @@
 	busy   time.Duration // of all slots
 }
 
+func noRoom(string, string) int { return 0 }
+
 const poolStep = 2 * time.Millisecond
 
 func at(t time.Duration) time.Time { return time.Unix(1000, 0).Add(t) }
@@ -45,23 +49,19 @@
 			p.heard = append(p.heard, now-p.queue[0])
 			p.rates.addRefused("q", 2, time.Second)
 		} else {
-			p.start(now)
+			p.start(now, p.queue[0])
 		}
 		p.queue = p.queue[1:]
 	}
 	if p.rates.isStepDue(at(now)) {
-		waits := map[string]float64{}
-		for _, arrived := range p.queue {
-			waits["q"] += (now - arrived).Seconds() / slack.Seconds() / float64(len(p.queue))
-		}
-		p.rates.step(waits, at(now))
+		p.rates.step(noRoom, at(now))
 	}
 	p.known = append(p.known, p.rates.fraction("q"))
 }
 
-func (p *pool) start(now time.Duration) {
+func (p *pool) start(now, arrived time.Duration) {
 	p.served++
-	p.rates.addStarted("q", 2)
+	p.rates.addStarted("q", 2, (now-arrived).Seconds()/slack.Seconds())
 	for range 2 {
 		p.ends = append(p.ends, now+time.Duration((0.6+0.8*p.random.Float64())*float64(runTime)))
 	}
@@ -73,9 +73,9 @@
 		return
 	}
 	atOnce := len(p.queue) == 0 && len(p.ends)+2 <= poolSlots
-	p.rates.addOffered("q", 2, at(now))
+	p.rates.addOffered(&cell.Job{Queue: "q", Tasks: make([]*cell.Task, 2)}, at(now))
 	if atOnce {
-		p.start(now)
+		p.start(now, now)
 		return
 	}
 	p.queue = append(p.queue, now)
@@ -135,17 +135,33 @@
 	now := at(0)
 	for i := range 3 * maxReportedQueues {
 		queue := fmt.Sprintf("q%02d", i)
-		rates.addOffered(queue, 100+i, now)
+		rates.addOffered(&cell.Job{Queue: queue, Tasks: make([]*cell.Task, 100+i)}, now)
 		rates.addRefused(queue, 100+i, 2*time.Second)
 	}
-	rates.addOffered("calm", 100, now)
-	rates.addStarted("calm", 100)
-	rates.step(map[string]float64{"q00": waitTarget, "q47": waitTarget}, now)
-	reported := rates.reported()
+	rates.addOffered(&cell.Job{Queue: "calm", Tasks: make([]*cell.Task, 100)}, now)
+	rates.addStarted("calm", 100, 0)
+	rates.step(noRoom, now)
+	reported := rates.excesses()
 	require.Len(t, reported, maxReportedQueues)
 	require.Equal(t, "q47", reported[0].Queue, "the one that refuses most")
 	require.Equal(t, int64(2000), reported[0].RetryAfter)
-	rates.step(nil, now.Add(forgetRateAfter+time.Second))
-	require.Empty(t, rates.reported())
+	rates.step(noRoom, now.Add(forgetRateAfter+time.Second))
+	require.Empty(t, rates.excesses())
 	require.Zero(t, rates.fraction("q47"))
 }
+
+// TestHomesRefuseOnlyWhatFindsNoRoomElsewhere has a keeper that can start none of 300 tasks a window, 100 a heartbeat, beside
+// others with room for some of them.
+func TestHomesRefuseOnlyWhatFindsNoRoomElsewhere(t *testing.T) {
+	for room, want := range map[int]int{0: 950, 46: 456, 95: 0, 1000: 0} {
+		rates := newRefusalRates()
+		rates.addOffered(&cell.Job{Queue: "q", Group: "g", Tasks: make([]*cell.Task, 292)}, at(0))
+		rates.addRefused("q", 292, time.Second)
+		rates.step(func(queue, group string) int {
+			require.Equal(t, "qg", queue+group)
+			return room
+		}, at(0))
+		require.InDelta(t, 950, rates.excesses()[0].Beyond, 5)
+		require.InDelta(t, want, rates.excesses()[0].Refused, 25, room)
+	}
+}
--- a/entry/pkg/cellhost/route.go
+++ b/entry/pkg/cellhost/route.go
@@ -88,7 +88,7 @@
 		if keepers[i].FailureDomain == r.home.options.FailureDomain {
 			keys[keepers[i].Name] += 2
 		}
-		if refused, _ := refusedFraction(&keepers[i], r.submission.Queue.Name, now); draw < refused {
+		if draw < excessOf(&keepers[i], r.submission.Queue.Name, now).refused {
 			keys[keepers[i].Name]-- // after those that can take it
 		}
 		if keepers[i].Leaving {
--- a/entry/pkg/cellhost/stop_test.go
+++ b/entry/pkg/cellhost/stop_test.go
@@ -207,3 +207,5 @@
 	require.Equal(t, cell.Completed, (<-answered).Outcome)
 	require.True(t, c.keeper.IsIdle())
 }
+
+func (*heldForwarder) RoomElsewhere(string, string) int { return 0 }
--- a/entry/pkg/common/bounded_handler.go
+++ b/entry/pkg/common/bounded_handler.go
@@ -1,11 +1,11 @@
 package common
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 	"sync/atomic"
 	"time"
 	"unicode/utf8"
@@ -13,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
 )
 
 // queuedLines bounds the lines that wait for a slow reader; at about 300 bytes a line they take 0.3 MB.
@@ -25,6 +26,16 @@
 	maxLineBytes = 64 << 10
 )
 
+// Names of the fields that each line has.
+const (
+	fieldTime    = "time"
+	fieldLevel   = "level"
+	fieldMessage = "message"
+)
+
+// usualLineBytes is the capacity of a new line's buffer.
+const usualLineBytes = 384
+
 // sourceField is where the log library puts the place in the code that made an error; the message tells enough.
 const sourceField = "source"
 
@@ -107,41 +118,85 @@
 }
 
 func formatJSON(entry *log.Entry, now time.Time) []byte {
-	fields := make(map[string]any, len(entry.Fields)+3)
-	for name, value := range entry.Fields {
-		if name == sourceField {
-			continue
+	line, err := encodeLine(entry, now, false)
+	if err == nil && len(line) > maxLineBytes {
+		line, err = encodeLine(entry, now, true)
+	}
+	if err != nil {
+		return fmt.Appendf(nil, "{\"level\":\"error\",\"message\":%q}\n", "cannot write a line: "+cut(err.Error()))
+	}
+	return line
+}
+
+// encodeLine writes the fields in the order of their names, if so chosen each as a text that is cut.
+func encodeLine(entry *log.Entry, now time.Time, asText bool) ([]byte, error) {
+	names := make([]string, 0, len(entry.Fields)+3)
+	names = append(names, fieldTime, fieldLevel, fieldMessage)
+	for name := range entry.Fields {
+		if name != sourceField && !slices.Contains(names[:3], name) {
+			names = append(names, name)
 		}
-		switch typed := value.(type) {
-		case error:
-			fields[name] = cut(typed.Error())
-		case string:
-			fields[name] = cut(typed)
-		case time.Time:
-			fields[name] = typed.UTC().Format(timeFormat)
-		default:
-			fields[name] = value
+	}
+	slices.Sort(names)
+	line := make([]byte, 0, usualLineBytes)
+	for i, name := range names {
+		var err error
+		line = append(line, "{,"[min(i, 1)])
+		if line, err = appendJSON(line, name); err != nil {
+			return nil, err
 		}
+		value := fieldValue(entry, name, now)
+		if asText {
+			value = cut(fmt.Sprint(value))
+		}
+		line = append(line, ':')
+		if line, err = appendJSON(line, value); err != nil {
+			return nil, err
+		}
+	}
+	return append(line, "}\n"...), nil
+}
+
+// fieldValue returns the value of a field as it is to be encoded.
+func fieldValue(entry *log.Entry, name string, now time.Time) any {
+	switch name {
+	case fieldTime:
+		return now.UTC().Format(timeFormat)
+	case fieldLevel:
+		return entry.Level.String()
+	case fieldMessage:
+		return cut(entry.Message)
 	}
-	fields["time"] = now.UTC().Format(timeFormat)
-	fields["level"] = entry.Level.String()
-	fields["message"] = cut(entry.Message)
-	line := encodeLine(fields)
-	if len(line) <= maxLineBytes {
-		return line
+	switch typed := entry.Fields[name].(type) {
+	case error:
+		return cut(typed.Error())
+	case string:
+		return cut(typed)
+	case time.Time:
+		return typed.UTC().Format(timeFormat)
+	default:
+		return typed
 	}
-	for name, value := range fields {
-		fields[name] = cut(fmt.Sprint(value))
+}
+
+// appendJSON appends a value as JSON. Printable ASCII without characters that JSON or HTML escape, the usual text, is copied.
+func appendJSON(line []byte, value any) ([]byte, error) {
+	if text, ok := value.(string); ok && isPlain(text) {
+		line = append(line, '"')
+		line = append(line, text...)
+		return append(line, '"'), nil
 	}
-	return encodeLine(fields)
+	encoded, err := json.Marshal(value)
+	return append(line, encoded...), errors.WithStack(err)
 }
 
-func encodeLine(fields map[string]any) []byte {
-	var line bytes.Buffer
-	if err := json.NewEncoder(&line).Encode(fields); err != nil {
-		return fmt.Appendf(nil, "{\"level\":\"error\",\"message\":%q}\n", "cannot write a line: "+cut(err.Error()))
+func isPlain(text string) bool {
+	for i := range len(text) {
+		if c := text[i]; c < ' ' || c > '~' || c == '"' || c == '\\' || c == '<' || c == '>' || c == '&' {
+			return false
+		}
 	}
-	return line.Bytes()
+	return true
 }
 
 // cut shortens a text to maxValueBytes.
--- a/entry/pkg/peer/cell.go
+++ b/entry/pkg/peer/cell.go
@@ -63,15 +63,16 @@
 	LateStarts []cell.LateStart `json:"s,omitempty"`
 	// ShedFraction is the part of jobs, from 0 to 1, that the sender has to shed to finish the others in time.
 	ShedFraction float64 `json:"g,omitempty"`
-	// Refusing lists the queues of which the sender refuses jobs for want of room; homes refuse that part of them at once.
-	Refusing []Refusing `json:"r,omitempty"`
+	// Excesses lists the queues of which more is offered to the sender than it can start in time.
+	Excesses []Excess `json:"r,omitempty"`
 }
 
-// Refusing says which part of a queue's jobs is to be refused before it is sent to the keeper.
-type Refusing struct {
+// Excess says which part of a queue's jobs a keeper cannot start in time.
+type Excess struct {
 	Queue      string `json:"q"`
-	Thousandth int    `json:"f"`
-	RetryAfter int64  `json:"w,omitempty"` // milliseconds until callers should retry
+	Beyond     int    `json:"b"`           // thousandths that the keeper cannot start on its own workers
+	Refused    int    `json:"f,omitempty"` // thousandths that homes are to refuse at once, since other keepers have no room either
+	RetryAfter int64  `json:"w,omitempty"` // milliseconds until callers of refused jobs should retry
 }
 
 // OpenCalls lists calls to run jobs whose callers wait; WantedAt holds for each number the time, in nanoseconds on the
