Keep the keepers of a view

Cause: a home copied the states of all hosts of the view twice for each job, and a keeper for each forward. Change: the keepers of a view are collected once, until the next view; ranks and loads are read in place. A test that changed a view in use stores a new one.

--- a/entry/pkg/cellhost/early.go
+++ b/entry/pkg/cellhost/early.go
@@ -52,19 +52,20 @@
 func (h *HomeController) foreseeRefusal(queue string) earlyRefusal {
 	now := h.common.Clock.Now()
 	keepers := h.keepers()
-	for i := range keepers {
-		if keepers[i].Name == h.options.Name {
-			keepers[i].Excesses, keepers[i].LastHeartbeat = h.keeper.Excesses(), now
+	for i, keeper := range keepers {
+		if keeper.Name == h.options.Name {
+			own := *keeper
+			own.Excesses, own.LastHeartbeat = h.keeper.Excesses(), now
+			keepers[i] = &own
 		}
 	}
 	return leastRefusal(keepers, h.options.FailureDomain, queue, now)
 }
 
-func leastRefusal(keepers []PeerState, domain, queue string, now time.Time) earlyRefusal {
+func leastRefusal(keepers []*PeerState, domain, queue string, now time.Time) earlyRefusal {
 	var least, leastLocal earlyRefusal
 	found, foundLocal := false, false
-	for i := range keepers {
-		keeper := &keepers[i]
+	for _, keeper := range keepers {
 		if keeper.Leaving {
 			continue
 		}
--- a/entry/pkg/cellhost/forward.go
+++ b/entry/pkg/cellhost/forward.go
@@ -65,8 +65,7 @@
 	now := h.common.Clock.Now()
 	keepers := h.keepers()
 	candidates := make([]forwardCandidate, 0, len(keepers))
-	for i := range keepers {
-		other := &keepers[i]
+	for _, other := range keepers {
 		if other.Name == h.options.Name || other.ShedFraction > 0 {
 			continue
 		}
@@ -176,9 +175,9 @@
 }
 
 func groupLoad(keeper *PeerState, group string) cell.Load {
-	for _, load := range keeper.Loads {
-		if load.Group == group {
-			return load
+	for i := range keeper.Loads {
+		if keeper.Loads[i].Group == group {
+			return keeper.Loads[i]
 		}
 	}
 	return cell.Load{}
--- a/entry/pkg/cellhost/forward_test.go
+++ b/entry/pkg/cellhost/forward_test.go
@@ -64,13 +64,17 @@
 	state := home.board.View().Hosts["b"]
 	state.Loads = []cell.Load{{Group: "g", FreeSlots: 3}}
 	state.LastHeartbeat = home.common.Clock.Now()
-	home.board.View().Hosts["b"] = state
+	view := *home.board.View()
+	view.Hosts["b"] = state
+	home.board.view.Store(&view)
 	request := &peer.RunRequest{Queue: "q", Group: "g", Tasks: make([]peer.RunTask, 2)}
 	require.Len(t, home.chooseForwards(request, peer.RunNow), 1)
 	home.addSent(&state, 2)
 	require.Empty(t, home.chooseForwards(request, peer.RunNow))
 	state.LastHeartbeat = state.LastHeartbeat.Add(DefaultHeartbeatInterval)
-	home.board.View().Hosts["b"] = state
+	later := view
+	later.Hosts["b"] = state
+	home.board.view.Store(&later)
 	require.Len(t, home.chooseForwards(request, peer.RunNow), 1)
 }
 
@@ -117,9 +121,10 @@
 // TestHomeGoesByTheKeeperThatTakesMost has one keeper of a failure domain refuse more than the other.
 func TestHomeGoesByTheKeeperThatTakesMost(t *testing.T) {
 	now := time.Unix(1000, 0)
-	keepers := []PeerState{refusingState(north, 900, now), refusingState(north, 300, now), refusingState(south, 0, now)}
+	most, least, elsewhere := refusingState(north, 900, now), refusingState(north, 300, now), refusingState(south, 0, now)
+	keepers := []*PeerState{&most, &least, &elsewhere}
 	require.InDelta(t, 0.3, leastRefusal(keepers, north, "q", now).fraction, 0.001, "keepers forward to other failure domains themselves")
-	keepers[1].Leaving = true
+	least.Leaving = true
 	require.InDelta(t, 0.9, leastRefusal(keepers, north, "q", now).fraction, 0.001)
 	require.Zero(t, leastRefusal(keepers, "west", "q", now).fraction)
 	require.Zero(t, leastRefusal(nil, north, "q", now).fraction)
--- a/entry/pkg/cellhost/home.go
+++ b/entry/pkg/cellhost/home.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -98,6 +100,7 @@
 	calls         map[*keeperCall]struct{}
 	lastCall      int64
 	sent          map[string]sentTasks               // by keeper
+	known         atomic.Pointer[knownKeepers]
 	openJobs      map[string]context.CancelCauseFunc // by job identifier
 	noKeeperSince time.Time                          // when a job first found no keeper; zero while one is known
 	stopsAt       time.Time                          // when the open jobs will be abandoned; zero until this host is told to stop
@@ -298,14 +301,25 @@
 
 // keepers returns the live keepers with a cell that is not evacuated whose heartbeats this host receives, including
 // leaving ones, which still have free slots.
-func (h *HomeController) keepers() []PeerState {
+func (h *HomeController) keepers() []*PeerState {
 	view, evacuations := h.board.View(), h.board.Evacuations()
-	var found []PeerState
-	for name := range view.Hosts {
-		state := view.Hosts[name]
-		if state.Alive && state.ClockKnown && state.keepsOpenCell(evacuations) {
-			found = append(found, state)
+	known := h.known.Load()
+	if known == nil || known.view != view || known.evacuations != evacuations {
+		known = &knownKeepers{view: view, evacuations: evacuations}
+		for name := range view.Hosts {
+			state := view.Hosts[name]
+			if state.Alive && state.ClockKnown && state.keepsOpenCell(evacuations) {
+				known.keepers = append(known.keepers, &state)
+			}
 		}
+		h.known.Store(known)
 	}
-	return found
+	return slices.Clone(known.keepers)
+}
+
+// knownKeepers are the keepers of a view, which changes less often than jobs come.
+type knownKeepers struct {
+	view        *View
+	evacuations *peer.Evacuations
+	keepers     []*PeerState // not to be changed
 }
--- a/entry/pkg/cellhost/lag_test.go
+++ b/entry/pkg/cellhost/lag_test.go
@@ -75,10 +75,11 @@
 	})
 	home, own := twoKeepers(t, serveOn(t, other))
 	setShed := func(name string) {
-		view := home.board.View()
+		view := *home.board.View() // a view is not changed once it is in use
 		overloaded := view.Hosts[name]
 		overloaded.ShedFraction = 1
 		view.Hosts[name] = overloaded
+		home.board.view.Store(&view)
 	}
 	setShed("a")
 	own.shedder = &fixedShedder{fraction: 1}
--- a/entry/pkg/cellhost/route.go
+++ b/entry/pkg/cellhost/route.go
@@ -30,7 +30,7 @@
 	ctx, cancel := context.WithTimeout(ctx, r.submission.Deadline.Add(answerMargin).Sub(r.home.common.Clock.Now()))
 	defer cancel()
 	for _, keeper := range r.orderKeepers(r.withoutOverloaded(r.awaitKeepers(ctx))) {
-		if answer := r.tryKeeper(ctx, &keeper); answer != nil {
+		if answer := r.tryKeeper(ctx, keeper); answer != nil {
 			return answer
 		}
 	}
@@ -43,7 +43,7 @@
 
 // awaitKeepers returns the known keepers. If there is none but one is expected soon, it waits as long as the job could
 // still meet its objective.
-func (r *route) awaitKeepers(ctx context.Context) []PeerState {
+func (r *route) awaitKeepers(ctx context.Context) []*PeerState {
 	clock := r.home.common.Clock
 	for {
 		keepers := r.home.keepers()
@@ -65,8 +65,8 @@
 }
 
 // withoutOverloaded skips each overloaded keeper for the fraction of jobs that it has to shed.
-func (r *route) withoutOverloaded(keepers []PeerState) []PeerState {
-	return slices.DeleteFunc(keepers, func(keeper PeerState) bool {
+func (r *route) withoutOverloaded(keepers []*PeerState) []*PeerState {
+	return slices.DeleteFunc(keepers, func(keeper *PeerState) bool {
 		shed := shouldShed(keeper.ShedFraction)
 		if shed {
 			r.declineReason = "the keeper falls behind"
@@ -77,28 +77,37 @@
 
 // orderKeepers puts the keepers of this failure domain first. Within each group the order is random, weighted by free
 // slots, so that not all home hosts choose the same keeper; each keeper comes last for the fraction of jobs that it refuses.
-func (r *route) orderKeepers(keepers []PeerState) []PeerState {
-	now := r.home.common.Clock.Now()
-	least := leastRefusal(keepers, r.home.options.FailureDomain, r.submission.Queue.Name, now).fraction
+func (r *route) orderKeepers(keepers []*PeerState) []*PeerState {
+	now, queue := r.home.common.Clock.Now(), r.submission.Queue
+	least := leastRefusal(keepers, r.home.options.FailureDomain, queue.Name, now).fraction
 	draw := least + (1-least)*rand.Float64() // the job has not been refused
-	keys := make(map[string]float64, len(keepers))
-	for i := range keepers {
-		slots := float64(freeSlots(&keepers[i], r.submission.Queue.Group) + 1)
-		keys[keepers[i].Name] = math.Pow(rand.Float64(), 1/slots)
-		if keepers[i].FailureDomain == r.home.options.FailureDomain {
-			keys[keepers[i].Name] += 2
+	ranked := make([]rankedKeeper, 0, len(keepers))
+	for _, keeper := range keepers {
+		rank := math.Pow(rand.Float64(), 1/float64(freeSlots(keeper, queue.Group)+1))
+		if keeper.FailureDomain == r.home.options.FailureDomain {
+			rank += 2
 		}
-		if draw < excessOf(&keepers[i], r.submission.Queue.Name, now).refused {
-			keys[keepers[i].Name]-- // after those that can take it
+		if draw < excessOf(keeper, queue.Name, now).refused {
+			rank-- // after those that can take it
 		}
-		if keepers[i].Leaving {
-			keys[keepers[i].Name]-- // after those that are not leaving
+		if keeper.Leaving {
+			rank-- // after those that are not leaving
 		}
+		ranked = append(ranked, rankedKeeper{keeper, rank})
+	}
+	slices.SortFunc(ranked, func(a, b rankedKeeper) int { return cmp.Compare(b.rank, a.rank) })
+	for i := range ranked {
+		keepers[i] = ranked[i].keeper
 	}
-	slices.SortFunc(keepers, func(a, b PeerState) int { return cmp.Compare(keys[b.Name], keys[a.Name]) })
 	return keepers
 }
 
+// rankedKeeper is a keeper with its place in the order in which a job is offered.
+type rankedKeeper struct {
+	keeper *PeerState
+	rank   float64
+}
+
 // tryKeeper asks one keeper; it returns nil if another may be asked because nothing has run.
 func (r *route) tryKeeper(ctx context.Context, keeper *PeerState) *cell.Answer {
 	r.tried = append(r.tried, keeper.Name)
