--- a/entry/pkg/cellhost/home.go
+++ b/entry/pkg/cellhost/home.go
@@ -99,7 +99,7 @@
 	mu            sync.Mutex
 	calls         map[*keeperCall]struct{}
 	lastCall      int64
-	sent          map[string]sentTasks               // by keeper
+	sent          map[string]sentTasks // by keeper
 	known         atomic.Pointer[knownKeepers]
 	openJobs      map[string]context.CancelCauseFunc // by job identifier
 	noKeeperSince time.Time                          // when a job first found no keeper; zero while one is known
