--- a/entry/pkg/cellhost/forward.go
+++ b/entry/pkg/cellhost/forward.go
@@ -87,16 +87,15 @@
 
 // weight returns how much room speaks for the candidate, zero if it cannot take the job.
 func (c *forwardCandidate) weight(tasks int, mode peer.RunMode) float64 {
-	unclaimed := c.room - c.waiting
 	switch {
-	case mode == peer.RunHere && (c.beyond > 0 || unclaimed <= 0):
+	case mode == peer.RunHere && c.beyond > 0:
 		return 0
 	case mode == peer.RunLate && (c.beyond > 0 || c.room < tasks):
 		return 0
 	case mode == peer.RunNow && c.room < tasks:
 		return 0
 	}
-	return (1 - c.beyond) * float64(max(1, 1+unclaimed))
+	return (1 - c.beyond) * float64(max(1, 1+c.room-c.waiting))
 }
 
 // chooseForwards returns at most maxForwards candidates that may take a job of so many tasks, at random by their weights.
--- a/entry/pkg/cellhost/keeper_rates.go
+++ b/entry/pkg/cellhost/keeper_rates.go
@@ -14,7 +14,14 @@
 	if !k.rates.isStepDue(now) {
 		return
 	}
-	k.rates.step(k.roomElsewhere, now)
+	for _, change := range k.rates.step(k.roomElsewhere, now) {
+		line := k.common.Log.WithField("queue", change.queue)
+		if change.fraction > 0 {
+			line.WithField("fraction", change.fraction).Info("more is offered than can start in time")
+		} else {
+			line.Info("all that is offered can start in time again")
+		}
+	}
 }
 
 func (k *KeeperController) roomElsewhere(queue, group string) int {
--- a/entry/pkg/cellhost/refusal_rates.go
+++ b/entry/pkg/cellhost/refusal_rates.go
@@ -114,7 +114,7 @@
 }
 
 // step corrects the fractions. What finds room at other keepers is not to be refused: this one forwards it.
-func (r *refusalRates) step(roomElsewhere func(queue, group string) int, now time.Time) {
+func (r *refusalRates) step(roomElsewhere func(queue, group string) int, now time.Time) (changed []shortageChange) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	passed := now.Sub(r.steppedAt).Seconds()
@@ -125,7 +125,11 @@
 			delete(r.byQueue, queue)
 			continue
 		}
+		wasShort := rate.fraction > 0
 		rate.fraction = rate.next()
+		if wasShort != (rate.fraction > 0) {
+			changed = append(changed, shortageChange{queue: queue, fraction: rate.fraction})
+		}
 		copy(rate.refusable[1:], rate.refusable[:reportSteps])
 		rate.refusable[0] = rate.withoutRoom(roomElsewhere(queue, rate.group))
 		rate.demand *= decay
@@ -134,6 +138,13 @@
 		rate.waited *= waitDecay
 		rate.refused *= decay
 	}
+	return changed
+}
+
+// shortageChange is the begin or end of a queue's shortage.
+type shortageChange struct {
+	queue    string
+	fraction float64 // zero at its end
 }
 
 // next returns the fraction for the counts.
--- a/entry/pkg/peer/size_bench_test.go
+++ b/entry/pkg/peer/size_bench_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"chervilusher.dev/entry/pkg/cell"
 	"chervilusher.dev/entry/pkg/lending"
 	"chervilusher.dev/lib/api"
 )
@@ -52,6 +53,21 @@
 	}
 }
 
+// BenchmarkHeartbeatSize reports the bytes of a keeper's heartbeat by the number of queues that it is short of room for.
+func BenchmarkHeartbeatSize(b *testing.B) {
+	for _, short := range []int{0, 3, 16} {
+		heartbeat := &Heartbeat{
+			Name: "front-gt-central-a-1", Address: "10.0.0.1:7000", Incarnation: "0123456789abcdef0123456789abcdef", Clock: time.Now().UnixNano(),
+			Claims: []Claim{{Cell: CellKey{FailureDomain: "gt-central-a"}, CellCount: 3, Epoch: 1 << 50}},
+			Loads:  []cell.Load{{Group: "se97a", FreeSlots: 9, Waiting: 40}}, Calls: &OpenCalls{},
+		}
+		for i := range short {
+			heartbeat.Excesses = append(heartbeat.Excesses, Excess{Queue: "r-yx4n3g" + strconv.Itoa(i), Beyond: 640, Refused: 600, RetryAfter: 1800})
+		}
+		b.Run(strconv.Itoa(short), func(b *testing.B) { measureSize(b, heartbeat) })
+	}
+}
+
 func measureSize(b *testing.B, message any) {
 	b.Helper()
 	size := 0
