--- a/entry/pkg/cellhost/board.go
+++ b/entry/pkg/cellhost/board.go
@@ -33,6 +33,7 @@
 	ClockKnown        bool          // ClockOffset is known
 	LastHeartbeat     time.Time     // when it sent its last heartbeat, on this host's clock; unlike LastSeen unaffected by delays
 	ShedFraction      float64       // the share of jobs that it has to shed
+	Excesses          []peer.Excess // queues of which it cannot start all jobs in time
 	Gone              bool          // its silence is long, so that it counts for nothing
 	HeartbeatPeer     bool          // it and this host exchange heartbeats at the full rate
 }
--- a/entry/pkg/cellhost/home.go
+++ b/entry/pkg/cellhost/home.go
@@ -1,14 +1,15 @@
 package cellhost
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
 	"github.com/pkg/errors"
 
 	"chervilusher.dev/entry/pkg/callerconn"
@@ -32,8 +33,6 @@
 	keeperPoll = 10 * time.Millisecond
 	// answerMargin lets a keeper's answer at the deadline arrive before the home host gives up.
 	answerMargin = 20 * time.Millisecond
-	// maxForwards bounds the other keepers that are asked to start a job at once; each call takes about a millisecond.
-	maxForwards = 2
 )
 
 // Causes for cancelling a call to a keeper.
@@ -42,6 +41,26 @@
 	errHomeFailed   = errors.New("the caller's host is gone")
 )
 
+// outcomeMetrics counts the answers of one outcome.
+type outcomeMetrics struct {
+	answers *metrics.Counter
+	times   *metrics.Histogram
+}
+
+var answerMetrics = map[cell.Outcome]outcomeMetrics{
+	cell.Completed: newOutcomeMetrics(cell.Completed),
+	cell.Failed:    newOutcomeMetrics(cell.Failed),
+	cell.Refused:   newOutcomeMetrics(cell.Refused),
+	cell.Abandoned: newOutcomeMetrics(cell.Abandoned),
+}
+
+func newOutcomeMetrics(outcome cell.Outcome) outcomeMetrics {
+	return outcomeMetrics{
+		answers: metrics.GetOrCreateCounter(fmt.Sprintf(`chervilusher_cell_answers_total{outcome=%q}`, outcome)),
+		times:   metrics.GetOrCreateHistogram(fmt.Sprintf(`chervilusher_cell_answer_seconds{outcome=%q}`, outcome)),
+	}
+}
+
 // Submission is a job whose caller waits for its answer.
 type Submission struct {
 	ID            string
@@ -80,6 +99,8 @@
 	mu            sync.Mutex
 	calls         map[*keeperCall]struct{}
 	lastCall      int64
+	sent          map[string]sentTasks // by keeper
+	known         atomic.Pointer[knownKeepers]
 	openJobs      map[string]context.CancelCauseFunc // by job identifier
 	noKeeperSince time.Time                          // when a job first found no keeper; zero while one is known
 	stopsAt       time.Time                          // when the open jobs will be abandoned; zero until this host is told to stop
@@ -106,6 +127,7 @@
 		keeper:   keeper,
 		calls:    map[*keeperCall]struct{}{},
 		openJobs: map[string]context.CancelCauseFunc{},
+		sent:     map[string]sentTasks{},
 	}
 }
 
@@ -171,23 +193,25 @@
 
 func (h *HomeController) logAnswer(r *route, answer *cell.Answer) {
 	took := h.common.Clock.Since(r.submission.Arrived)
-	queue := r.submission.Queue.Name
-	metrics.GetOrCreateCounter(fmt.Sprintf(`chervilusher_cell_answers_total{outcome=%q}`, answer.Outcome)).Inc()
-	metrics.GetOrCreateHistogram(fmt.Sprintf(`chervilusher_cell_answer_seconds{outcome=%q}`, answer.Outcome)).Update(took.Seconds())
-	line := h.common.Log.WithField("job", r.submission.ID).
-		WithField("queue", queue).
-		WithField("version", r.submission.QueuesVersion).
-		WithField("tasks", len(r.submission.Tasks)).
-		WithField("outcome", answer.Outcome.String()).
-		WithField("reason", answer.Reason).
-		WithField("tried", r.tried).
-		WithField("objective", time.Duration(r.request.Objective-r.request.Arrived).String()).
-		WithField("took", took.String())
+	outcome := answerMetrics[answer.Outcome]
+	outcome.answers.Inc()
+	outcome.times.Update(took.Seconds())
+	fields := log.Fields{
+		"job":       r.submission.ID,
+		"queue":     r.submission.Queue.Name,
+		"version":   r.submission.QueuesVersion,
+		"tasks":     len(r.submission.Tasks),
+		"outcome":   answer.Outcome.String(),
+		"reason":    answer.Reason,
+		"tried":     r.tried,
+		"objective": time.Duration(r.request.Objective - r.request.Arrived).String(),
+		"took":      took.String(),
+	}
 	if r.stopping {
 		countStopping(answer.Outcome)
-		line = line.WithField("stopping", true)
+		fields["stopping"] = true
 	}
-	line.Info("job answered")
+	h.common.Log.WithFields(fields).Info("job answered")
 }
 
 func (h *HomeController) newRequest(submission *Submission) *peer.RunRequest {
@@ -245,33 +269,6 @@
 	return response, err
 }
 
-// Forward offers a job that cannot start here at once to the keepers that had the most headroom at their last
-// heartbeats.
-func (h *HomeController) Forward(ctx context.Context, home string, request *peer.RunRequest, mode peer.RunMode) (*peer.RunResponse, bool) {
-	others := slices.DeleteFunc(h.keepers(), func(other PeerState) bool {
-		full := (mode == peer.RunNow || mode == peer.RunLate) && freeSlots(&other, request.Group) < len(request.Tasks)
-		return other.Name == h.options.Name || full || other.ShedFraction > 0
-	})
-	slices.SortFunc(others, func(a, b PeerState) int {
-		return cmp.Compare(headroom(&b, request.Group), headroom(&a, request.Group))
-	})
-	for i := range others[:min(len(others), maxForwards)] {
-		forwarded := *request
-		forwarded.KeeperIncarnation = others[i].Incarnation
-		forwarded.Mode = mode
-		response, err := h.call(ctx, home, &others[i], &forwarded)
-		switch {
-		case err == nil && !response.Declined && response.Outcome != cell.Refused:
-			return response, true
-		case err == nil, errors.Is(err, peer.ErrUnreachable):
-		default:
-			h.common.Log.WithField("job", request.ID).WithField("keeper", others[i].Name).WithError(err).Warn("call to the keeper failed; the job is abandoned")
-			return &peer.RunResponse{Outcome: cell.Abandoned, Reason: "lost the keeper: " + errors.Cause(err).Error()}, true
-		}
-	}
-	return nil, false
-}
-
 // isEverythingEvacuated reports whether no failure domain is left that takes new tasks.
 func (h *HomeController) isEverythingEvacuated() bool {
 	evacuations := h.board.Evacuations()
@@ -304,34 +301,25 @@
 
 // keepers returns the live keepers with a cell that is not evacuated whose heartbeats this host receives, including
 // leaving ones, which still have free slots.
-func (h *HomeController) keepers() []PeerState {
+func (h *HomeController) keepers() []*PeerState {
 	view, evacuations := h.board.View(), h.board.Evacuations()
-	var found []PeerState
-	for name := range view.Hosts {
-		state := view.Hosts[name]
-		if state.Alive && state.ClockKnown && state.keepsOpenCell(evacuations) {
-			found = append(found, state)
+	known := h.known.Load()
+	if known == nil || known.view != view || known.evacuations != evacuations {
+		known = &knownKeepers{view: view, evacuations: evacuations}
+		for name := range view.Hosts {
+			state := view.Hosts[name]
+			if state.Alive && state.ClockKnown && state.keepsOpenCell(evacuations) {
+				known.keepers = append(known.keepers, &state)
+			}
 		}
+		h.known.Store(known)
 	}
-	return found
-}
-
-// freeSlots returns how many typical tasks of the group the keeper could start at its last heartbeat.
-func freeSlots(keeper *PeerState, group string) int {
-	return groupLoad(keeper, group).FreeSlots
+	return slices.Clone(known.keepers)
 }
 
-// headroom returns the free slots minus the queued tasks.
-func headroom(keeper *PeerState, group string) int {
-	load := groupLoad(keeper, group)
-	return load.FreeSlots - load.Waiting
-}
-
-func groupLoad(keeper *PeerState, group string) cell.Load {
-	for _, load := range keeper.Loads {
-		if load.Group == group {
-			return load
-		}
-	}
-	return cell.Load{}
+// knownKeepers are the keepers of a view, which changes less often than jobs come.
+type knownKeepers struct {
+	view        *View
+	evacuations *peer.Evacuations
+	keepers     []*PeerState // not to be changed
 }
--- a/entry/pkg/cellhost/members.go
+++ b/entry/pkg/cellhost/members.go
@@ -30,6 +30,8 @@
 	Loads() []cell.Load
 	UnreleasedWorkers() []string
 	JobHomes() map[string]bool
+	// Excesses returns the queues of which more is offered than can be started in time.
+	Excesses() []peer.Excess
 }
 
 // FailureObserver is notified of hosts that are suspected or restarted.
@@ -296,6 +298,7 @@
 		Evacuations:       m.board.Evacuations(),
 		Clock:             m.common.Clock.Now().UnixNano(),
 		ShedFraction:      m.shedder.Shed(),
+		Excesses:          m.loads.Excesses(),
 	}
 	if table := m.board.Queues(); table != nil {
 		heartbeat.QueuesVersion = table.Version
@@ -365,6 +368,7 @@
 			state.LastHeartbeat = last.sentAt
 			state.UnreleasedWorkers = setOf(last.heartbeat.UnreleasedWorkers)
 			state.ShedFraction = last.heartbeat.ShedFraction
+			state.Excesses = last.heartbeat.Excesses
 		}
 		if name == m.options.Name {
 			state.Incarnation = m.common.Incarnation
