Divide a group's work among its queues while it is short of room

Cause: a queue's priority decided nothing, and in a burst the wide and the calm queues were served worst. Change: a ledger for each group tells a shortage, divides its work (max-min, floor, priority) and ranks jobs; late starts leave room to jobs in time.

--- a/entry/pkg/cell/cell.go
+++ b/entry/pkg/cell/cell.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"chervilusher.dev/entry/pkg/invariant"
+	"chervilusher.dev/entry/pkg/share"
 )
 
 // Limits holds the limits that workers and callers set.
@@ -17,6 +18,8 @@
 	// LeaveNotice is how long before its end a worker that leaves has announced it in the directory; zero if the directory is
 	// always up to date.
 	LeaveNotice time.Duration
+	// Shares divides a group's workers among its queues while they cannot serve all that is offered.
+	Shares bool
 }
 
 // Cell is the dispatch state of one keeper. Its caller must serialize all calls.
@@ -36,8 +39,9 @@
 	unsettled       unsettledStarts
 	directoryReadAt time.Time
 	tickedAt        time.Time
-	tickingSince    time.Time            // since when there was no pause between ticks
-	returns         map[string]time.Time // by group: when the workers have served all callers told to come back
+	tickingSince    time.Time               // since when there was no pause between ticks
+	returns         map[string]time.Time    // by group: when the workers have served all callers told to come back
+	shares          map[string]*groupShares // by group
 }
 
 // Start requests the start of a task on a worker.
@@ -110,6 +114,7 @@
 		crashTable:     newCrashTable(),
 		unsettled:      newUnsettledStarts(),
 		returns:        map[string]time.Time{},
+		shares:         map[string]*groupShares{},
 	}
 }
 
@@ -124,6 +129,7 @@
 		return effects
 	}
 	c.observeDemand(job)
+	c.offerWork(job, now)
 	c.replace(job, now, &effects)
 	c.takeCrashes(job, now)
 	if c.failCrashing(job, now, &effects) {
@@ -144,6 +150,10 @@
 		c.giveUp(job, "it would miss its objective", now, &effects)
 		return effects
 	}
+	if job.rank == share.Beyond && !job.Started() && wait > 0 {
+		c.giveUp(job, "its queue has used up its share", now, &effects)
+		return effects
+	}
 	c.assign(now, &effects)
 	return effects
 }
@@ -180,6 +190,7 @@
 	if now.After(c.startDeadline(job)) || c.IsBlocked(job, now) {
 		return false
 	}
+	c.placeInOrder(job, now)
 	longest := job.longestTask()
 	inTime := func(worker *Worker) bool { return c.isInTime(longest, worker, now) }
 	return c.forecastDelay(job, inTime, now) <= 0
@@ -247,6 +258,7 @@
 		}
 	}
 	c.giveUpEvacuated(now, &effects)
+	c.advanceShares(now)
 	c.assign(now, &effects)
 	return effects
 }
--- a/entry/pkg/cell/job.go
+++ b/entry/pkg/cell/job.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"chervilusher.dev/entry/pkg/share"
 )
 
 // TaskState is the state of a task.
@@ -43,6 +45,8 @@
 	answer      *Answer
 	answeredAt  time.Time
 	seq         int64
+	rank        share.Rank
+	charged     float64 // core-seconds that were taken from its queue's share
 }
 
 // Diagnostics records for the log how a job was handled.
@@ -52,6 +56,7 @@
 	EndedRuns      []EndedRun    // at most maxEndedRuns
 	Shortage       *Shortage     // why it was refused; nil otherwise
 	StartedLate    bool          // started although it cannot meet its objective
+	Share          string        // what its queue's share covered; empty unless its group was short when it came
 }
 
 // maxEndedRuns bounds the ended runs that Diagnostics holds.
--- a/entry/pkg/cell/late.go
+++ b/entry/pkg/cell/late.go
@@ -11,7 +11,7 @@
 
 // StartLate starts all tasks of a job that cannot meet its objective on free workers. It reports false if they do not
 // all fit or one would miss the job's deadline. Waiting jobs have been assigned before, so this takes no resources
-// that one of them could use now.
+// that one of them could use now. While the group is short, it takes only what jobs in time leave idle.
 func (c *Cell) StartLate(job *Job, now time.Time) (Effects, bool) {
 	var effects Effects
 	if c.CrashesWorkers(job, now) {
@@ -32,6 +32,7 @@
 	job.Diagnostics.StartedLate = true
 	c.jobs[job] = struct{}{}
 	c.byID[job.ID] = job
+	c.takeIdle(job, plan)
 	for i, task := range job.Tasks {
 		effects.Starts = append(effects.Starts, c.start(task, plan[i], now))
 	}
@@ -47,10 +48,11 @@
 		taken, shared := used[worker]
 		return !alone[worker] && (!shared || !task.mustRunAlone()) && worker.hasRoomFor(task) && worker.free().Minus(taken).Fits(task.Demand)
 	}
+	isSpared := c.isSpared(job, now)
 	for _, task := range job.Tasks {
 		var best choice
 		for _, worker := range c.ordered {
-			if worker.Group != job.Group || !worker.usableFor(job, now) || !fits(task, worker) {
+			if worker.Group != job.Group || isSpared(worker) || !worker.usableFor(job, now) || !fits(task, worker) {
 				continue
 			}
 			if !worker.leasesEndInTime(job) {
--- a/entry/pkg/cell/load_test.go
+++ b/entry/pkg/cell/load_test.go
@@ -38,8 +38,9 @@
 // tally counts the outcomes of one kind of job.
 type tally struct {
 	asked, served, late, refused, failed int
-	large, largeServed                   int // jobs with the longest tasks, about a tenth
-	lateRefusals                         int // refused when the job could no longer be served in time
+	large, largeServed                   int     // jobs with the longest tasks, about a tenth
+	lateRefusals                         int     // refused when the job could no longer be served in time
+	offered, goodput                     float64 // work of all jobs, and of those served in time
 }
 
 func (t *tally) share() float64 {
@@ -132,6 +133,7 @@
 		tallies[kind.name] = counted
 	}
 	counted.asked++
+	counted.offered += h.trueWork(job)
 	if isLarge {
 		counted.large++
 		h.large[job] = true
@@ -139,6 +141,11 @@
 	return job, counted
 }
 
+// trueWork returns the core-seconds that the job takes on a worker of speed 1.
+func (h *harness) trueWork(job *Job) float64 {
+	return float64(len(job.Tasks)) * cores(job.Tasks[0].Demand) * h.runTimes[job.ID].Seconds()
+}
+
 // settleOpen counts the jobs that have been answered.
 func (h *harness) settleOpen(open map[*Job]*tally) {
 	for job, counted := range open {
@@ -151,6 +158,7 @@
 		switch {
 		case answer.Outcome == Completed && took <= h.objectives[job]:
 			counted.served++
+			counted.goodput += h.trueWork(job)
 			if h.large[job] {
 				counted.largeServed++
 			}
--- a/entry/pkg/cell/returns.go
+++ b/entry/pkg/cell/returns.go
@@ -19,6 +19,7 @@
 // random within twice the time that the workers need for all callers who were refused before, so that these do not
 // return together.
 func (c *Cell) RetryDelay(job *Job, now time.Time) time.Duration {
+	c.refuseWork(job, now)
 	slots := c.slots(job)
 	if slots == 0 {
 		return maxRetryDelay
--- a/entry/pkg/cellhost/keeper.go
+++ b/entry/pkg/cellhost/keeper.go
@@ -111,7 +111,13 @@
 }
 
 func (k *KeeperController) tick() {
-	k.apply(func(now time.Time) cell.Effects { return k.cell.Tick(now) })
+	var changes []cell.ShortageChange
+	k.apply(func(now time.Time) cell.Effects {
+		effects := k.cell.Tick(now)
+		changes = k.cell.ShortageChanges()
+		return effects
+	})
+	k.logShortages(changes)
 }
 
 // apply makes a decision under the lock and executes its effects.
@@ -190,6 +196,10 @@
 	if trace.StartedLate {
 		line = line.WithField("late", true)
 	}
+	if trace.Share != "" {
+		countShare(trace.Share, answer.Outcome)
+		line = line.WithField("share", trace.Share)
+	}
 	if trace.Shortage != nil {
 		cause := trace.Shortage.Cause()
 		metrics.GetOrCreateCounter(fmt.Sprintf(`chervilusher_cell_refused_total{cause=%q}`, cause)).Inc()
--- a/entry/pkg/cellhost/options.go
+++ b/entry/pkg/cellhost/options.go
@@ -16,6 +16,8 @@
 
 	HeartbeatInterval time.Duration // between two heartbeats
 	SuspectTimeout    time.Duration // a host without a heartbeat for this long is suspected and does not count as alive
+
+	Shares bool // queues share a group's workers while these cannot serve all that is offered
 }
 
 // limits returns the limits of the keeper's cell. A forwarder tells the keeper with its next heartbeat when it last heard the
@@ -23,7 +25,7 @@
 func (o *Options) limits() cell.Limits {
 	return cell.Limits{
 		Lease: o.MaxLease, Resubmit: o.ResubmitDelay, Unheard: o.SuspectTimeout + 2*o.HeartbeatInterval, CallDelay: maxCallDelay,
-		LeaveNotice: leaveNotice,
+		LeaveNotice: leaveNotice, Shares: o.Shares,
 	}
 }
 
