--- a/entry/pkg/cell/cell.go
+++ b/entry/pkg/cell/cell.go
@@ -42,6 +42,7 @@
 	tickingSince    time.Time               // since when there was no pause between ticks
 	returns         map[string]time.Time    // by group: when the workers have served all callers told to come back
 	shares          map[string]*groupShares // by group
+	sharesAt        time.Time               // when they were last advanced
 }
 
 // Start requests the start of a task on a worker.
--- a/entry/pkg/cell/idle.go
+++ b/entry/pkg/cell/idle.go
@@ -77,7 +77,7 @@
 
 // isSpared returns which workers a late job must leave free: while its group is short, those where some job would be in time,
 // unless enough of their slots stand idle.
-func (c *Cell) isSpared(job *Job, now time.Time) func(*Worker) bool {
+func (c *Cell) isSpared(job *Job) func(*Worker) bool {
 	shares, ok := c.shares[job.Group]
 	if !ok || !shares.ledger.IsShort() || shares.idle.least() >= len(job.Tasks) {
 		return func(*Worker) bool { return false }
--- a/entry/pkg/cell/late.go
+++ b/entry/pkg/cell/late.go
@@ -48,7 +48,7 @@
 		taken, shared := used[worker]
 		return !alone[worker] && (!shared || !task.mustRunAlone()) && worker.hasRoomFor(task) && worker.free().Minus(taken).Fits(task.Demand)
 	}
-	isSpared := c.isSpared(job, now)
+	isSpared := c.isSpared(job)
 	for _, task := range job.Tasks {
 		var best choice
 		for _, worker := range c.ordered {
--- a/entry/pkg/cell/regime.go
+++ b/entry/pkg/cell/regime.go
@@ -57,6 +57,7 @@
 	if len(c.shares) == 0 {
 		return
 	}
+	defer func() { c.sharesAt = now }()
 	busy := map[string]float64{}
 	for _, worker := range c.ordered {
 		busy[worker.Group] += cores(worker.used)
@@ -64,6 +65,7 @@
 	for group, shares := range c.shares {
 		shares.ledger.Advance(busy[group], now)
 		if shares.ledger.IsShort() {
+			c.holdReturns(group, now)
 			shares.idle.observe(c.freeSlotsInTime(group, shares, now), now)
 		} else {
 			shares.idle = idleSlots{}
--- a/entry/pkg/cell/returns.go
+++ b/entry/pkg/cell/returns.go
@@ -38,6 +38,13 @@
 	return backlog
 }
 
+// holdReturns puts the end of the refused callers' work off while the group is short, since its workers do none of it then.
+func (c *Cell) holdReturns(group string, now time.Time) {
+	if end, ok := c.returns[group]; ok && end.After(c.sharesAt) {
+		c.returns[group] = end.Add(now.Sub(c.sharesAt))
+	}
+}
+
 // slots returns how many tasks of the job's size the workers that take new jobs run at once.
 func (c *Cell) slots(job *Job) int {
 	slots := 0
--- a/entry/pkg/cell/shares_test.go
+++ b/entry/pkg/cell/shares_test.go
@@ -255,3 +255,31 @@
 	require.True(t, h.submitLate(h.job(2, 8, short, shortObjective, longDeadline)))
 	require.Positive(t, h.cell.Worker("w01").used.Cores)
 }
+
+// Callers who are refused in a shortage are to come back when it is over, and not all at once.
+func TestReturnsArePutOffWhileTheGroupIsShort(t *testing.T) {
+	h := newShortHarness(t)
+	backlog := h.cell.returns["desk"].Sub(h.now)
+	require.Positive(t, backlog)
+	h.pass(100 * time.Millisecond)
+	require.True(t, h.cell.IsShort("desk", h.now))
+	require.GreaterOrEqual(t, h.cell.returns["desk"].Sub(h.now), backlog, "no time passes, and jobs that waited are refused")
+	h.pass(time.Second)
+	require.False(t, h.cell.IsShort("desk", h.now))
+	require.Less(t, h.cell.returns["desk"].Sub(h.now), backlog)
+}
+
+// Without shares a shortage changes nothing.
+func TestOrderIsByLatestStartWithoutShares(t *testing.T) {
+	h := newHarness(t)
+	h.addWorkers(1, 16, 1)
+	for range 100 {
+		h.submit(h.job(2, 8, short, shortObjective, longDeadline))
+		h.pass(step)
+	}
+	require.False(t, h.cell.IsShort("desk", h.now))
+	require.Empty(t, h.cell.ShortageChanges())
+	urgent, patient := h.job(1, 8, short, shortObjective, longDeadline), h.job(1, 8, short, 2*shortObjective, longDeadline)
+	urgent.Priority, patient.Priority = 5, 0
+	require.Negative(t, h.cell.compareOrder(urgent, patient))
+}
--- a/entry/pkg/share/regime.go
+++ b/entry/pkg/share/regime.go
@@ -13,6 +13,8 @@
 	enterDelay = 400 * time.Millisecond
 	// leavePart is the part of the offered work that is refused below which a shortage ends: single jobs that find no room.
 	leavePart = 0.1
+	// leaveRefusals is the number of refusals within the window below which it ends, also when nothing is offered any more.
+	leaveRefusals = 0.5
 	// leaveDelay keeps a pause between two crests from ending a shortage.
 	leaveDelay = 200 * time.Millisecond
 )
@@ -84,7 +86,7 @@
 // isOpposite reports whether what is offered, served and refused now speaks against the regime in force.
 func (r *regime) isOpposite(offered, served float64, now time.Time) bool {
 	if r.short {
-		return r.refused.sum(now) <= leavePart*r.offered.sum(now)
+		return r.refused.sum(now) <= leavePart*r.offered.sum(now) || r.refusals.sum(now) < leaveRefusals
 	}
 	return offered > enterRatio*served && r.refusals.sum(now) >= enterRefusals
 }
