Begin each shortage without debts, and forget idle queues also in calm

Change: a shortage begins with no credit and a division at once; idle queues are dropped at each interval.

--- a/entry/pkg/share/ledger.go
+++ b/entry/pkg/share/ledger.go
@@ -105,23 +105,36 @@
 // Advance records the work in progress, in cores, and renews the regime and the division.
 func (l *Ledger) Advance(busy float64, now time.Time) {
 	l.capacity.read(busy, now)
-	l.regime.advance(l.offeredRate(now), l.capacity.value, now)
-	if now.Sub(l.dividedAt) < divideInterval {
+	if l.regime.advance(l.offeredRate(now), l.capacity.value, now) {
+		l.reset()
+	} else if now.Sub(l.dividedAt) < divideInterval {
 		return
 	}
+	l.forgetIdle(now)
 	if l.regime.short {
 		l.divide(now)
 	}
 	l.dividedAt = now
 }
 
-func (l *Ledger) divide(now time.Time) {
-	demands := make([]Demand, 0, len(l.queues))
+// reset drops what the queues were owed in an earlier shortage.
+func (l *Ledger) reset() {
+	for _, found := range l.queues {
+		found.rate, found.credit, found.whole = 0, 0, false
+	}
+}
+
+func (l *Ledger) forgetIdle(now time.Time) {
 	for name, found := range l.queues {
 		if now.Sub(found.seenAt) > idleWindow {
 			delete(l.queues, name)
-			continue
 		}
+	}
+}
+
+func (l *Ledger) divide(now time.Time) {
+	demands := make([]Demand, 0, len(l.queues))
+	for name, found := range l.queues {
 		found.credit = l.creditOf(found, now)
 		demands = append(demands, Demand{Queue: name, Priority: found.priority, Rate: found.offered.rate(now)})
 	}
@@ -130,7 +143,7 @@
 	for _, demand := range demands {
 		found := l.queues[demand.Queue]
 		found.rate = rates[demand.Queue]
-		found.whole = found.rate >= demand.Rate
+		found.whole = found.rate >= (1-1e-9)*demand.Rate
 	}
 }
 
--- a/entry/pkg/share/regime.go
+++ b/entry/pkg/share/regime.go
@@ -56,8 +56,8 @@
 	r.refusals.add(1, now)
 }
 
-// advance begins or ends a shortage.
-func (r *regime) advance(offered, served float64, now time.Time) {
+// advance begins or ends a shortage, and reports whether it did.
+func (r *regime) advance(offered, served float64, now time.Time) bool {
 	delay := enterDelay
 	if r.short {
 		delay = leaveDelay
@@ -65,12 +65,12 @@
 	switch {
 	case !r.isOpposite(offered, served, now):
 		r.since = time.Time{}
-		return
+		return false
 	case r.since.IsZero():
 		r.since = now
 	}
 	if now.Sub(r.since) < delay {
-		return
+		return false
 	}
 	r.short = !r.short
 	r.since = time.Time{}
@@ -81,6 +81,7 @@
 		r.change.Duration = now.Sub(r.beganAt)
 	}
 	r.changed = true
+	return true
 }
 
 // isOpposite reports whether what is offered, served and refused now speaks against the regime in force.
