--- a/entry/pkg/cell/cell.go
+++ b/entry/pkg/cell/cell.go
@@ -6,6 +6,7 @@
 
 	"chervilusher.dev/entry/pkg/interference"
 	"chervilusher.dev/entry/pkg/invariant"
+	"chervilusher.dev/entry/pkg/share"
 )
 
 // Limits holds the limits that workers and callers set.
@@ -20,6 +21,8 @@
 	LeaveNotice time.Duration
 	// KeepApart is whether tasks that slow each other down start on different workers where there is room.
 	KeepApart bool
+	// Shares divides a group's workers among its queues while they cannot serve all that is offered.
+	Shares bool
 }
 
 // Cell is the dispatch state of one keeper. Its caller must serialize all calls.
@@ -53,6 +56,8 @@
 	pass            int64                            // of assign
 	servableUntil   time.Time                        // before it no waiting job has to be given up
 	learners        map[string]*interference.Learner // by group
+	shares          map[string]*groupShares          // by group
+	sharesAt        time.Time                        // when they were last advanced
 }
 
 // Start requests the start of a task on a worker.
@@ -129,6 +134,7 @@
 		returns:        map[string]time.Time{},
 		kinds:          map[kindKey]*kind{},
 		factors:        factors{version: 1, mean: 1, queues: map[string]*queueFactor{}},
+		shares:         map[string]*groupShares{},
 	}
 }
 
@@ -141,6 +147,7 @@
 		return effects
 	}
 	c.observeDemand(job)
+	c.offerWork(job, now)
 	c.replace(job, now, &effects)
 	c.takeCrashes(job, now)
 	if c.failCrashing(job, now, &effects) {
@@ -164,6 +171,10 @@
 		c.giveUpWith(job, "it would miss its objective", func() refusal { return refusal{c.shortage(job, now), wait} }, now, &effects)
 		return effects
 	}
+	if job.rank == share.Beyond && !job.Started() && wait > 0 {
+		c.giveUp(job, "its queue has used up its share", now, &effects)
+		return effects
+	}
 	c.assign(now, &effects)
 	return effects
 }
@@ -200,6 +211,7 @@
 	if now.After(c.startDeadline(job)) || c.IsBlocked(job, now) {
 		return false
 	}
+	c.placeInOrder(job, now)
 	longest := job.longestTask()
 	inTime := func(worker *Worker) bool { return c.isInTime(longest, worker, now) }
 	c.sortWaiting()
@@ -264,6 +276,7 @@
 	}
 	c.answerDue(now, &effects)
 	c.giveUpEvacuated(now, &effects)
+	c.advanceShares(now)
 	c.assign(now, &effects)
 	return effects
 }
--- a/entry/pkg/cell/job.go
+++ b/entry/pkg/cell/job.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"chervilusher.dev/entry/pkg/interference"
+	"chervilusher.dev/entry/pkg/share"
 )
 
 // TaskState is the state of a task.
@@ -51,6 +52,8 @@
 	factor      *queueFactor
 	kind        *kind // while it is listed
 	summary     summary
+	rank        share.Rank
+	charged     float64 // core-seconds that were taken from its queue's share
 }
 
 // Diagnostics records for the log how a job was handled.
@@ -60,6 +63,7 @@
 	EndedRuns      []EndedRun    // at most maxEndedRuns
 	Shortage       *Shortage     // why it was refused; nil otherwise
 	StartedLate    bool          // started although it cannot meet its objective
+	Share          string        // what its queue's share covered; empty unless its group was short when it came
 }
 
 // maxEndedRuns bounds the ended runs that Diagnostics holds.
--- a/entry/pkg/cellhost/options.go
+++ b/entry/pkg/cellhost/options.go
@@ -18,6 +18,7 @@
 	SuspectTimeout    time.Duration // a host without a heartbeat for this long is suspected and does not count as alive
 
 	KeepApart bool // tasks of queues that slow each other down start on different workers where there is room
+	Shares    bool // queues share a group's workers while these cannot serve all that is offered
 }
 
 // limits returns the limits of the keeper's cell. A forwarder tells the keeper with its next heartbeat when it last heard the
@@ -25,7 +26,7 @@
 func (o *Options) limits() cell.Limits {
 	return cell.Limits{
 		Lease: o.MaxLease, Resubmit: o.ResubmitDelay, Unheard: o.SuspectTimeout + 2*o.HeartbeatInterval, CallDelay: maxCallDelay,
-		LeaveNotice: leaveNotice, KeepApart: o.KeepApart,
+		LeaveNotice: leaveNotice, KeepApart: o.KeepApart, Shares: o.Shares,
 	}
 }
 
