Keep starts without an answer for as long as they may be carried out

Change: one record of starts without an answer, by task, worker, number and time sent. An entry ends with the answer of that very call, its run in the worker's lists, or 13 s after the decision (30 s before); while the worker is gone it blocks its task. Hosts are told of each entry as soon as there is one, and the keeper that holds the worker blocks and frees, whoever sent the start. Replaces the tasks' startableUntil, and the incarnation and told marks of an entry. No job with an entry is refused as not run. A call after one without an answer acknowledges nothing, nor does the one after a restart. A worker that is away is called every 0.25 s (0.5 s before). TestRandomisedCrashes: a job given up for a late start is sent anew by its caller, since a second task may crash the same worker again; it must still end as failed within the bound on starts. TestOtherKeepersDoNotStartATaskThatMayStartLate: the two keepers' workers have different names, and the expected message has the new fields.

--- a/entry/pkg/cell/cell.go
+++ b/entry/pkg/cell/cell.go
@@ -275,7 +275,7 @@
 
 // giveUp answers a job that cannot be served: refused if nothing of it may have run, abandoned otherwise.
 func (c *Cell) giveUp(job *Job, reason string, now time.Time, effects *Effects) {
-	if job.Started() || c.mayStartLate(job, now) {
+	if job.Started() || c.MayStartLate(job, now) {
 		c.answer(job, &Answer{Outcome: Abandoned, Reason: reason}, effects, now)
 		return
 	}
@@ -286,7 +286,7 @@
 // answer records the job's final answer, drops its waiting tasks and stops its runs.
 func (c *Cell) answer(job *Job, answer *Answer, effects *Effects, now time.Time) {
 	invariant.Check(!job.Decided(), "one_answer", "job %s", job.ID)
-	invariant.Check(answer.Outcome != Refused || !job.Started() && !c.mayStartLate(job, now), "refused_has_not_run", "job %s", job.ID)
+	invariant.Check(answer.Outcome != Refused || !job.Started() && !c.MayStartLate(job, now), "refused_has_not_run", "job %s", job.ID)
 	job.WantedAt = minTime(c.wantedAt(job), now)
 	job.answer = answer
 	job.answeredAt = now
--- a/entry/pkg/cell/crash.go
+++ b/entry/pkg/cell/crash.go
@@ -60,6 +60,11 @@
 // their lease has lapsed, since a network may refuse connections as well.
 func (c *Cell) HandleCrash(worker *Worker, evidence CrashEvidence, now time.Time) Effects {
 	var effects Effects
+	if !worker.held { // it has ended before its first report, or once more
+		worker.goneAt = now
+		c.blockUnsettled(worker, now, &effects)
+		return effects
+	}
 	c.recordCrash(worker, evidence, now, &effects)
 	return effects
 }
--- a/entry/pkg/cell/isolation_test.go
+++ b/entry/pkg/cell/isolation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -144,7 +145,11 @@
 			h.pass(time.Duration(rapid.IntRange(0, 300).Draw(t, "pass")) * time.Millisecond)
 		}
 		// A single worker crashes under one task after the other.
-		h.pass(30*time.Second + time.Duration(len(h.crashes)*h.maxStarts())*(simCrashTime+time.Second))
+		longest := 30*time.Second + time.Duration(len(h.crashes)*h.maxStarts())*(simCrashTime+time.Second)
+		for end := h.now.Add(longest); h.now.Before(end); {
+			h.pass(resendAfter)
+			h.resubmitGivenUp(jobs)
+		}
 		for _, job := range jobs {
 			want := Completed
 			for _, task := range job.Tasks {
@@ -162,3 +167,18 @@
 		h.settle(t)
 	})
 }
+
+// resubmitGivenUp sends the jobs anew that were given up since a task's unanswered start may be carried out by its worker's next
+// life, as their callers do: another task may have crashed that worker once more.
+func (h *harness) resubmitGivenUp(jobs []*Job) {
+	for i, job := range jobs {
+		crashes := slices.ContainsFunc(job.Tasks, func(task *Task) bool { return h.crashes[task.Name] })
+		answer := h.answers[job.ID]
+		if !crashes || answer == nil || answer.Outcome != Abandoned || answer.Reason != reasonLateStart {
+			continue
+		}
+		delete(h.answers, job.ID)
+		jobs[i] = h.jobNamed(job.ID, len(job.Tasks), job.Tasks[0].Demand.Cores/1000, job.Tasks[0].Estimate, veryLong, veryLong)
+		h.submit(jobs[i])
+	}
+}
--- a/entry/pkg/cell/job.go
+++ b/entry/pkg/cell/job.go
@@ -71,8 +71,6 @@
 	run    *Run    // current run, nil while none can exist
 	avoid  *Worker // where the last run failed
 
-	startableUntil time.Time // until then a worker that starts anew may carry out an earlier start
-
 	crashes Crashes // of workers, while the task may have been running there
 }
 
--- a/entry/pkg/cell/restart.go
+++ b/entry/pkg/cell/restart.go
@@ -16,6 +16,7 @@
 	worker.restartedAs = report.Incarnation
 	worker.held = false
 	worker.joining = true
+	worker.ackedSequence = 0
 	for _, run := range worker.runs {
 		if run.acceptedAt.IsZero() {
 			run.fenced = true
--- a/entry/pkg/cell/sim_late_test.go
+++ b/entry/pkg/cell/sim_late_test.go
@@ -28,7 +28,7 @@
 		// A worker that has started anew rejects the start from its keeper's first call on. What it takes up to then beside
 		// other starts of that time is not guaranteed to fit, or to end before its caller resubmits the job, which then waits.
 		unguarded := sim.incarnation != late.incarnation && sim.holder < late.token
-		if since, known := h.crashedSince[late.start.Run.Worker.ID]; unguarded && (!known || h.now.Sub(since) < endBound) {
+		if since, known := h.crashedSince[late.start.Run.Worker.ID]; unguarded && !h.seesAll && (!known || h.now.Sub(since) < endBound) {
 			return true // a worker that is back before its keeper can end the task's run elsewhere is not guarded against
 		}
 		if unguarded && h.runsUnguarded(late.start.Run.Task.Name) {
--- a/entry/pkg/cell/sim_test.go
+++ b/entry/pkg/cell/sim_test.go
@@ -16,6 +16,8 @@
 	answers map[string]*Answer
 	decided map[string]time.Time // when the answer arrived
 	late    []lateStart
+	lateBy  func() time.Duration // after which a start whose answer was lost takes effect
+	seesAll bool                 // workers stay away for long enough after a crash that a keeper sees it
 	jobs    int
 	started map[*Job]bool // jobs of which a task has run
 	script  func(task string, run int) (hangs, fails, lost bool)
@@ -63,6 +65,7 @@
 		decided: map[string]time.Time{},
 		started: map[*Job]bool{},
 		script:  func(string, int) (bool, bool, bool) { return false, false, false },
+		lateBy:  func() time.Duration { return 2 * time.Second },
 
 		runTimes:     map[string]time.Duration{},
 		large:        map[*Job]bool{},
@@ -249,7 +252,7 @@
 	case lost || !h.isReachable(sim):
 		if !sim.down && !h.unreachable {
 			h.late = append(h.late, lateStart{
-				start: start, at: h.now.Add(2 * time.Second), incarnation: sim.incarnation,
+				start: start, at: h.now.Add(h.lateBy()), incarnation: sim.incarnation,
 				token: h.tokens[run.Worker.ID], capacity: h.told[run.Worker.ID],
 			})
 		}
--- a/entry/pkg/cell/unsettled.go
+++ b/entry/pkg/cell/unsettled.go
@@ -6,42 +6,45 @@
 	"time"
 )
 
-// unsettledStart is a start without an answer that was not carried out as far as its worker has told. The worker rejects
-// it by its lease, a stop or the fencing token, but no longer knows these once it has started anew.
+// unsettledStart is a start whose call has no answer: until its end it may be carried out by each life of its worker that has
+// not seen a later token or a stop. Only the answer of that call, or its run in the worker's lists, settles it before.
 type unsettledStart struct {
 	unsettledKey
-	until       time.Time // the call may be carried out until then
-	incarnation int64     // of the worker that it was sent to
-	blocks      bool      // the worker is gone and may be back, so the task must not start elsewhere
-	told        bool      // by another host, whose worker it is
-	changedAt   time.Time // when blocks changed
+	until     time.Time // it may be carried out until then; zero once it is settled
+	blocks    bool      // the worker's present or next life would carry it out, so that the task must not start elsewhere
+	own       bool      // this keeper has sent it
+	changedAt time.Time // when this keeper last saw a change of which others are told
 }
 
 type unsettledKey struct {
 	task   string
 	worker string
 	number int
+	sent   int64 // on the clock of the keeper that sent it, as another keeper may have sent the same number
 }
 
-// LateStart tells other hosts that a worker may carry out an earlier start of a task in its next life.
+// LateStart tells other hosts of a start without an answer.
 type LateStart struct {
 	Task      string        `json:"t"`
 	Worker    string        `json:"w"`
 	Number    int           `json:"n"`
-	Remaining time.Duration `json:"r"` // for which it may be carried out; zero once it cannot any more
+	Sent      int64         `json:"s,omitempty"`
+	Remaining time.Duration `json:"r"`           // for which the task must not start elsewhere; zero if it may
+	Known     time.Duration `json:"k,omitempty"` // for which it may be carried out if the worker starts anew; earlier versions do not tell
 }
 
 // reasonLateStart is why a job is given up, in answers and logs.
 const reasonLateStart = "a worker may carry out an earlier start of a task"
 
-// maxUnsettled bounds the starts that are remembered; a cell that loses half of its answers sends fewer within the delay
-// of a call.
+// maxUnsettled bounds the starts that other hosts may tell of; a cell that loses half of its answers sends fewer within the
+// delay of a call.
 const maxUnsettled = 4096
 
-// unsettledStarts holds the starts that a worker may carry out in its next life.
+// unsettledStarts is the one record of what may still be started by calls without an answer, of this keeper and others.
 type unsettledStarts struct {
 	byKey     map[unsettledKey]*unsettledStart
 	byWorker  map[string]map[unsettledKey]*unsettledStart
+	byTask    map[string]map[unsettledKey]*unsettledStart
 	blocking  map[string]map[unsettledKey]*unsettledStart // by task
 	news      []*unsettledStart                           // of the last crashNews, the oldest first
 	trimmedAt time.Time
@@ -51,52 +54,46 @@
 	return unsettledStarts{
 		byKey:    map[unsettledKey]*unsettledStart{},
 		byWorker: map[string]map[unsettledKey]*unsettledStart{},
+		byTask:   map[string]map[unsettledKey]*unsettledStart{},
 		blocking: map[string]map[unsettledKey]*unsettledStart{},
 	}
 }
 
-// add records a start; if it is known already, the later end is in force. It returns nil if there is no room.
-func (u *unsettledStarts) add(key unsettledKey, until, now time.Time) *unsettledStart {
-	u.trim(now)
-	start := u.byKey[key]
-	if start == nil {
-		if len(u.byKey) >= maxUnsettled {
-			return nil
-		}
-		start = &unsettledStart{unsettledKey: key}
-		u.byKey[key] = start
-		put(u.byWorker, key.worker, start)
-	}
-	if until.After(start.until) {
-		start.until = until
-	}
-	return start
+// add records a start that is not known yet.
+func (u *unsettledStarts) add(start *unsettledStart) {
+	u.byKey[start.unsettledKey] = start
+	put(u.byWorker, start.worker, start)
+	put(u.byTask, start.task, start)
 }
 
-func (u *unsettledStarts) remove(start *unsettledStart, now time.Time) {
-	u.setBlocks(start, false, now)
+func (u *unsettledStarts) remove(start *unsettledStart) {
+	u.setBlocks(start, false)
+	start.until = time.Time{}
 	delete(u.byKey, start.unsettledKey)
 	drop(u.byWorker, start.worker, start)
+	drop(u.byTask, start.task, start)
 }
 
 // setBlocks sets whether the start keeps its task from starting elsewhere, and reports whether that has changed.
-func (u *unsettledStarts) setBlocks(start *unsettledStart, blocks bool, now time.Time) bool {
+func (u *unsettledStarts) setBlocks(start *unsettledStart, blocks bool) bool {
 	if start.blocks == blocks {
 		return false
 	}
 	start.blocks = blocks
-	start.changedAt = now
 	if blocks {
 		put(u.blocking, start.task, start)
 	} else {
 		drop(u.blocking, start.task, start)
 	}
-	if !start.told {
-		u.news = append(u.news, start)
-	}
 	return true
 }
 
+// announce has other hosts told of the start's present state.
+func (u *unsettledStarts) announce(start *unsettledStart, now time.Time) {
+	start.changedAt = now
+	u.news = append(u.news, start)
+}
+
 // trim drops the starts that cannot be carried out any more.
 func (u *unsettledStarts) trim(now time.Time) {
 	if now.Sub(u.trimmedAt) < time.Second {
@@ -105,7 +102,7 @@
 	u.trimmedAt = now
 	for _, start := range u.byKey {
 		if !now.Before(start.until) {
-			u.remove(start, now)
+			u.remove(start)
 		}
 	}
 	u.news = slices.DeleteFunc(u.news, func(start *unsettledStart) bool { return now.Sub(start.changedAt) > crashNews })
@@ -113,8 +110,12 @@
 
 // until returns until when the task is blocked, or zero.
 func (u *unsettledStarts) until(task string) time.Time {
+	return latestEnd(u.blocking[task])
+}
+
+func latestEnd(starts map[unsettledKey]*unsettledStart) time.Time {
 	var latest time.Time
-	for _, start := range u.blocking[task] {
+	for _, start := range starts {
 		if start.until.After(latest) {
 			latest = start.until
 		}
@@ -138,27 +139,29 @@
 
 // keyOf returns the key of the run's start.
 func keyOf(run *Run) unsettledKey {
-	return unsettledKey{task: run.Task.Name, worker: run.Worker.ID, number: run.Number}
+	return unsettledKey{task: run.Task.Name, worker: run.Worker.ID, number: run.Number, sent: run.sentAt.UnixNano()}
 }
 
-// addUnsettled records the start of a run that the keeper gives up, if it may still be carried out.
+// addUnsettled records the start of a run if its call has no answer.
 func (c *Cell) addUnsettled(run *Run, now time.Time) {
-	if !run.acceptedAt.IsZero() || run.fenced {
+	key, until := keyOf(run), run.sentAt.Add(c.limits.CallDelay)
+	if !run.acceptedAt.IsZero() || c.unsettled.byKey[key] != nil || !now.Before(until) {
 		return
 	}
-	until := run.sentAt.Add(c.limits.CallDelay)
-	run.Task.startableUntil = until
-	if start := c.unsettled.add(keyOf(run), until, now); start != nil {
-		start.incarnation = run.Worker.incarnation
-	}
+	start := &unsettledStart{unsettledKey: key, until: until, own: true}
+	c.unsettled.add(start)
+	c.unsettled.setBlocks(start, run.Worker.gone)
+	c.unsettled.announce(start, now)
 }
 
 // blockUnsettled handles that the worker is gone: it keeps the tasks of its unsettled starts from starting elsewhere, as its
 // next life may carry these out, and gives up the jobs that run them elsewhere.
 func (c *Cell) blockUnsettled(worker *Worker, now time.Time, effects *Effects) {
+	worker.gone = true
 	blocked := map[string]bool{}
 	for _, start := range c.unsettled.byWorker[worker.ID] {
-		if c.unsettled.setBlocks(start, true, now) {
+		if c.unsettled.setBlocks(start, true) {
+			c.unsettled.announce(start, now)
 			blocked[start.task] = true
 		}
 	}
@@ -184,16 +187,21 @@
 	if len(c.unsettled.byKey) == 0 {
 		return
 	}
-	if start := c.unsettled.byKey[keyOf(run)]; start != nil && !start.told {
-		c.unsettled.remove(start, now)
+	if start := c.unsettled.byKey[keyOf(run)]; start != nil {
+		c.unsettled.remove(start)
+		c.unsettled.announce(start, now)
 	}
 }
 
-// settleStarts handles a report whose call was sent at the given time: a worker that has not started anew rejects the
-// unsettled starts, and one that has rejects those with an earlier token. What it lists goes on until it is stopped.
-func (c *Cell) settleStarts(worker *Worker, sent, now time.Time) {
+// freeUnsettled handles a report whose call was sent at the given time: the worker's present life has seen this keeper's token,
+// so that it rejects the unsettled starts, but its next life does not. What it lists goes on until it is stopped.
+func (c *Cell) freeUnsettled(worker *Worker, sent, now time.Time) {
+	if sent.Before(worker.goneAt) {
+		return
+	}
+	worker.gone = false
 	starts := c.unsettled.byWorker[worker.ID]
-	if len(starts) == 0 || sent.Before(worker.goneAt) {
+	if len(starts) == 0 {
 		return
 	}
 	running := make(map[string]bool, len(worker.unknownRuns))
@@ -201,28 +209,29 @@
 		running[key.task] = true
 	}
 	for _, start := range starts {
-		switch {
-		case start.told, running[start.task]:
-		case start.incarnation == worker.incarnation:
-			c.unsettled.setBlocks(start, false, now)
-		default:
-			c.unsettled.remove(start, now)
+		if !running[start.task] && c.unsettled.setBlocks(start, false) {
+			c.unsettled.announce(start, now)
 		}
 	}
 }
 
-// settleFenced handles that the worker has seen a higher token, so that its present life rejects all earlier starts.
-func (c *Cell) settleFenced(worker *Worker, now time.Time) {
+// freeFenced handles that the worker has seen a higher token, so that its present life rejects all earlier starts.
+func (c *Cell) freeFenced(worker *Worker, now time.Time) {
+	worker.gone = false
 	for _, start := range c.unsettled.byWorker[worker.ID] {
-		if !start.told {
-			c.unsettled.setBlocks(start, false, now)
+		if c.unsettled.setBlocks(start, false) {
+			c.unsettled.announce(start, now)
 		}
 	}
 }
 
-// mayStartLate reports whether a worker may carry out an earlier start of one of the job's tasks in its next life.
-func (c *Cell) mayStartLate(job *Job, now time.Time) bool {
-	return c.IsBlocked(job, now) || slices.ContainsFunc(job.Tasks, func(task *Task) bool { return now.Before(task.startableUntil) })
+// MayStartLate reports whether a worker may carry out an earlier start of one of the job's tasks, now or in its next life, so
+// that nobody may say that the job has not run.
+func (c *Cell) MayStartLate(job *Job, now time.Time) bool {
+	if len(c.unsettled.byKey) == 0 {
+		return false
+	}
+	return slices.ContainsFunc(job.Tasks, func(task *Task) bool { return latestEnd(c.unsettled.byTask[task.Name]).After(now) })
 }
 
 // IsBlocked reports whether a task of the job must not start yet, as a worker may carry out an earlier start.
@@ -244,7 +253,7 @@
 	return slices.ContainsFunc(job.Tasks, func(task *Task) bool {
 		for _, start := range c.unsettled.blocking[task.Name] {
 			_, listed := c.workers[start.worker]
-			if (start.told || !listed) && task.state == Waiting && start.until.After(latestStart) {
+			if !listed && task.state == Waiting && start.until.After(latestStart) {
 				return true
 			}
 		}
@@ -269,29 +278,34 @@
 	return starts
 }
 
-// KnownLateStarts returns all possible late starts at workers of this keeper, as far as they fit into a heartbeat, for a
-// host that has just started.
+// KnownLateStarts returns all starts without an answer, as far as they fit into a heartbeat, those that block first, for a host
+// that has just started.
 func (c *Cell) KnownLateStarts(now time.Time) []LateStart {
-	var starts []LateStart
-	for _, task := range slices.Sorted(maps.Keys(c.unsettled.blocking)) {
-		for _, start := range c.unsettled.blocking[task] {
-			if !start.told && len(starts) < maxCrashNews {
-				starts = append(starts, start.lateStart(now))
-			}
+	known := slices.SortedFunc(maps.Values(c.unsettled.byKey), func(a, b *unsettledStart) int {
+		if a.blocks != b.blocks && a.blocks {
+			return -1
+		} else if a.blocks != b.blocks {
+			return 1
 		}
+		return b.until.Compare(a.until)
+	})
+	known = known[:min(len(known), maxCrashNews)]
+	starts := make([]LateStart, 0, len(known))
+	for _, start := range known {
+		starts = append(starts, start.lateStart(now))
 	}
 	return starts
 }
 
 func (s *unsettledStart) lateStart(now time.Time) LateStart {
-	told := LateStart{Task: s.task, Worker: s.worker, Number: s.number}
+	told := LateStart{Task: s.task, Worker: s.worker, Number: s.number, Sent: s.sent, Known: max(0, s.until.Sub(now))}
 	if s.blocks {
-		told.Remaining = max(0, s.until.Sub(now))
+		told.Remaining = told.Known
 	}
 	return told
 }
 
-// MergeLateStarts takes the late starts at another keeper's workers over. A job whose task runs here meanwhile is given up.
+// MergeLateStarts takes over what another host tells. A job whose task runs here meanwhile and must not is given up.
 func (c *Cell) MergeLateStarts(starts []LateStart, now time.Time) Effects {
 	var effects Effects
 	blocked := map[string]bool{}
@@ -305,28 +319,31 @@
 	return effects
 }
 
-// mergeLateStart returns the task that is blocked from now on.
+// mergeLateStart returns the task that is blocked from now on. The keeper that holds the worker knows best whether it is gone, and
+// the one that has sent the start whether it is settled.
 func (c *Cell) mergeLateStart(told *LateStart, now time.Time) (task string, blocks bool) {
 	if told.Task == "" || len(told.Task) > maxTaskName || len(told.Worker) > maxTaskName {
 		return "", false
 	}
-	key := unsettledKey{task: told.Task, worker: told.Worker, number: told.Number}
+	key := unsettledKey{task: told.Task, worker: told.Worker, number: told.Number, sent: told.Sent}
 	start := c.unsettled.byKey[key]
-	if start != nil && !start.told {
-		return "", false // this keeper has sent it as well, and knows its worker
-	}
-	remaining := min(told.Remaining, c.limits.CallDelay)
+	remaining := min(max(told.Known, told.Remaining), c.limits.CallDelay)
 	if remaining <= 0 {
-		if start != nil {
-			c.unsettled.remove(start, now)
+		if start != nil && !start.own {
+			c.unsettled.remove(start)
 		}
 		return "", false
 	}
 	if start == nil {
-		if start = c.unsettled.add(key, now.Add(remaining), now); start == nil {
+		if len(c.unsettled.byKey) >= maxUnsettled {
 			return "", false
 		}
-		start.told = true
+		start = &unsettledStart{unsettledKey: key, until: now.Add(remaining)}
+		c.unsettled.add(start)
+	}
+	blocks = told.Remaining > 0
+	if worker := c.workers[told.Worker]; worker != nil && (worker.held || worker.gone) {
+		blocks = worker.gone
 	}
-	return told.Task, c.unsettled.setBlocks(start, true, now)
+	return told.Task, c.unsettled.setBlocks(start, blocks) && blocks
 }
--- a/entry/pkg/cell/unsettled_test.go
+++ b/entry/pkg/cell/unsettled_test.go
@@ -134,11 +134,12 @@
 	id := first.loseStart(first.job(1, 5, 5*time.Second, veryLong, veryLong))
 	first.crashWorker(id)
 	told := first.cell.RecentLateStarts(first.now)
-	require.Equal(t, []LateStart{{Task: "j0001.0", Worker: id, Number: 1, Remaining: callDelay}}, told)
+	sent := first.now.UnixNano()
+	require.Equal(t, []LateStart{{Task: "j0001.0", Worker: id, Number: 1, Sent: sent, Remaining: callDelay, Known: callDelay}}, told)
 	running := second.job(1, 5, 5*time.Second, veryLong, veryLong)
 	second.submit(running)
 	require.Equal(t, 1, second.runningCount())
-	effects := second.cell.MergeLateStarts(told, second.now)
+	effects := second.cell.MergeLateStarts(elsewhere(told), second.now)
 	second.applyEffects(&effects)
 	require.Equal(t, "abandoned", second.outcome(running), "it was started before the news came")
 	require.Empty(t, second.cell.RecentLateStarts(second.now), "only the worker's keeper tells of it")
@@ -156,14 +157,22 @@
 	first.pass(crashNews + time.Second)
 	require.Empty(t, first.cell.RecentLateStarts(first.now))
 	require.Len(t, first.cell.KnownLateStarts(first.now), 1, "for hosts that start")
-	second.cell.MergeLateStarts(first.cell.KnownLateStarts(first.now), second.now)
+	second.cell.MergeLateStarts(elsewhere(first.cell.KnownLateStarts(first.now)), second.now)
 	require.NotEmpty(t, second.cell.unsettled.blocking)
 	first.workers[id].down = false
 	first.pass(400 * time.Millisecond)
-	second.cell.MergeLateStarts(first.cell.RecentLateStarts(first.now), second.now)
+	second.cell.MergeLateStarts(elsewhere(first.cell.RecentLateStarts(first.now)), second.now)
 	require.Empty(t, second.cell.unsettled.blocking, "the worker's keeper tells that it is settled")
 }
 
+// elsewhere renames the workers, as two keepers of a test have workers of the same names.
+func elsewhere(starts []LateStart) []LateStart {
+	for i := range starts {
+		starts[i].Worker = "elsewhere-" + starts[i].Worker
+	}
+	return starts
+}
+
 // TestLateStartsOfOtherHostsAreBounded guards against a peer whose message fills the memory or blocks a task for good.
 func TestLateStartsOfOtherHostsAreBounded(t *testing.T) {
 	h := newHarness(t)
@@ -349,3 +358,94 @@
 	require.Equal(t, 1, h.runningCount())
 	require.Empty(t, h.cell.unsettled.byKey)
 }
+
+// TestTaskIsGivenUpElsewhereWheneverTheWorkerOfItsUnansweredStartCrashes guards against a start that is forgotten once the worker's
+// second life has answered, and is carried out by its third one beside the task's next run.
+func TestTaskIsGivenUpElsewhereWheneverTheWorkerOfItsUnansweredStartCrashes(t *testing.T) {
+	h := newHarness(t)
+	h.addWorkers(2, 16, 1)
+	h.pass(4 * time.Second)
+	job := h.job(1, 5, 20*time.Second, veryLong, veryLong)
+	id := h.loseStart(job)
+	late := h.late[0]
+	h.late = nil
+	sentAt := h.now
+	h.crashWorker(id)
+	h.pass(1500 * time.Millisecond)
+	h.workers[id].down = false
+	h.pass(200 * time.Millisecond)
+	require.Equal(t, 1, h.runningCount(), "the second life has answered, and the task has started")
+	h.cell.SetReleasing(h.cell.Worker(id), true)
+	for h.now.Sub(sentAt) < callDelay-3*time.Second {
+		job = h.moveAwayFrom(id, job)
+		h.crashWorker(id)
+		h.pass(100 * time.Millisecond)
+		require.Zero(t, h.runningCount(), "it was given up, as the next life may carry the first start out")
+		h.pass(1200 * time.Millisecond)
+		h.workers[id].down = false
+	}
+	require.Equal(t, StartAccepted, h.deliverStart(late.start, late.token, late.capacity))
+	h.workers[id].running[runKey{"j0001.0", 1}].unguarded = true
+	require.Equal(t, 1, h.runningCount())
+	h.pass(400 * time.Millisecond)
+	require.LessOrEqual(t, h.runningCount(), 1, "the late run was stopped")
+	h.now = sentAt.Add(callDelay)
+	h.pass(1500 * time.Millisecond)
+	require.Empty(t, h.cell.unsettled.byKey, "it cannot be carried out any more")
+}
+
+// moveAwayFrom sends the first job anew if it was given up, and waits until its task runs at another worker.
+func (h *harness) moveAwayFrom(worker string, job *Job) *Job {
+	h.script = func(string, int) (hangs, fails, lost bool) { return false, false, false }
+	if h.outcome(job) == "abandoned" {
+		delete(h.answers, job.ID)
+		job = h.jobNamed(job.ID, 1, 5, 20*time.Second, veryLong, veryLong)
+		h.submit(job)
+	}
+	h.pass(time.Second) // the worker rejects the numbers that it has stopped
+	require.Equal(h.t, 1, h.runningCount())
+	require.NotEqual(h.t, worker, job.Tasks[0].run.Worker.ID)
+	return job
+}
+
+// TestNextKeeperKnowsTheUnansweredStartsOfALostOne guards against late starts of a keeper that was lost before their worker crashed:
+// it has told of them, the worker's next keeper sees the crash, and a third one runs the task.
+func TestNextKeeperKnowsTheUnansweredStartsOfALostOne(t *testing.T) {
+	lost, next, third := newHarness(t), newHarness(t), newHarness(t)
+	lost.addWorkers(2, 16, 1)
+	next.workers = lost.workers
+	third.addWorkers(2, 16, 1)
+	lost.pass(200 * time.Millisecond)
+	third.pass(200 * time.Millisecond)
+	next.now = lost.now
+	id := lost.loseStart(lost.job(1, 5, 20*time.Second, veryLong, veryLong))
+	lost.late = nil
+	told := lost.cell.RecentLateStarts(lost.now)
+	require.Equal(t, []LateStart{{Task: "j0001.0", Worker: id, Number: 1, Sent: lost.now.UnixNano(), Known: callDelay}}, told)
+	for _, h := range []*harness{next, third} {
+		effects := h.cell.MergeLateStarts(told, h.now)
+		require.Empty(t, effects)
+	}
+	third.cell.unlist(third.cell.Worker(id))
+	again := third.job(1, 5, 20*time.Second, veryLong, veryLong)
+	third.submit(again)
+	require.Equal(t, 1, third.runningCount(), "the worker is not known to be gone")
+
+	next.tokens[id] = 1
+	next.cell.Add(&Worker{ID: id, Kind: "1", Group: "desk", Capacity: next.workers[id].capacity})
+	next.hold(id)
+	require.Empty(t, next.cell.RecentLateStarts(next.now))
+	next.crashWorker(id)
+	told = next.cell.RecentLateStarts(next.now)
+	require.Len(t, told, 1)
+	require.Positive(t, told[0].Remaining)
+	effects := third.cell.MergeLateStarts(told, third.now)
+	third.applyEffects(&effects)
+	require.Equal(t, "abandoned", third.outcome(again))
+	require.Equal(t, told, third.cell.KnownLateStarts(third.now), "for hosts that start")
+	next.workers[id].down = false
+	next.pass(200 * time.Millisecond)
+	third.cell.MergeLateStarts(next.cell.RecentLateStarts(next.now), third.now)
+	require.Empty(t, third.cell.unsettled.blocking)
+	require.True(t, third.cell.MayStartLate(again, third.now), "nobody may say that it has not run")
+}
--- a/entry/pkg/cell/worker.go
+++ b/entry/pkg/cell/worker.go
@@ -27,6 +27,7 @@
 	runs           map[runKey]*Run
 	unknownRuns    map[runKey]struct{} // runs that this keeper did not start
 	unexplained    []*Run              // lapsed while the worker was silent; the next report shows whether it had crashed
+	gone           bool                // its process has ended, or it was silent for longer than a lease, since the last report
 	goneAt         time.Time           // when its process was last known to have ended
 	incarnation    int64
 	restartedAs    int64 // incarnation for which HandleRestart was called last
@@ -198,8 +199,12 @@
 	return len(w.runs) == 0 && len(w.unknownRuns) == 0
 }
 
-// AckedSequence returns the sequence number of the last end that was processed.
+// AckedSequence returns the sequence number of the last end that was processed, or zero after a call without an answer: the
+// worker may have started anew since, and would forget ends of that life.
 func (w *Worker) AckedSequence() int64 {
+	if w.unresponsive {
+		return 0
+	}
 	return w.ackedSequence
 }
 
--- a/entry/pkg/cell/workers.go
+++ b/entry/pkg/cell/workers.go
@@ -67,7 +67,7 @@
 	worker.joining = false
 	worker.unresponsive = false
 	worker.unknownRuns = map[runKey]struct{}{}
-	c.settleFenced(worker, now)
+	c.freeFenced(worker, now)
 	c.abandonRuns(worker, "another keeper took the worker over", now, &effects)
 	c.assign(now, &effects)
 	return effects
@@ -129,7 +129,7 @@
 		}
 	}
 	c.reconcile(worker, report, sent, now, &effects)
-	c.settleStarts(worker, sent, now)
+	c.freeUnsettled(worker, sent, now)
 	worker.held = true
 	c.assign(now, &effects)
 	return effects
@@ -195,12 +195,12 @@
 // HandleStartResult processes the result of a start call.
 func (c *Cell) HandleStartResult(run *Run, result StartResult, now time.Time) Effects {
 	var effects Effects
-	if run.finished {
-		return effects
-	}
 	if result != StartUnconfirmed {
 		c.settleAnswered(run, now)
 	}
+	if run.finished {
+		return effects
+	}
 	missed := run.crashed && !run.mayHaveBegun() // by recordCrash
 	switch result {
 	case StartAccepted:
@@ -214,6 +214,7 @@
 	case StartUnconfirmed:
 		run.unconfirmed = true
 		run.Worker.viewStale = true
+		c.addUnsettled(run, now)
 		c.stop(run, now, &effects)
 	}
 	if missed && run.mayHaveBegun() {
--- a/entry/pkg/cellhost/keeper_run.go
+++ b/entry/pkg/cellhost/keeper_run.go
@@ -93,7 +93,7 @@
 func (k *KeeperController) mayStartLate(job *cell.Job) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.cell.IsBlocked(job, k.common.Clock.Now())
+	return k.cell.MayStartLate(job, k.common.Clock.Now())
 }
 
 func (k *KeeperController) retryDelay(job *cell.Job) time.Duration {
--- a/entry/pkg/cellhost/options.go
+++ b/entry/pkg/cellhost/options.go
@@ -46,13 +46,14 @@
 	foreignRunWait = 50 * time.Millisecond
 	// callTimeout bounds a call to a worker, in addition to the time for which the worker delays its answer.
 	callTimeout = 250 * time.Millisecond
-	// maxCallDelay is more than how long after a call without an answer its worker may carry it out, which is some seconds.
-	maxCallDelay = 30 * time.Second
+	// maxCallDelay is more than how long after a call without an answer its worker may carry it out: 12 s, and the time from the
+	// decision until the call is sent.
+	maxCallDelay = 13 * time.Second
 	// leaveNotice is how long a worker serves at least after it has announced in the directory that it leaves.
 	leaveNotice = 2 * time.Second
 	// firstBackoff and lastBackoff bound the delay after a failed call to a worker.
 	firstBackoff = 50 * time.Millisecond
-	lastBackoff  = 500 * time.Millisecond
+	lastBackoff  = 250 * time.Millisecond
 	// forgetPeerAfter is the time without a heartbeat after which a host no longer counts when this host decides
 	// whether it is cut off, and of unanswered calls after which its record is dropped; network partitions last up to about 12 s.
 	forgetPeerAfter = 20 * time.Second
