--- a/entry/pkg/cell/cell.go
+++ b/entry/pkg/cell/cell.go
@@ -321,6 +321,9 @@
 // unconfirmed stops.
 func (c *Cell) retryOverdue(worker *Worker, now time.Time, effects *Effects) {
 	for _, run := range worker.sortedRuns() {
+		if now.Sub(run.sentAt) > answerDelay {
+			c.addUnsettled(run, now)
+		}
 		if run.stopping {
 			c.stop(run, now, effects)
 			continue
--- a/entry/pkg/cell/unsettled.go
+++ b/entry/pkg/cell/unsettled.go
@@ -40,6 +40,9 @@
 // delay of a call.
 const maxUnsettled = 4096
 
+// answerDelay is the time for the answer to a start, which takes some milliseconds, until other hosts are told of it.
+const answerDelay = 20 * time.Millisecond
+
 // unsettledStarts is the one record of what may still be started by calls without an answer, of this keeper and others.
 type unsettledStarts struct {
 	byKey     map[unsettledKey]*unsettledStart
@@ -144,8 +147,11 @@
 
 // addUnsettled records the start of a run if its call has no answer.
 func (c *Cell) addUnsettled(run *Run, now time.Time) {
+	if !run.acceptedAt.IsZero() {
+		return
+	}
 	key, until := keyOf(run), run.sentAt.Add(c.limits.CallDelay)
-	if !run.acceptedAt.IsZero() || c.unsettled.byKey[key] != nil || !now.Before(until) {
+	if c.unsettled.byKey[key] != nil || !now.Before(until) {
 		return
 	}
 	start := &unsettledStart{unsettledKey: key, until: until, own: true}
--- a/entry/pkg/cell/unsettled_test.go
+++ b/entry/pkg/cell/unsettled_test.go
@@ -408,6 +408,23 @@
 	return job
 }
 
+// TestStartWithoutAnAnswerIsToldAtOnce guards against starts that nobody knows of when their keeper is lost before their calls
+// have failed.
+func TestStartWithoutAnAnswerIsToldAtOnce(t *testing.T) {
+	h := newHarness(t)
+	h.addWorkers(1, 16, 1)
+	h.pass(200 * time.Millisecond)
+	run := h.cell.Submit(h.job(1, 5, 5*time.Second, veryLong, veryLong), h.now).Starts[0].Run
+	h.cell.Tick(h.now.Add(answerDelay))
+	require.Empty(t, h.cell.RecentLateStarts(h.now))
+	h.now = h.now.Add(answerDelay + time.Millisecond)
+	h.cell.Tick(h.now)
+	require.Equal(t, callDelay-answerDelay-time.Millisecond, h.cell.RecentLateStarts(h.now)[0].Known)
+	h.cell.HandleStartResult(run, StartAccepted, h.now)
+	require.Len(t, h.cell.RecentLateStarts(h.now), 1)
+	require.Zero(t, h.cell.RecentLateStarts(h.now)[0].Known, "it has been answered since")
+}
+
 // TestNextKeeperKnowsTheUnansweredStartsOfALostOne guards against late starts of a keeper that was lost before their worker crashed:
 // it has told of them, the worker's next keeper sees the crash, and a third one runs the task.
 func TestNextKeeperKnowsTheUnansweredStartsOfALostOne(t *testing.T) {
--- a/entry/pkg/cellhost/restart_test.go
+++ b/entry/pkg/cellhost/restart_test.go
@@ -1,6 +1,7 @@
 package cellhost
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -70,3 +71,23 @@
 	k.keeper.dropWorker("v")
 	require.Len(t, k.keeper.droppedTokens, 1)
 }
+
+// TestNothingIsAcknowledgedToALaterLife guards against ends of a worker's next life that it forgets unread, for it was told the number
+// of the last end of the life before.
+func TestNothingIsAcknowledgedToALaterLife(t *testing.T) {
+	k := newKeeperFixture(t)
+	go k.loop.serve()
+	report := k.report()
+	report.Ended = []cell.EndedRunEntry{{Sequence: 3, Task: "a", Run: 1, Result: cell.RunDone}}
+	k.worker.next(t).answer <- heldAnswer{report: report}
+	waiting := k.worker.next(t)
+	require.EqualValues(t, 3, waiting.call.Ack)
+	waiting.answer <- heldAnswer{err: context.DeadlineExceeded}
+	again := k.worker.next(t)
+	require.Zero(t, again.call.Ack, "it may have started anew")
+	again.answer <- heldAnswer{report: report}
+	waiting = k.worker.next(t)
+	require.EqualValues(t, 3, waiting.call.Ack)
+	waiting.answer <- heldAnswer{report: k.reborn()}
+	require.Zero(t, k.worker.next(t).call.Ack)
+}
