--- a/entry/pkg/cell/cell.go
+++ b/entry/pkg/cell/cell.go
@@ -310,7 +310,7 @@
 
 // giveUpWith does so with the reasons that are looked for if the job is refused.
 func (c *Cell) giveUpWith(job *Job, reason string, explain func() refusal, now time.Time, effects *Effects) {
-	if job.Started() || c.mayStartLate(job, now) {
+	if job.Started() || c.MayStartLate(job, now) {
 		c.answer(job, &Answer{Outcome: Abandoned, Reason: reason}, effects, now)
 		return
 	}
@@ -322,7 +322,7 @@
 // answer records the job's final answer, drops its waiting tasks and stops its runs.
 func (c *Cell) answer(job *Job, answer *Answer, effects *Effects, now time.Time) {
 	invariant.Check(!job.Decided(), "one_answer", "job %s", job.ID)
-	invariant.Check(answer.Outcome != Refused || !job.Started() && !c.mayStartLate(job, now), "refused_has_not_run", "job %s", job.ID)
+	invariant.Check(answer.Outcome != Refused || !job.Started() && !c.MayStartLate(job, now), "refused_has_not_run", "job %s", job.ID)
 	job.WantedAt = minTime(c.wantedAt(job), now)
 	job.answer = answer
 	job.answeredAt = now
@@ -361,6 +361,9 @@
 // unconfirmed stops.
 func (c *Cell) retryOverdue(worker *Worker, now time.Time, effects *Effects) {
 	for _, run := range worker.listed {
+		if now.Sub(run.sentAt) > answerDelay {
+			c.addUnsettled(run, now)
+		}
 		if run.stopping {
 			c.stop(run, now, effects)
 			continue
--- a/entry/pkg/cellhost/balance.go
+++ b/entry/pkg/cellhost/balance.go
@@ -12,6 +12,8 @@
 	// cell; the hysteresis keeps cells from moving back and forth between hosts with nearly the same load for their
 	// size.
 	rebalanceFactor = 0.6
+	// roundingMargin makes loads count as equal that differ by rounding alone.
+	roundingMargin = 1e-9
 	// rebalanceDelay is how long a keeper must be overloaded, so that a host that stops again at once takes nothing
 	// over.
 	rebalanceDelay = 2 * time.Second
@@ -38,7 +40,7 @@
 		return key, "", false
 	}
 	to = view.leastLoaded(key, cellCounts)
-	return key, to, to != view.keepers[key].host && view.loadFor(to, cellCounts[to]+1) <= rebalanceFactor*most
+	return key, to, to != view.keepers[key].host && view.loadFor(to, cellCounts[to]+1) <= rebalanceFactor*most*(1+roundingMargin)
 }
 
 // isRebalance reports whether the cell would be taken over from a live host of its own failure domain.
--- a/entry/pkg/cellhost/early.go
+++ b/entry/pkg/cellhost/early.go
@@ -22,7 +22,7 @@
 // heartbeats, or nil. It refuses only the fraction that the keepers report, so that they find free room at once.
 func (h *HomeController) RefuseEarly(id string, queue *queues.Queue) *cell.Answer {
 	refusal := h.foreseeRefusal(queue.Name)
-	if refusal.fraction == 0 || rand.Float64() >= refusal.fraction || h.isOpen(id) || h.keeper.hasBlockedTasks() {
+	if refusal.fraction == 0 || rand.Float64() >= refusal.fraction || h.isOpen(id) || h.keeper.mayStartJobLate(id) {
 		return nil
 	}
 	retryAfter := refusal.spreadRetry(rand.Float64())
--- a/entry/pkg/cellhost/keeper_rates.go
+++ b/entry/pkg/cellhost/keeper_rates.go
@@ -70,9 +70,9 @@
 	return k.rates.excesses()
 }
 
-// hasBlockedTasks reports whether a worker may carry out an earlier start of any task.
-func (k *KeeperController) hasBlockedTasks() bool {
+// mayStartJobLate reports whether a worker may carry out an earlier start of the job with that identifier.
+func (k *KeeperController) mayStartJobLate(id string) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.cell.HasBlockedTasks()
+	return k.cell.MayStartJobLate(id)
 }
