Keep the widths of waiting jobs for sums over those ahead

Cause: a submission behind thousands of jobs added up the work of each, through the job and its tasks. Change: number and length of the tasks of waiting jobs are kept side by side in their order; the end of the next run is computed once.

--- a/entry/pkg/cell/cell.go
+++ b/entry/pkg/cell/cell.go
@@ -27,6 +27,7 @@
 	jobs            map[*Job]struct{} // undecided jobs
 	byHome          map[string]map[*Job]struct{}
 	waiting         []*Job          // jobs with tasks that wait for a start
+	widths          []width         // of the waiting jobs that have not moved
 	byID            map[string]*Job // latest job of each identifier that is undecided or still runs
 	speeds          speeds
 	demands         map[string]*meanDemand // by group
--- a/entry/pkg/cell/cost_test.go
+++ b/entry/pkg/cell/cost_test.go
@@ -157,6 +157,9 @@
 	for _, eligible := range []func(*Worker) bool{everyWorker, func(worker *Worker) bool { return h.cell.isInTime(longest, worker, h.now) }} {
 		require.Equal(t, reference{h.cell}.delay(probe, h.cell.waiting, eligible, h.now), h.cell.forecastDelay(probe, eligible, h.now))
 	}
+	for _, job := range append([]*Job{probe}, h.cell.waiting...) {
+		require.Equal(t, reference{h.cell}.tasksAhead(job, h.now), h.cell.loadAhead(job, h.now).tasks)
+	}
 	var expected, found Effects
 	reference{h.cell.clone()}.assign(h.now, &expected)
 	h.cell.assign(h.now, &found)
--- a/entry/pkg/cell/outlook.go
+++ b/entry/pkg/cell/outlook.go
@@ -15,9 +15,10 @@
 // there occupies it for its run time.
 type outlook struct {
 	now   time.Time
-	slots []slot // min-heap by time
-	runs  []*Run // by their ends
-	gives []bool // by place of a worker, whether each end of a run there gives a slot
+	slots []slot        // min-heap by time
+	runs  []*Run        // by their ends; that of the first one gives a slot
+	end   time.Duration // after which it ends
+	gives []bool        // by place of a worker, whether each end of a run there gives a slot
 }
 
 // slot stands for slots that become free after the same time.
@@ -62,7 +63,7 @@
 		overdue++
 	}
 	o.addEnds(o.runs[:overdue])
-	o.runs = o.runs[overdue:]
+	o.passRun(o.runs[overdue:])
 }
 
 // counts reports whether the end of the run gives a slot.
@@ -93,22 +94,27 @@
 	}
 }
 
+// passRun goes on to the next run whose end gives a slot.
+func (o *outlook) passRun(runs []*Run) {
+	for len(runs) > 0 && !o.counts(runs[0]) {
+		runs = runs[1:]
+	}
+	o.runs = runs
+	if len(runs) > 0 {
+		o.end = runs[0].endsAt.Sub(o.now)
+	}
+}
+
 // earliest returns the time after which the next slot becomes free, or false if none will.
 func (o *outlook) earliest() (time.Duration, bool) {
-	for len(o.runs) > 0 && !o.counts(o.runs[0]) {
-		o.runs = o.runs[1:]
-	}
-	if len(o.runs) == 0 {
-		if len(o.slots) == 0 {
-			return unknownDelay, false
-		}
+	switch {
+	case len(o.slots) > 0 && (len(o.runs) == 0 || o.slots[0].after <= o.end):
 		return o.slots[0].after, true
+	case len(o.runs) > 0:
+		return o.end, true
+	default:
+		return unknownDelay, false
 	}
-	end := o.runs[0].endsAt.Sub(o.now)
-	if len(o.slots) > 0 {
-		end = min(end, o.slots[0].after)
-	}
-	return end, true
 }
 
 // schedule starts the given number of tasks one after the other, each in the slot that becomes free first, and returns the
@@ -122,7 +128,7 @@
 		}
 		last = after
 		if len(o.slots) == 0 || o.slots[0].after > after { // the end of a run
-			o.runs = o.runs[1:]
+			o.passRun(o.runs[1:])
 			o.add(after+length, 1)
 			tasks--
 			continue
@@ -158,18 +164,20 @@
 
 // sink restores the heap after the slots at the given place have become later.
 func (o *outlook) sink(at int) {
+	sunk := o.slots[at]
 	for {
 		first := 2*at + 1
 		if first >= len(o.slots) {
-			return
+			break
 		}
 		if second := first + 1; second < len(o.slots) && o.slots[second].after < o.slots[first].after {
 			first = second
 		}
-		if o.slots[at].after <= o.slots[first].after {
-			return
+		if sunk.after <= o.slots[first].after {
+			break
 		}
-		o.slots[at], o.slots[first] = o.slots[first], o.slots[at]
+		o.slots[at] = o.slots[first]
 		at = first
 	}
+	o.slots[at] = sunk
 }
--- a/entry/pkg/cell/pour.go
+++ b/entry/pkg/cell/pour.go
@@ -16,10 +16,14 @@
 	l.work += float64(tasks) * float64(length)
 }
 
+func (l load) minus(other load) load {
+	return load{l.tasks - other.tasks, l.work - other.work}
+}
+
 // pour schedules many tasks at once, as if they were of equal length: the slots that become free first take them all, and
 // become free again one after the other within one length.
 func (o *outlook) pour(tasks load) {
-	if tasks.work == 0 {
+	if tasks.tasks <= 0 || tasks.work <= 0 {
 		return
 	}
 	length := tasks.work / float64(tasks.tasks)
@@ -27,10 +31,8 @@
 		o.schedule(tasks.tasks, time.Duration(length))
 		return
 	}
-	for ; len(o.runs) > 0; o.runs = o.runs[1:] {
-		if o.counts(o.runs[0]) {
-			o.slots = append(o.slots, slot{o.runs[0].endsAt.Sub(o.now), 1})
-		}
+	for ; len(o.runs) > 0; o.passRun(o.runs[1:]) {
+		o.slots = append(o.slots, slot{o.end, 1})
 	}
 	if len(o.slots) == 0 {
 		return
--- a/entry/pkg/cell/predict.go
+++ b/entry/pkg/cell/predict.go
@@ -26,19 +26,19 @@
 		return 0
 	}
 	c.lookOut(&c.outlook, job, eligible, now)
-	var rest load
+	var scheduled load
 	jobs := 0
 	for other := range c.ahead(job, now) {
 		if jobs++; jobs > maxLookAhead {
-			rest.add(other.waiting(), c.typical(other))
-			continue
+			c.outlook.pour(c.loadAhead(job, now).minus(scheduled))
+			break
 		}
 		if soonest, _ := c.outlook.earliest(); soonest > limit {
 			return soonest
 		}
 		c.outlook.schedule(other.waiting(), c.typical(other))
+		scheduled.add(other.waiting(), c.typical(other))
 	}
-	c.outlook.pour(rest)
 	delay := c.outlook.schedule(job.waiting(), c.typical(job))
 	if job.waitingAlone() == 0 {
 		return delay
--- a/entry/pkg/cell/reference_test.go
+++ b/entry/pkg/cell/reference_test.go
@@ -77,6 +77,17 @@
 	return best.worker
 }
 
+// tasksAhead returns the number of tasks that wait before those of the job.
+func (r reference) tasksAhead(job *Job, now time.Time) int {
+	tasks := 0
+	for _, other := range r.waiting {
+		if other != job && other.waits() && !r.IsBlocked(other, now) && r.isAhead(other, job) {
+			tasks += other.waiting()
+		}
+	}
+	return tasks
+}
+
 // delay predicts the delay until the last task of the job starts: each free slot and each end of a run serves one task.
 func (r reference) delay(job *Job, waiting []*Job, eligible func(*Worker) bool, now time.Time) time.Duration {
 	var ahead []*Job
--- a/entry/pkg/cell/shortage.go
+++ b/entry/pkg/cell/shortage.go
@@ -94,10 +94,7 @@
 
 // shortage returns the state of the workers for a job that is about to be refused.
 func (c *Cell) shortage(job *Job, now time.Time) *Shortage {
-	found := &Shortage{WaitingTasks: job.waiting(), UnusableWorkers: map[UnusableReason]int{}}
-	for other := range c.ahead(job, now) {
-		found.TasksAhead += other.waiting()
-	}
+	found := &Shortage{WaitingTasks: job.waiting(), TasksAhead: c.loadAhead(job, now).tasks, UnusableWorkers: map[UnusableReason]int{}}
 	demand := job.Tasks[0].Demand
 	for _, worker := range c.ordered {
 		if worker.Group != job.Group {
--- a/entry/pkg/cell/waiting.go
+++ b/entry/pkg/cell/waiting.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sort"
 	"time"
 )
 
@@ -13,6 +14,7 @@
 	if !job.listed {
 		job.listed = true
 		c.waiting = append(c.waiting, job)
+		c.widths = append(c.widths, width{})
 		c.list(job)
 	}
 	c.move(job)
@@ -41,6 +43,7 @@
 	for _, job := range c.moved {
 		at := slices.Index(c.waiting, job)
 		c.waiting = slices.Delete(c.waiting, at, at+1)
+		c.widths = slices.Delete(c.widths, at, at+1)
 	}
 	for _, job := range c.moved {
 		job.moved = false
@@ -50,6 +53,7 @@
 			c.noteServable(job)
 			at, _ := slices.BinarySearchFunc(c.waiting, job, c.compareOrder)
 			c.waiting = slices.Insert(c.waiting, at, job)
+			c.widths = slices.Insert(c.widths, at, c.width(job))
 		}
 	}
 	c.forgetMoved()
@@ -71,6 +75,39 @@
 	})
 	c.servableUntil = time.Time{}
 	sortNearly(c.waiting, c.compareOrder)
+	c.widths = c.widths[:0]
+	for _, job := range c.waiting {
+		c.widths = append(c.widths, c.width(job))
+	}
+}
+
+// width is the number and the length of the tasks of a waiting job.
+type width struct {
+	tasks  int
+	length time.Duration
+}
+
+func (c *Cell) width(job *Job) width {
+	return width{job.waiting(), c.typical(job)}
+}
+
+// loadAhead returns the load of the waiting jobs that start before the job.
+func (c *Cell) loadAhead(job *Job, now time.Time) load {
+	var sum load
+	if len(c.moved) > 0 || len(c.unsettled.blocking) > 0 {
+		for other := range c.ahead(job, now) {
+			sum.add(other.waiting(), c.typical(other))
+		}
+		return sum
+	}
+	end := sort.Search(len(c.waiting), func(i int) bool { return c.waiting[i] != job && !c.isAhead(c.waiting[i], job) })
+	for _, width := range c.widths[:end] {
+		sum.add(width.tasks, width.length)
+	}
+	if at, listed := slices.BinarySearchFunc(c.waiting, job, c.compareOrder); listed && at < end {
+		sum.add(-job.waiting(), c.typical(job))
+	}
+	return sum
 }
 
 // sortNearly sorts jobs of which few are far from their places.
