Order very many waiting jobs anew in fewer ticks

Change: learnt factors and the order of all jobs are refreshed every tick up to 1,000 waiting jobs, every eleventh with 10,000.

--- a/entry/pkg/cell/cell.go
+++ b/entry/pkg/cell/cell.go
@@ -244,7 +244,7 @@
 	}
 	c.tickedAt = now
 	c.unsettled.trim(now)
-	c.refreshFactors()
+	c.refreshInTurn()
 	for _, worker := range c.ordered {
 		if now.After(worker.startsUntil) {
 			worker.updateStartsUntil()
--- a/entry/pkg/cell/cost_test.go
+++ b/entry/pkg/cell/cost_test.go
@@ -188,3 +188,30 @@
 		require.InDelta(t, exact, h.cell.predictDelay(probe, h.now), float64(longest))
 	})
 }
+
+// TestOrderFollowsWhatIsLearnt has one queue's runs take twice as long as declared: its jobs have to start earlier from the
+// next ticks on.
+func TestOrderFollowsWhatIsLearnt(t *testing.T) {
+	for _, waiting := range []int{2, 3 * refreshJobs} {
+		h := newHarness(t)
+		h.addWorkers(1, 16, 1)
+		h.submit(h.job(1, 16, veryLong, 2*veryLong, 3*veryLong))
+		for i := range waiting {
+			job := h.job(1, 16, time.Second, veryLong+time.Duration(i)*time.Microsecond, 3*veryLong)
+			job.Queue = []string{"declared", "twice"}[i%2]
+			h.cell.open(job)
+			h.cell.enqueue(job)
+		}
+		h.cell.sortWaiting()
+		require.Equal(t, "declared", h.cell.waiting[0].Queue)
+		for range 100 {
+			task := &Task{Job: &Job{Queue: "twice"}, Estimate: time.Second}
+			h.cell.speeds.observe(&Run{Task: task, Worker: &Worker{}}, 2*time.Second)
+		}
+		for range 1 + waiting/refreshJobs {
+			h.cell.Tick(h.now)
+		}
+		require.Equal(t, "twice", h.cell.waiting[0].Queue)
+		require.Equal(t, "declared", h.cell.waiting[waiting-1].Queue)
+	}
+}
--- a/entry/pkg/cell/summary.go
+++ b/entry/pkg/cell/summary.go
@@ -62,9 +62,10 @@
 	return j.summarize().alone
 }
 
-// factors are the learnt factors of run times, as of the last tick: so jobs that wait keep their order in between.
+// factors are the learnt factors of run times, as of a tick: so jobs that wait keep their order in between.
 type factors struct {
 	version int64
+	ticks   int // since then
 	mean    float64
 	queues  map[string]*queueFactor
 }
@@ -75,9 +76,20 @@
 	value   float64
 }
 
+// refreshJobs is the number of waiting jobs that are put in order anew in one tick; with more, it is done in fewer ticks.
+const refreshJobs = 1000
+
+// refreshInTurn refreshes the factors in each tick, or in fewer if very many jobs wait.
+func (c *Cell) refreshInTurn() {
+	if c.factors.ticks++; c.factors.ticks > len(c.waiting)/refreshJobs {
+		c.refreshFactors()
+	}
+}
+
 // refreshFactors makes what was learnt since the last tick count for the order and the forecast of waiting jobs.
 func (c *Cell) refreshFactors() {
 	c.factors.version++
+	c.factors.ticks = 0
 	c.factors.mean = blendedValue(&c.speeds.meanSlowness)
 }
 
