--- a/entry/pkg/cell/cost_test.go
+++ b/entry/pkg/cell/cost_test.go
@@ -80,6 +80,9 @@
 			h.addWorkers(rapid.IntRange(1, 6).Draw(t, "workers"), 16, rapid.SampledFrom([]float64{0.6, 1, 1.7}).Draw(t, "speed"))
 		}
 		h.pass(50 * time.Millisecond)
+		for _, worker := range h.cell.ordered {
+			worker.Group = rapid.SampledFrom([]string{"desk", "desk", "lab"}).Draw(t, "group")
+		}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			h.disturb(t)
 			h.compare(t)
@@ -134,6 +137,7 @@
 	objective := estimate + time.Duration(rapid.IntRange(-50, 600).Draw(t, "objective"))*time.Millisecond
 	job := h.job(rapid.IntRange(1, 6).Draw(t, "tasks"), rapid.SampledFrom([]int64{1, 3, 5, 8, 16}).Draw(t, "cores"), estimate, objective, objective+500*time.Millisecond)
 	job.Queue = rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "queue")
+	job.Group = rapid.SampledFrom([]string{"desk", "desk", "lab"}).Draw(t, "group of the job")
 	job.Call = 1
 	for _, task := range job.Tasks {
 		if rapid.IntRange(0, 20).Draw(t, "alone") == 0 {
