Leave one forecast with a limit

Cause: a forecast without a limit was used by tests alone. Change: predictDelay looks as far as a caller can be told to wait, and serves the time to come back; the random jobs of TestDecisionsAreThoseOfTheSimpleWay have priorities, for an order that goes by them.

--- a/entry/pkg/cell/cost_test.go
+++ b/entry/pkg/cell/cost_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -9,6 +10,9 @@
 	"pgregory.net/rapid"
 )
 
+// noLimit is more than any predicted delay.
+const noLimit = time.Duration(math.MaxInt64)
+
 // clone returns a copy of the cell that decides on its own.
 func (c *Cell) clone() *Cell {
 	clone := New(c.limits, c.homes)
@@ -138,6 +142,7 @@
 	job := h.job(rapid.IntRange(1, 6).Draw(t, "tasks"), rapid.SampledFrom([]int64{1, 3, 5, 8, 16}).Draw(t, "cores"), estimate, objective, objective+500*time.Millisecond)
 	job.Queue = rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "queue")
 	job.Group = rapid.SampledFrom([]string{"desk", "desk", "lab"}).Draw(t, "group of the job")
+	job.Priority = rapid.IntRange(0, 2).Draw(t, "priority")
 	job.Call = 1
 	for _, task := range job.Tasks {
 		if rapid.IntRange(0, 20).Draw(t, "alone") == 0 {
@@ -159,7 +164,7 @@
 	longest := probe.longestTask()
 	h.cell.sortWaiting()
 	for _, eligible := range []func(*Worker) bool{everyWorker, func(worker *Worker) bool { return h.cell.isInTime(longest, worker, h.now) }} {
-		require.Equal(t, reference{h.cell}.delay(probe, h.cell.waiting, eligible, h.now), h.cell.forecastDelay(probe, eligible, h.now))
+		require.Equal(t, reference{h.cell}.delay(probe, h.cell.waiting, eligible, h.now), h.cell.forecastWithin(probe, eligible, noLimit, h.now))
 	}
 	for _, job := range append([]*Job{probe}, h.cell.waiting...) {
 		require.Equal(t, reference{h.cell}.tasksAhead(job, h.now), h.cell.loadAhead(job, h.now).tasks)
@@ -189,7 +194,7 @@
 		probe := h.job(4, 4, longest, 2*time.Minute, veryLong)
 		h.cell.sortWaiting()
 		exact := reference{h.cell}.delay(probe, h.cell.waiting, everyWorker, h.now)
-		require.InDelta(t, exact, h.cell.predictDelay(probe, h.now), float64(longest))
+		require.InDelta(t, exact, h.cell.forecastWithin(probe, nil, noLimit, h.now), float64(longest))
 	})
 }
 
--- a/entry/pkg/cell/predict.go
+++ b/entry/pkg/cell/predict.go
@@ -2,25 +2,17 @@
 
 import (
 	"iter"
-	"math"
 	"time"
 )
 
-// noLimit is more than any predicted delay.
-const noLimit = time.Duration(math.MaxInt64)
-
-// predictDelay returns the predicted delay until the last task of the job has started.
+// predictDelay returns the predicted delay until the last task of the job has started; if that is more than a caller is
+// told to wait, some time beyond.
 func (c *Cell) predictDelay(job *Job, now time.Time) time.Duration {
-	return c.forecastDelay(job, nil, now)
-}
-
-// forecastDelay returns the predicted delay until the last task of the job has started on an eligible worker, of all
-// workers if eligible is nil.
-func (c *Cell) forecastDelay(job *Job, eligible func(*Worker) bool, now time.Time) time.Duration {
-	return c.forecastWithin(job, eligible, noLimit, now)
+	return c.forecastWithin(job, nil, maxRetryDelay, now)
 }
 
-// forecastWithin does so for a delay of at most the limit; of a longer one it returns some time beyond the limit.
+// forecastWithin returns the predicted delay until the last task of the job has started on an eligible worker, of all
+// workers if eligible is nil. Of a delay beyond the limit it returns some time beyond.
 func (c *Cell) forecastWithin(job *Job, eligible func(*Worker) bool, limit time.Duration, now time.Time) time.Duration {
 	if c.startsAtOnce(job, eligible, now) {
 		return 0
--- a/entry/pkg/cell/returns.go
+++ b/entry/pkg/cell/returns.go
@@ -20,7 +20,7 @@
 // random within twice the time that the workers need for all callers who were refused before, so that these do not
 // return together.
 func (c *Cell) RetryDelay(job *Job, now time.Time) time.Duration {
-	return c.retryDelay(job, c.forecastWithin(job, nil, maxRetryDelay, now), now)
+	return c.retryDelay(job, c.predictDelay(job, now), now)
 }
 
 // retryDelay does so for a job with that forecast delay.
--- a/entry/pkg/cell/shortage.go
+++ b/entry/pkg/cell/shortage.go
@@ -79,7 +79,7 @@
 }
 
 func (c *Cell) refusalOf(job *Job, now time.Time) refusal {
-	return refusal{c.shortage(job, now), c.forecastWithin(job, nil, maxRetryDelay, now)}
+	return refusal{c.shortage(job, now), c.predictDelay(job, now)}
 }
 
 // sharedRefusalOf returns the refusal of the first of the jobs that are given up in the present pass, of those of one kind
