--- a/entry/pkg/cell/cell.go
+++ b/entry/pkg/cell/cell.go
@@ -33,6 +33,7 @@
 	jobs            map[*Job]struct{} // undecided jobs
 	byHome          map[string]map[*Job]struct{}
 	waiting         []*Job          // jobs with tasks that wait for a start
+	widths          []width         // of the waiting jobs that have not moved
 	byID            map[string]*Job // latest job of each identifier that is undecided or still runs
 	speeds          speeds
 	demands         map[string]*meanDemand // by group
@@ -260,7 +261,7 @@
 	}
 	c.tickedAt = now
 	c.unsettled.trim(now)
-	c.refreshFactors()
+	c.refreshInTurn()
 	for _, worker := range c.ordered {
 		if now.After(worker.startsUntil) {
 			worker.updateStartsUntil()
--- a/entry/pkg/cell/cost_test.go
+++ b/entry/pkg/cell/cost_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -9,6 +10,9 @@
 	"pgregory.net/rapid"
 )
 
+// noLimit is more than any predicted delay.
+const noLimit = time.Duration(math.MaxInt64)
+
 // clone returns a copy of the cell that decides on its own.
 func (c *Cell) clone() *Cell {
 	clone := New(c.limits, c.homes)
@@ -80,6 +84,9 @@
 			h.addWorkers(rapid.IntRange(1, 6).Draw(t, "workers"), 16, rapid.SampledFrom([]float64{0.6, 1, 1.7}).Draw(t, "speed"))
 		}
 		h.pass(50 * time.Millisecond)
+		for _, worker := range h.cell.ordered {
+			worker.Group = rapid.SampledFrom([]string{"desk", "desk", "lab"}).Draw(t, "group")
+		}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			h.disturb(t)
 			h.compare(t)
@@ -134,6 +141,8 @@
 	objective := estimate + time.Duration(rapid.IntRange(-50, 600).Draw(t, "objective"))*time.Millisecond
 	job := h.job(rapid.IntRange(1, 6).Draw(t, "tasks"), rapid.SampledFrom([]int64{1, 3, 5, 8, 16}).Draw(t, "cores"), estimate, objective, objective+500*time.Millisecond)
 	job.Queue = rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "queue")
+	job.Group = rapid.SampledFrom([]string{"desk", "desk", "lab"}).Draw(t, "group of the job")
+	job.Priority = rapid.IntRange(0, 2).Draw(t, "priority")
 	job.Call = 1
 	for _, task := range job.Tasks {
 		if rapid.IntRange(0, 20).Draw(t, "alone") == 0 {
@@ -155,7 +164,10 @@
 	longest := probe.longestTask()
 	h.cell.sortWaiting()
 	for _, eligible := range []func(*Worker) bool{everyWorker, func(worker *Worker) bool { return h.cell.isInTime(longest, worker, h.now) }} {
-		require.Equal(t, reference{h.cell}.delay(probe, h.cell.waiting, eligible, h.now), h.cell.forecastDelay(probe, eligible, h.now))
+		require.Equal(t, reference{h.cell}.delay(probe, h.cell.waiting, eligible, h.now), h.cell.forecastWithin(probe, eligible, noLimit, h.now))
+	}
+	for _, job := range append([]*Job{probe}, h.cell.waiting...) {
+		require.Equal(t, reference{h.cell}.tasksAhead(job, h.now), h.cell.loadAhead(job, h.now).tasks)
 	}
 	var expected, found Effects
 	reference{h.cell.clone()}.assign(h.now, &expected)
@@ -182,6 +194,33 @@
 		probe := h.job(4, 4, longest, 2*time.Minute, veryLong)
 		h.cell.sortWaiting()
 		exact := reference{h.cell}.delay(probe, h.cell.waiting, everyWorker, h.now)
-		require.InDelta(t, exact, h.cell.predictDelay(probe, h.now), float64(longest))
+		require.InDelta(t, exact, h.cell.forecastWithin(probe, nil, noLimit, h.now), float64(longest))
 	})
 }
+
+// TestOrderFollowsWhatIsLearnt has one queue's runs take twice as long as declared: its jobs have to start earlier from the
+// next ticks on.
+func TestOrderFollowsWhatIsLearnt(t *testing.T) {
+	for _, waiting := range []int{2, 3 * refreshJobs} {
+		h := newHarness(t)
+		h.addWorkers(1, 16, 1)
+		h.submit(h.job(1, 16, veryLong, 2*veryLong, 3*veryLong))
+		for i := range waiting {
+			job := h.job(1, 16, time.Second, veryLong+time.Duration(i)*time.Microsecond, 3*veryLong)
+			job.Queue = []string{"declared", "twice"}[i%2]
+			h.cell.open(job)
+			h.cell.enqueue(job)
+		}
+		h.cell.sortWaiting()
+		require.Equal(t, "declared", h.cell.waiting[0].Queue)
+		for range 100 {
+			task := &Task{Job: &Job{Queue: "twice"}, Estimate: time.Second}
+			h.cell.speeds.observe(&Run{Task: task, Worker: &Worker{}}, 2*time.Second)
+		}
+		for range 1 + waiting/refreshJobs {
+			h.cell.Tick(h.now)
+		}
+		require.Equal(t, "twice", h.cell.waiting[0].Queue)
+		require.Equal(t, "declared", h.cell.waiting[waiting-1].Queue)
+	}
+}
