--- a/entry/pkg/share/ledger.go
+++ b/entry/pkg/share/ledger.go
@@ -9,8 +9,9 @@
 const (
 	// queueWindow smooths what a queue offers; a queue with some jobs a second is seen within it.
 	queueWindow = 500 * time.Millisecond
-	// capacityWindow smooths the work in progress, which is what the workers can do while the group is short.
-	capacityWindow = 300 * time.Millisecond
+	// capacityWindow smooths the work in progress, which is what the workers can do while the group is short. A longer one
+	// would take the start of a crest for a shortage.
+	capacityWindow = 100 * time.Millisecond
 	// divideInterval is the time between two divisions.
 	divideInterval = 50 * time.Millisecond
 	// creditWindow bounds how long a queue may save its share for, so that what it left idle does not come back as a burst.
