Start refused jobs late in the order of their names in the patterns

Cause: the patterns' figures differed a little from run to run, by the order of a map. Change: sorted.

--- a/entry/pkg/cell/shares_test.go
+++ b/entry/pkg/cell/shares_test.go
@@ -1,7 +1,10 @@
 package cell
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -71,7 +74,8 @@
 
 // startRefusedLate starts refused jobs late, as their keeper does.
 func (h *harness) startRefusedLate(open map[*Job]*tally) {
-	for job := range open {
+	jobs := slices.SortedFunc(maps.Keys(open), func(a, b *Job) int { return strings.Compare(a.ID, b.ID) })
+	for _, job := range jobs {
 		if answer, ok := h.answers[job.ID]; ok && answer.Outcome == Refused {
 			h.submitLate(job)
 		}
