Stand-in runners carry late starts out in their next life

Change: a runner that was away carries it out in whatever life it is in; it counts neither against its room nor against the task's crashes, which no caller can prevent. After a crash that takes no time it is dropped as before.

--- a/soak/pkg/faults/faults.go
+++ b/soak/pkg/faults/faults.go
@@ -18,8 +18,10 @@
 const (
 	// stopTimeout bounds a planned stop; the platform kills a process 6 s after SIGTERM.
 	stopTimeout = 6 * time.Second
-	// longestMute bounds how late starts are carried out that were not answered; most arrive within their lease of 1 s.
+	// longestMute bounds how late half of the starts are carried out that were not answered; most arrive within their lease of 1 s.
 	longestMute = 1200 * time.Millisecond
+	// firstLate and lastLate bound it for the others, as the platform does.
+	firstLate, lastLate = 2 * time.Second, 12 * time.Second
 	// beat is how much later than a change of its capacity a minion may write its entry.
 	beat = 1500 * time.Millisecond
 )
@@ -114,14 +116,14 @@
 	case 10:
 		return fault{"silence", worker.Relay.Name(), func(length time.Duration) { disturb(worker.Relay, relay.Faults{Freeze: true}, length) }}
 	case 11:
-		return fault{"crash", worker.Runner.ID, func(time.Duration) { worker.Runner.Crash() }}
+		return fault{"crash", worker.Runner.ID, func(length time.Duration) { crash(worker, length) }}
 	case 12:
 		return fault{"drain", worker.Runner.ID, func(length time.Duration) { b.drain(worker, length) }}
 	case 13:
 		left, unwritten := b.random.Int64N(yard.Cores/2+1), time.Duration(b.random.Int64N(int64(beat)))
 		return fault{fmt.Sprintf("shrink to %d", left), worker.Runner.ID, func(length time.Duration) { b.shrink(worker, left, unwritten, length) }}
 	default:
-		faulty := runner.Faults{Fail: 0.3, Hang: 0.1, Mute: 0.3, Delay: time.Duration(b.random.Int64N(int64(longestMute)))}
+		faulty := runner.Faults{Fail: 0.3, Hang: 0.1, Mute: 0.3, Delay: lateBy(time.Duration(b.random.Int64N(int64(longestMute))))}
 		return fault{"failures", worker.Runner.ID, func(length time.Duration) { fail(worker, faulty, length) }}
 	}
 }
@@ -205,6 +207,24 @@
 	}
 }
 
+// lateBy spreads half of the delays over the platform's range.
+func lateBy(mute time.Duration) time.Duration {
+	if mute%2 == 0 {
+		return mute
+	}
+	return firstLate + time.Duration(float64(mute)/float64(longestMute)*float64(lastLate-firstLate))
+}
+
+// crash has the worker start anew, half of the times after it was away.
+func crash(worker *yard.Worker, length time.Duration) {
+	if length/time.Millisecond%2 == 0 {
+		worker.Runner.Crash()
+		return
+	}
+	worker.Runner.CrashFor(length)
+	time.Sleep(length)
+}
+
 func fail(worker *yard.Worker, faulty runner.Faults, length time.Duration) {
 	worker.Runner.Faults.Set(faulty)
 	time.Sleep(length)
--- a/standin/pkg/runner/ledger.go
+++ b/standin/pkg/runner/ledger.go
@@ -36,6 +36,12 @@
 }
 
 func (l *Ledger) begin(runner, job, task string, run int, at time.Time) {
+	l.beginLate(runner, job, task, run, at)
+	l.countStart(task, at)
+}
+
+// beginLate is begin for a start that was ordered in an earlier life of the runner, which its caller cannot prevent.
+func (l *Ledger) beginLate(runner, job, task string, run int, at time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for other, number := range l.running[task] {
@@ -45,6 +51,14 @@
 		l.running[task] = map[string]int{}
 	}
 	l.running[task][runner] = run
+	l.starts[job]++
+	l.startsAt[runner]++
+}
+
+// countStart counts a start against the crashes under its task.
+func (l *Ledger) countStart(task string, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if l.crashes[task] >= crashBudget {
 		l.after[task]++
 	}
@@ -52,8 +66,6 @@
 		l.breaches = append(l.breaches, fmt.Sprintf("%s task %s has started %d times after %d runners had crashed under it",
 			at.Format(time.RFC3339Nano), task, startBudget, l.crashes[task]))
 	}
-	l.starts[job]++
-	l.startsAt[runner]++
 }
 
 // crash notes that the runner has crashed while the task ran there.
--- a/standin/pkg/runner/runner_test.go
+++ b/standin/pkg/runner/runner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -80,3 +81,40 @@
 	status, _ := start(t, runner, "a.0.0.0", 1)
 	require.Equal(t, http.StatusOK, status)
 }
+
+// TestLateStartIsCarriedOutInTheNextLife checks what a runner does that was away, and that one which was not drops the start, as
+// nobody can have seen its crash.
+func TestLateStartIsCarriedOutInTheNextLife(t *testing.T) {
+	for _, crash := range []struct {
+		crash   func(*Runner)
+		running int
+	}{
+		{func(r *Runner) { r.CrashFor(time.Second) }, 1},
+		{func(r *Runner) { r.CrashFor(time.Hour) }, 0},
+		{func(r *Runner) { r.Crash() }, 0},
+	} {
+		clock, ledger := clockwork.NewFakeClock(), NewLedger()
+		runner := New(clock, ledger, "i-1", 16000, 1)
+		clock.Advance(time.Second) // so that the lease lies ahead on the next life's clock
+		runner.Faults.Set(Faults{Mute: 1, Delay: 2100 * time.Millisecond})
+		ctx, cancel := context.WithCancel(t.Context())
+		read := []byte(`{"task":"a.0.0.0","run":1,"spec":"{\"length\":1000000000,\"cores\":1}","deadline_ms":1900,"fencing_token":5}`)
+		request := httptest.NewRequestWithContext(ctx, http.MethodPost, "/-/run-start", bytes.NewReader(read))
+		request.Header.Set("Chervilusher-Expected-Instance", "i-1")
+		answered := make(chan struct{})
+		go func() {
+			runner.Handler().ServeHTTP(httptest.NewRecorder(), request)
+			close(answered)
+		}()
+		require.NoError(t, clock.BlockUntilContext(t.Context(), 1))
+		cancel()
+		<-answered
+		crash.crash(runner)
+		clock.Advance(1100 * time.Millisecond)
+		require.Eventually(t, func() bool { return !runner.IsDown() || crash.running == 0 }, time.Second, time.Millisecond)
+		clock.Advance(time.Second)
+		require.Eventually(t, func() bool { return ledger.Running() == crash.running }, time.Second, time.Millisecond)
+		time.Sleep(10 * time.Millisecond)
+		require.Equal(t, crash.running, ledger.Running())
+	}
+}
