Let jobs wait whose task a worker elsewhere may still start

Change: it waits until the worker's keeper tells that it is back, or it cannot end before its deadline any more.

--- a/entry/pkg/cell/assign.go
+++ b/entry/pkg/cell/assign.go
@@ -115,9 +115,6 @@
 	if !job.Started() && c.IsTooLate(job, now) {
 		return "no room in time"
 	}
-	if c.isHopelesslyBlocked(job) {
-		return reasonLateStart
-	}
 	return ""
 }
 
--- a/entry/pkg/cell/unsettled.go
+++ b/entry/pkg/cell/unsettled.go
@@ -250,23 +250,6 @@
 	})
 }
 
-// isHopelesslyBlocked reports whether a task of the job must not start in time, whatever the workers of this keeper report.
-func (c *Cell) isHopelesslyBlocked(job *Job) bool {
-	if len(c.unsettled.blocking) == 0 {
-		return false
-	}
-	latestStart := job.Deadline.Add(-c.speeds.typical(job.Queue, job.longest()))
-	return slices.ContainsFunc(job.Tasks, func(task *Task) bool {
-		for _, start := range c.unsettled.blocking[task.Name] {
-			_, listed := c.workers[start.worker]
-			if !listed && task.state == Waiting && start.until.After(latestStart) {
-				return true
-			}
-		}
-		return false
-	})
-}
-
 // RecentLateStarts returns the late starts that became possible or impossible lately, for the heartbeats to other hosts, the
 // latest first.
 func (c *Cell) RecentLateStarts(now time.Time) []LateStart {
