--- a/entry/pkg/settings/check.go
+++ b/entry/pkg/settings/check.go
@@ -24,6 +24,12 @@
 	if s.Size < 1 {
 		return errors.Errorf("size is %d; give 1 or more", s.Size)
 	}
+	if s.Limits.Memory < 1 {
+		return errors.Errorf("limits.memory is %d; give 1 or more", s.Limits.Memory)
+	}
+	if s.Limits.Descriptors < 1 {
+		return errors.Errorf("limits.descriptors is %d; give 1 or more", s.Limits.Descriptors)
+	}
 	if err := s.checkAddresses(); err != nil {
 		return err
 	}
--- a/entry/pkg/settings/settings.go
+++ b/entry/pkg/settings/settings.go
@@ -15,6 +15,8 @@
 	FailureDomain string `json:"place"`
 	// Size is the host's capacity relative to other entry hosts.
 	Size int `json:"size"`
+	// Limits are what the machine allows the process.
+	Limits Limits `json:"limits"`
 	// Caller is the address that callers connect to.
 	Caller Listener `json:"caller"`
 	// Operator is the address that operators and probes connect to.
@@ -33,6 +35,12 @@
 	Log Log `json:"log"`
 }
 
+// Limits are what the machine allows the process.
+type Limits struct {
+	Memory      int `json:"memory"`      // MiB
+	Descriptors int `json:"descriptors"` // of all kinds
+}
+
 // Listener is an address to listen on.
 type Listener struct {
 	Listen string `json:"listen"` // host:port
@@ -105,7 +113,8 @@
 // Default returns the settings that hold where a file says nothing.
 func Default() *Settings {
 	return &Settings{
-		Size: 1,
+		Size:   1,
+		Limits: Limits{Memory: 1024, Descriptors: 4096},
 		Ticket: Ticket{
 			Window:  jsontime.Duration(time.Minute),
 			Keep:    jsontime.Duration(10 * time.Minute),
--- a/review/rig-2/office.go
+++ b/review/rig-2/office.go
@@ -191,7 +191,7 @@
 		"{{node_name|json}}", quote(name), "{{zone|json}}", quote(zone), "{{listen_addrs.front|json}}", quote(h.front),
 		"{{listen_addrs.ready|json}}", quote(h.ready), "{{ip}}", ip, "{{internal_port_range.0}}", strconv.Itoa(ports[2]),
 		"{{internal_port_range.1}}", strconv.Itoa(ports[3]), "{{platform.address|json}}", quote(o.storeAddress),
-		"{{limits.cpu_share}}", "0.4", "{{limits.memory_mb}}", "284", "{{bounds.max_hold_ms}}", "1000", "{{bounds.grace_s}}", "6",
+		"{{limits.cpu_share}}", "0.4", "{{limits.memory_mb}}", "284", "{{limits.max_fds}}", "4100", "{{bounds.max_hold_ms}}", "1000", "{{bounds.grace_s}}", "6",
 	).Replace(string(template))
 	if strings.Contains(text, "{{") {
 		return nil, fmt.Errorf("a placeholder of the template is unknown: %s", text)
