Bound what clients can make a process hold

Cause: Bodies were read whole into memory for as many connections as came and for as long as their clients liked, heads up to 1 MiB; nothing bounded the connections. Both programs broke their memory in six of the patterns of integration/hostile, and their descriptors in one. Refusals are 413, 408, 431 or 503 with Retry-After, and close the connection. The stand-in listen.Gate takes connections that wrap a TCP connection, as graceful does.

--- a/entry/pkg/app/app.go
+++ b/entry/pkg/app/app.go
@@ -19,6 +19,9 @@
 // collectorPercent lets the heap grow to five times its live part between collections, since the live part is small.
 const collectorPercent = 400
 
+// memoryShare is the part of the allowed memory from which on the collector works harder.
+const memoryShare = 0.6
+
 type arguments struct {
 	Settings string `arg:"--settings" placeholder:"FILE" help:"settings, JSON with comments"`
 }
@@ -44,6 +47,9 @@
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(collectorPercent)
 	}
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(int64(memoryShare * float64(loaded.Limits.Memory) * (1 << 20)))
+	}
 	daemon, err := Listen(loaded, os.Stderr)
 	if err != nil {
 		return self.Complain(err)
--- a/entry/pkg/app/daemon.go
+++ b/entry/pkg/app/daemon.go
@@ -20,6 +20,7 @@
 	"chervilusher.dev/entry/pkg/common"
 	"chervilusher.dev/entry/pkg/controllers"
 	"chervilusher.dev/entry/pkg/hostlist"
+	"chervilusher.dev/entry/pkg/inflow"
 	"chervilusher.dev/entry/pkg/ledger"
 	"chervilusher.dev/entry/pkg/minion"
 	"chervilusher.dev/entry/pkg/operator"
@@ -35,8 +36,10 @@
 const (
 	// incarnationLength is how many hexadecimal digits tell processes apart.
 	incarnationLength = 16
-	// readHeaderTimeout bounds how long a caller may take to send its headers.
+	// readHeaderTimeout, idleTimeout and longestHead bound what operators and probes send.
 	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
+	longestHead       = 16 << 10
 	// platformTimeout bounds one call to the platform, long polls included.
 	platformTimeout = 15 * time.Second
 	// idleConnections bounds the unused connections to one back end.
@@ -137,7 +140,7 @@
 		common:      c.Prefixed("app"),
 		board:       board,
 		listeners:   opened,
-		callers:     newHTTPServer(caller.New(c, board, tickets, routing).Handler()),
+		callers:     newCallerServer(caller.New(c, board, tickets, routing).Handler(), opened.gate),
 		operators:   newHTTPServer(operator.New(c, board, publish.NewFrom(logClient, c.Clock, inForce), recorder, drains).Handler()),
 		peers:       peerServer,
 		peerClient:  peerClient,
@@ -195,5 +198,11 @@
 }
 
 func newHTTPServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: longestHead}
+}
+
+func newCallerServer(handler http.Handler, gate *inflow.Gate) *http.Server {
+	server := &http.Server{Handler: handler, ConnContext: inflow.WithConn}
+	gate.Limit(server)
+	return server
 }
--- a/entry/pkg/app/listeners.go
+++ b/entry/pkg/app/listeners.go
@@ -5,10 +5,12 @@
 	"crypto/tls"
 	"net"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
 	"chervilusher.dev/entry/pkg/certificate"
 	"chervilusher.dev/entry/pkg/common"
+	"chervilusher.dev/entry/pkg/inflow"
 	"chervilusher.dev/entry/pkg/peer"
 	"chervilusher.dev/entry/pkg/settings"
 )
@@ -20,11 +22,13 @@
 	peer     net.Listener
 	sources  []*certificate.Source
 	toPeers  peer.TLSSource // nil for plain TCP
+	gate     *inflow.Gate   // of caller
 }
 
 // listen opens the daemon's addresses; the error names the setting that is wrong.
 func listen(c *common.Common) (*listeners, error) {
-	opened := &listeners{}
+	limits := c.Settings.Limits
+	opened := &listeners{gate: inflow.New(c.Settings.Clients.For(int64(limits.Memory)<<20, limits.Descriptors), clockwork.NewRealClock())}
 	for _, wanted := range []struct {
 		key     string
 		address string
@@ -39,8 +43,11 @@
 		if err != nil {
 			return nil, errors.Errorf("%s.tls: %s", wanted.key, err)
 		}
-		var config net.ListenConfig
-		listener, err := config.Listen(context.Background(), "tcp", wanted.address)
+		listen := listenPlain
+		if wanted.into == &opened.caller {
+			listen = opened.gate.Listen
+		}
+		listener, err := listen(context.Background(), wanted.address)
 		if err != nil {
 			return nil, errors.Errorf("%s.listen: %s", wanted.key, err)
 		}
@@ -55,6 +62,11 @@
 	return opened, nil
 }
 
+func listenPlain(ctx context.Context, address string) (net.Listener, error) {
+	var config net.ListenConfig
+	return config.Listen(ctx, "tcp", address)
+}
+
 // source returns the files of one address, or nil if none are named.
 func (l *listeners) source(c *common.Common, files settings.TLS) (*certificate.Source, error) {
 	if !files.Enabled() {
--- a/entry/pkg/caller/input.go
+++ b/entry/pkg/caller/input.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 
 	"chervilusher.dev/entry/pkg/blackboard"
+	"chervilusher.dev/entry/pkg/inflow"
 	"chervilusher.dev/entry/pkg/ticket"
 	"chervilusher.dev/lib/api"
 	"chervilusher.dev/lib/configuration"
@@ -96,19 +97,22 @@
 }
 
 func decodeBody(c echo.Context, into any) (digest uint64, err error) {
-	raw, err := io.ReadAll(c.Request().Body)
+	raw, err := inflow.ReadBody(c.Request(), api.MaxBodyBytes)
 	if err != nil {
+		inflow.EndConnection(c.Response())
 		return 0, err
 	}
-	decoder := json.NewDecoder(bytes.NewReader(raw))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(into); err != nil {
-		return 0, badRequest("the body is not a valid submission: %s", err)
-	}
-	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return 0, badRequest("text follows the submission")
-	}
-	return xxhash.Sum64(raw), nil
+	return xxhash.Sum64(raw), inflow.Decode(c.Request(), raw, func(raw []byte) error {
+		decoder := json.NewDecoder(bytes.NewReader(raw))
+		decoder.DisallowUnknownFields()
+		if err := decoder.Decode(into); err != nil {
+			return badRequest("the body is not a valid submission: %s", err)
+		}
+		if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+			return badRequest("text follows the submission")
+		}
+		return nil
+	})
 }
 
 func checkSubmission(submission *api.Submission) error {
@@ -181,13 +185,16 @@
 	answer := &api.Answer{State: api.StateRefused, Ran: api.RanNo, Code: api.CodeInternal, Reason: err.Error()}
 	var input *inputError
 	var framework *echo.HTTPError
-	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &input):
 		answer.Code = input.code
-	case errors.As(err, &framework) && framework.Code == http.StatusRequestEntityTooLarge, errors.As(err, &tooLarge):
+	case errors.Is(err, inflow.ErrTooLarge):
 		answer.Code = api.CodeTooLarge
 		answer.Reason = fmt.Sprintf("the body is larger than %d bytes", api.MaxBodyBytes)
+	case errors.Is(err, inflow.ErrCrowded):
+		answer.Code = api.CodeUnavailable
+	case errors.Is(err, inflow.ErrSlow):
+		answer.Code = api.CodeTooSlow
 	case errors.As(err, &framework) && framework.Code < http.StatusInternalServerError:
 		answer.Code = api.CodeNotFound
 		answer.Reason = fmt.Sprint(framework.Message)
--- a/entry/pkg/caller/server.go
+++ b/entry/pkg/caller/server.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"github.com/labstack/echo/v4"
-	"github.com/labstack/echo/v4/middleware"
 
 	"chervilusher.dev/entry/pkg/blackboard"
 	"chervilusher.dev/entry/pkg/common"
+	"chervilusher.dev/entry/pkg/inflow"
 	"chervilusher.dev/entry/pkg/peer"
 	"chervilusher.dev/entry/pkg/ticket"
 	"chervilusher.dev/lib/api"
@@ -42,7 +42,6 @@
 func (s *Server) Handler() http.Handler {
 	router := echo.New()
 	router.HTTPErrorHandler = answerError
-	router.Use(middleware.BodyLimit("4M"))
 	router.POST("/v1/tickets", s.issueTicket)
 	router.POST("/v1/jobs", s.submitJob)
 	router.POST("/v1/requests", s.submitRequest)
@@ -114,6 +113,7 @@
 	}
 	request.Wait = wait
 	request.Identity = identityOf(claims, key)
+	inflow.HandOn(c.Request(), api.HeaderTicket)
 	answer := s.submitter.Submit(c.Request().Context(), claims, request)
 	return s.reply(c, bearer, token, key, answer)
 }
@@ -132,6 +132,7 @@
 		return err
 	}
 	key := c.Param("key")
+	inflow.HandOn(c.Request(), api.HeaderTicket)
 	answer := s.submitter.Wait(c.Request().Context(), claims, &peer.WaitRequest{Identity: identityOf(claims, key), Wait: wait})
 	return s.reply(c, bearer, token, key, answer)
 }
@@ -146,6 +147,7 @@
 		return err
 	}
 	key := c.Param("key")
+	inflow.HandOn(c.Request(), api.HeaderTicket)
 	answer := s.submitter.Cancel(c.Request().Context(), claims, &peer.CancelRequest{Identity: identityOf(claims, key)})
 	return s.reply(c, bearer, token, key, answer)
 }
--- a/entry/pkg/graceful/connection.go
+++ b/entry/pkg/graceful/connection.go
@@ -3,15 +3,23 @@
 import (
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
 )
 
+// transport is a TCP connection, or one that counts what passes through it.
+type transport interface {
+	net.Conn
+	syscall.Conn
+	CloseWrite() error
+}
+
 // connection tells whether any byte of a request has been read since the last answer. The states of net/http don't: they
 // change only after the header of a request was read.
 type connection struct {
-	*net.TCPConn
+	transport
 	server *Server
 
 	mu       sync.Mutex
@@ -26,7 +34,7 @@
 
 // Read implements net.Conn.
 func (c *connection) Read(buffer []byte) (int, error) {
-	count, err := c.TCPConn.Read(buffer)
+	count, err := c.transport.Read(buffer)
 	if count > 0 {
 		c.mu.Lock()
 		c.idle = false
@@ -42,7 +50,7 @@
 	if c.idle && c.closing {
 		at = past
 	}
-	return c.TCPConn.SetReadDeadline(at)
+	return c.transport.SetReadDeadline(at)
 }
 
 // SetDeadline implements net.Conn.
@@ -53,18 +61,23 @@
 	return c.SetWriteDeadline(at)
 }
 
+// NetConn returns the connection beneath.
+func (c *connection) NetConn() net.Conn {
+	return c.transport
+}
+
 // CloseWrite ends the sending side; net/http calls it after the last answer.
 func (c *connection) CloseWrite() error {
 	c.mu.Lock()
 	c.answered = true
 	c.mu.Unlock()
-	return c.TCPConn.CloseWrite()
+	return c.transport.CloseWrite()
 }
 
 // Close implements net.Conn.
 func (c *connection) Close() error {
 	c.server.remove(c)
-	return c.TCPConn.Close()
+	return c.transport.Close()
 }
 
 // becomeIdle notes that the connection waits for the next request.
@@ -79,7 +92,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.idle && c.closing {
-		_ = c.TCPConn.SetReadDeadline(time.Time{}) // net/http reads on to notice that the client leaves
+		_ = c.transport.SetReadDeadline(time.Time{}) // net/http reads on to notice that the client leaves
 	}
 	c.idle = false
 }
@@ -97,7 +110,7 @@
 		return
 	}
 	c.closing = true
-	_ = c.TCPConn.SetReadDeadline(past)
+	_ = c.transport.SetReadDeadline(past)
 }
 
 // hasUnread reports whether there are bytes to read, or the end of the connection; a failed question leaves it to the reader.
--- a/entry/pkg/graceful/server.go
+++ b/entry/pkg/graceful/server.go
@@ -131,8 +131,8 @@
 	return found
 }
 
-func (s *Server) add(raw *net.TCPConn) *connection {
-	added := &connection{TCPConn: raw, server: s, idle: true, idleFrom: s.clock.Now()}
+func (s *Server) add(raw transport) *connection {
+	added := &connection{transport: raw, server: s, idle: true, idleFrom: s.clock.Now()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.connections[added] = struct{}{}
@@ -163,7 +163,7 @@
 	if err != nil {
 		return nil, err
 	}
-	raw, ok := accepted.(*net.TCPConn)
+	raw, ok := accepted.(transport)
 	if !ok {
 		return accepted, nil
 	}
--- a/entry/pkg/settings/settings.go
+++ b/entry/pkg/settings/settings.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"chervilusher.dev/entry/pkg/inflow"
+	"chervilusher.dev/lib/api"
 	"chervilusher.dev/lib/jsontime"
 	"chervilusher.dev/lib/settings"
 )
@@ -17,6 +19,8 @@
 	Size int `json:"size"`
 	// Limits are what the machine allows the process.
 	Limits Limits `json:"limits"`
+	// Clients bound what callers can make the process hold.
+	Clients inflow.Settings `json:"clients"`
 	// Caller is the address that callers connect to.
 	Caller Listener `json:"caller"`
 	// Operator is the address that operators and probes connect to.
@@ -110,11 +114,15 @@
 	Format string `json:"format"` // text or json
 }
 
+// headTime bounds how long a caller may take to send its headers.
+const headTime = 10 * time.Second
+
 // Default returns the settings that hold where a file says nothing.
 func Default() *Settings {
 	return &Settings{
-		Size:   1,
-		Limits: Limits{Memory: 1024, Descriptors: 4096},
+		Size:    1,
+		Limits:  Limits{Memory: 1024, Descriptors: 4096},
+		Clients: inflow.Default(api.MaxBodyBytes, headTime),
 		Ticket: Ticket{
 			Window:  jsontime.Duration(time.Minute),
 			Keep:    jsontime.Duration(10 * time.Minute),
--- a/lib/api/answer.go
+++ b/lib/api/answer.go
@@ -41,6 +41,7 @@
 	CodeForbidden    Code = "forbidden"    // the ticket or the job belongs to another owner
 	CodeBadTicket    Code = "bad_ticket"   // the ticket is forged, expired or unreadable
 	CodeTooLarge     Code = "too_large"    // the body is larger than MaxBodyBytes
+	CodeTooSlow      Code = "too_slow"     // the body arrived too slowly
 	CodeNotFound     Code = "not_found"    // no such service, pool or job
 	CodeImpossible   Code = "impossible"   // larger than any worker of its pool
 	CodeOverload     Code = "overload"     // the predicted wait passes the deadline
@@ -94,6 +95,7 @@
 	CodeForbidden:    http.StatusForbidden,
 	CodeBadTicket:    http.StatusBadRequest,
 	CodeTooLarge:     http.StatusRequestEntityTooLarge,
+	CodeTooSlow:      http.StatusRequestTimeout,
 	CodeNotFound:     http.StatusNotFound,
 	CodeImpossible:   http.StatusUnprocessableEntity,
 	CodeOverload:     http.StatusTooManyRequests,
--- a/standin/pkg/listen/gate.go
+++ b/standin/pkg/listen/gate.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"syscall"
 
 	"github.com/pkg/errors"
 )
@@ -34,16 +35,23 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	connection, ok := accepted.(*net.TCPConn)
+	connection, ok := accepted.(transport)
 	if !ok {
 		return nil, errors.Errorf("%T is no TCP connection", accepted)
 	}
-	return &gatedConnection{TCPConn: connection, gate: &g.gate}, nil
+	return &gatedConnection{transport: connection, gate: &g.gate}, nil
+}
+
+// transport is a TCP connection, or one that wraps it.
+type transport interface {
+	net.Conn
+	syscall.Conn
+	CloseWrite() error
 }
 
 // gatedConnection waits for its gate before each read.
 type gatedConnection struct {
-	*net.TCPConn
+	transport
 	gate *sync.RWMutex
 }
 
@@ -51,5 +59,10 @@
 func (c *gatedConnection) Read(into []byte) (int, error) {
 	c.gate.RLock()
 	c.gate.RUnlock() //nolint:staticcheck // it only waits until the gate is open
-	return c.TCPConn.Read(into)
+	return c.transport.Read(into)
+}
+
+// NetConn returns the connection beneath.
+func (c *gatedConnection) NetConn() net.Conn {
+	return c.transport
 }
