--- a/entry/pkg/inflow/conn.go
+++ b/entry/pkg/inflow/conn.go
@@ -29,6 +29,8 @@
 	clock  clockwork.Clock
 	inBody atomic.Bool // its handler waits for the rest of a body
 
+	writesUntil atomic.Pointer[time.Time] // the deadline of writes
+
 	// The budget guards what follows.
 	phase     phase
 	held      int64
@@ -138,10 +140,16 @@
 	return c.SetWriteDeadline(at)
 }
 
-// Write implements net.Conn. A client that does not take its answer is cut off.
+// Write implements net.Conn. A client that does not take its answer is cut off after one to two stall times; a deadline that
+// leaves one is not set anew.
 func (c *conn) Write(data []byte) (int, error) {
-	if err := c.SetWriteDeadline(c.clock.Now().Add(c.budget.limits.StallTime.Std())); err != nil {
-		return 0, err
+	now, stall := c.clock.Now(), c.budget.limits.StallTime.Std()
+	if set := c.writesUntil.Load(); set == nil || set.Sub(now) < stall {
+		at := now.Add(2 * stall)
+		if err := c.SetWriteDeadline(at); err != nil {
+			return 0, err
+		}
+		c.writesUntil.Store(&at)
 	}
 	return c.TCPConn.Write(data)
 }
