Bounds on who asks for readiness, metrics and the operators' API; 48 KiB a connection

Cause: The other HTTP addresses took any number of connections. At 144 MiB, 1,152 connections left 39 MiB unread in the kernel. Change: A gate of its own for each of these addresses, 64 connections. A connection counts as 48 KiB: 768 at the smallest host. Not run again yet: platform/pkg/app, integration, integration/hostile with its own settings.

--- a/entry/pkg/app/daemon.go
+++ b/entry/pkg/app/daemon.go
@@ -36,10 +36,6 @@
 const (
 	// incarnationLength is how many hexadecimal digits tell processes apart.
 	incarnationLength = 16
-	// readHeaderTimeout, idleTimeout and longestHead bound what operators and probes send.
-	readHeaderTimeout = 10 * time.Second
-	idleTimeout       = 2 * time.Minute
-	longestHead       = 16 << 10
 	// platformTimeout bounds one call to the platform, long polls included.
 	platformTimeout = 15 * time.Second
 	// idleConnections bounds the unused connections to one back end.
@@ -130,6 +126,7 @@
 	hosts := controllers.NewHostsController(c, board, hostlist.New(c.Settings.Platform.Hosts, platformClient), peerClient, peerServer, members, backends)
 	members.SetHostsReader(hosts)
 	drains := newDrainRequest(submissions)
+	operators := operator.New(c, board, publish.NewFrom(logClient, c.Clock, inForce), recorder, drains)
 
 	services := []service{dispatcher, submissions, handovers, leases, hosts, configurations, members}
 	if c.Settings.Policy.Lending == "loans" {
@@ -140,8 +137,8 @@
 		common:      c.Prefixed("app"),
 		board:       board,
 		listeners:   opened,
-		callers:     newCallerServer(caller.New(c, board, tickets, routing).Handler(), opened.gate),
-		operators:   newHTTPServer(operator.New(c, board, publish.NewFrom(logClient, c.Clock, inForce), recorder, drains).Handler()),
+		callers:     newHTTPServer(caller.New(c, board, tickets, routing).Handler(), opened.callerGate),
+		operators:   newHTTPServer(operators.Handler(), opened.operatorGate),
 		peers:       peerServer,
 		peerClient:  peerClient,
 		dispatcher:  dispatcher,
@@ -197,11 +194,7 @@
 	}
 }
 
-func newHTTPServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: longestHead}
-}
-
-func newCallerServer(handler http.Handler, gate *inflow.Gate) *http.Server {
+func newHTTPServer(handler http.Handler, gate *inflow.Gate) *http.Server {
 	server := &http.Server{Handler: handler, ConnContext: inflow.WithConn}
 	gate.Limit(server)
 	return server
--- a/entry/pkg/app/listeners.go
+++ b/entry/pkg/app/listeners.go
@@ -13,6 +13,7 @@
 	"chervilusher.dev/entry/pkg/inflow"
 	"chervilusher.dev/entry/pkg/peer"
 	"chervilusher.dev/entry/pkg/settings"
+	"chervilusher.dev/lib/api"
 )
 
 // listeners are the daemon's open addresses and the TLS files that they use.
@@ -22,32 +23,29 @@
 	peer     net.Listener
 	sources  []*certificate.Source
 	toPeers  peer.TLSSource // nil for plain TCP
-	gate     *inflow.Gate   // of caller
+
+	callerGate, operatorGate *inflow.Gate
 }
 
 // listen opens the daemon's addresses; the error names the setting that is wrong.
 func listen(c *common.Common) (*listeners, error) {
-	limits := c.Settings.Limits
-	opened := &listeners{gate: inflow.New(c.Settings.Clients.For(int64(limits.Memory)<<20, limits.Descriptors), clockwork.NewRealClock())}
+	opened := openGates(c.Settings)
 	for _, wanted := range []struct {
 		key     string
 		address string
 		files   settings.TLS
+		listen  func(ctx context.Context, address string) (net.Listener, error)
 		into    *net.Listener
 	}{
-		{"caller", c.Settings.Caller.Listen, c.Settings.Caller.TLS, &opened.caller},
-		{"operator", c.Settings.Operator.Listen, c.Settings.Operator.TLS, &opened.operator},
-		{"peer", c.Settings.Peer.Listen, c.Settings.Peer.TLS, &opened.peer},
+		{"caller", c.Settings.Caller.Listen, c.Settings.Caller.TLS, opened.callerGate.Listen, &opened.caller},
+		{"operator", c.Settings.Operator.Listen, c.Settings.Operator.TLS, opened.operatorGate.Listen, &opened.operator},
+		{"peer", c.Settings.Peer.Listen, c.Settings.Peer.TLS, listenPlain, &opened.peer},
 	} {
 		source, err := opened.source(c, wanted.files)
 		if err != nil {
 			return nil, errors.Errorf("%s.tls: %s", wanted.key, err)
 		}
-		listen := listenPlain
-		if wanted.into == &opened.caller {
-			listen = opened.gate.Listen
-		}
-		listener, err := listen(context.Background(), wanted.address)
+		listener, err := wanted.listen(context.Background(), wanted.address)
 		if err != nil {
 			return nil, errors.Errorf("%s.listen: %s", wanted.key, err)
 		}
@@ -62,6 +60,21 @@
 	return opened, nil
 }
 
+// operatorConnections bounds those of operators and probes, who may also hold half as many bytes as callers.
+const operatorConnections = 64
+
+// openGates returns the gates of the addresses that others than hosts reach.
+func openGates(s *settings.Settings) *listeners {
+	clock := clockwork.NewRealClock()
+	memory := int64(s.Limits.Memory) << 20
+	operators := inflow.Default(api.MaxBodyBytes, s.Clients.HeadTime.Std()).For(memory/2, s.Limits.Descriptors)
+	operators.Connections = operatorConnections
+	return &listeners{
+		callerGate:   inflow.New(s.Clients.For(memory, s.Limits.Descriptors), clock),
+		operatorGate: inflow.New(operators, clock),
+	}
+}
+
 func listenPlain(ctx context.Context, address string) (net.Listener, error) {
 	var config net.ListenConfig
 	return config.Listen(ctx, "tcp", address)
--- a/entry/pkg/inflow/bench_test.go
+++ b/entry/pkg/inflow/bench_test.go
@@ -63,6 +63,8 @@
 		response, err := http.ReadResponse(from, nil)
 		require.NoError(b, err)
 		require.Equal(b, http.StatusOK, response.StatusCode)
-		_, _ = io.Copy(io.Discard, response.Body)
+		_, err = io.Copy(io.Discard, response.Body)
+		require.NoError(b, err)
+		require.NoError(b, response.Body.Close())
 	}
 }
--- a/entry/pkg/inflow/inflow_test.go
+++ b/entry/pkg/inflow/inflow_test.go
@@ -288,7 +288,7 @@
 
 func TestBoundsAreDerivedFromTheMachine(t *testing.T) {
 	smallest := Default(256<<10, time.Second).For(144<<20, 3075)
-	require.Equal(t, 1152, smallest.Connections)
+	require.Equal(t, 768, smallest.Connections)
 	require.EqualValues(t, 18<<20, smallest.Bytes)
 	require.Equal(t, 200, Default(1, time.Second).For(64<<20, 600).Connections)
 }
--- a/entry/pkg/inflow/settings.go
+++ b/entry/pkg/inflow/settings.go
@@ -24,7 +24,7 @@
 const (
 	// connectionBytes is what an open connection costs at most beside its request: its goroutine's stack, the buffers of net/http
 	// and what waits in the kernel.
-	connectionBytes = 32 << 10
+	connectionBytes = 48 << 10
 	// reservedDescriptors are left for files; those of the rest that clients don't get go to peers, workers and the store.
 	reservedDescriptors = 200
 	// A quarter of the memory is for connections, and an eighth for what they have sent: the collector lets garbage grow to
