--- a/entry/pkg/cell/assign.go
+++ b/entry/pkg/cell/assign.go
@@ -24,14 +24,13 @@
 
 // giveUpHopeless gives up the waiting jobs that can no longer be served.
 func (c *Cell) giveUpHopeless(now time.Time, effects *Effects) {
-	anyBlocked := len(c.unsettled.blocking) > 0
-	if !now.After(c.servableUntil) && !anyBlocked {
+	if !now.After(c.servableUntil) {
 		return
 	}
 	c.pass++
 	c.servableUntil = now.Add(unknownDelay)
 	for _, job := range c.waiting {
-		if until := c.isServableUntil(job); anyBlocked || now.After(until) {
+		if now.After(c.servableUntilOf(job)) {
 			if reason := c.giveUpReason(job, now); reason != "" {
 				c.giveUpWith(job, reason, func() refusal { return c.sharedRefusalOf(job, now) }, now, effects)
 				continue
@@ -43,11 +42,11 @@
 
 // noteServable notes until when the job need not be given up.
 func (c *Cell) noteServable(job *Job) {
-	c.servableUntil = minTime(c.servableUntil, c.isServableUntil(job))
+	c.servableUntil = minTime(c.servableUntil, c.servableUntilOf(job))
 }
 
-// isServableUntil returns until when the job need not be given up, unless it becomes blocked.
-func (c *Cell) isServableUntil(job *Job) time.Time {
+// servableUntilOf returns until when the job need not be given up.
+func (c *Cell) servableUntilOf(job *Job) time.Time {
 	typical := c.typical(job)
 	if known := &job.summary; known.deadline != job.Deadline {
 		known.deadline = job.Deadline
--- a/entry/pkg/settings/settings.go
+++ b/entry/pkg/settings/settings.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"chervilusher.dev/entry/pkg/inflow"
+	"chervilusher.dev/lib/api"
 	"chervilusher.dev/lib/jsontime"
 	"chervilusher.dev/lib/settings"
 )
@@ -15,6 +17,10 @@
 	FailureDomain string `json:"place"`
 	// Size is the host's capacity relative to other entry hosts.
 	Size int `json:"size"`
+	// Limits are what the machine allows the process.
+	Limits Limits `json:"limits"`
+	// Clients bound what callers can make the process hold.
+	Clients inflow.Settings `json:"clients"`
 	// Caller is the address that callers connect to.
 	Caller Listener `json:"caller"`
 	// Operator is the address that operators and probes connect to.
@@ -33,6 +39,12 @@
 	Log Log `json:"log"`
 }
 
+// Limits are what the machine allows the process.
+type Limits struct {
+	Memory      int `json:"memory"`      // MiB
+	Descriptors int `json:"descriptors"` // of all kinds
+}
+
 // Listener is an address to listen on.
 type Listener struct {
 	Listen string `json:"listen"` // host:port
@@ -102,10 +114,15 @@
 	Format string `json:"format"` // text or json
 }
 
+// headTime bounds how long a caller may take to send its headers.
+const headTime = 10 * time.Second
+
 // Default returns the settings that hold where a file says nothing.
 func Default() *Settings {
 	return &Settings{
-		Size: 1,
+		Size:    1,
+		Limits:  Limits{Memory: 1024, Descriptors: 4096},
+		Clients: inflow.Default(api.MaxBodyBytes, headTime),
 		Ticket: Ticket{
 			Window:  jsontime.Duration(time.Minute),
 			Keep:    jsontime.Duration(10 * time.Minute),
