Let as large a part of a queue's jobs leave as finds no room in time

Cause: a keeper that could not start some of a queue's jobs in time offered all of them to other keepers' queues; on small deployments they were refused there more often than they would have been at home. Change: each job leaves with the probability that it finds no room. The test of leaving asks for it with all jobs beyond the room.

--- a/entry/pkg/cellhost/keeper_run.go
+++ b/entry/pkg/cellhost/keeper_run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/pkg/errors"
@@ -48,7 +49,7 @@
 		return &peer.RunResponse{Declined: true, Reason: "no room at once"}, nil
 	}
 	k.rates.addOffered(job, k.common.Clock.Now())
-	leaves := k.rates.fraction(job.Queue) > 0
+	leaves := rand.Float64() < k.rates.fraction(job.Queue) // as large a part as finds no room here in time
 	if request.Mode == peer.RunAnywhere {
 		mode := peer.RunNow
 		if leaves {
