Decode lists from clients only up to their bound

Cause: 256 KiB of '{},' as the steps of a job allocated 51 MB while it was decoded, for a list that is refused for its length; the tasks of the callers' API the same, with up to 4 MiB.

--- a/lib/api/submission.go
+++ b/lib/api/submission.go
@@ -3,6 +3,9 @@
 import (
 	"encoding/json"
 
+	"github.com/pkg/errors"
+
+	"chervilusher.dev/lib/jsonlist"
 	"chervilusher.dev/lib/jsontime"
 )
 
@@ -45,9 +48,25 @@
 	Need     Need              `json:"need,omitzero"`
 }
 
+// TaskList is a list of at most MaxTasks tasks.
+type TaskList []Task
+
+// UnmarshalJSON decodes the list; it stops at the first task too many.
+func (l *TaskList) UnmarshalJSON(raw []byte) error {
+	list, err := jsonlist.Decode[Task](raw, MaxTasks, true)
+	if errors.Is(err, jsonlist.ErrTooLong) {
+		return errors.Errorf("tasks has over %d entries; give at most %d", MaxTasks, MaxTasks)
+	}
+	if err != nil {
+		return errors.WithMessage(err, "tasks")
+	}
+	*l = list
+	return nil
+}
+
 // Submission is a job of 1 to MaxTasks tasks.
 type Submission struct {
-	Tasks    []Task            `json:"tasks"`
+	Tasks    TaskList          `json:"tasks"`
 	Urgent   bool              `json:"urgent,omitempty"`
 	Deadline jsontime.Duration `json:"deadline,omitempty"` // counted from receipt; zero means the service's default
 }
