--- a/entry/pkg/inflow/inflow_test.go
+++ b/entry/pkg/inflow/inflow_test.go
@@ -228,7 +228,7 @@
 		require.Zero(t, evicted.status())
 		next.send(post("/", 1, " "))
 		busyNow := int32(i + 2)
-		require.Eventually(t, func() bool { return int32(f.began.Load()) == busyNow }, 5*time.Second, time.Millisecond)
+		require.Eventually(t, func() bool { return f.began.Load() == busyNow }, 5*time.Second, time.Millisecond)
 	}
 	require.Zero(t, f.dial().status(), "all others are being served")
 	close(f.release)
