Refuse early only where the settings ask for shares

Cause: early refusals and jobs that leave early took effect on every deployment, whatever its settings said. Change: a keeper counts for them, tells homes and lets jobs leave only with "order": "share". The test of heartbeats sets it. Result: TestNothingIsCountedForHomesWithoutShares; the tests of entry/pkg/cellhost pass.

--- a/entry/pkg/cellhost/forward_test.go
+++ b/entry/pkg/cellhost/forward_test.go
@@ -157,6 +157,7 @@
 func TestHeartbeatCarriesWhatCannotStart(t *testing.T) {
 	c, members := newMembers(t, blackboard.Member{Name: "b", FailureDomain: north, Size: 1})
 	require.Empty(t, members.ownHeartbeat("b").Excesses)
+	c.keeper.options.Shares = true
 	c.keeper.rates.addOffered(&cell.Job{Queue: "q", Group: "g", Tasks: make([]*cell.Task, 100)}, c.clock.Now())
 	c.keeper.rates.addRefused("q", 100, time.Second)
 	c.keeper.tick()
--- a/entry/pkg/cellhost/keeper_rates.go
+++ b/entry/pkg/cellhost/keeper_rates.go
@@ -11,7 +11,7 @@
 // stepRates corrects the fractions of jobs that homes are to refuse.
 func (k *KeeperController) stepRates() {
 	now := k.common.Clock.Now()
-	if !k.rates.isStepDue(now) {
+	if !k.options.Shares || !k.rates.isStepDue(now) {
 		return
 	}
 	for _, change := range k.rates.step(k.roomElsewhere, now) {
@@ -31,6 +31,14 @@
 	return k.forwarder.RoomElsewhere(queue, group)
 }
 
+// countOffered counts a job that is to start on this keeper's workers, where the settings ask for shares under shortage. Without
+// it nothing is told to homes, and no job is refused or leaves early.
+func (k *KeeperController) countOffered(job *cell.Job, now time.Time) {
+	if k.options.Shares {
+		k.rates.addOffered(job, now)
+	}
+}
+
 // countStarts counts the first starts of tasks that are expected to end in time. The caller holds the lock.
 func (k *KeeperController) countStarts(starts []cell.Start) {
 	for i := range starts {
--- a/entry/pkg/cellhost/keeper_run.go
+++ b/entry/pkg/cellhost/keeper_run.go
@@ -48,7 +48,7 @@
 	if request.Mode == peer.RunNow {
 		return &peer.RunResponse{Declined: true, Reason: "no room at once"}, nil
 	}
-	k.rates.addOffered(job, k.common.Clock.Now())
+	k.countOffered(job, k.common.Clock.Now())
 	leaves := rand.Float64() < k.rates.fraction(job.Queue) // as large a part as finds no room here in time
 	if request.Mode == peer.RunAnywhere {
 		mode := peer.RunNow
@@ -206,7 +206,7 @@
 		}
 		answers = k.addWaiter(ctx, job)
 		if nowOnly {
-			k.rates.addOffered(job, now)
+			k.countOffered(job, now)
 		}
 		return k.cell.Submit(job, now)
 	})
--- a/entry/pkg/cellhost/refusal_rates_test.go
+++ b/entry/pkg/cellhost/refusal_rates_test.go
@@ -165,3 +165,18 @@
 		require.InDelta(t, want, rates.excesses()[0].Refused, 25, room)
 	}
 }
+
+// A deployment whose settings do not ask for shares is served as before.
+func TestNothingIsCountedForHomesWithoutShares(t *testing.T) {
+	for _, shares := range []bool{false, true} {
+		_, own := twoKeepers(t, "127.0.0.1:1")
+		own.options.Shares = shares
+		job := &cell.Job{Queue: "q", Group: "g", Tasks: []*cell.Task{{}, {}}}
+		for range 40 {
+			own.countOffered(job, own.common.Clock.Now())
+			own.rates.addRefused("q", 2, time.Second)
+		}
+		own.stepRates()
+		require.Equal(t, shares, len(own.Excesses()) > 0)
+	}
+}
