Test clients and peers beyond the patterns that are held

Callers saw a host that ran out of memory, or that answered nobody, under requests that each stay inside the limits. These tests show it on the code as it stands; their crowds and bounds are fixed here, the bounds being those that the settings of the tests allow (64 and 192 MiB, 600 descriptors).

--- a/integration/hostile/crowd_test.go
+++ b/integration/hostile/crowd_test.go
@@ -56,15 +56,22 @@
 // pattern is what each member of a crowd does; members stay open when it returns.
 type pattern func(v *victim, m *member)
 
-// endure lets a crowd of a size act and checks that the process lives within its bounds and serves an ordinary caller.
+// endure lets a crowd of a size act at the callers' address and checks that the process lives within its bounds and serves an
+// ordinary caller.
 func (v *victim) endure(size int, act pattern) {
 	v.t.Helper()
-	finish := v.watch()
+	v.endureAt(v.caller, size, act)
+}
+
+// endureAt lets a crowd act at one of the process's addresses.
+func (v *victim) endureAt(address string, size int, act pattern) {
+	v.t.Helper()
+	finish := v.watch(address)
 	var acting, meeting sync.WaitGroup
 	meeting.Add(size)
 	for index := range size {
 		acting.Go(func() {
-			conn, err := (&net.Dialer{Timeout: blockedLongest}).DialContext(context.Background(), "tcp", v.caller)
+			conn, err := (&net.Dialer{Timeout: blockedLongest}).DialContext(context.Background(), "tcp", address)
 			met := sync.OnceFunc(meeting.Done)
 			defer met()
 			if err != nil {
--- a/integration/hostile/patterns_test.go
+++ b/integration/hostile/patterns_test.go
@@ -8,6 +8,12 @@
 	entryCrowd    = 128
 	headCrowd     = 320
 	silentCrowd   = 800
+	payloadCrowd  = 128
+	jobCrowd      = 320
+	refusedCrowd  = 150
+	servedCrowd   = 240
+	closedCrowd   = 200
+	peerCrowd     = 16
 
 	platformMemory = 64 << 20
 	entryMemory    = 192 << 20
@@ -77,3 +83,55 @@
 func TestEntryEnduresSilence(t *testing.T) {
 	newEntry(t).endure(silentCrowd, silence)
 }
+
+func TestEntryEnduresPayloads(t *testing.T) {
+	newEntry(t).endure(payloadCrowd, payloads)
+}
+
+func TestEntryEnduresPayloadsOfJobs(t *testing.T) {
+	newEntry(t).endure(payloadCrowd, payloadsOfJobs)
+}
+
+func TestPlatformEnduresJobsOfManyTasks(t *testing.T) {
+	newPlatform(t).endure(jobCrowd, platformJobsOfManyTasks)
+}
+
+func TestPlatformEnduresMessagesOfPeers(t *testing.T) {
+	v := newPlatform(t)
+	v.endureAt(v.peer, peerCrowd, messagesShortOfTheirEnd)
+}
+
+func TestEntryEnduresMessagesOfPeers(t *testing.T) {
+	v := newEntry(t)
+	v.endureAt(v.peer, peerCrowd, messagesShortOfTheirEnd)
+}
+
+func TestPlatformEnduresSilenceOfPeers(t *testing.T) {
+	v := newPlatform(t)
+	v.endureAt(v.peer, silentCrowd, silence)
+}
+
+func TestEntryEnduresSilenceOfPeers(t *testing.T) {
+	v := newEntry(t)
+	v.endureAt(v.peer, silentCrowd, silence)
+}
+
+func TestEntryEnduresRefusedPayloads(t *testing.T) {
+	newEntry(t).endure(refusedCrowd, refusedPayloads)
+}
+
+func TestPlatformAnswersNewcomersWhileAllConnectionsAreServed(t *testing.T) {
+	newPlatform(t).endureServed(servedCrowd)
+}
+
+func TestEntryAnswersNewcomersWhileAllConnectionsAreServed(t *testing.T) {
+	newEntry(t).endureServed(servedCrowd)
+}
+
+func TestPlatformEnduresClosedConnections(t *testing.T) {
+	newPlatform(t).endure(closedCrowd, closedShortOfTheirEnd)
+}
+
+func TestEntryEnduresClosedConnections(t *testing.T) {
+	newEntry(t).endure(closedCrowd, closedShortOfTheirEnd)
+}
--- a/integration/hostile/programs_test.go
+++ b/integration/hostile/programs_test.go
@@ -30,6 +30,7 @@
 const (
 	queueHost   = "desk.example"
 	queuePath   = "/stock/"
+	firstJob    = "00000000000000aa"
 	group       = "desk"
 	place       = "north"
 	ownerToken  = "the token of the tests' owner"
@@ -39,6 +40,11 @@
 	platformBody = 256 << 10
 	// entryBody is within what the callers' API takes.
 	entryBody = 3 << 20
+	// platformTasks and platformSpec are the most of one job on the users' platform.
+	platformTasks = 1000
+	platformSpec  = 4000
+	// longTask is how long a task runs that keeps its caller waiting.
+	longTask = 8 * time.Second
 )
 
 // freeAddress returns an address nobody listens on any more.
@@ -77,18 +83,30 @@
 	workerServer := httptest.NewServer(worker.Handler())
 	t.Cleanup(workerServer.Close)
 	store.Put("keyed.servers", "i-0", worker.Entry(group, workerServer.Listener.Addr().String(), place, "ready"))
-	caller := freeAddress(t)
+	caller, peer := freeAddress(t), freeAddress(t)
 	v := &victim{
-		t: t, caller: caller, bodyBytes: platformBody, memory: platformMemory, descriptors: descriptors,
-		head: "POST " + queuePath + "00000000000000aa HTTP/1.1\r\nHost: " + queueHost + "\r\n",
+		t: t, caller: caller, peer: peer, bodyBytes: platformBody, memory: platformMemory, descriptors: descriptors,
+		head: "POST " + queuePath + firstJob + " HTTP/1.1\r\nHost: " + queueHost + "\r\n",
 	}
 	var asked atomic.Int64
+	v.long = platformJob(t, runner.Work{Length: longTask, Cores: 10}, 1, 0)
+	v.wide = platformJob(t, runner.Work{Length: time.Second, Cores: 1}, platformTasks, platformSpec)
 	v.ask = func(ctx context.Context) (int, error) { return askPlatform(ctx, caller, asked.Add(1)) }
 	v.start("platform", fmt.Sprintf(`{"name":"host","place":%q,"caller":%q,"ready":%q,"peer":%q,"metrics":%q,"store":%q,"memory":%d,"descriptors":%d}`,
-		place, caller, freeAddress(t), freeAddress(t), freeAddress(t), storeServer.Listener.Addr(), platformMemory>>20, descriptors))
+		place, caller, freeAddress(t), peer, freeAddress(t), storeServer.Listener.Addr(), platformMemory>>20, descriptors))
 	return v
 }
 
+// platformJob returns the body of a job of equal tasks, with a description of at least that many bytes.
+func platformJob(t *testing.T, work runner.Work, tasks, bytes int) string {
+	t.Helper()
+	spec, err := json.Marshal(work)
+	require.NoError(t, err)
+	spec = append(spec, strings.Repeat(" ", max(0, bytes-len(spec)))...)
+	return fmt.Sprintf(`{"best_effort":true,"spec":%q,"steps":[{"count":%d,"cpu":%d,"mem_mb":1,"estimated_ms":%d}]}`,
+		spec, tasks, work.Cores, work.Length.Milliseconds())
+}
+
 func askPlatform(ctx context.Context, caller string, number int64) (int, error) {
 	spec, err := json.Marshal(runner.Work{Length: 10 * time.Millisecond, Cores: 1000})
 	if err != nil {
@@ -121,9 +139,10 @@
 	publishService(t, made.Log.Address())
 	caller := freeAddress(t)
 	v := &victim{
-		t: t, caller: caller, bodyBytes: entryBody, memory: entryMemory, descriptors: descriptors,
+		t: t, caller: caller, peer: peer, bodyBytes: entryBody, memory: entryMemory, descriptors: descriptors,
 		head: "POST /v1/requests HTTP/1.1\r\nHost: " + caller + "\r\nAuthorization: Bearer " + ownerToken + "\r\n",
 	}
+	v.long = fmt.Sprintf(`{"service":"desk","kind":"test","deadline":%q,"payload":{"work":%q}}`, payloadDeadline, longTask)
 	v.ask = func(ctx context.Context) (int, error) { return askEntry(ctx, caller) }
 	v.start("entry", fmt.Sprintf(`{
 		"name": "host", "place": %q, "limits": {"memory": %d, "descriptors": %d},
--- a/integration/hostile/victim_test.go
+++ b/integration/hostile/victim_test.go
@@ -54,12 +54,17 @@
 type victim struct {
 	t           *testing.T
 	caller      string // address for clients
+	peer        string // address for other hosts
 	bodyBytes   int    // largest body that it takes
 	memory      int64  // bytes that its settings allow
 	descriptors int    // that its settings allow
 	head        string // of a submission, up to the header fields of the body
+	long        string // submission, whole, whose task runs for a while and takes little room
+	wide        string // submission, whole, of as many tasks as one may have; empty where none is needed
 	ask         func(ctx context.Context) (status int, err error)
 
+	turn sync.Mutex // held by the member of a crowd that sends, where they do so one after another
+
 	command *exec.Cmd
 	log     string
 	mu      sync.Mutex
@@ -137,16 +142,16 @@
 	descriptors int
 }
 
-// watch looks at the process until the returned function is called.
-func (v *victim) watch() (finish func() usage) {
+// watch looks at the process, and at the bytes for one of its addresses, until the returned function is called.
+func (v *victim) watch(address string) (finish func() usage) {
 	stop, done := make(chan struct{}), make(chan usage, 1)
 	go func() {
 		var most usage
 		for {
-			v.observe(&most)
+			v.observe(address, &most)
 			select {
 			case <-stop:
-				v.observe(&most)
+				v.observe(address, &most)
 				done <- most
 				return
 			case <-time.After(watchEvery):
@@ -159,14 +164,14 @@
 	}
 }
 
-func (v *victim) observe(most *usage) {
+func (v *victim) observe(address string, most *usage) {
 	folder := fmt.Sprintf("/proc/%d", v.command.Process.Pid)
 	status, err := os.ReadFile(folder + "/status")
 	if err != nil {
 		return
 	}
 	most.resident = max(most.resident, kilobytesOf(status, "VmHWM:"))
-	most.withUnread = max(most.withUnread, kilobytesOf(status, "VmRSS:")+unreadAt(v.caller))
+	most.withUnread = max(most.withUnread, kilobytesOf(status, "VmRSS:")+unreadAt(address))
 	if open, err := os.ReadDir(folder + "/fd"); err == nil {
 		most.descriptors = max(most.descriptors, len(open))
 	}
