Bound the memory of the submissions that an entry host has taken

Callers saw a host grow past its memory: bytes were counted until a request was handed on, and nobody counted its payload while the job waited for a slot, ran, or was cancelled with a start still under way. 128 valid requests with payloads of 2 MiB, sent one after another, are enough.

The engine now reserves a job's payloads and 1 KiB a task when it takes the job (limits.jobs, an eighth of the memory), and refuses the job with 503 and Retry-After if they do not fit; the refusal is decided where it is recorded, so a later copy does not start either. A quarter is kept for jobs of up to 32 KiB, and a job of any size is taken when there is no other. A task's payload is dropped when the task ends. A submission that is passed on to its home stays counted as received until it is answered.

--- a/entry/pkg/app/daemon.go
+++ b/entry/pkg/app/daemon.go
@@ -93,7 +93,7 @@
 
 func build(c *common.Common, opened *listeners) *Daemon {
 	board := blackboard.New()
-	engine := newEngine(&board.Dispatch, &c.Settings.Policy)
+	engine := newEngine(&board.Dispatch, c.Settings)
 	entries := ledger.New(ledger.Limits{
 		Window:  c.Settings.Ticket.Window.Std(),
 		Keep:    c.Settings.Ticket.Keep.Std(),
--- a/entry/pkg/app/policies.go
+++ b/entry/pkg/app/policies.go
@@ -14,8 +14,9 @@
 )
 
 // newEngine builds the engine with the decisions that the settings select.
-func newEngine(board *blackboard.Dispatch, policy *settings.Policy) *dispatch.Engine {
-	limits := dispatch.Limits{LongAfter: policy.Long.Std(), LongShare: policy.Share}
+func newEngine(board *blackboard.Dispatch, loaded *settings.Settings) *dispatch.Engine {
+	policy := &loaded.Policy
+	limits := dispatch.Limits{LongAfter: policy.Long.Std(), LongShare: policy.Share, Memory: loaded.Limits.JobBytes()}
 	return dispatch.New(board, newPolicies(policy), limits)
 }
 
--- a/entry/pkg/blackboard/job.go
+++ b/entry/pkg/blackboard/job.go
@@ -81,7 +81,9 @@
 	Accepted    time.Time
 	Deadline    time.Time
 	Tasks       []*Task
-	Remaining   int // number of tasks without a result
+	Remaining   int   // number of tasks without a result
+	Unsettled   int   // number of tasks that wait or run
+	Bytes       int64 // memory that is reserved for it while there are such tasks
 	Started     bool
 	Ran         bool // an outcome confirmed that a task ran
 	Unconfirmed bool // the outcome of a start is unknown
--- a/entry/pkg/caller/server.go
+++ b/entry/pkg/caller/server.go
@@ -113,7 +113,9 @@
 	}
 	request.Wait = wait
 	request.Identity = identityOf(claims, key)
-	inflow.HandOn(c.Request(), api.HeaderTicket)
+	if s.tickets.Own(claims) { // one that is passed on to its home stays counted here until it is answered
+		inflow.HandOn(c.Request(), api.HeaderTicket)
+	}
 	answer := s.submitter.Submit(c.Request().Context(), claims, request)
 	return s.reply(c, bearer, token, key, answer)
 }
--- a/entry/pkg/dispatch/driver_test.go
+++ b/entry/pkg/dispatch/driver_test.go
@@ -132,6 +132,7 @@
 	admission string
 	queue     string
 	share     float64
+	memory    int64 // zero is no bound
 }
 
 func newDriver(seed uint64, fleet fleet, chosen policies) *driver {
@@ -149,7 +150,7 @@
 		starts:     map[string]int{},
 		inDeadline: map[*blackboard.Job]bool{},
 	}
-	limits := dispatch.Limits{LongAfter: longFrom, LongShare: longShare}
+	limits := dispatch.Limits{LongAfter: longFrom, LongShare: longShare, Memory: chosen.memory}
 	if chosen.share > 0 {
 		limits.LongShare = chosen.share
 	}
--- a/entry/pkg/dispatch/engine.go
+++ b/entry/pkg/dispatch/engine.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"chervilusher.dev/entry/pkg/blackboard"
+	"chervilusher.dev/entry/pkg/budget"
 	"chervilusher.dev/entry/pkg/invariant"
 	"chervilusher.dev/lib/api"
 )
@@ -17,12 +18,14 @@
 	deadlines deadlineHeap
 	running   startQueue
 	reserved  map[*blackboard.Task]*blackboard.Backend
+	memory    *budget.Budget // of jobs with tasks that wait or run
 }
 
 // Limits define long work and bound its share of the capacity.
 type Limits struct {
 	LongAfter time.Duration // run time from which a task counts as long
 	LongShare float64       // largest share of a failure domain's capacity that long work may hold
+	Memory    int64         // bytes that jobs with tasks that wait or run may take; 0 is no bound
 }
 
 // maxTries bounds the starts of a task that reaches no back end.
@@ -36,6 +39,7 @@
 		limits:   limits,
 		maxTries: maxTries,
 		reserved: map[*blackboard.Task]*blackboard.Backend{},
+		memory:   budget.New(limits.Memory, smallJobBytes),
 	}
 }
 
@@ -63,7 +67,11 @@
 		e.refreshCapacity(group, now)
 		e.classify(group, task)
 	}
-	if refusal := e.refuse(job, now); refusal != nil {
+	refusal := e.refuse(job, now)
+	if refusal == nil {
+		refusal = e.takeMemory(job)
+	}
+	if refusal != nil {
 		countRefusal(job.Account, refusal)
 		return Effects{}, refusal
 	}
@@ -93,7 +101,7 @@
 	e.policies.Placement.Update(group, backend)
 	switch {
 	case task.Job.Decided():
-		task.State = blackboard.TaskEnded
+		e.settle(task, blackboard.TaskEnded)
 	case outcome.Verdict == VerdictDone:
 		e.complete(task, outcome.Value)
 	case e.mayRetry(group, task, outcome):
--- a/entry/pkg/dispatch/outcome.go
+++ b/entry/pkg/dispatch/outcome.go
@@ -10,7 +10,7 @@
 )
 
 func (e *Engine) complete(task *blackboard.Task, value []byte) {
-	task.State = blackboard.TaskEnded
+	e.settle(task, blackboard.TaskEnded)
 	task.Value = value
 	job := task.Job
 	job.Remaining--
@@ -60,13 +60,13 @@
 }
 
 func (e *Engine) fail(task *blackboard.Task, outcome Outcome) []Stop {
-	task.State = blackboard.TaskEnded
+	state := blackboard.TaskEnded
 	answer := &api.Answer{State: api.StateFailed}
 	prefix := "task " + strconv.Itoa(task.Index)
 	switch outcome.Verdict {
 	case VerdictNotRun:
 		task.Attempt--
-		task.State = blackboard.TaskDropped
+		state = blackboard.TaskDropped
 		answer.Code = api.CodeUnavailable
 		answer.Reason = prefix + " reached no back end: " + outcome.Error
 	case VerdictUnknown:
@@ -76,6 +76,7 @@
 		answer.Code = api.CodeTaskFailed
 		answer.Reason = prefix + " failed: " + outcome.Error
 	}
+	e.settle(task, state)
 	return e.endJob(task.Job, answer)
 }
 
@@ -100,7 +101,7 @@
 	group := e.Group(task.Target.Group)
 	removed := group.Queue.Remove(task)
 	invariant.Check(removed, "queue_holds_waiting", "job %s task %d is queued, but not in the queue", task.Job.ID, task.Index)
-	task.State = blackboard.TaskDropped
+	e.settle(task, blackboard.TaskDropped)
 	e.dequeued(group, task)
 }
 
--- a/entry/pkg/settings/check.go
+++ b/entry/pkg/settings/check.go
@@ -30,6 +30,9 @@
 	if s.Limits.Descriptors < 1 {
 		return errors.Errorf("limits.descriptors is %d; give 1 or more", s.Limits.Descriptors)
 	}
+	if s.Limits.Jobs < 0 {
+		return errors.Errorf("limits.jobs is %d; give 0 or more", s.Limits.Jobs)
+	}
 	if err := s.Clients.Check(); err != nil {
 		return errors.Wrap(err, "clients")
 	}
--- a/entry/pkg/settings/settings.go
+++ b/entry/pkg/settings/settings.go
@@ -41,8 +41,20 @@
 
 // Limits are what the machine allows the process.
 type Limits struct {
-	Memory      int `json:"memory"`      // MiB
-	Descriptors int `json:"descriptors"` // of all kinds
+	Memory      int   `json:"memory"`      // MiB
+	Descriptors int   `json:"descriptors"` // of all kinds
+	Jobs        int64 `json:"jobs"`        // bytes of submissions with tasks that wait or run; 0 derives it from the memory
+}
+
+// jobsPart of the memory is for submissions with tasks that wait or run.
+const jobsPart = 8
+
+// JobBytes returns how many bytes submissions with tasks that wait or run may take.
+func (l *Limits) JobBytes() int64 {
+	if l.Jobs > 0 {
+		return l.Jobs
+	}
+	return int64(l.Memory) << 20 / jobsPart
 }
 
 // Listener is an address to listen on.
