Bound the memory of a host's jobs on the users' platform

Callers saw a host grow to fifteen times its memory and answer nobody: 200 open connections carry 200 jobs of 1,000 tasks, each within the limits, and nobody counted what home and keeper hold for them.

Home and keeper now reserve memory for a job before they hold anything of it (jobs, an eighth of the memory each), refuse or decline at once what does not fit, and give it back when the job is answered. A quarter is kept for jobs of up to 128 KiB (31 tasks at a keeper), and a job of any size is taken when there is no other. A refusal stays true: a home that has the job open for an earlier request, and a keeper where an earlier request may have started something, abandon it instead.

--- a/entry/pkg/cell/cell.go
+++ b/entry/pkg/cell/cell.go
@@ -206,6 +206,12 @@
 	}
 }
 
+// HasJob reports whether a job of the identifier is undecided, or tasks of it still run.
+func (c *Cell) HasJob(id string) bool {
+	_, known := c.byID[id]
+	return known
+}
+
 // CanStartNow reports whether all tasks of the job could start now on workers where they would meet the objective.
 func (c *Cell) CanStartNow(job *Job, now time.Time) bool {
 	c.takeCrashes(job, now)
--- a/entry/pkg/cell/unsettled.go
+++ b/entry/pkg/cell/unsettled.go
@@ -237,7 +237,12 @@
 	if len(c.unsettled.byKey) == 0 {
 		return false
 	}
-	return slices.ContainsFunc(job.Tasks, func(task *Task) bool { return latestEnd(c.unsettled.byTask[task.Name]).After(now) })
+	return slices.ContainsFunc(job.Tasks, func(task *Task) bool { return c.MayStartTaskLate(task.Name, now) })
+}
+
+// MayStartTaskLate reports whether a worker may carry out an earlier start of a task, now or in its next life.
+func (c *Cell) MayStartTaskLate(name string, now time.Time) bool {
+	return latestEnd(c.unsettled.byTask[name]).After(now)
 }
 
 // IsBlocked reports whether a task of the job must not start yet, as a worker may carry out an earlier start.
--- a/entry/pkg/cellhost/home.go
+++ b/entry/pkg/cellhost/home.go
@@ -12,6 +12,7 @@
 	"github.com/apex/log"
 	"github.com/pkg/errors"
 
+	"chervilusher.dev/entry/pkg/budget"
 	"chervilusher.dev/entry/pkg/callerconn"
 	"chervilusher.dev/entry/pkg/cell"
 	"chervilusher.dev/entry/pkg/common"
@@ -105,6 +106,7 @@
 	noKeeperSince time.Time                          // when a job first found no keeper; zero while one is known
 	stopsAt       time.Time                          // when the open jobs will be abandoned; zero until this host is told to stop
 	stopped       bool                               // the open jobs have been abandoned
+	memory        *budget.Budget                     // of the open jobs
 }
 
 // keeperCall is an unanswered call to a keeper.
@@ -128,6 +130,7 @@
 		calls:    map[*keeperCall]struct{}{},
 		openJobs: map[string]context.CancelCauseFunc{},
 		sent:     map[string]sentTasks{},
+		memory:   budget.New(options.Memory, smallJobBytes),
 	}
 }
 
@@ -144,6 +147,11 @@
 		return h.refuseStopping(submission)
 	}
 	defer h.removeJob(submission.ID)
+	bytes := submission.memory()
+	if !h.memory.TryTake(bytes) {
+		return h.refuseForMemory(submission)
+	}
+	defer h.memory.Release(bytes)
 	route := &route{home: h, submission: limited, request: h.newRequest(limited)}
 	answer := route.run(ctx)
 	switch {
--- a/entry/pkg/cellhost/keeper.go
+++ b/entry/pkg/cellhost/keeper.go
@@ -12,6 +12,7 @@
 	"github.com/apex/log"
 	"github.com/pkg/errors"
 
+	"chervilusher.dev/entry/pkg/budget"
 	"chervilusher.dev/entry/pkg/cell"
 	"chervilusher.dev/entry/pkg/common"
 	"chervilusher.dev/entry/pkg/peer"
@@ -62,6 +63,7 @@
 	stopsAt        time.Time    // when this host can run no more jobs; zero until it is told to stop
 	forwarder      Forwarder
 	rates          *refusalRates
+	memory         *budget.Budget // of the jobs in progress here
 }
 
 // Forwarder offers a job that cannot start at once to other keepers.
@@ -92,6 +94,7 @@
 		reports: map[string]*cell.HomeReport{},
 		served:  map[*servedCall]struct{}{},
 		rates:   newRefusalRates(),
+		memory:  budget.New(options.Memory, smallJobBytes),
 
 		droppedTokens: map[string]droppedToken{},
 	}
--- a/entry/pkg/cellhost/keeper_run.go
+++ b/entry/pkg/cellhost/keeper_run.go
@@ -17,6 +17,11 @@
 		cellShed.Inc()
 		return &peer.RunResponse{Declined: true, Reason: "the keeper falls behind"}, nil
 	}
+	bytes := memoryOf(request)
+	if !k.memory.TryTake(bytes) {
+		return k.declineForMemory(request), nil
+	}
+	defer k.memory.Release(bytes)
 	ctx, done := k.serveCall(ctx, request)
 	defer done()
 	job, reason := k.newJob(request)
--- a/entry/pkg/cellhost/options.go
+++ b/entry/pkg/cellhost/options.go
@@ -19,6 +19,8 @@
 
 	KeepApart bool // tasks of queues that slow each other down start on different workers where there is room
 	Shares    bool // queues share a group's workers while these cannot serve all that is offered
+
+	Memory int64 // bytes that the jobs of this host's callers may take, and as many those that it runs; 0 is no bound
 }
 
 // limits returns the limits of the keeper's cell. A forwarder tells the keeper with its next heartbeat when it last heard the
