Bound what a keeper holds of jobs whose callers have left

Callers saw a host grow past its memory again under jobs of 1,000 tasks that are given up at once: a job's memory was given back when it was answered, while its runs were still being stopped. Each repetition of a stop had a goroutine of its own beside the last one (16,000 in a trial), each stop without a clear end polled the worker, and each poll had all lists of the worker in memory (58 MiB of parsed lists in a heap profile). The home counted a job only after its list of tasks was built.

A keeper now sends one stop of a run at a time and four polls of a worker, where a poll that has not begun serves all who ask meanwhile, and gives a job's memory back when its runs and the orders for them have ended, at the latest when none can be left. The home reserves a job's memory before it builds the tasks.

--- a/entry/pkg/cellhost/home.go
+++ b/entry/pkg/cellhost/home.go
@@ -147,11 +147,6 @@
 		return h.refuseStopping(submission)
 	}
 	defer h.removeJob(submission.ID)
-	bytes := submission.memory()
-	if !h.memory.TryTake(bytes) {
-		return h.refuseForMemory(submission)
-	}
-	defer h.memory.Release(bytes)
 	route := &route{home: h, submission: limited, request: h.newRequest(limited)}
 	answer := route.run(ctx)
 	switch {
--- a/entry/pkg/cellhost/keeper.go
+++ b/entry/pkg/cellhost/keeper.go
@@ -64,6 +64,8 @@
 	forwarder      Forwarder
 	rates          *refusalRates
 	memory         *budget.Budget // of the jobs in progress here
+	orders         *openOrders
+	endingJobs     []endingJob // answered jobs with memory that their runs and orders still take
 }
 
 // Forwarder offers a job that cannot start at once to other keepers.
@@ -95,6 +97,7 @@
 		served:  map[*servedCall]struct{}{},
 		rates:   newRefusalRates(),
 		memory:  budget.New(options.Memory, smallJobBytes),
+		orders:  newOpenOrders(),
 
 		droppedTokens: map[string]droppedToken{},
 	}
@@ -126,6 +129,7 @@
 	var changes []cell.ShortageChange
 	k.apply(func(now time.Time) cell.Effects {
 		effects := k.cell.Tick(now)
+		k.releaseEnded(now)
 		changes = k.cell.ShortageChanges()
 		return effects
 	})
@@ -167,11 +171,21 @@
 func (k *KeeperController) execute(effects *cell.Effects) {
 	for i := range effects.Starts {
 		start := effects.Starts[i]
-		go k.sendStart(start)
+		k.orders.beginStart(start.Run)
+		go func() {
+			defer k.orders.endStart(start.Run)
+			k.sendStart(start)
+		}()
 	}
 	for i := range effects.Stops {
 		stop := effects.Stops[i]
-		go k.sendStop(stop)
+		if !k.orders.beginStop(&stop) {
+			continue // one is on its way; the cell repeats it if need be
+		}
+		go func() {
+			defer k.orders.endStop(&stop)
+			k.sendStop(stop)
+		}()
 	}
 	for _, worker := range effects.Polls {
 		if loop := k.findLoop(worker.ID); loop != nil {
--- a/entry/pkg/cellhost/keeper_run.go
+++ b/entry/pkg/cellhost/keeper_run.go
@@ -21,7 +21,7 @@
 	if !k.memory.TryTake(bytes) {
 		return k.declineForMemory(request), nil
 	}
-	defer k.memory.Release(bytes)
+	defer k.releaseMemory(request.ID, bytes)
 	ctx, done := k.serveCall(ctx, request)
 	defer done()
 	job, reason := k.newJob(request)
--- a/entry/pkg/cellhost/memory_test.go
+++ b/entry/pkg/cellhost/memory_test.go
@@ -46,14 +46,38 @@
 
 func TestHomeRefusesWhatItCannotHold(t *testing.T) {
 	c, _, home := callsFixture(t)
+	release, refusal := home.Reserve("j", 10, 10)
+	require.Nil(t, refusal)
+	release()
+
 	home.memory = fullBudget()
-	submission := shortSubmission("j", time.Millisecond, c.clock.Now().Add(time.Second))
-	answer := home.Serve(t.Context(), submission)
-	require.Equal(t, cell.Refused, answer.Outcome)
-	require.Positive(t, answer.RetryAfter)
-	require.Zero(t, home.OpenJobs())
+	_, refusal = home.Reserve("j", 10, 10)
+	require.Equal(t, cell.Refused, refusal.Outcome)
+	require.Positive(t, refusal.RetryAfter)
 
+	submission := shortSubmission("j", time.Millisecond, c.clock.Now().Add(time.Second))
 	_, added := home.addJob(submission, func(error) {})
 	require.True(t, added)
-	require.Equal(t, cell.Abandoned, home.Serve(t.Context(), submission).Outcome, "an earlier request for it is open")
+	_, refusal = home.Reserve("j", 10, 10)
+	require.Nil(t, refusal, "an earlier request for it is open")
+	require.Equal(t, cell.Abandoned, home.Serve(t.Context(), submission).Outcome)
+}
+
+// TestMemoryOfAJobIsHeldUntilItsRunsHaveEnded guards against callers that leave at once: the runs of their jobs still have to be
+// stopped.
+func TestMemoryOfAJobIsHeldUntilItsRunsHaveEnded(t *testing.T) {
+	k := newKeeperFixture(t)
+	k.keeper.options.ResubmitDelay = DefaultResubmitDelay
+	k.keeper.memory = budget.New(smallJobBytes, smallJobBytes)
+	require.True(t, k.keeper.memory.TryTake(smallJobBytes))
+	k.keeper.cell.Submit(k.job(), k.clock.Now())
+	k.keeper.releaseMemory("j", smallJobBytes)
+	k.keeper.tick()
+	require.False(t, k.keeper.memory.TryTake(1))
+	k.clock.Advance(DefaultResubmitDelay)
+	k.keeper.tick()
+	require.True(t, k.keeper.memory.TryTake(smallJobBytes), "no run can be left")
+
+	k.keeper.releaseMemory("unknown", smallJobBytes)
+	require.True(t, k.keeper.memory.TryTake(smallJobBytes))
 }
--- a/entry/pkg/cellhost/worker_loop.go
+++ b/entry/pkg/cellhost/worker_loop.go
@@ -10,6 +10,10 @@
 	"chervilusher.dev/entry/pkg/cell"
 )
 
+// maxPolls bounds the polls of one worker in progress, each of which has the worker's lists in memory; others may be without an
+// answer.
+const maxPolls = 4
+
 // workerLoop holds one worker: it renews the worker's lease and reads its lists.
 type workerLoop struct {
 	keeper      *KeeperController
@@ -21,6 +25,8 @@
 	cancel      context.CancelFunc
 	raises      int
 	heldByOther atomic.Bool // another keeper holds the worker
+	pollPending atomic.Bool // a poll waits until it may begin
+	polls       chan struct{}
 
 	releasingSince time.Time // since when the worker is being released; guarded by the keeper's lock
 }
@@ -34,6 +40,7 @@
 		epoch:  epoch,
 		ctx:    ctx,
 		cancel: cancel,
+		polls:  make(chan struct{}, maxPolls),
 	}
 	loop.token.Store(epoch)
 	return loop
@@ -122,8 +129,15 @@
 	return nil
 }
 
-// poll reads the lists at once, beside the waiting call; a call whose answer is lost is repeated once.
+// poll reads the lists at once, beside the waiting call; a call whose answer is lost is repeated once. It does nothing while an
+// earlier poll has not begun, whose answer will do.
 func (l *workerLoop) poll() {
+	if !l.pollPending.CompareAndSwap(false, true) {
+		return
+	}
+	l.polls <- struct{}{}
+	defer func() { <-l.polls }()
+	l.pollPending.Store(false)
 	for range pollAttempts {
 		if l.heldByOther.Load() || l.ctx.Err() != nil {
 			return
--- a/integration/hostile/closed_test.go
+++ b/integration/hostile/closed_test.go
@@ -4,22 +4,42 @@
 	"context"
 	"fmt"
 	"net"
+	"time"
 )
 
-// closings is how often each member comes back.
-const closings = 20
+const (
+	// closings is how often each member comes back with a body, and givenUp with a job.
+	closings = 20
+	givenUp  = 100
+	// givenUpAfter is how long a member waits for the answer to a job that it gives up.
+	givenUpAfter = 2 * time.Millisecond
+)
 
-// closedShortOfTheirEnd opens connections, sends bodies short of their end, and closes them again.
-func closedShortOfTheirEnd(v *victim, m *member) {
-	text := body(v.bodyBytes)
-	head := fmt.Sprintf("%sContent-Length: %d\r\n\r\n", v.head, len(text))
-	for range closings {
+// comeBack acts on a new connection that many times, and closes it.
+func (v *victim) comeBack(m *member, times int, act func(again *member)) {
+	for count := range times {
 		conn, err := (&net.Dialer{Timeout: blockedLongest}).DialContext(context.Background(), "tcp", v.caller)
 		if err != nil {
 			continue
 		}
-		again := &member{index: m.index, conn: conn}
-		_ = again.send(head) && again.send(text[:len(text)-1])
+		act(&member{index: m.index + count<<16, conn: conn})
 		_ = conn.Close()
 	}
 }
+
+// jobsGivenUp sends jobs of as many tasks as one may have, and closes each connection before the answer.
+func jobsGivenUp(v *victim, m *member) {
+	v.comeBack(m, givenUp, func(again *member) {
+		again.sendWhole(v.patientHead(again), v.wide)
+		time.Sleep(givenUpAfter)
+	})
+}
+
+// closedShortOfTheirEnd opens connections, sends bodies short of their end, and closes them again.
+func closedShortOfTheirEnd(v *victim, m *member) {
+	text := body(v.bodyBytes)
+	head := fmt.Sprintf("%sContent-Length: %d\r\n\r\n", v.head, len(text))
+	v.comeBack(m, closings, func(again *member) {
+		_ = again.send(head) && again.send(text[:len(text)-1])
+	})
+}
--- a/integration/hostile/patterns_test.go
+++ b/integration/hostile/patterns_test.go
@@ -13,6 +13,7 @@
 	refusedCrowd  = 150
 	servedCrowd   = 240
 	closedCrowd   = 200
+	repeatCrowd   = 64
 	peerCrowd     = 16
 
 	platformMemory = 64 << 20
@@ -96,6 +97,10 @@
 	newPlatform(t).endure(jobCrowd, platformJobsOfManyTasks)
 }
 
+func TestPlatformEnduresJobsOfManyTasksThatAreGivenUp(t *testing.T) {
+	newPlatform(t).endure(repeatCrowd, jobsGivenUp)
+}
+
 func TestPlatformEnduresMessagesOfPeers(t *testing.T) {
 	v := newPlatform(t)
 	v.endureAt(v.peer, peerCrowd, messagesShortOfTheirEnd)
