Bound what other hosts can make a process hold

Whoever reaches the peers' address could end a host: a message may have 64 MiB, each connection buffered one until it was whole, and the number of connections had no bound.

A quarter is kept for messages of up to 32 KiB, such as heartbeats. Beyond peers.connections (half of the descriptors beyond 200) unused connections are closed first.

--- a/entry/pkg/app/listeners.go
+++ b/entry/pkg/app/listeners.go
@@ -24,7 +24,7 @@
 	sources  []*certificate.Source
 	toPeers  peer.TLSSource // nil for plain TCP
 
-	callerGate, operatorGate *inflow.Gate
+	callerGate, operatorGate, peerGate *inflow.Gate
 }
 
 // listen opens the daemon's addresses; the error names the setting that is wrong.
@@ -39,7 +39,7 @@
 	}{
 		{"caller", c.Settings.Caller.Listen, c.Settings.Caller.TLS, opened.callerGate.Listen, &opened.caller},
 		{"operator", c.Settings.Operator.Listen, c.Settings.Operator.TLS, opened.operatorGate.Listen, &opened.operator},
-		{"peer", c.Settings.Peer.Listen, c.Settings.Peer.TLS, listenPlain, &opened.peer},
+		{"peer", c.Settings.Peer.Listen, c.Settings.Peer.TLS, opened.peerGate.Listen, &opened.peer},
 	} {
 		source, err := opened.source(c, wanted.files)
 		if err != nil {
@@ -63,7 +63,7 @@
 // operatorConnections bounds those of operators and probes, who may also hold half as many bytes as callers.
 const operatorConnections = 64
 
-// openGates returns the gates of the addresses that others than hosts reach.
+// openGates returns the gates of the addresses.
 func openGates(s *settings.Settings) *listeners {
 	clock := clockwork.NewRealClock()
 	memory := int64(s.Limits.Memory) << 20
@@ -72,14 +72,10 @@
 	return &listeners{
 		callerGate:   inflow.New(s.Clients.For(memory, s.Limits.Descriptors), clock),
 		operatorGate: inflow.New(operators, clock),
+		peerGate:     inflow.NewForMessages(s.Peers.For(memory, s.Limits.Descriptors), clock),
 	}
 }
 
-func listenPlain(ctx context.Context, address string) (net.Listener, error) {
-	var config net.ListenConfig
-	return config.Listen(ctx, "tcp", address)
-}
-
 // source returns the files of one address, or nil if none are named.
 func (l *listeners) source(c *common.Common, files settings.TLS) (*certificate.Source, error) {
 	if !files.Enabled() {
--- a/entry/pkg/inflow/budget.go
+++ b/entry/pkg/inflow/budget.go
@@ -46,7 +46,7 @@
 	defer b.mu.Unlock()
 	b.turn++
 	c.progress = b.turn
-	if c.phase == serving || c.phase == discarding {
+	if (c.phase == serving && !c.messages) || c.phase == discarding {
 		return nil // what is read ahead of an answer is bounded by the buffers of net/http, and what is discarded isn't held
 	}
 	if c.phase == idle {
@@ -90,7 +90,7 @@
 func (b *budget) slowest(besides *conn) *conn {
 	var found *conn
 	for each := range b.connections {
-		if each == besides || each.condemned || each.held == 0 || (each.phase != head && each.phase != body) {
+		if each == besides || !b.mayGiveUp(each) {
 			continue
 		}
 		if found == nil || b.isSlower(each, found) {
@@ -100,6 +100,15 @@
 	return found
 }
 
+// mayGiveUp reports whether a connection holds bytes that are not worth more than others'. One of messages may be receiving the next
+// message while a call is served.
+func (b *budget) mayGiveUp(c *conn) bool {
+	if c.condemned || c.held == 0 {
+		return false
+	}
+	return c.phase == head || c.phase == body || (c.messages && c.held > b.limits.Small)
+}
+
 func (b *budget) isSlower(one, other *conn) bool {
 	if oneLarge := one.held > b.limits.Small; oneLarge != (other.held > b.limits.Small) {
 		return oneLarge
--- a/entry/pkg/inflow/conn.go
+++ b/entry/pkg/inflow/conn.go
@@ -29,6 +29,8 @@
 	clock  clockwork.Clock
 	inBody atomic.Bool // its handler waits for the rest of a body
 
+	messages bool // it carries messages and no HTTP
+
 	writesUntil atomic.Pointer[time.Time] // the deadline of writes
 
 	// The budget guards what follows.
@@ -53,7 +55,7 @@
 	count, err := c.TCPConn.Read(buffer)
 	if count > 0 {
 		cost := int64(count)
-		if !inBody {
+		if !inBody && !c.messages {
 			cost += lineBytes * int64(bytes.Count(buffer[:count], []byte{'\n'}))
 		}
 		if err := c.budget.take(c, cost); err != nil {
--- a/entry/pkg/inflow/gate.go
+++ b/entry/pkg/inflow/gate.go
@@ -24,8 +24,9 @@
 
 // Gate bounds what the clients of one address hold.
 type Gate struct {
-	budget *budget
-	clock  clockwork.Clock
+	budget   *budget
+	clock    clockwork.Clock
+	messages bool // its connections carry messages and no HTTP
 }
 
 // New returns a gate with bounds none of which is 0. The clock must be the one that deadlines of connections go by.
@@ -33,6 +34,11 @@
 	return &Gate{budget: newBudget(limits), clock: clock}
 }
 
+// NewForMessages returns a gate for connections that carry messages, which their reader tells it of by BeginCall and EndCall.
+func NewForMessages(limits Settings, clock clockwork.Clock) *Gate {
+	return &Gate{budget: newBudget(limits), clock: clock, messages: true}
+}
+
 // Held returns the bytes that were received and not handed on, and the number of connections.
 func (g *Gate) Held() (bytes int64, connections int) {
 	g.budget.mu.Lock()
@@ -70,7 +76,7 @@
 		if !ok {
 			return accepted, nil
 		}
-		added := &conn{TCPConn: raw, budget: l.gate.budget, clock: l.gate.clock}
+		added := &conn{TCPConn: raw, budget: l.gate.budget, clock: l.gate.clock, messages: l.gate.messages}
 		victim := l.gate.budget.admit(added)
 		if victim != nil {
 			_ = victim.TCPConn.Close()
@@ -86,17 +92,25 @@
 
 // WithConn returns a context that carries the connection of its requests, as http.Server.ConnContext has it.
 func WithConn(ctx context.Context, raw net.Conn) context.Context {
+	if counted := countedOf(raw); counted != nil {
+		return context.WithValue(ctx, contextKey{}, counted)
+	}
+	return ctx
+}
+
+// countedOf returns the counted connection beneath others, or nil.
+func countedOf(raw net.Conn) *conn {
 	for raw != nil {
 		if counted, ok := raw.(*conn); ok {
-			return context.WithValue(ctx, contextKey{}, counted)
+			return counted
 		}
 		outer, ok := raw.(interface{ NetConn() net.Conn })
 		if !ok {
-			return ctx
+			return nil
 		}
 		raw = outer.NetConn()
 	}
-	return ctx
+	return nil
 }
 
 func connOf(r *http.Request) *conn {
--- a/entry/pkg/inflow/settings.go
+++ b/entry/pkg/inflow/settings.go
@@ -36,6 +36,33 @@
 	receiveBuffer = 32 << 10
 )
 
+// Peers bound what other hosts can make a process hold; where they say 0 the bound is derived from the machine.
+type Peers struct {
+	Connections int   `json:"connections"` // most open ones; 0 derives it
+	Bytes       int64 `json:"bytes"`       // most bytes of messages that were not received whole; 0 derives it
+}
+
+// Check reports the first setting that is wrong, by its key.
+func (p *Peers) Check() error {
+	if p.Connections < 0 || p.Bytes < 0 {
+		return errors.New("connections and bytes must not be below 0")
+	}
+	return nil
+}
+
+// For returns the bounds for what a machine allows its process: bytes of memory, and descriptors.
+func (p *Peers) For(memory int64, descriptors int) Settings {
+	s := Default(0, 0)
+	s.Connections, s.Bytes = p.Connections, p.Bytes
+	if s.Connections == 0 {
+		s.Connections = max(1, (descriptors-reservedDescriptors)/2)
+	}
+	if s.Bytes == 0 {
+		s.Bytes = memory / bytesPart
+	}
+	return s
+}
+
 // Default returns settings for bodies up to a size.
 func Default(body int64, headTime time.Duration) Settings {
 	return Settings{
--- a/entry/pkg/peer/server.go
+++ b/entry/pkg/peer/server.go
@@ -15,6 +15,7 @@
 	"storj.io/drpc/drpcserver"
 
 	"chervilusher.dev/entry/pkg/callerconn"
+	"chervilusher.dev/entry/pkg/inflow"
 )
 
 // panics counts calls that ended in a panic.
@@ -50,7 +51,10 @@
 		if err := stream.MsgRecv(&request, encoding{}); err != nil {
 			return err
 		}
-		response, err := serve(callContext(stream), &request)
+		raw := transportOf(stream)
+		inflow.BeginCall(raw)
+		defer inflow.EndCall(raw)
+		response, err := serve(callerconn.WithConn(stream.Context(), raw), &request)
 		if err != nil {
 			return err
 		}
@@ -58,15 +62,14 @@
 	}
 }
 
-// callContext returns the stream's context with the connection of its caller, for callerconn.
-func callContext(stream drpc.Stream) context.Context {
-	ctx := stream.Context()
-	if transport, ok := drpcctx.Transport(ctx); ok {
+// transportOf returns the connection of a stream's caller, or nil.
+func transportOf(stream drpc.Stream) net.Conn {
+	if transport, ok := drpcctx.Transport(stream.Context()); ok {
 		if counted, ok := transport.(countedConn); ok {
-			return callerconn.WithConn(ctx, counted.Conn)
+			return counted.Conn
 		}
 	}
-	return ctx
+	return nil
 }
 
 // HandleRPC implements drpc.Handler. A panic fails its call and not the process, which serves other callers.
--- a/entry/pkg/settings/check.go
+++ b/entry/pkg/settings/check.go
@@ -36,6 +36,9 @@
 	if err := s.Clients.Check(); err != nil {
 		return errors.Wrap(err, "clients")
 	}
+	if err := s.Peers.Check(); err != nil {
+		return errors.Wrap(err, "peers")
+	}
 	if err := s.checkAddresses(); err != nil {
 		return err
 	}
--- a/entry/pkg/settings/settings.go
+++ b/entry/pkg/settings/settings.go
@@ -21,6 +21,8 @@
 	Limits Limits `json:"limits"`
 	// Clients bound what callers can make the process hold.
 	Clients inflow.Settings `json:"clients"`
+	// Peers bound what other hosts can make the process hold.
+	Peers inflow.Peers `json:"peers"`
 	// Caller is the address that callers connect to.
 	Caller Listener `json:"caller"`
 	// Operator is the address that operators and probes connect to.
