Take a worker's refusal with a text for what it is

Callers got task_unknown ("may have run") for tasks that a worker had refused: its answer with ran: no carried a text of the type "text/plain; charset=utf-8", which the client read as JSON, took for a lost answer, and then asked for a task that the worker never had. The body of a refusal need no longer be JSON; that of a success must be, whatever its media type says.

TestRefusalWithATextIsTaken: unknown before, not run and busy now.

--- a/entry/pkg/worker/client.go
+++ b/entry/pkg/worker/client.go
@@ -218,8 +218,9 @@
 	if err != nil {
 		return 0, nil, errors.WithStack(err)
 	}
-	if result != nil && len(raw) > 0 && response.Header.Get("Content-Type") != "text/plain" {
-		if err := json.Unmarshal(raw, result); err != nil {
+	if result != nil && len(raw) > 0 {
+		// A refusal may carry a text; its status and header tell enough.
+		if err := json.Unmarshal(raw, result); err != nil && response.StatusCode < http.StatusBadRequest {
 			return 0, nil, errors.WithStack(err)
 		}
 	}
--- a/entry/pkg/worker/client_test.go
+++ b/entry/pkg/worker/client_test.go
@@ -74,6 +74,19 @@
 	require.Equal(t, dispatch.VerdictUnknown, startAt(t, &fakeWorker{start: failStart, query: absent}).Verdict)
 }
 
+// TestRefusalWithATextIsTaken guards against a refusal that passes for a lost answer, after which nobody can say that the task has
+// not run.
+func TestRefusalWithATextIsTaken(t *testing.T) {
+	absent := func(id string) platform.TaskStatus { return platform.TaskStatus{Task: id, State: platform.TaskAbsent} }
+	outcome := startAt(t, &fakeWorker{query: absent, start: func(out http.ResponseWriter, id string) {
+		out.Header().Set(platform.HeaderTask, id)
+		out.Header().Set(platform.HeaderRan, "no")
+		http.Error(out, "no free core", http.StatusServiceUnavailable)
+	}})
+	require.Equal(t, dispatch.VerdictNotRun, outcome.Verdict)
+	require.True(t, outcome.Busy)
+}
+
 func TestConflictReportsTheRejectedFencingToken(t *testing.T) {
 	outcome := startAt(t, &fakeWorker{start: refuse("own", http.StatusConflict), query: done})
 	require.Equal(t, dispatch.VerdictNotRun, outcome.Verdict)
