End a task whose payload its back end refuses

Callers without a fault of their own got no answer for 40 s beside 150 requests of 300 bytes whose payload the endpoint refuses (400, ran: no): each was started again until its deadline, at one endpoint after the other, and every refusal counted as a failure of the endpoint, which was ejected or got no work for a while.

A refusal with 400, 413, 415 or 422 is for the payload, and any other back end would give it too. The task now ends with bad_payload (422, ran as for any failure, "no" if no other task of the job has run). The refusal counts neither for the health of the back end nor against an objective.

--- a/entry/pkg/health/health_test.go
+++ b/entry/pkg/health/health_test.go
@@ -140,11 +140,12 @@
 	require.Zero(t, backend.RecoveryLimit)
 }
 
-func TestStoppedRunsDoNotAffectHealth(t *testing.T) {
+func TestStoppedRunsAndRefusedPayloadsDoNotAffectHealth(t *testing.T) {
 	group := newGroup(8)
 	policy := health.New(0.1, 0.5)
 	for range 290 {
 		policy.Observe(group, group.Backends["0"], dispatch.Outcome{Verdict: dispatch.VerdictFailed, Stopped: true}, epoch)
+		policy.Observe(group, group.Backends["0"], dispatch.Outcome{Verdict: dispatch.VerdictNotRun, Payload: true}, epoch)
 	}
 	require.Zero(t, countEjected(group))
 	require.Zero(t, group.Backends["0"].FailureRate)
--- a/entry/pkg/minion/client.go
+++ b/entry/pkg/minion/client.go
@@ -126,6 +126,7 @@
 			Verdict: dispatch.VerdictNotRun,
 			Error:   "status " + strconv.Itoa(response.StatusCode),
 			Busy:    response.StatusCode == http.StatusServiceUnavailable,
+			Payload: platform.RefusesPayload(response.StatusCode),
 		}
 	}
 	if response.StatusCode != http.StatusOK {
--- a/entry/pkg/minion/client_test.go
+++ b/entry/pkg/minion/client_test.go
@@ -74,6 +74,7 @@
 		handler http.HandlerFunc
 		verdict dispatch.Verdict
 		busy    bool
+		payload bool
 	}{
 		"done": {
 			handler: respondWith(http.StatusOK, `{"echo":1}`, ""),
@@ -84,6 +85,19 @@
 			verdict: dispatch.VerdictNotRun,
 			busy:    true,
 		},
+		"refused payload": {
+			handler: respondWith(http.StatusBadRequest, ``, "no"),
+			verdict: dispatch.VerdictNotRun,
+			payload: true,
+		},
+		"withdrawn": {
+			handler: respondWith(http.StatusGone, ``, "no"),
+			verdict: dispatch.VerdictNotRun,
+		},
+		"refused payload that may have run": {
+			handler: respondWith(http.StatusBadRequest, ``, ""),
+			verdict: dispatch.VerdictFailed,
+		},
 		"failed": {
 			handler: respondWith(http.StatusInternalServerError, ``, ""),
 			verdict: dispatch.VerdictFailed,
@@ -111,6 +125,7 @@
 			outcome := New(newBoundedClient).Start(context.Background(), newStart(server.Listener.Addr().String(), "a", 1))
 			require.Equal(t, test.verdict, outcome.Verdict, outcome.Error)
 			require.Equal(t, test.busy, outcome.Busy)
+			require.Equal(t, test.payload, outcome.Payload)
 		})
 	}
 }
--- a/entry/pkg/worker/client.go
+++ b/entry/pkg/worker/client.go
@@ -115,6 +115,7 @@
 		Verdict: dispatch.VerdictNotRun,
 		Error:   fmt.Sprintf("status %d", code),
 		Busy:    code == http.StatusServiceUnavailable,
+		Payload: platform.RefusesPayload(code),
 	}
 	if code == http.StatusConflict {
 		outcome.Busy = true
--- a/lib/api/answer.go
+++ b/lib/api/answer.go
@@ -49,6 +49,7 @@
 	CodeDraining     Code = "draining"     // the entry host is stopping
 	CodeUnavailable  Code = "unavailable"  // the home or every back end cannot be reached now
 	CodeExpired      Code = "expired"      // the deadline passed before the work ended
+	CodeBadPayload   Code = "bad_payload"  // a task's payload is refused by its back end
 	CodeTaskFailed   Code = "task_failed"  // a task ended with an error
 	CodeTaskUnknown  Code = "task_unknown" // a start's outcome cannot be learnt
 	CodeCancelled    Code = "cancelled"    // the caller cancelled the job
@@ -103,6 +104,7 @@
 	CodeDraining:     http.StatusServiceUnavailable,
 	CodeUnavailable:  http.StatusServiceUnavailable,
 	CodeExpired:      http.StatusGatewayTimeout,
+	CodeBadPayload:   http.StatusUnprocessableEntity,
 	CodeTaskFailed:   http.StatusBadGateway,
 	CodeTaskUnknown:  http.StatusBadGateway,
 	CodeCancelled:    http.StatusConflict,
--- a/lib/platform/tasks.go
+++ b/lib/platform/tasks.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net/http"
 
 	"chervilusher.dev/lib/jsontime"
 )
@@ -14,6 +15,16 @@
 	HeaderRan   = "Chervilusher-Ran"   // "no" on a refusal that started nothing
 )
 
+// RefusesPayload reports whether a refusal of that HTTP status is for the payload itself, so that no other back end would take it.
+func RefusesPayload(status int) bool {
+	switch status {
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnsupportedMediaType, http.StatusUnprocessableEntity:
+		return true
+	default:
+		return false
+	}
+}
+
 // TaskState is what a minion or worker knows of a task.
 type TaskState string
 
