Answer newcomers while as many connections as possible are being served

A caller who came while all connections were being served was cut off without an answer (EOF, or a reset), for as long as these lasted: a served connection is never closed for another, so the newcomer itself was.

A sixteenth of the connections is now kept for those whose request is not served yet. A request whose service would leave fewer is refused once it was read, in the form of each program and before anything of it runs; so there is always a connection besides the served ones that can give way, and the newcomer's head is read and answered. Requests without a body that are refused before their handler now get the body that the API promises, too.

--- a/entry/pkg/app/daemon.go
+++ b/entry/pkg/app/daemon.go
@@ -137,8 +137,8 @@
 		common:      c.Prefixed("app"),
 		board:       board,
 		listeners:   opened,
-		callers:     newHTTPServer(caller.New(c, board, tickets, routing).Handler(), opened.callerGate),
-		operators:   newHTTPServer(operators.Handler(), opened.operatorGate),
+		callers:     newHTTPServer(caller.New(c, board, tickets, routing).Handler(), opened.callerGate, caller.Refusals()),
+		operators:   newHTTPServer(operators.Handler(), opened.operatorGate, http.HandlerFunc(inflow.Refuse)),
 		peers:       peerServer,
 		peerClient:  peerClient,
 		dispatcher:  dispatcher,
@@ -194,8 +194,8 @@
 	}
 }
 
-func newHTTPServer(handler http.Handler, gate *inflow.Gate) *http.Server {
+func newHTTPServer(handler http.Handler, gate *inflow.Gate, refusals http.Handler) *http.Server {
 	server := &http.Server{Handler: handler, ConnContext: inflow.WithConn}
-	gate.Limit(server)
+	gate.Limit(server, refusals)
 	return server
 }
--- a/entry/pkg/caller/server.go
+++ b/entry/pkg/caller/server.go
@@ -50,6 +50,14 @@
 	return router
 }
 
+// Refusals returns the handler of requests that this host does not take, as it has too many.
+func Refusals() http.Handler {
+	router := echo.New()
+	router.HTTPErrorHandler = answerError
+	router.Any("/*", func(echo.Context) error { return inflow.ErrCrowded })
+	return router
+}
+
 func (s *Server) issueTicket(c echo.Context) error {
 	bearer, err := s.authenticate(c)
 	if err != nil {
--- a/entry/pkg/inflow/bench_test.go
+++ b/entry/pkg/inflow/bench_test.go
@@ -45,7 +45,7 @@
 		_, _ = w.Write([]byte(`{"state":"completed"}`))
 	})
 	if gated {
-		gate.Limit(server)
+		gate.Limit(server, http.HandlerFunc(Refuse))
 	}
 	listener, err := listen()
 	require.NoError(b, err)
--- a/entry/pkg/inflow/budget.go
+++ b/entry/pkg/inflow/budget.go
@@ -29,6 +29,7 @@
 	freeing     int64     // those of them that condemned connections will give back
 	turn        int64     // counts reads, to tell who has made no progress for longest
 	connections map[*conn]struct{}
+	serving     int // connections in that phase
 
 	decoding chan struct{} // taken while a large body is decoded
 }
@@ -125,6 +126,28 @@
 	b.space.Broadcast()
 }
 
+// setPhase moves a connection to a phase.
+func (b *budget) setPhase(c *conn, to phase) {
+	if c.phase == serving {
+		b.serving--
+	}
+	if to == serving {
+		b.serving++
+	}
+	c.phase = to
+}
+
+// serve moves a connection to serving, and reports whether another one may be served: some are kept for newcomers, who would get no
+// answer otherwise, not even a refusal.
+func (b *budget) serve(c *conn) bool {
+	if b.serving >= b.limits.served() {
+		refused.served.Inc()
+		return false
+	}
+	b.setPhase(c, serving)
+	return true
+}
+
 // release gives all bytes of a connection back.
 func (b *budget) release(c *conn) {
 	if c.condemned {
@@ -149,8 +172,8 @@
 	b.space.Broadcast()
 }
 
-// admit counts a new connection. If there are too many, it returns one that is to be closed for it, which is the new one if all
-// others are being served.
+// admit counts a new connection. If there are too many, it returns one that is to be closed for it, which is the new one only if
+// calls of all others are being served.
 func (b *budget) admit(c *conn) (victim *conn) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -185,6 +208,7 @@
 		return
 	}
 	b.release(c)
+	b.setPhase(c, ended)
 	delete(b.connections, c)
 	c.condemned = true
 }
--- a/entry/pkg/inflow/conn.go
+++ b/entry/pkg/inflow/conn.go
@@ -186,18 +186,19 @@
 	return c.phase == idle || c.phase == discarding || c.phase == ended
 }
 
-// begin notes that a handler has the request; it returns false if the connection was condemned before.
+// begin notes that a handler has the request; it returns false if the connection was condemned before, or too many are being served.
 func (c *conn) begin(hasBody bool) bool {
 	c.budget.mu.Lock()
 	defer c.budget.mu.Unlock()
 	if c.condemned {
 		return false
 	}
-	c.phase, c.limited, c.headHeld, c.undecoded = serving, false, c.held, 0
-	if hasBody {
-		c.phase = body
-		c.inBody.Store(true)
+	c.limited, c.headHeld, c.undecoded = false, c.held, 0
+	if !hasBody {
+		return c.budget.serve(c)
 	}
+	c.phase = body
+	c.inBody.Store(true)
 	return true
 }
 
@@ -209,14 +210,14 @@
 	c.budget.settle(c, bytes)
 }
 
-// finishBody notes that the body was read whole. It returns an error if the connection was condemned before.
+// finishBody notes that the body was read whole. It returns an error if the connection was condemned before, or too many are being
+// served.
 func (c *conn) finishBody() error {
 	c.budget.mu.Lock()
 	defer c.budget.mu.Unlock()
-	if c.condemned {
+	if c.condemned || !c.budget.serve(c) {
 		return errCrowded
 	}
-	c.phase = serving
 	c.inBody.Store(false)
 	c.resetDeadline()
 	return nil
@@ -234,7 +235,7 @@
 func (c *conn) stop() {
 	c.budget.mu.Lock()
 	defer c.budget.mu.Unlock()
-	c.phase = ended
+	c.budget.setPhase(c, ended)
 }
 
 // handOn gives the bytes of the request back, which is kept elsewhere or no longer needed. It returns how many its head had.
@@ -258,6 +259,6 @@
 		c.phase, c.limited = discarding, false
 	default:
 		c.inBody.Store(false)
-		c.phase = idle
+		c.budget.setPhase(c, idle)
 	}
 }
--- a/entry/pkg/inflow/gate.go
+++ b/entry/pkg/inflow/gate.go
@@ -13,13 +13,14 @@
 )
 
 // refused counts requests and connections by what was too much.
-var refused = struct{ bytes, slow, slowHead, head, large, connections *metrics.Counter }{
+var refused = struct{ bytes, slow, slowHead, head, large, connections, served *metrics.Counter }{
 	bytes:       metrics.NewCounter(`chervilusher_inflow_refused_total{cause="bytes"}`),
 	slow:        metrics.NewCounter(`chervilusher_inflow_refused_total{cause="slow_body"}`),
 	slowHead:    metrics.NewCounter(`chervilusher_inflow_refused_total{cause="slow_head"}`),
 	head:        metrics.NewCounter(`chervilusher_inflow_refused_total{cause="head"}`),
 	large:       metrics.NewCounter(`chervilusher_inflow_refused_total{cause="body"}`),
 	connections: metrics.NewCounter(`chervilusher_inflow_refused_total{cause="connections"}`),
+	served:      metrics.NewCounter(`chervilusher_inflow_refused_total{cause="served"}`),
 }
 
 // Gate bounds what the clients of one address hold.
@@ -119,8 +120,8 @@
 }
 
 // Limit applies the bounds of net/http to a server, and has its handler's requests counted; WithConn must be its ConnContext, or
-// part of it.
-func (g *Gate) Limit(server *http.Server) {
+// part of it. Requests that are not handed to it because this host has too many are answered by refuse.
+func (g *Gate) Limit(server *http.Server, refuse http.Handler) {
 	limits := &g.budget.limits
 	server.MaxHeaderBytes = limits.Head
 	server.ReadHeaderTimeout = limits.HeadTime.Std()
@@ -132,17 +133,23 @@
 			next.ServeHTTP(w, r)
 			return
 		}
+		defer counted.end()
 		if !counted.begin(r.ContentLength != 0) {
+			counted.stop()
 			EndConnection(w)
-			w.Header().Set("Retry-After", "1")
-			w.WriteHeader(http.StatusServiceUnavailable)
+			refuse.ServeHTTP(w, r)
 			return
 		}
-		defer counted.end()
 		next.ServeHTTP(w, r)
 	})
 }
 
+// Refuse answers that this host has too many requests, without a body.
+func Refuse(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Retry-After", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // EndConnection has the connection closed after the answer that is about to begin.
 func EndConnection(w http.ResponseWriter) {
 	w.Header().Set("Connection", "close")
--- a/entry/pkg/inflow/inflow_test.go
+++ b/entry/pkg/inflow/inflow_test.go
@@ -37,7 +37,7 @@
 	require.NoError(t, err)
 	f.address = listener.Addr().String()
 	server := &http.Server{Handler: http.HandlerFunc(f.serve), ConnContext: WithConn}
-	f.gate.Limit(server)
+	f.gate.Limit(server, http.HandlerFunc(Refuse))
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return f
@@ -235,6 +235,34 @@
 	require.Equal(t, http.StatusOK, busy.status())
 }
 
+// TestNewcomersAreRefusedWhileAsManyAsPossibleAreServed guards against newcomers that get no answer, not even a refusal.
+func TestNewcomersAreRefusedWhileAsManyAsPossibleAreServed(t *testing.T) {
+	f := newFixture(t, func(s *Settings) { s.Connections = 4 })
+	f.release = make(chan struct{})
+	var served []*client
+	for range 3 {
+		c := f.dial()
+		c.send(post("/", 1, " "))
+		served = append(served, c)
+		require.Eventually(t, func() bool { return int(f.began.Load()) == len(served) }, 5*time.Second, time.Millisecond)
+	}
+	f.requireHeld(0)
+	for _, request := range []string{post("/", 1, " "), "GET / HTTP/1.1\r\nHost: h\r\n\r\n"} {
+		for range 3 {
+			newcomer := f.dial()
+			newcomer.send(request)
+			require.Equal(t, http.StatusServiceUnavailable, newcomer.status())
+		}
+	}
+	close(f.release)
+	for _, c := range served {
+		require.Equal(t, http.StatusOK, c.status())
+	}
+	again := f.dial()
+	again.send(post("/", 1, " "))
+	require.Equal(t, http.StatusOK, again.status())
+}
+
 func TestHeadOverTheLimitIsRefused(t *testing.T) {
 	f := newFixture(t, func(*Settings) {})
 	c := f.dial()
--- a/entry/pkg/inflow/message.go
+++ b/entry/pkg/inflow/message.go
@@ -23,7 +23,7 @@
 		return
 	}
 	c.budget.release(c)
-	c.phase = phase
+	c.budget.setPhase(c, phase)
 	c.budget.turn++
 	c.progress = c.budget.turn
 }
--- a/entry/pkg/inflow/settings.go
+++ b/entry/pkg/inflow/settings.go
@@ -32,6 +32,8 @@
 	connectionsPart, bytesPart = 4, 8
 	// reservePart of the bytes is kept for small requests.
 	reservePart = 4
+	// newcomersPart of the connections is kept for those whose request is not served yet.
+	newcomersPart = 16
 	// receiveBuffer bounds what the kernel holds of one connection that is not read.
 	receiveBuffer = 32 << 10
 )
@@ -63,6 +65,11 @@
 	return s
 }
 
+// served returns how many connections may be served at a time.
+func (s *Settings) served() int {
+	return max(1, s.Connections-max(1, s.Connections/newcomersPart))
+}
+
 // Default returns settings for bodies up to a size.
 func Default(body int64, headTime time.Duration) Settings {
 	return Settings{
