Bound the connections that wait to be accepted

Callers saw a host's memory grow with connections that were closed long ago: the system lets 4,096 connections wait to be accepted, and each of them keeps a receive buffer of bytes that nobody has read, also after its client has closed it.

The gate now calls listen anew with half of clients.connections (at least 64). Beyond it a client connects as soon as there is room, where before it would have waited, connected, for the same turn.

--- a/entry/pkg/inflow/gate.go
+++ b/entry/pkg/inflow/gate.go
@@ -58,9 +58,20 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
+	limitBacklog(opened, g.budget.limits.backlog())
 	return &listener{Listener: opened, gate: g}, nil
 }
 
+// limitBacklog bounds the connections that wait to be accepted, each of which may hold a receive buffer full of bytes. The system's
+// own bound stays in force if it does not change it.
+func limitBacklog(opened net.Listener, most int) {
+	raw, err := opened.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) { _ = unix.Listen(int(fd), most) })
+}
+
 type listener struct {
 	net.Listener
 	gate *Gate
--- a/entry/pkg/inflow/inflow_test.go
+++ b/entry/pkg/inflow/inflow_test.go
@@ -321,3 +321,22 @@
 	require.EqualValues(t, 18<<20, smallest.Bytes)
 	require.Equal(t, 200, Default(1, time.Second).For(64<<20, 600).Connections)
 }
+
+// TestConnectionsThatWaitToBeAcceptedAreBounded guards against a backlog of thousands, each with a buffer full of unread bytes.
+func TestConnectionsThatWaitToBeAcceptedAreBounded(t *testing.T) {
+	limits := Default(256<<10, time.Second)
+	limits.Connections, limits.Bytes = 10, 1<<20
+	listener, err := New(limits, clockwork.NewRealClock()).Listen(t.Context(), "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	waiting := 0
+	for range 2 * leastBacklog {
+		conn, err := (&net.Dialer{Timeout: 200 * time.Millisecond}).DialContext(t.Context(), "tcp", listener.Addr().String())
+		if err != nil {
+			break
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		waiting++
+	}
+	require.LessOrEqual(t, waiting, leastBacklog+1)
+}
--- a/entry/pkg/inflow/settings.go
+++ b/entry/pkg/inflow/settings.go
@@ -34,6 +34,8 @@
 	reservePart = 4
 	// newcomersPart of the connections is kept for those whose request is not served yet.
 	newcomersPart = 16
+	// As many as backlogPart of the connections, and no fewer than leastBacklog, may wait to be accepted; others wait at their client.
+	backlogPart, leastBacklog = 2, 64
 	// receiveBuffer bounds what the kernel holds of one connection that is not read.
 	receiveBuffer = 32 << 10
 )
@@ -65,6 +67,11 @@
 	return s
 }
 
+// backlog returns how many connections may wait to be accepted.
+func (s *Settings) backlog() int {
+	return max(leastBacklog, s.Connections/backlogPart)
+}
+
 // served returns how many connections may be served at a time.
 func (s *Settings) served() int {
 	return max(1, s.Connections-max(1, s.Connections/newcomersPart))
