Test large answers that clients ask for again and again

What back ends return counts for nobody until it is a kept answer, nor does an answer that is being encoded and written.

--- a/entry/pkg/inflow/inflow_test.go
+++ b/entry/pkg/inflow/inflow_test.go
@@ -239,7 +239,7 @@
 func TestNewcomersAreRefusedWhileAsManyAsPossibleAreServed(t *testing.T) {
 	f := newFixture(t, func(s *Settings) { s.Connections = 4 })
 	f.release = make(chan struct{})
-	var served []*client
+	served := make([]*client, 0, 3)
 	for range 3 {
 		c := f.dial()
 		c.send(post("/", 1, " "))
--- a/integration/hostile/patterns_test.go
+++ b/integration/hostile/patterns_test.go
@@ -93,6 +93,10 @@
 	newEntry(t).endure(payloadCrowd, payloadsOfJobs)
 }
 
+func TestEntryEnduresLargeAnswers(t *testing.T) {
+	newEntry(t).endure(payloadCrowd, largeAnswers)
+}
+
 func TestPlatformEnduresJobsOfManyTasks(t *testing.T) {
 	newPlatform(t).endure(jobCrowd, platformJobsOfManyTasks)
 }
