--- a/entry/pkg/dispatch/outcome.go
+++ b/entry/pkg/dispatch/outcome.go
@@ -29,7 +29,7 @@
 // mayRetry allows another start if the last one reached no back end,
 // or if the request is idempotent and the retry budget allows it.
 func (e *Engine) mayRetry(group *blackboard.Group, task *blackboard.Task, outcome Outcome) bool {
-	if outcome.Payload {
+	if outcome.BadPayload {
 		return false
 	}
 	if outcome.Verdict == VerdictNotRun {
@@ -72,7 +72,7 @@
 		state = blackboard.TaskDropped
 		answer.Code = api.CodeUnavailable
 		answer.Reason = prefix + " reached no back end: " + outcome.Error
-		if outcome.Payload {
+		if outcome.BadPayload {
 			answer.Code = api.CodeBadPayload
 			answer.Reason = prefix + " has a payload that its back end refuses: " + outcome.Error
 		}
--- a/entry/pkg/dispatch/payload_test.go
+++ b/entry/pkg/dispatch/payload_test.go
@@ -16,7 +16,7 @@
 	job, effects, refusal := d.submitPayload(100)
 	require.Nil(t, refusal)
 	require.Len(t, effects.Starts, 1)
-	effects, stale := d.engine.Finish(job.Tasks[0], 1, dispatch.Outcome{Verdict: dispatch.VerdictNotRun, Payload: true, Error: "status 400"}, d.now)
+	effects, stale := d.engine.Finish(job.Tasks[0], 1, dispatch.Outcome{Verdict: dispatch.VerdictNotRun, BadPayload: true, Error: "status 400"}, d.now)
 	require.False(t, stale)
 	require.Empty(t, effects.Starts)
 	require.Equal(t, api.CodeBadPayload, job.Answer.Code)
--- a/entry/pkg/dispatch/policies.go
+++ b/entry/pkg/dispatch/policies.go
@@ -41,7 +41,7 @@
 	Value        json.RawMessage // the result, if done
 	Error        string
 	Busy         bool  // the back end rejected the start for lack of free slots
-	Payload      bool  // the back end rejected the start for its payload, as any other would
+	BadPayload   bool  // the back end rejected the start for its payload, as any other would
 	FencingToken int64 // the fencing token that a worker rejected, or zero
 	Stopped      bool  // this host stopped the run, so the outcome says nothing about the back end
 }
--- a/entry/pkg/health/health.go
+++ b/entry/pkg/health/health.go
@@ -83,7 +83,7 @@
 	state := h.stateOf(group)
 	record := state.recordOf(backend)
 	switch {
-	case outcome.Stopped, outcome.Payload: // neither says anything about the back end
+	case outcome.Stopped, outcome.BadPayload: // neither says anything about the back end
 		backend.Probing = false
 	case outcome.Busy:
 		backend.Probing = false
--- a/entry/pkg/health/health_test.go
+++ b/entry/pkg/health/health_test.go
@@ -145,7 +145,7 @@
 	policy := health.New(0.1, 0.5)
 	for range 290 {
 		policy.Observe(group, group.Backends["0"], dispatch.Outcome{Verdict: dispatch.VerdictFailed, Stopped: true}, epoch)
-		policy.Observe(group, group.Backends["0"], dispatch.Outcome{Verdict: dispatch.VerdictNotRun, Payload: true}, epoch)
+		policy.Observe(group, group.Backends["0"], dispatch.Outcome{Verdict: dispatch.VerdictNotRun, BadPayload: true}, epoch)
 	}
 	require.Zero(t, countEjected(group))
 	require.Zero(t, group.Backends["0"].FailureRate)
--- a/entry/pkg/inflow/budget.go
+++ b/entry/pkg/inflow/budget.go
@@ -101,8 +101,8 @@
 	return found
 }
 
-// mayGiveUp reports whether a connection holds bytes that are not worth more than others'. One of messages may be receiving the next
-// message while a call is served.
+// mayGiveUp reports whether a connection may be given up for the bytes that it holds. One that carries messages may receive the next
+// message while a call of it is served.
 func (b *budget) mayGiveUp(c *conn) bool {
 	if c.condemned || c.held == 0 {
 		return false
--- a/entry/pkg/minion/client.go
+++ b/entry/pkg/minion/client.go
@@ -123,10 +123,10 @@
 	}
 	if response.Header.Get(platform.HeaderRan) == "no" {
 		return dispatch.Outcome{
-			Verdict: dispatch.VerdictNotRun,
-			Error:   "status " + strconv.Itoa(response.StatusCode),
-			Busy:    response.StatusCode == http.StatusServiceUnavailable,
-			Payload: platform.RefusesPayload(response.StatusCode),
+			Verdict:    dispatch.VerdictNotRun,
+			Error:      "status " + strconv.Itoa(response.StatusCode),
+			Busy:       response.StatusCode == http.StatusServiceUnavailable,
+			BadPayload: platform.RefusesPayload(response.StatusCode),
 		}
 	}
 	if response.StatusCode != http.StatusOK {
--- a/entry/pkg/minion/client_test.go
+++ b/entry/pkg/minion/client_test.go
@@ -125,7 +125,7 @@
 			outcome := New(newBoundedClient).Start(context.Background(), newStart(server.Listener.Addr().String(), "a", 1))
 			require.Equal(t, test.verdict, outcome.Verdict, outcome.Error)
 			require.Equal(t, test.busy, outcome.Busy)
-			require.Equal(t, test.payload, outcome.Payload)
+			require.Equal(t, test.payload, outcome.BadPayload)
 		})
 	}
 }
--- a/entry/pkg/worker/client.go
+++ b/entry/pkg/worker/client.go
@@ -112,10 +112,10 @@
 // On a conflict it carries the fencing token that the worker rejected, so that no more starts use it.
 func refusalOutcome(code int, start *dispatch.Start) dispatch.Outcome {
 	outcome := dispatch.Outcome{
-		Verdict: dispatch.VerdictNotRun,
-		Error:   fmt.Sprintf("status %d", code),
-		Busy:    code == http.StatusServiceUnavailable,
-		Payload: platform.RefusesPayload(code),
+		Verdict:    dispatch.VerdictNotRun,
+		Error:      fmt.Sprintf("status %d", code),
+		Busy:       code == http.StatusServiceUnavailable,
+		BadPayload: platform.RefusesPayload(code),
 	}
 	if code == http.StatusConflict {
 		outcome.Busy = true
