--- a/review/rig-3/late.go
+++ b/review/rig-3/late.go
@@ -15,15 +15,15 @@
 	// lateBy is how late the order is carried out; the pages say seconds, the bench 2 to 12 s.
 	lateBy = 6 * time.Second
 	// upBefore is how long the minion is back when the order is carried out.
-	upBefore = 40 * time.Millisecond
+	upBefore = 80 * time.Millisecond
 	// crashTime is how long the minion is down; the site's days have up to 4.8 s.
 	crashTime = 3 * time.Second
 	// hostDown is how long the killed host is down.
 	hostDown = 500 * time.Millisecond
 )
 
-// lateStart has a start get no answer, the host that gave it be killed at once, and its minion crash some seconds later. The late
-// start is carried out in the minion's next life, while the job's next attempt runs elsewhere.
+// lateStart has a start get no answer, the host that gave it be killed at once, and its minion crash in silence some seconds later.
+// The late start is carried out in the minion's next life, while the job's next attempt runs elsewhere.
 func lateStart(record *record, folder string, trouble bool) (isBroken bool, err error) {
 	o, err := newOffice(record, folder, []string{"sapporo", "asahikawa", "hakodate"}, 2, 4, false)
 	if o != nil {
@@ -61,7 +61,7 @@
 				go o.kill(o.network.caller(r.RemoteAddr), hostDown)
 				go func() {
 					time.Sleep(lateBy - crashTime - upBefore)
-					m.crash(crashTime, false)
+					m.crash(crashTime, true)
 				}()
 				return lateBy
 			}
@@ -73,6 +73,7 @@
 	defer leave()
 	body := longJob(9 * time.Second)
 	body = strings.Replace(body, `"count":1`, `"count":4`, 1)
+	go o.sendOthers(ctx)
 	answered := make(chan int, 1)
 	go func() {
 		status := o.send(ctx, http.MethodPost, o.hostOf("sapporo"), id, body, callerWaits)
@@ -95,6 +96,15 @@
 	return isBroken, nil
 }
 
+// sendOthers sends short jobs of four tasks each in another zone, so that the order that is lost is one of many.
+func (o *office) sendOthers(ctx context.Context) {
+	body := strings.Replace(longJob(20*time.Millisecond), `"count":1`, `"count":4`, 1)
+	for number := 0; ctx.Err() == nil; number++ {
+		o.send(ctx, http.MethodPost, o.hostOf("hakodate"), fmt.Sprintf("%016x", 0xb0000000+number), body, callerWaits)
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
 // runs reports whether the minion is up and runs the task.
 func (m *minion) runs(task string) bool {
 	m.mu.Lock()
--- a/review/rig-3/minion.go
+++ b/review/rig-3/minion.go
@@ -78,6 +78,7 @@
 	Token int64  `json:"fencing_token"`
 	Ack   int    `json:"ack_position"`
 	Wait  int    `json:"wait_ms"`
+	late  bool   // it got no answer, and is carried out late
 }
 
 // guard reads an order, and refuses one for another minion or with a lower token. The order is given under the lock.
@@ -123,7 +124,7 @@
 			return
 		}
 		m.record.note("minion %s (%s): the late order for %s is carried out", m.id, m.zone, given.Task)
-		m.token = given.Token
+		m.token, given.late = given.Token, true
 		serve(httptest.NewRecorder(), copied, given)
 	})
 }
