--- a/review/rig-3/cancel.go
+++ b/review/rig-3/cancel.go
@@ -20,8 +20,8 @@
 	cutStep = 30 * time.Millisecond
 	// moveAfter is when half of the zone's clients move to another zone, as the site's clients do for up to 6.5 s.
 	moveAfter = 2 * time.Second
-	// taskTime is how long each task works.
-	taskTime = 18 * time.Second
+	// taskTime is how long each task works, as the longest of order-validate (8.1 s) on the slowest kind of minion (1.7).
+	taskTime = 13800 * time.Millisecond
 	// rounds bounds the cuts of one scene, which ends with the first broken one.
 	rounds = 3
 	// jobsPerRound is the number of jobs that run in the zone.
