--- a/standin/pkg/runner/runner.go
+++ b/standin/pkg/runner/runner.go
@@ -23,6 +23,8 @@
 	Hang  float64 // share of runs that never end
 	Mute  float64 // share of starts that are carried out late, also after a crash, and never answered
 	Delay time.Duration
+
+	OnMute func(runner *Runner) // called for each such start, if set
 }
 
 // Work is what a task does; it is the JSON of its job's description.
@@ -187,6 +189,9 @@
 	}
 	faults := r.Faults.Get()
 	if r.draw.Hit(faults.Mute) {
+		if faults.OnMute != nil {
+			faults.OnMute(r)
+		}
 		born, unseen := r.life()
 		ordered := r.clock.Now()
 		r.clock.AfterFunc(faults.Delay, func() {
