--- a/entry/pkg/cell/unsettled_lives_test.go
+++ b/entry/pkg/cell/unsettled_lives_test.go
@@ -114,3 +114,30 @@
 	require.Empty(t, third.cell.unsettled.blocking)
 	require.True(t, third.cell.MayStartLate(again, third.now), "nobody may say that it has not run")
 }
+
+// TestLateStartsOfANextLifeStayWithinItsCapacity guards against two starts without an answer, of which each fitted when it was sent,
+// that their worker carries out together after it has started anew, before its keeper's first call.
+func TestLateStartsOfANextLifeStayWithinItsCapacity(t *testing.T) {
+	h := newHarness(t)
+	h.addWorkers(1, 16, 1)
+	h.pass(4 * time.Second)
+	h.script = func(string, int) (hangs, fails, lost bool) { return false, false, true }
+	for range 2 {
+		job := h.job(1, 9, 5*time.Second, veryLong, veryLong)
+		h.submit(job)
+		effects := h.cell.Cancel(job, "the caller left", h.now)
+		h.applyEffects(&effects)
+		h.pass(400 * time.Millisecond) // the stop is confirmed, and its room is free again
+	}
+	require.Len(t, h.late, 2)
+	starts := h.late
+	h.late = nil
+	h.crashWorker("w00")
+	sim := h.workers["w00"]
+	sim.down = false
+	for _, late := range starts {
+		run := late.start.Run
+		sim.start(runKey{run.Task.Name, run.Number}, run.Task.Demand, run.Task.Estimate, late.start.Lease, false, false, h.now)
+	}
+	require.True(t, sim.capacity.Fits(sim.used()), "%v in use of %v", sim.used(), sim.capacity)
+}
