--- a/entry/pkg/cell/unsettled.go
+++ b/entry/pkg/cell/unsettled.go
@@ -343,7 +343,7 @@
 // mergeLateStart returns the task that is blocked from now on. The keeper that holds the worker knows best whether it is gone, and
 // the one that has sent the start whether it is settled.
 func (c *Cell) mergeLateStart(told *LateStart, now time.Time) (task string, blocks bool) {
-	if !isTold(told.Task, told.Worker) {
+	if !hasUsableNames(told.Task, told.Worker) {
 		return "", false
 	}
 	key := unsettledKey{task: told.Task, worker: told.Worker, number: told.Number, sent: told.Sent}
@@ -376,7 +376,7 @@
 	return told.Task, blocks
 }
 
-// isTold reports whether another host may tell of the task and the worker.
-func isTold(task, worker string) bool {
+// hasUsableNames reports whether another host may tell of the task and the worker.
+func hasUsableNames(task, worker string) bool {
 	return task != "" && len(task) <= maxTaskName && len(worker) <= maxTaskName
 }
--- a/entry/pkg/cell/witness.go
+++ b/entry/pkg/cell/witness.go
@@ -66,7 +66,7 @@
 	witnessed := c.witnessed[sender]
 	for i := range starts {
 		start := &starts[i]
-		if !isTold(start.Task, start.Worker) {
+		if !hasUsableNames(start.Task, start.Worker) {
 			continue
 		}
 		key := unsettledKey{task: start.Task, worker: start.Worker, number: start.Number, sent: start.Sent}
--- a/entry/pkg/cellhost/keeper.go
+++ b/entry/pkg/cellhost/keeper.go
@@ -254,25 +254,6 @@
 	line.Info("run ended")
 }
 
-// sendStarts sends the starts once other hosts were told of them.
-func (k *KeeperController) sendStarts(starts []cell.Start) {
-	if len(starts) == 0 {
-		return
-	}
-	for i := range starts {
-		k.orders.beginStart(starts[i].Run)
-	}
-	go func() {
-		k.tellWitnesses(starts)
-		for i := range starts {
-			go func() {
-				defer k.orders.endStart(starts[i].Run)
-				k.sendStart(starts[i])
-			}()
-		}
-	}()
-}
-
 func (k *KeeperController) sendStart(start cell.Start) {
 	run := start.Run
 	loop, token := k.startTarget(run)
--- a/entry/pkg/cellhost/witness.go
+++ b/entry/pkg/cellhost/witness.go
@@ -6,7 +6,6 @@
 	"slices"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
@@ -17,28 +16,14 @@
 )
 
 var (
-	noticesSent      = metrics.NewCounter(`chervilusher_start_notices_total{end="sent"}`)
-	noticesFailed    = metrics.NewCounter(`chervilusher_start_notices_total{end="failed"}`)
-	noticesLate      = metrics.NewCounter(`chervilusher_start_notices_late_total`)
-	noticeTime       = metrics.NewHistogram(`chervilusher_start_notice_seconds`)
-	startsOfTheLost  = metrics.NewCounter(`chervilusher_starts_of_lost_keepers_total`)
-	witnessesMissing = metrics.NewCounter(`chervilusher_starts_without_witness_total`)
+	noticesSent       = metrics.NewCounter(`chervilusher_start_notices_total{end="sent"}`)
+	noticesFailed     = metrics.NewCounter(`chervilusher_start_notices_total{end="failed"}`)
+	unwitnessedStarts = metrics.NewCounter(`chervilusher_starts_without_witness_total`)
 )
 
-const (
-	// maxWitnesses is how many hosts are told of a start: one of the keeper's failure domain, which can be reached while that is
-	// cut off, and one elsewhere, which remains if the failure domain is lost.
-	maxWitnesses = 2
-	// noticeDelay bounds how long a start waits until the notices of it are written, which takes longer only for a connection that
-	// has to be opened first or has filled up.
-	noticeDelay = 5 * time.Millisecond
-)
-
-// StartNotifier tells other hosts of starts.
-type StartNotifier interface {
-	// Notify returns a channel that is closed once the notices are written, or could not be.
-	Notify(starts []cell.SentStart) <-chan struct{}
-}
+// maxWitnesses is how many hosts are told of a start: one of the keeper's failure domain, which can be reached while that is
+// cut off, and one elsewhere, which remains if the failure domain is lost.
+const maxWitnesses = 2
 
 // StartRecorder keeps the starts of which other keepers tell.
 type StartRecorder interface {
@@ -79,7 +64,7 @@
 	written := make(chan struct{})
 	witnesses := w.witnesses()
 	if len(witnesses) == 0 {
-		witnessesMissing.Add(len(starts))
+		unwitnessedStarts.Add(len(starts))
 		close(written)
 		return written
 	}
@@ -151,52 +136,3 @@
 	}
 	return hosts[:min(len(hosts), maxWitnesses)]
 }
-
-// SetWitnesses sets who tells other hosts of starts; it must be called before Serve.
-func (k *KeeperController) SetWitnesses(witnesses StartNotifier) {
-	k.witnesses = witnesses
-}
-
-// tellWitnesses tells other hosts of the starts, and returns once the notices are written, but soon in any case: a host that
-// cannot be reached must not hold up the starts.
-func (k *KeeperController) tellWitnesses(starts []cell.Start) {
-	if k.witnesses == nil {
-		return
-	}
-	began := k.common.Clock.Now()
-	written := k.witnesses.Notify(cell.SentStarts(starts))
-	timeout := k.common.Clock.NewTimer(noticeDelay)
-	defer timeout.Stop()
-	select {
-	case <-written:
-	case <-timeout.Chan():
-		noticesLate.Inc()
-	}
-	noticeTime.Update(k.common.Clock.Since(began).Seconds())
-}
-
-// WitnessStarts implements StartRecorder. A notice may be read after its sender was found to be lost.
-func (k *KeeperController) WitnessStarts(sender cell.Sender, starts []cell.SentStart) {
-	k.mu.Lock()
-	k.cell.WitnessStarts(sender, starts, k.common.Clock.Now())
-	k.mu.Unlock()
-	switch state := k.board.View().Hosts[sender.Host]; {
-	case !state.Alive:
-		k.takeWitnessedStarts(sender.Host, "")
-	case state.Incarnation != sender.Incarnation:
-		k.takeWitnessedStarts(sender.Host, state.Incarnation)
-	}
-}
-
-// takeWitnessedStarts takes the starts of which a lost host has told, other than its present process, for ones without an answer.
-func (k *KeeperController) takeWitnessedStarts(host, exceptIncarnation string) {
-	taken := 0
-	k.apply(func(now time.Time) (effects cell.Effects) {
-		effects, taken = k.cell.HandleKeeperLoss(host, exceptIncarnation, now)
-		return effects
-	})
-	if taken > 0 {
-		startsOfTheLost.Add(taken)
-		k.common.Log.WithField("peer", host).WithField("starts", taken).Info("workers may carry out starts of a lost keeper")
-	}
-}
--- a/entry/pkg/peer/server_test.go
+++ b/entry/pkg/peer/server_test.go
@@ -132,3 +132,23 @@
 	_, err = Send[StartsNotice, StartsNotice](t.Context(), NewClient(nil), listener.Addr().String(), "call", &StartsNotice{})
 	require.ErrorIs(t, err, ErrUnreachable)
 }
+
+// BenchmarkSend has a request written and its response read, as for the notice of a start.
+func BenchmarkSend(b *testing.B) {
+	server, client := NewServer(), NewClient(nil)
+	Handle(server, "call", func(_ context.Context, _ *StartsNotice) (*StartsNoticed, error) { return &StartsNoticed{}, nil })
+	listener, err := (&net.ListenConfig{}).Listen(b.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	go func() { _ = server.Serve(b.Context(), listener) }()
+	writing := time.Duration(0)
+	for b.Loop() {
+		began := time.Now()
+		receive, err := Send[StartsNotice, StartsNoticed](b.Context(), client, listener.Addr().String(), "call", &StartsNotice{Host: "a"})
+		writing += time.Since(began)
+		require.NoError(b, err)
+		_, err = receive()
+		require.NoError(b, err)
+	}
+	b.ReportMetric(float64(writing.Microseconds())/float64(b.N), "us/write")
+	require.NoError(b, client.Close())
+}
--- a/entry/pkg/peer/size_bench_test.go
+++ b/entry/pkg/peer/size_bench_test.go
@@ -68,6 +68,18 @@
 	}
 }
 
+// BenchmarkStartsNoticeSize reports the bytes of a notice by the number of starts in it.
+func BenchmarkStartsNoticeSize(b *testing.B) {
+	for _, starts := range []int{1, 29, 290} {
+		notice := &StartsNotice{Host: "front-gt-central-a-1", Incarnation: "0123456789abcdef0123456789abcdef"}
+		for i := range starts {
+			task := "9b1b15dd0a4c05fc.0.0." + strconv.Itoa(i)
+			notice.Starts = append(notice.Starts, cell.SentStart{Task: task, Worker: "i-f0a53f9664", Number: 1, Sent: time.Now().UnixNano()})
+		}
+		b.Run(strconv.Itoa(starts), func(b *testing.B) { measureSize(b, notice) })
+	}
+}
+
 func measureSize(b *testing.B, message any) {
 	b.Helper()
 	size := 0
