--- a/entry/pkg/cellhost/witness.go
+++ b/entry/pkg/cellhost/witness.go
@@ -112,27 +112,46 @@
 // chooseWitnesses returns a host of the failure domain and one elsewhere, or two of either if the other has none. Keepers, which
 // are large enough and known to all other keepers, go first, and each host has an order of its own among them.
 func chooseWitnesses(view *View, name, domain string) []PeerState {
-	var hosts []PeerState
+	var local, elsewhere firstHosts
 	for other := range view.Hosts {
 		state := view.Hosts[other]
-		if other != name && state.Alive && !state.Leaving && state.HeartbeatPeer && state.WitnessesStarts {
-			hosts = append(hosts, state)
+		if other == name || !state.Alive || state.Leaving || !state.HeartbeatPeer || !state.WitnessesStarts {
+			continue
 		}
-	}
-	slices.SortFunc(hosts, func(a, b PeerState) int {
-		return cmp.Or(boolToInt(b.IsKeeper())-boolToInt(a.IsKeeper()),
-			cmp.Compare(xxhash.Sum64String(name+"/"+a.Name), xxhash.Sum64String(name+"/"+b.Name)))
-	})
-	var local, elsewhere []PeerState
-	for i := range hosts {
-		if hosts[i].FailureDomain == domain {
-			local = append(local, hosts[i])
+		ranked := rankedHost{name: other, isKeeper: state.IsKeeper(), rank: xxhash.Sum64String(name + "/" + other)}
+		if state.FailureDomain == domain {
+			local.add(ranked)
 		} else {
-			elsewhere = append(elsewhere, hosts[i])
+			elsewhere.add(ranked)
 		}
 	}
+	chosen := slices.Concat(local, elsewhere)
 	if len(local) > 0 && len(elsewhere) > 0 {
-		return []PeerState{local[0], elsewhere[0]}
+		chosen = []rankedHost{local[0], elsewhere[0]}
+	}
+	witnesses := make([]PeerState, 0, len(chosen))
+	for _, host := range chosen {
+		witnesses = append(witnesses, view.Hosts[host.name])
+	}
+	return witnesses
+}
+
+// rankedHost is a host that may become a witness.
+type rankedHost struct {
+	name     string
+	isKeeper bool
+	rank     uint64
+}
+
+// firstHosts are the first maxWitnesses of the hosts that were added, in their order.
+type firstHosts []rankedHost
+
+func (f *firstHosts) add(host rankedHost) {
+	at, _ := slices.BinarySearchFunc(*f, host, func(a, b rankedHost) int {
+		return cmp.Or(boolToInt(b.isKeeper)-boolToInt(a.isKeeper), cmp.Compare(a.rank, b.rank))
+	})
+	if at < maxWitnesses {
+		*f = slices.Insert(*f, at, host)
+		*f = (*f)[:min(len(*f), maxWitnesses)]
 	}
-	return hosts[:min(len(hosts), maxWitnesses)]
 }
--- a/entry/pkg/cellhost/witness_test.go
+++ b/entry/pkg/cellhost/witness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"testing"
 	"time"
 
@@ -162,3 +163,19 @@
 	require.Equal(t, &peer.StartsNotice{Host: "a", Incarnation: c.common.Incarnation, Starts: starts}, <-read)
 	close(answer)
 }
+
+// BenchmarkChooseWitnesses reports the cost of a choice, one of which is made for each view in which tasks start.
+func BenchmarkChooseWitnesses(b *testing.B) {
+	for _, hosts := range []int{30, 300} {
+		b.Run(strconv.Itoa(hosts), func(b *testing.B) {
+			fleet := newFleet(hosts)
+			for name, state := range fleet.view.Hosts {
+				state.HeartbeatPeer, state.WitnessesStarts = true, true
+				fleet.view.Hosts[name] = state
+			}
+			for b.Loop() {
+				require.Len(b, chooseWitnesses(fleet.view, "host005", fleetDomain(0)), maxWitnesses)
+			}
+		})
+	}
+}
