Keep a witness from unblocking a task

What callers would see: a task that starts elsewhere, for up to 0.1 s, while its worker is gone and its next life may carry an earlier start out.

Cause: a witness repeats the starts of a lost keeper for 2 s, with its own state of what blocks. It does not hold the worker, so that state may be older than what the worker's next keeper has reported, and the last report that arrives was taken over.

Change: a report says whether its host has neither sent the start nor keeps the worker; such a report may block and never unblocks.

Evidence: TestWitnessDoesNotUnblockATask fails without it.

--- a/entry/pkg/cell/unsettled.go
+++ b/entry/pkg/cell/unsettled.go
@@ -31,6 +31,7 @@
 	Sent      int64         `json:"s,omitempty"`
 	Remaining time.Duration `json:"r"`           // for which the task must not start elsewhere; zero if it may
 	Known     time.Duration `json:"k,omitempty"` // for which it may be carried out if the worker starts anew; earlier versions do not tell
+	Indirect  bool          `json:"i,omitempty"` // the reporting host has neither sent the start nor keeps its worker
 }
 
 // reasonLateStart is why a job is given up, in answers and logs.
@@ -277,13 +278,13 @@
 		page := older[int(now.UnixNano()/int64(newsTurn))%pages*half:]
 		changed = slices.Concat(changed[:half], page[:min(half, len(page))])
 	}
-	return lateStarts(changed, now)
+	return c.lateStarts(changed, now)
 }
 
-func lateStarts(starts []*unsettledStart, now time.Time) []LateStart {
+func (c *Cell) lateStarts(starts []*unsettledStart, now time.Time) []LateStart {
 	told := make([]LateStart, 0, len(starts))
 	for _, start := range starts {
-		told = append(told, start.lateStart(now))
+		told = append(told, c.lateStart(start, now))
 	}
 	return told
 }
@@ -315,11 +316,12 @@
 		}
 		return b.until.Compare(a.until)
 	})
-	return lateStarts(known[:min(len(known), maxCrashNews)], now)
+	return c.lateStarts(known[:min(len(known), maxCrashNews)], now)
 }
 
-func (s *unsettledStart) lateStart(now time.Time) LateStart {
+func (c *Cell) lateStart(s *unsettledStart, now time.Time) LateStart {
 	told := LateStart{Task: s.task, Worker: s.worker, Number: s.number, Sent: s.sent, Known: max(0, s.until.Sub(now))}
+	told.Indirect = !s.own && !c.seesWorker(s.worker)
 	if s.blocks {
 		told.Remaining = told.Known
 	}
@@ -363,19 +365,27 @@
 		c.unsettled.add(start)
 	}
 	blocks = told.Remaining > 0
-	worker := c.workers[told.Worker]
-	if worker != nil && (worker.held || worker.gone) {
-		blocks = worker.gone
+	switch {
+	case c.seesWorker(told.Worker):
+		blocks = c.workers[told.Worker].gone
+	case told.Indirect:
+		blocks = blocks || start.blocks // an older state must not override that of the worker's keeper
 	}
 	if !c.unsettled.setBlocks(start, blocks) {
 		return told.Task, false
 	}
-	if worker != nil && blocks != (told.Remaining > 0) {
+	if blocks != (told.Remaining > 0) {
 		c.unsettled.announce(start, now) // nobody else knows that this worker is gone, or is not
 	}
 	return told.Task, blocks
 }
 
+// seesWorker reports whether this keeper knows best whether the worker is gone.
+func (c *Cell) seesWorker(id string) bool {
+	worker := c.workers[id]
+	return worker != nil && (worker.held || worker.gone)
+}
+
 // hasUsableNames reports whether another host may tell of the task and the worker.
 func hasUsableNames(task, worker string) bool {
 	return task != "" && len(task) <= maxTaskName && len(worker) <= maxTaskName
--- a/entry/pkg/cell/unsettled_lives_test.go
+++ b/entry/pkg/cell/unsettled_lives_test.go
@@ -107,6 +107,7 @@
 	effects := third.cell.MergeLateStarts(told, third.now)
 	third.applyEffects(&effects)
 	require.Equal(t, "abandoned", third.outcome(again))
+	told[0].Indirect = true // it neither sent the start nor keeps the worker
 	require.Equal(t, told, third.cell.KnownLateStarts(third.now), "for hosts that start")
 	next.workers[id].down = false
 	next.pass(200 * time.Millisecond)
--- a/entry/pkg/cell/witness_test.go
+++ b/entry/pkg/cell/witness_test.go
@@ -166,3 +166,24 @@
 	h.cell.Tick(h.now)
 	require.Empty(t, h.cell.witnessed)
 }
+
+// TestWitnessDoesNotUnblockATask guards against a task that starts elsewhere since a witness, which does not hold the worker, repeats
+// an older state after the worker's keeper has reported the crash.
+func TestWitnessDoesNotUnblockATask(t *testing.T) {
+	witness, keeper, third := newHarness(t), newHarness(t), newHarness(t)
+	witness.witness()
+	witness.loseSender()
+	keeper.addWorkers(1, 16, 1)
+	keeper.hear(witness)
+	third.hear(witness)
+	stale := witness.cell.RecentLateStarts(witness.now)
+	keeper.crashWorker("w00")
+	third.hear(keeper)
+	require.Contains(t, third.cell.unsettled.blocking, "j0001.0")
+	third.cell.MergeLateStarts(stale, third.now)
+	require.Contains(t, third.cell.unsettled.blocking, "j0001.0", "only the worker's keeper sees that its next life rejects the start")
+	keeper.workers["w00"].down = false
+	keeper.pass(400 * time.Millisecond)
+	third.hear(keeper)
+	require.Empty(t, third.cell.unsettled.blocking)
+}
