Lose keepers of the model at any time again

A loss is left out only if no other host would have a record of some start: that is what the design names as not guarded against.

--- a/entry/pkg/cell/lives_test.go
+++ b/entry/pkg/cell/lives_test.go
@@ -38,13 +38,12 @@
 	*simDomain
 	odds      int // percentage of starts without an answer
 	claimAt   map[*simKeeper]time.Time
-	lostAt    time.Time    // when a keeper was lost last
 	listeners []*simKeeper // by cell: the host that takes over next
 }
 
 func playLives(t *rapid.T, keepersFail bool) {
 	d := &simLives{simDomain: newSimDomain(t), odds: rapid.IntRange(10, 60).Draw(t, "odds"), claimAt: map[*simKeeper]time.Time{}}
-	d.heartbeats, d.sendsToOwners = heartbeatInterval, true
+	d.heartbeats, d.sendsToOwners = heartbeatInterval, rapid.Bool().Draw(t, "jobs go to owners only")
 	for _, k := range d.keepers {
 		d.prepare(k)
 		if !k.isKeeper {
@@ -89,7 +88,7 @@
 	}
 }
 
-// someLateWorker returns a worker that may carry out a late start, if there is one.
+// someLateWorker returns a worker that may carry out a late start, half of the time if there is one.
 func (d *simLives) someLateWorker() string {
 	var ids []string
 	for _, k := range d.keepers {
@@ -97,7 +96,7 @@
 			ids = append(ids, k.late[i].start.Run.Worker.ID)
 		}
 	}
-	if len(ids) == 0 {
+	if len(ids) == 0 || rapid.Bool().Draw(d.t, "any worker") {
 		return d.someWorker()
 	}
 	return rapid.SampledFrom(ids).Draw(d.t, "worker with a late start")
@@ -110,20 +109,15 @@
 	d.send(q)
 }
 
-// loseKeeper ends the process of a keeper that has just been sent a job. The hosts that it has told of its starts may be lost too,
-// but only once they have told others that it is lost.
+// loseKeeper ends the process of a keeper that has just been sent a job.
 func (d *simLives) loseKeeper() {
 	d.submitLong()
-	if d.now.Sub(d.lostAt) < failAfter+2*heartbeatInterval {
-		return
-	}
 	index := 0
 	if last := d.requests[len(d.requests)-1]; last.keeper != nil {
 		index = last.keeper.cellIndex
 	}
 	d.passWithClaims(time.Duration(rapid.IntRange(0, 150).Draw(d.t, "before the loss")) * time.Millisecond)
 	d.failKeeper(index, rapid.Bool().Draw(d.t, "with its failure domain"))
-	d.lostAt = d.now
 }
 
 // failKeeper ends the process of the cell's keeper, if it has one, and that of the host which would take over as well if the whole
@@ -133,9 +127,17 @@
 		if k.cellIndex != index || !k.isKeeper || k.failed {
 			continue
 		}
-		k.failed = true
+		lost := []*simKeeper{k}
+		if withDomain {
+			lost = append(lost, d.listeners[index])
+		}
+		if d.onlyThey(lost) {
+			return
+		}
+		for _, host := range lost {
+			host.failed = true
+		}
 		if withDomain {
-			d.listeners[index].failed = true
 			d.listeners[index] = d.startListener(index)
 		}
 		d.claimAt[d.listeners[index]] = d.now.Add(succession)
@@ -144,6 +146,29 @@
 	}
 }
 
+// onlyThey reports whether no other host has been notified of some start that one of the hosts has a record of. Nothing guards
+// against the loss of all of these hosts.
+func (d *simLives) onlyThey(lost []*simKeeper) bool {
+	var others []*simKeeper
+	for _, k := range d.keepers {
+		if !k.failed && !slices.Contains(lost, k) {
+			others = append(others, k)
+		}
+	}
+	for _, host := range lost {
+		for key, sender := range host.records() {
+			isRecorded := func(other *simKeeper) bool {
+				_, recorded := other.records()[key]
+				return recorded || other.sender() == sender
+			}
+			if !slices.ContainsFunc(others, isRecorded) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // startListener starts a host that is told of all late starts which the others know.
 func (d *simLives) startListener(index int) *simKeeper {
 	listener := d.addKeeper(index)
--- a/entry/pkg/cell/sim_witness_test.go
+++ b/entry/pkg/cell/sim_witness_test.go
@@ -20,6 +20,20 @@
 	}
 }
 
+// records returns the starts that the keeper has on record as unsettled or as a witness, these with their senders.
+func (k *simKeeper) records() map[unsettledKey]Sender {
+	records := map[unsettledKey]Sender{}
+	for key := range k.cell.unsettled.byKey {
+		records[key] = Sender{}
+	}
+	for sender, starts := range k.cell.witnessed {
+		for _, start := range starts {
+			records[start.unsettledKey] = sender
+		}
+	}
+	return records
+}
+
 // detectLosses has each keeper notice those of which nothing was heard for failAfter.
 func (d *simDomain) detectLosses() {
 	for _, k := range slices.Clone(d.keepers) {
