Have the model's keepers make their first call at once

The product calls a worker as soon as it takes it; the model waited for up to 0.2 s if the worker was idle.

--- a/entry/pkg/cell/sim_test.go
+++ b/entry/pkg/cell/sim_test.go
@@ -20,7 +20,7 @@
 	seesAll bool                 // workers stay away for long enough after a crash that a keeper sees it
 	calls   []simStartCall       // starts whose answer was lost and whose calls go on
 	timeout time.Duration        // after which the call of a start without an answer ends
-	tell    func([]SentStart)    // tells other keepers of starts before they are sent
+	tell    func([]LateStart)    // tells other keepers of starts before they are sent
 	jobs    int
 	started map[*Job]bool // jobs of which a task has run
 	script  func(task string, run int) (hangs, fails, lost bool)
@@ -218,7 +218,7 @@
 		}
 	}
 	if h.tell != nil && len(effects.Starts) > 0 {
-		h.tell(SentStarts(effects.Starts))
+		h.tell(Notices(effects.Starts, callDelay))
 	}
 	for _, start := range effects.Starts {
 		h.start(start)
@@ -328,7 +328,7 @@
 	for _, worker := range h.cell.Workers() {
 		sim := h.workers[worker.ID]
 		sim.advance(h.now)
-		if !worker.Idle() || h.now.UnixMilli()%200 < step.Milliseconds() {
+		if !worker.Idle() || worker.joining || h.now.UnixMilli()%200 < step.Milliseconds() { // the first call is made at once
 			h.hold(worker.ID)
 		}
 	}
