--- a/entry/pkg/cell/cell.go
+++ b/entry/pkg/cell/cell.go
@@ -42,7 +42,6 @@
 	nextSeq         int64
 	crashTable      crashTable
 	unsettled       unsettledStarts
-	witnessed       witnessedStarts
 	directoryReadAt time.Time
 	tickedAt        time.Time
 	tickingSince    time.Time            // since when there was no pause between ticks
@@ -132,7 +131,6 @@
 		evacuatedSince: map[string]time.Time{},
 		crashTable:     newCrashTable(),
 		unsettled:      newUnsettledStarts(),
-		witnessed:      witnessedStarts{},
 		learners:       map[string]*interference.Learner{},
 		returns:        map[string]time.Time{},
 		kinds:          map[kindKey]*kind{},
@@ -268,9 +266,7 @@
 		c.tickingSince = now
 	}
 	c.tickedAt = now
-	if c.unsettled.trim(now) {
-		c.witnessed.trim(now)
-	}
+	c.unsettled.trim(now)
 	c.refreshInTurn()
 	for _, worker := range c.ordered {
 		if now.After(worker.startsUntil) {
@@ -285,7 +281,7 @@
 			effects.Polls = append(effects.Polls, worker)
 		}
 	}
-	c.unsettled.advanceAnswersKnown(now)
+	c.unsettled.advanceReported(now)
 	c.answerDue(now, &effects)
 	c.giveUpEvacuated(now, &effects)
 	c.advanceShares(now)
--- a/entry/pkg/cell/keepers_test.go
+++ b/entry/pkg/cell/keepers_test.go
@@ -95,7 +95,7 @@
 	k := &simKeeper{harness: newHarness(d.t), name: fmt.Sprintf("keeper-%d", len(d.keepers)), cellIndex: index, failedHomes: map[string]time.Time{}}
 	k.now = d.now
 	k.workers = d.workers
-	k.tell = func(starts []SentStart) { d.tell(k, starts) }
+	k.tell = func(starts []LateStart) { d.tell(k, starts) }
 	d.keepers = append(d.keepers, k)
 	return k
 }
--- a/entry/pkg/cell/sim_witness_test.go
+++ b/entry/pkg/cell/sim_witness_test.go
@@ -7,7 +7,7 @@
 }
 
 // tell tells a host of the keeper's failure domain of starts, and one elsewhere.
-func (d *simDomain) tell(from *simKeeper, starts []SentStart) {
+func (d *simDomain) tell(from *simKeeper, starts []LateStart) {
 	if !d.isReached(from) {
 		return
 	}
@@ -26,7 +26,7 @@
 	for key := range k.cell.unsettled.byKey {
 		records[key] = Sender{}
 	}
-	for sender, starts := range k.cell.witnessed {
+	for sender, starts := range k.cell.unsettled.witnessed {
 		for _, start := range starts {
 			records[start.unsettledKey] = sender
 		}
@@ -50,7 +50,7 @@
 		}
 		for _, other := range d.keepers {
 			if other != k && d.isReached(other) {
-				effects, _ := other.cell.HandleKeeperLoss(k.name, "", d.now)
+				effects, _ := other.cell.HandleKeeperFailure(k.name, "", d.now)
 				other.applyEffects(&effects)
 			}
 		}
@@ -66,14 +66,14 @@
 		if !d.isReached(from) {
 			continue
 		}
-		starts, known := from.cell.RecentLateStarts(d.now), from.cell.AnswersKnownUntil()
+		starts, known := from.cell.RecentLateStarts(d.now), from.cell.StartsReportedUntil()
 		for _, to := range d.keepers {
 			if to == from || !d.isReached(to) {
 				continue
 			}
 			effects := to.cell.MergeLateStarts(starts, d.now)
 			to.applyEffects(&effects)
-			to.cell.HandleAnswersKnown(from.sender(), known)
+			to.cell.HandleStartsReported(from.sender(), known)
 		}
 	}
 }
--- a/entry/pkg/cell/unsettled.go
+++ b/entry/pkg/cell/unsettled.go
@@ -29,7 +29,7 @@
 	Worker    string        `json:"w"`
 	Number    int           `json:"n"`
 	Sent      int64         `json:"s,omitempty"`
-	Remaining time.Duration `json:"r"`           // for which the task must not start elsewhere; zero if it may
+	Remaining time.Duration `json:"r,omitempty"` // for which the task must not start elsewhere; zero if it may
 	Known     time.Duration `json:"k,omitempty"` // for which it may be carried out if the worker starts anew; earlier versions do not tell
 	Indirect  bool          `json:"i,omitempty"` // the reporting host has neither sent the start nor keeps its worker
 }
@@ -42,11 +42,10 @@
 const maxUnsettled = 4096
 
 const (
-	// maxLateNews bounds the late starts of which other hosts are told; they take turns in the heartbeats of crashNews, of which
-	// some may be lost.
-	maxLateNews = 8 * maxCrashNews
-	// newsTurn is how long the same late starts go into heartbeats if there are more than fit.
-	newsTurn = 100 * time.Millisecond
+	// maxReports bounds the late starts that take turns in the heartbeats of crashNews, of which some may be lost.
+	maxReports = 8 * maxCrashNews
+	// reportTurn is for how long the same late starts are in each heartbeat if there are more than fit.
+	reportTurn = 100 * time.Millisecond
 )
 
 // answerDelay is the time for the answer to a start, which takes some milliseconds, until other hosts are told of it.
@@ -59,9 +58,10 @@
 	byTask    map[string]map[unsettledKey]*unsettledStart
 	blocking  map[string]map[unsettledKey]*unsettledStart // by task
 	news      []*unsettledStart                           // of the last crashNews, the oldest first
+	witnessed map[Sender][]*unsettledStart                // of other keepers, which have not reported yet whether they are unsettled
 	trimmedAt time.Time
 
-	answersKnownUntil int64 // see Cell.AnswersKnownUntil
+	reportedUntil int64 // see Cell.StartsReportedUntil
 }
 
 func newUnsettledStarts() unsettledStarts {
@@ -70,6 +70,8 @@
 		byWorker: map[string]map[unsettledKey]*unsettledStart{},
 		byTask:   map[string]map[unsettledKey]*unsettledStart{},
 		blocking: map[string]map[unsettledKey]*unsettledStart{},
+
+		witnessed: map[Sender][]*unsettledStart{},
 	}
 }
 
@@ -108,10 +110,10 @@
 	u.news = append(u.news, start)
 }
 
-// trim drops the starts that cannot be carried out any more, once a second, and reports whether it was time for it.
-func (u *unsettledStarts) trim(now time.Time) bool {
+// trim drops the starts that cannot be carried out any more.
+func (u *unsettledStarts) trim(now time.Time) {
 	if now.Sub(u.trimmedAt) < time.Second {
-		return false
+		return
 	}
 	u.trimmedAt = now
 	for _, start := range u.byKey {
@@ -119,8 +121,10 @@
 			u.remove(start)
 		}
 	}
+	for sender, starts := range u.witnessed {
+		u.setWitnessed(sender, slices.DeleteFunc(starts, func(start *unsettledStart) bool { return !now.Before(start.until) }))
+	}
 	u.news = slices.DeleteFunc(u.news, func(start *unsettledStart) bool { return now.Sub(start.changedAt) > crashNews })
-	return true
 }
 
 // until returns until when the task is blocked, or zero.
@@ -268,33 +272,33 @@
 }
 
 // RecentLateStarts returns the late starts that became possible or impossible lately, for the heartbeats to other hosts, the
-// latest first. Of more than fit into a heartbeat, the latest half of them goes into each one and the others take turns.
+// latest first. If there are more than fit, half of a heartbeat is for the latest, and the others take turns in the other half.
 func (c *Cell) RecentLateStarts(now time.Time) []LateStart {
 	changed := c.unsettled.changed(now)
 	if len(changed) > maxCrashNews {
 		const half = maxCrashNews / 2
 		older := changed[half:]
 		pages := (len(older) + half - 1) / half
-		page := older[int(now.UnixNano()/int64(newsTurn))%pages*half:]
-		changed = slices.Concat(changed[:half], page[:min(half, len(page))])
+		turn := int(now.UnixNano()/int64(reportTurn)) % pages
+		changed = slices.Concat(changed[:half], older[turn*half:min((turn+1)*half, len(older))])
 	}
 	return c.lateStarts(changed, now)
 }
 
 func (c *Cell) lateStarts(starts []*unsettledStart, now time.Time) []LateStart {
-	told := make([]LateStart, 0, len(starts))
+	reports := make([]LateStart, 0, len(starts))
 	for _, start := range starts {
-		told = append(told, c.lateStart(start, now))
+		reports = append(reports, c.lateStart(start, now))
 	}
-	return told
+	return reports
 }
 
-// changed returns the starts that have changed within crashNews, the latest first, and not more than are told of in that time.
+// changed returns the starts that have changed within crashNews, the latest first, up to maxReports.
 func (u *unsettledStarts) changed(now time.Time) []*unsettledStart {
 	var starts []*unsettledStart
 	seen := map[unsettledKey]bool{} // a start may have been settled, and another one of the same run number sent
 	for _, start := range slices.Backward(u.news) {
-		if len(starts) == maxLateNews || now.Sub(start.changedAt) > crashNews {
+		if len(starts) == maxReports || now.Sub(start.changedAt) > crashNews {
 			break
 		}
 		if !seen[start.unsettledKey] {
@@ -321,7 +325,7 @@
 
 func (c *Cell) lateStart(s *unsettledStart, now time.Time) LateStart {
 	told := LateStart{Task: s.task, Worker: s.worker, Number: s.number, Sent: s.sent, Known: max(0, s.until.Sub(now))}
-	told.Indirect = !s.own && !c.seesWorker(s.worker)
+	told.Indirect = !s.own && !c.decidesFor(s.worker)
 	if s.blocks {
 		told.Remaining = told.Known
 	}
@@ -345,10 +349,10 @@
 // mergeLateStart returns the task that is blocked from now on. The keeper that holds the worker knows best whether it is gone, and
 // the one that has sent the start whether it is settled.
 func (c *Cell) mergeLateStart(told *LateStart, now time.Time) (task string, blocks bool) {
-	if !hasUsableNames(told.Task, told.Worker) {
+	key, valid := told.key()
+	if !valid {
 		return "", false
 	}
-	key := unsettledKey{task: told.Task, worker: told.Worker, number: told.Number, sent: told.Sent}
 	start := c.unsettled.byKey[key]
 	remaining := min(max(told.Known, told.Remaining), c.limits.CallDelay)
 	if remaining <= 0 {
@@ -366,7 +370,7 @@
 	}
 	blocks = told.Remaining > 0
 	switch {
-	case c.seesWorker(told.Worker):
+	case c.decidesFor(told.Worker):
 		blocks = c.workers[told.Worker].gone
 	case told.Indirect:
 		blocks = blocks || start.blocks // an older state must not override that of the worker's keeper
@@ -375,18 +379,19 @@
 		return told.Task, false
 	}
 	if blocks != (told.Remaining > 0) {
-		c.unsettled.announce(start, now) // nobody else knows that this worker is gone, or is not
+		c.unsettled.announce(start, now) // no other host can decide this
 	}
 	return told.Task, blocks
 }
 
-// seesWorker reports whether this keeper knows best whether the worker is gone.
-func (c *Cell) seesWorker(id string) bool {
+// decidesFor reports whether this keeper is the one that decides whether the worker is gone.
+func (c *Cell) decidesFor(id string) bool {
 	worker := c.workers[id]
 	return worker != nil && (worker.held || worker.gone)
 }
 
-// hasUsableNames reports whether another host may tell of the task and the worker.
-func hasUsableNames(task, worker string) bool {
-	return task != "" && len(task) <= maxTaskName && len(worker) <= maxTaskName
+// key returns the key of a start that another host reports, and false if its names are empty or too long.
+func (l *LateStart) key() (unsettledKey, bool) {
+	valid := l.Task != "" && len(l.Task) <= maxTaskName && len(l.Worker) <= maxTaskName
+	return unsettledKey{task: l.Task, worker: l.Worker, number: l.Number, sent: l.Sent}, valid
 }
--- a/entry/pkg/cell/witness.go
+++ b/entry/pkg/cell/witness.go
@@ -5,14 +5,6 @@
 	"time"
 )
 
-// SentStart tells another host of a start before it is sent.
-type SentStart struct {
-	Task   string `json:"t"`
-	Worker string `json:"w"`
-	Number int    `json:"n"`
-	Sent   int64  `json:"s"` // nanoseconds on the clock of the keeper that sends it
-}
-
 // Sender identifies the process of a keeper.
 type Sender struct {
 	Host        string
@@ -20,123 +12,80 @@
 }
 
 const (
-	// maxWitnessed bounds the starts of one sender that a host keeps; the keeper of 48 workers sends fewer in the time between
-	// two of its heartbeats.
+	// maxWitnessed bounds the starts of one sender on record; the keeper of 48 workers sends fewer between two of its heartbeats.
 	maxWitnessed = 4096
-	// answerNews is the time for which the starts without an answer have to fit into a heartbeat; a host that hears none for
-	// longer takes the sender for lost.
-	answerNews = time.Second
+	// reportWindow is the time of which all unsettled starts have to fit into a heartbeat; a host without one for longer is
+	// suspected.
+	reportWindow = time.Second
 )
 
-// SentStarts describes starts for the hosts that are told of them.
-func SentStarts(starts []Start) []SentStart {
-	sent := make([]SentStart, 0, len(starts))
+// Notices describes starts for the witnesses that are notified before these are sent; each may be carried out within the delay.
+func Notices(starts []Start, delay time.Duration) []LateStart {
+	notices := make([]LateStart, 0, len(starts))
 	for i := range starts {
 		key := keyOf(starts[i].Run)
-		sent = append(sent, SentStart{Task: key.task, Worker: key.worker, Number: key.number, Sent: key.sent})
-	}
-	return sent
-}
-
-// witnessedStarts are the starts that other keepers have told of and that may be without an answer, by sender.
-type witnessedStarts map[Sender][]witnessedStart
-
-type witnessedStart struct {
-	unsettledKey
-	until time.Time // it may be carried out until then
-}
-
-// trim drops the starts that cannot be carried out any more.
-func (w witnessedStarts) trim(now time.Time) {
-	for sender, starts := range w {
-		w.keep(sender, slices.DeleteFunc(starts, func(start witnessedStart) bool { return !now.Before(start.until) }))
-	}
-}
-
-func (w witnessedStarts) keep(sender Sender, starts []witnessedStart) {
-	if len(starts) == 0 {
-		delete(w, sender)
-		return
+		notices = append(notices, LateStart{Task: key.task, Worker: key.worker, Number: key.number, Sent: key.sent, Known: delay})
 	}
-	w[sender] = starts
+	return notices
 }
 
-// WitnessStarts records starts that another keeper sends, in case that it is lost before it has told which have no answer.
-func (c *Cell) WitnessStarts(sender Sender, starts []SentStart, now time.Time) {
-	witnessed := c.witnessed[sender]
-	for i := range starts {
-		start := &starts[i]
-		if !hasUsableNames(start.Task, start.Worker) {
-			continue
+// WitnessStarts records starts that another keeper sends, in case that it fails before it has reported which are unsettled.
+func (c *Cell) WitnessStarts(sender Sender, notices []LateStart, now time.Time) {
+	starts := c.unsettled.witnessed[sender]
+	for i := range notices {
+		if key, valid := notices[i].key(); valid {
+			starts = append(starts, &unsettledStart{unsettledKey: key, until: now.Add(min(notices[i].Known, c.limits.CallDelay))})
 		}
-		key := unsettledKey{task: start.Task, worker: start.Worker, number: start.Number, sent: start.Sent}
-		witnessed = append(witnessed, witnessedStart{unsettledKey: key, until: now.Add(c.limits.CallDelay)})
-	}
-	if excess := len(witnessed) - maxWitnessed; excess > 0 {
-		witnessed = slices.Delete(witnessed, 0, excess)
 	}
-	c.witnessed.keep(sender, witnessed)
+	c.unsettled.setWitnessed(sender, starts[max(0, len(starts)-maxWitnessed):])
 }
 
-// HandleAnswersKnown drops the witnessed starts up to the given time on the sender's clock: it has told which of these have no
-// answer.
-func (c *Cell) HandleAnswersKnown(sender Sender, until int64) {
-	if starts, ok := c.witnessed[sender]; ok {
-		c.witnessed.keep(sender, slices.DeleteFunc(starts, func(start witnessedStart) bool { return start.sent <= until }))
-	}
+// HandleStartsReported drops the witnessed starts up to the given time on the sender's clock, of which it has reported those that
+// are unsettled.
+func (c *Cell) HandleStartsReported(sender Sender, until int64) {
+	starts := c.unsettled.witnessed[sender]
+	c.unsettled.setWitnessed(sender, slices.DeleteFunc(starts, func(start *unsettledStart) bool { return start.sent <= until }))
 }
 
-// HandleKeeperLoss handles that a host is lost, except its process of the given incarnation unless that is empty: the witnessed
-// starts that it has sent may be without an answer. It returns their number.
-func (c *Cell) HandleKeeperLoss(host, exceptIncarnation string, now time.Time) (Effects, int) {
-	var effects Effects
-	blocked := map[string]bool{}
-	unsettled := 0
-	for sender, starts := range c.witnessed {
-		if sender.Host != host || (exceptIncarnation != "" && sender.Incarnation == exceptIncarnation) {
-			continue
+// HandleKeeperFailure takes the witnessed starts of a failed host for unsettled, except those of the given incarnation unless it
+// is empty, and returns their number.
+func (c *Cell) HandleKeeperFailure(host, exceptIncarnation string, now time.Time) (Effects, int) {
+	var starts []*unsettledStart
+	for sender, witnessed := range c.unsettled.witnessed {
+		if sender.Host == host && (exceptIncarnation == "" || sender.Incarnation != exceptIncarnation) {
+			starts = append(starts, witnessed...)
+			delete(c.unsettled.witnessed, sender)
 		}
-		delete(c.witnessed, sender)
-		for _, start := range starts {
-			if c.unsettled.byKey[start.unsettledKey] != nil || !now.Before(start.until) || len(c.unsettled.byKey) >= maxUnsettled {
-				continue
-			}
-			unsettled++
-			added := &unsettledStart{unsettledKey: start.unsettledKey, until: start.until}
-			c.unsettled.add(added)
-			if worker := c.workers[start.worker]; worker != nil && worker.gone {
-				c.unsettled.setBlocks(added, true)
-				blocked[start.task] = true
-			}
-			c.unsettled.announce(added, now)
+	}
+	starts = slices.DeleteFunc(starts, func(start *unsettledStart) bool { return c.unsettled.byKey[start.unsettledKey] != nil })
+	effects := c.MergeLateStarts(c.lateStarts(starts, now), now)
+	for _, start := range starts {
+		if merged := c.unsettled.byKey[start.unsettledKey]; merged != nil {
+			c.unsettled.announce(merged, now)
 		}
 	}
-	c.abandonBlocked(blocked, nil, now, &effects)
-	c.assign(now, &effects)
-	return effects, unsettled
+	return effects, len(starts)
 }
 
-// AnswersKnownUntil returns the time, in nanoseconds on this host's clock, up to which other hosts know from the recent late
-// starts which of the starts sent here have no answer.
-func (c *Cell) AnswersKnownUntil() int64 {
-	return c.unsettled.answersKnownUntil
+// StartsReportedUntil returns the time, in nanoseconds on this host's clock, up to which the recent late starts name all unsettled
+// starts of this keeper.
+func (c *Cell) StartsReportedUntil() int64 {
+	return c.unsettled.reportedUntil
 }
 
-// advanceAnswersKnown follows a check of all starts for their answers.
-func (u *unsettledStarts) advanceAnswersKnown(now time.Time) {
-	if u.changesSince(now.Add(-answerNews)) <= maxCrashNews {
-		u.answersKnownUntil = now.Add(-answerDelay).UnixNano() - 1
+// setWitnessed replaces the witnessed starts of a sender.
+func (u *unsettledStarts) setWitnessed(sender Sender, starts []*unsettledStart) {
+	if len(starts) == 0 {
+		delete(u.witnessed, sender)
+		return
 	}
+	u.witnessed[sender] = starts
 }
 
-// changesSince returns how many changes there were since the given time.
-func (u *unsettledStarts) changesSince(since time.Time) int {
-	count := 0
-	for _, start := range slices.Backward(u.news) {
-		if start.changedAt.Before(since) {
-			break
-		}
-		count++
+// advanceReported follows a check of all starts for their answers. While more have changed than fit into a heartbeat, a host may
+// miss some of them.
+func (u *unsettledStarts) advanceReported(now time.Time) {
+	if recent := len(u.news) - maxCrashNews; recent <= 0 || now.Sub(u.news[recent-1].changedAt) > reportWindow {
+		u.reportedUntil = now.Add(-answerDelay).UnixNano() - 1
 	}
-	return count
 }
--- a/entry/pkg/cell/witness_test.go
+++ b/entry/pkg/cell/witness_test.go
@@ -13,11 +13,11 @@
 
 // witness has the keeper told of a start of the first job's task that the lost keeper is about to send to the first worker.
 func (h *harness) witness() {
-	h.cell.WitnessStarts(lostSender, []SentStart{{Task: "j0001.0", Worker: "w00", Number: 1, Sent: h.now.UnixNano()}}, h.now)
+	h.cell.WitnessStarts(lostSender, []LateStart{{Task: "j0001.0", Worker: "w00", Number: 1, Sent: h.now.UnixNano(), Known: callDelay}}, h.now)
 }
 
 func (h *harness) loseSender() int {
-	effects, unsettled := h.cell.HandleKeeperLoss(lostSender.Host, "", h.now)
+	effects, unsettled := h.cell.HandleKeeperFailure(lostSender.Host, "", h.now)
 	h.applyEffects(&effects)
 	return unsettled
 }
@@ -68,15 +68,15 @@
 	h := newHarness(t)
 	h.addWorkers(1, 16, 1)
 	h.witness()
-	h.cell.HandleAnswersKnown(Sender{Host: lostSender.Host, Incarnation: "2"}, h.now.UnixNano())
-	h.cell.HandleAnswersKnown(lostSender, h.now.UnixNano()-1)
-	require.Len(t, h.cell.witnessed[lostSender], 1)
-	h.cell.HandleAnswersKnown(lostSender, h.now.UnixNano())
-	require.Empty(t, h.cell.witnessed)
+	h.cell.HandleStartsReported(Sender{Host: lostSender.Host, Incarnation: "2"}, h.now.UnixNano())
+	h.cell.HandleStartsReported(lostSender, h.now.UnixNano()-1)
+	require.Len(t, h.cell.unsettled.witnessed[lostSender], 1)
+	h.cell.HandleStartsReported(lostSender, h.now.UnixNano())
+	require.Empty(t, h.cell.unsettled.witnessed)
 	require.Zero(t, h.loseSender())
 
 	h.witness()
-	_, unsettled := h.cell.HandleKeeperLoss(lostSender.Host, lostSender.Incarnation, h.now)
+	_, unsettled := h.cell.HandleKeeperFailure(lostSender.Host, lostSender.Incarnation, h.now)
 	require.Zero(t, unsettled, "the process goes on")
 	told := LateStart{Task: "j0001.0", Worker: "w00", Number: 1, Sent: h.now.UnixNano(), Known: callDelay}
 	h.cell.MergeLateStarts([]LateStart{told}, h.now)
@@ -88,16 +88,16 @@
 func TestAnswersAreKnownOnceOthersAreTold(t *testing.T) {
 	h := newHarness(t)
 	h.addWorkers(1, 16, 1)
-	require.Zero(t, h.cell.AnswersKnownUntil())
+	require.Zero(t, h.cell.StartsReportedUntil())
 	h.pass(200 * time.Millisecond)
 	run := h.cell.Submit(h.job(1, 5, 5*time.Second, veryLong, veryLong), h.now).Starts[0].Run
 	for range 20 {
 		h.now = h.now.Add(step)
 		h.cell.Tick(h.now)
-		isKnown := h.cell.AnswersKnownUntil() >= run.sentAt.UnixNano()
+		isKnown := h.cell.StartsReportedUntil() >= run.sentAt.UnixNano()
 		require.Equal(t, isKnown, len(h.cell.RecentLateStarts(h.now)) == 1)
 	}
-	require.GreaterOrEqual(t, h.cell.AnswersKnownUntil(), run.sentAt.UnixNano())
+	require.GreaterOrEqual(t, h.cell.StartsReportedUntil(), run.sentAt.UnixNano())
 }
 
 // TestAnswersAreNotKnownWhileNotAllFitIntoAHeartbeat guards against a host that drops a start of which it was not told yet that it
@@ -105,17 +105,17 @@
 func TestAnswersAreNotKnownWhileNotAllFitIntoAHeartbeat(t *testing.T) {
 	h := newHarness(t)
 	h.cell.Tick(h.now)
-	before := h.cell.AnswersKnownUntil()
+	before := h.cell.StartsReportedUntil()
 	require.Equal(t, h.now.Add(-answerDelay).UnixNano()-1, before)
 	told := map[string]bool{}
 	const count = 5 * maxCrashNews
 	for i := range count {
-		h.cell.WitnessStarts(lostSender, []SentStart{{Task: fmt.Sprint(i), Worker: "w00", Number: 1}}, h.now)
+		h.cell.WitnessStarts(lostSender, []LateStart{{Task: fmt.Sprint(i), Worker: "w00", Number: 1, Known: callDelay}}, h.now)
 	}
 	require.Equal(t, count, h.loseSender())
-	for end := h.now.Add(answerNews); h.now.Before(end); h.now = h.now.Add(newsTurn) {
+	for end := h.now.Add(reportWindow); h.now.Before(end); h.now = h.now.Add(reportTurn) {
 		h.cell.Tick(h.now)
-		require.Equal(t, before, h.cell.AnswersKnownUntil())
+		require.Equal(t, before, h.cell.StartsReportedUntil())
 		starts := h.cell.RecentLateStarts(h.now)
 		require.LessOrEqual(t, len(starts), maxCrashNews)
 		for i := range starts {
@@ -123,9 +123,9 @@
 		}
 	}
 	require.Len(t, told, count, "they take turns")
-	h.now = h.now.Add(answerNews)
+	h.now = h.now.Add(reportWindow)
 	h.cell.Tick(h.now)
-	require.Greater(t, h.cell.AnswersKnownUntil(), before)
+	require.Greater(t, h.cell.StartsReportedUntil(), before)
 }
 
 // TestKeeperOfAGoneWorkerTellsOthersOfAStartThatItHearsOf guards against a task that runs elsewhere since its worker's keeper alone
@@ -154,17 +154,21 @@
 // TestWitnessedStartsAreBounded guards against a peer whose notices fill the memory, or that sends odd names.
 func TestWitnessedStartsAreBounded(t *testing.T) {
 	h := newHarness(t)
-	starts := []SentStart{{Worker: "w00"}, {Task: string(make([]byte, maxTaskName+1))}, {Task: "j", Worker: string(make([]byte, maxTaskName+1))}}
+	starts := []LateStart{
+		{Worker: "w00", Known: callDelay},
+		{Task: string(make([]byte, maxTaskName+1)), Known: callDelay},
+		{Task: "j", Worker: string(make([]byte, maxTaskName+1)), Known: callDelay},
+	}
 	h.cell.WitnessStarts(lostSender, starts, h.now)
-	require.Empty(t, h.cell.witnessed)
+	require.Empty(t, h.cell.unsettled.witnessed)
 	for i := range maxWitnessed + 1 {
-		h.cell.WitnessStarts(lostSender, []SentStart{{Task: fmt.Sprint(i), Worker: "w00", Number: 1}}, h.now)
+		h.cell.WitnessStarts(lostSender, []LateStart{{Task: fmt.Sprint(i), Worker: "w00", Number: 1, Known: callDelay}}, h.now)
 	}
-	require.Len(t, h.cell.witnessed[lostSender], maxWitnessed)
-	require.Equal(t, "1", h.cell.witnessed[lostSender][0].task, "the latest remain")
+	require.Len(t, h.cell.unsettled.witnessed[lostSender], maxWitnessed)
+	require.Equal(t, "1", h.cell.unsettled.witnessed[lostSender][0].task, "the latest remain")
 	h.now = h.now.Add(callDelay)
 	h.cell.Tick(h.now)
-	require.Empty(t, h.cell.witnessed)
+	require.Empty(t, h.cell.unsettled.witnessed)
 }
 
 // TestWitnessDoesNotUnblockATask guards against a task that starts elsewhere since a witness, which does not hold the worker, repeats
--- a/entry/pkg/cellhost/board.go
+++ b/entry/pkg/cellhost/board.go
@@ -36,7 +36,7 @@
 	Excesses          []peer.Excess // queues of which it cannot start all jobs in time
 	Gone              bool          // its silence is long, so that it counts for nothing
 	HeartbeatPeer     bool          // it and this host exchange heartbeats at the full rate
-	WitnessesStarts   bool          // it keeps the starts of other hosts of which it is told
+	WitnessesStarts   bool          // it can be a witness of starts
 }
 
 // View is what this host knows of all hosts, including itself; it is immutable once stored.
--- a/entry/pkg/cellhost/claims_test.go
+++ b/entry/pkg/cellhost/claims_test.go
@@ -40,7 +40,7 @@
 	queues := NewQueuesController(c, board, client, server)
 	members := NewMembersController(c, options, board, client, server, queues, NewEvacuationController(c, board), load)
 	directory := NewDirectoryController(c, board)
-	keeper := NewKeeperController(c, options, board, load, nil, server)
+	keeper := NewKeeperController(c, options, board, load, nil, noNotices{}, server)
 	members.SetObservers(keeper)
 	members.SetCrashes(keeper)
 	keeper.SetHeartbeats(members)
--- a/entry/pkg/cellhost/crash.go
+++ b/entry/pkg/cellhost/crash.go
@@ -78,18 +78,18 @@
 	k.apply(func(now time.Time) cell.Effects { return k.cell.MergeLateStarts(starts, now) })
 }
 
-// AnswersKnownUntil implements CrashExchange.
-func (k *KeeperController) AnswersKnownUntil() int64 {
+// StartsReportedUntil implements CrashExchange.
+func (k *KeeperController) StartsReportedUntil() int64 {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.cell.AnswersKnownUntil()
+	return k.cell.StartsReportedUntil()
 }
 
-// HandleAnswersKnown implements CrashExchange.
-func (k *KeeperController) HandleAnswersKnown(sender cell.Sender, until int64) {
+// HandleStartsReported implements CrashExchange.
+func (k *KeeperController) HandleStartsReported(sender cell.Sender, until int64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.cell.HandleAnswersKnown(sender, until)
+	k.cell.HandleStartsReported(sender, until)
 }
 
 // failCrashing answers a job under one of whose tasks too many workers have crashed, wherever and for whichever of its
--- a/entry/pkg/cellhost/keeper.go
+++ b/entry/pkg/cellhost/keeper.go
@@ -49,7 +49,7 @@
 	workers WorkerClient
 
 	heartbeats HeartbeatSender
-	witnesses  StartNotifier
+	notifier   StartNotifier
 
 	mu             sync.Mutex
 	cell           *cell.Cell
@@ -77,13 +77,14 @@
 	RoomElsewhere(queue, group string) int
 }
 
-// NewKeeperController returns a keeper without workers and registers its method with the peer server.
+// NewKeeperController returns a keeper without workers and registers its methods with the peer server.
 func NewKeeperController(
 	c *common.Common,
 	options Options,
 	board *Board,
 	shedder Shedder,
 	workers WorkerClient,
+	notifier StartNotifier,
 	server *peer.Server,
 ) *KeeperController {
 	controller := &KeeperController{
@@ -100,11 +101,13 @@
 		memory:  budget.New(options.Memory, smallJobBytes),
 		orders:  newOpenOrders(),
 
+		notifier:      notifier,
 		droppedTokens: map[string]droppedToken{},
 	}
 	seen := &homes{self: options.Name, board: board, clock: c.Clock, decidedAt: &controller.decidedAt}
 	controller.cell = cell.New(options.limits(), seen)
 	peer.Handle(server, peer.MethodRun, controller.Run)
+	peer.Handle(server, peer.MethodStarts, controller.serveNotice)
 	return controller
 }
 
@@ -163,11 +166,10 @@
 	k.apply(func(now time.Time) cell.Effects { return k.cell.SetEvacuated(domains, now) })
 }
 
-// HostFailed cancels the jobs of a home host that is suspected or has restarted, and takes the starts that it has told of for
-// ones without an answer.
+// HostFailed cancels the jobs of a home host that is suspected or has restarted, and takes its witnessed starts for unsettled.
 func (k *KeeperController) HostFailed(name, incarnation string) {
 	k.apply(func(now time.Time) cell.Effects { return k.cell.HandleHomeFailure(name, incarnation, now) })
-	k.takeWitnessedStarts(name, incarnation)
+	k.handleKeeperFailure(name, incarnation)
 }
 
 // execute sends starts and stops and delivers answers, without waiting for any of them.
--- a/entry/pkg/cellhost/keeper_witness.go
+++ b/entry/pkg/cellhost/keeper_witness.go
@@ -1,30 +1,24 @@
 package cellhost
 
 import (
+	"context"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"chervilusher.dev/entry/pkg/cell"
+	"chervilusher.dev/entry/pkg/peer"
 )
 
-var (
-	noticeTime       = metrics.NewHistogram(`chervilusher_start_notice_seconds`)
-	lateNotices      = metrics.NewCounter(`chervilusher_start_notices_late_total`)
-	lostKeeperStarts = metrics.NewCounter(`chervilusher_starts_of_lost_keepers_total`)
-)
-
-// noticeDelay bounds how long a start waits until the notices of it are written, which takes longer only for a connection that
-// has to be opened first or has filled up.
-const noticeDelay = 5 * time.Millisecond
+var failedKeeperStarts = metrics.NewCounter(`chervilusher_starts_of_lost_keepers_total`)
 
-// StartNotifier tells other hosts of starts.
+// StartNotifier notifies other hosts of starts.
 type StartNotifier interface {
-	// Notify returns a channel that is closed once the notices are written, or could not be.
-	Notify(starts []cell.SentStart) <-chan struct{}
+	// Notify returns once the notices are written, cannot be, or take too long.
+	Notify(starts []cell.LateStart)
 }
 
-// sendStarts sends the starts once other hosts were told of them.
+// sendStarts sends the starts once other hosts are notified of them.
 func (k *KeeperController) sendStarts(starts []cell.Start) {
 	if len(starts) == 0 {
 		return
@@ -33,7 +27,7 @@
 		k.orders.beginStart(starts[i].Run)
 	}
 	go func() {
-		k.tellWitnesses(starts)
+		k.notifier.Notify(cell.Notices(starts, maxCallDelay))
 		for i := range starts {
 			go func() {
 				defer k.orders.endStart(starts[i].Run)
@@ -43,51 +37,29 @@
 	}()
 }
 
-// SetWitnesses sets who tells other hosts of starts; it must be called before Serve.
-func (k *KeeperController) SetWitnesses(witnesses StartNotifier) {
-	k.witnesses = witnesses
-}
-
-// tellWitnesses tells other hosts of the starts, and returns once the notices are written, but soon in any case: a host that
-// cannot be reached must not hold up the starts.
-func (k *KeeperController) tellWitnesses(starts []cell.Start) {
-	if k.witnesses == nil {
-		return
-	}
-	began := k.common.Clock.Now()
-	written := k.witnesses.Notify(cell.SentStarts(starts))
-	timeout := k.common.Clock.NewTimer(noticeDelay)
-	defer timeout.Stop()
-	select {
-	case <-written:
-	case <-timeout.Chan():
-		lateNotices.Inc()
-	}
-	noticeTime.Update(k.common.Clock.Since(began).Seconds())
-}
-
-// WitnessStarts implements StartRecorder. A notice may be read after its sender was found to be lost.
-func (k *KeeperController) WitnessStarts(sender cell.Sender, starts []cell.SentStart) {
+// serveNotice records starts of another keeper. The notice may arrive after its sender was found to have failed.
+func (k *KeeperController) serveNotice(_ context.Context, notice *peer.StartsNotice) (*peer.StartsNoticed, error) {
 	k.mu.Lock()
-	k.cell.WitnessStarts(sender, starts, k.common.Clock.Now())
+	k.cell.WitnessStarts(cell.Sender{Host: notice.Host, Incarnation: notice.Incarnation}, notice.Starts, k.common.Clock.Now())
 	k.mu.Unlock()
-	switch state := k.board.View().Hosts[sender.Host]; {
+	switch state := k.board.View().Hosts[notice.Host]; {
 	case !state.Alive:
-		k.takeWitnessedStarts(sender.Host, "")
-	case state.Incarnation != sender.Incarnation:
-		k.takeWitnessedStarts(sender.Host, state.Incarnation)
+		k.handleKeeperFailure(notice.Host, "")
+	case state.Incarnation != notice.Incarnation:
+		k.handleKeeperFailure(notice.Host, state.Incarnation)
 	}
+	return &peer.StartsNoticed{}, nil
 }
 
-// takeWitnessedStarts takes the starts of which a lost host has told, other than its present process, for ones without an answer.
-func (k *KeeperController) takeWitnessedStarts(host, exceptIncarnation string) {
-	taken := 0
+// handleKeeperFailure takes the witnessed starts of a failed host, other than its present process, for unsettled.
+func (k *KeeperController) handleKeeperFailure(host, exceptIncarnation string) {
+	unsettled := 0
 	k.apply(func(now time.Time) (effects cell.Effects) {
-		effects, taken = k.cell.HandleKeeperLoss(host, exceptIncarnation, now)
+		effects, unsettled = k.cell.HandleKeeperFailure(host, exceptIncarnation, now)
 		return effects
 	})
-	if taken > 0 {
-		lostKeeperStarts.Add(taken)
-		k.common.Log.WithField("peer", host).WithField("starts", taken).Info("workers may carry out starts of a lost keeper")
+	if unsettled > 0 {
+		failedKeeperStarts.Add(unsettled)
+		k.common.Log.WithField("peer", host).WithField("starts", unsettled).Info("workers may carry out starts of a lost keeper")
 	}
 }
--- a/entry/pkg/cellhost/members.go
+++ b/entry/pkg/cellhost/members.go
@@ -298,8 +298,8 @@
 	if table := m.board.Queues(); table != nil {
 		heartbeat.QueuesVersion = table.Version
 	}
-	if m.crashes != nil { // the late starts are read last, so that they hold all that have no answer until then
-		heartbeat.AnswersKnownUntil = m.crashes.AnswersKnownUntil()
+	if m.crashes != nil { // the late starts are read after the time that they cover
+		heartbeat.StartsReportedUntil = m.crashes.StartsReportedUntil()
 		heartbeat.Crashes, heartbeat.LateStarts = m.crashesFor(receiver)
 	}
 	if m.calls != nil { // after Clock was read: what the list lacks, was sent later
@@ -365,7 +365,7 @@
 			state.UnreleasedWorkers = setOf(last.heartbeat.UnreleasedWorkers)
 			state.ShedFraction = last.heartbeat.ShedFraction
 			state.Excesses = last.heartbeat.Excesses
-			state.WitnessesStarts = last.heartbeat.AnswersKnownUntil != 0
+			state.WitnessesStarts = last.heartbeat.StartsReportedUntil != 0
 		}
 		if name == m.options.Name {
 			state.Incarnation = m.common.Incarnation
--- a/entry/pkg/cellhost/members_crashes.go
+++ b/entry/pkg/cellhost/members_crashes.go
@@ -20,8 +20,8 @@
 	RecentLateStarts() []cell.LateStart
 	KnownLateStarts() []cell.LateStart
 	MergeLateStarts(starts []cell.LateStart)
-	AnswersKnownUntil() int64
-	HandleAnswersKnown(sender cell.Sender, until int64)
+	StartsReportedUntil() int64
+	HandleStartsReported(sender cell.Sender, until int64)
 }
 
 // SetCrashes sets the holder of the counts; it must be called before Serve.
@@ -29,7 +29,7 @@
 	m.crashes = crashes
 }
 
-// mergeCrashes takes over what the sender of a heartbeat tells of crashes and late starts.
+// mergeCrashes merges the crashes and late starts of a heartbeat.
 func (m *MembersController) mergeCrashes(heartbeat *peer.Heartbeat) {
 	if m.crashes == nil {
 		return
@@ -40,8 +40,8 @@
 	if len(heartbeat.LateStarts) > 0 {
 		m.crashes.MergeLateStarts(heartbeat.LateStarts)
 	}
-	if heartbeat.AnswersKnownUntil != 0 {
-		m.crashes.HandleAnswersKnown(cell.Sender{Host: heartbeat.Name, Incarnation: heartbeat.Incarnation}, heartbeat.AnswersKnownUntil)
+	if heartbeat.StartsReportedUntil != 0 {
+		m.crashes.HandleStartsReported(cell.Sender{Host: heartbeat.Name, Incarnation: heartbeat.Incarnation}, heartbeat.StartsReportedUntil)
 	}
 }
 
--- a/entry/pkg/cellhost/witness.go
+++ b/entry/pkg/cellhost/witness.go
@@ -3,9 +3,8 @@
 import (
 	"cmp"
 	"context"
-	"slices"
-	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
@@ -18,140 +17,126 @@
 var (
 	noticesSent       = metrics.NewCounter(`chervilusher_start_notices_total{end="sent"}`)
 	noticesFailed     = metrics.NewCounter(`chervilusher_start_notices_total{end="failed"}`)
+	noticesDelayed    = metrics.NewCounter(`chervilusher_start_notices_late_total`)
+	noticeTime        = metrics.NewHistogram(`chervilusher_start_notice_seconds`)
 	unwitnessedStarts = metrics.NewCounter(`chervilusher_starts_without_witness_total`)
 )
 
-// maxWitnesses is how many hosts are told of a start: one of the keeper's failure domain, which can be reached while that is
-// cut off, and one elsewhere, which remains if the failure domain is lost.
-const maxWitnesses = 2
-
-// StartRecorder keeps the starts of which other keepers tell.
-type StartRecorder interface {
-	WitnessStarts(sender cell.Sender, starts []cell.SentStart)
-}
+const (
+	// maxWitnesses is the number of witnesses of a start: one in the keeper's failure domain, which it reaches during a partition
+	// of that domain, and one elsewhere, which survives the loss of the domain.
+	maxWitnesses = 2
+	// noticeTimeout bounds how long a start waits until the notices of it are written, which takes longer only for a connection
+	// that has to be opened first or has filled up.
+	noticeTimeout = 5 * time.Millisecond
+)
 
-// WitnessController tells a few other hosts of each start before it is sent: a start without an answer may be carried out long
-// after its keeper is lost, and only those who know of it can keep its task from running elsewhere meanwhile.
+// WitnessController notifies a few other hosts of each start before it is sent: a start without an answer may be carried out long
+// after its keeper has failed, and only hosts with a record of it can keep its task from running elsewhere meanwhile.
 type WitnessController struct {
-	common   *common.Common
-	options  Options
-	board    *Board
-	client   *peer.Client
-	recorder StartRecorder
-	chosen   atomic.Pointer[witnessChoice]
+	common  *common.Common
+	options Options
+	board   *Board
+	client  *peer.Client
+	cached  atomic.Pointer[witnessesOfView]
 }
 
-// witnessChoice holds the witnesses by a view of the hosts.
-type witnessChoice struct {
+// witnessesOfView holds the witnesses for one view of the hosts.
+type witnessesOfView struct {
 	view      *View
 	witnesses []PeerState
 }
 
-// NewWitnessController returns the controller and adds its method to the peer server.
-func NewWitnessController(c *common.Common, options Options, board *Board, client *peer.Client, server *peer.Server, recorder StartRecorder) *WitnessController {
-	controller := &WitnessController{common: c.Prefixed("witness"), options: options, board: board, client: client, recorder: recorder}
-	peer.Handle(server, peer.MethodStarts, controller.serve)
-	return controller
-}
-
-func (w *WitnessController) serve(_ context.Context, notice *peer.StartsNotice) (*peer.StartsNoticed, error) {
-	w.recorder.WitnessStarts(cell.Sender{Host: notice.Host, Incarnation: notice.Incarnation}, notice.Starts)
-	return &peer.StartsNoticed{}, nil
+// NewWitnessController returns the controller.
+func NewWitnessController(c *common.Common, options Options, board *Board, client *peer.Client) *WitnessController {
+	return &WitnessController{common: c.Prefixed("witness"), options: options, board: board, client: client}
 }
 
 // Notify implements StartNotifier.
-func (w *WitnessController) Notify(starts []cell.SentStart) <-chan struct{} {
-	written := make(chan struct{})
+func (w *WitnessController) Notify(starts []cell.LateStart) {
 	witnesses := w.witnesses()
 	if len(witnesses) == 0 {
 		unwitnessedStarts.Add(len(starts))
-		close(written)
-		return written
+		return
 	}
+	began := w.common.Clock.Now()
+	defer func() { noticeTime.Update(w.common.Clock.Since(began).Seconds()) }()
 	notice := &peer.StartsNotice{Host: w.options.Name, Incarnation: w.common.Incarnation, Starts: starts}
-	var writing sync.WaitGroup
-	writing.Add(len(witnesses))
+	written := make(chan struct{}, len(witnesses))
 	for i := range witnesses {
-		go w.send(&witnesses[i], notice, writing.Done)
+		go w.send(&witnesses[i], notice, written)
+	}
+	timeout := w.common.Clock.After(noticeTimeout)
+	for range witnesses {
+		select {
+		case <-written:
+		case <-timeout:
+			noticesDelayed.Inc()
+			return
+		}
 	}
-	go func() {
-		writing.Wait()
-		close(written)
-	}()
-	return written
 }
 
-// send calls written as soon as the notice is written or cannot be.
-func (w *WitnessController) send(witness *PeerState, notice *peer.StartsNotice, written func()) {
+// send reports on the channel that the notice is written, or that it cannot be.
+func (w *WitnessController) send(witness *PeerState, notice *peer.StartsNotice, written chan<- struct{}) {
 	ctx, cancel := context.WithTimeout(context.Background(), w.options.SuspectTimeout/2)
 	defer cancel()
 	receive, err := peer.Send[peer.StartsNotice, peer.StartsNoticed](ctx, w.client, witness.Address, peer.MethodStarts, notice)
-	written()
+	written <- struct{}{}
 	if err == nil {
 		_, err = receive()
 	}
 	if err != nil {
 		noticesFailed.Inc()
-		w.common.Log.WithField("peer", witness.Name).WithField("starts", len(notice.Starts)).WithError(err).Debug("a notice of starts failed")
+		w.common.Log.WithField("peer", witness.Name).WithField("starts", len(notice.Starts)).WithError(err).Debug("notice of starts failed")
 		return
 	}
 	noticesSent.Inc()
 }
 
-// witnesses returns the hosts that are told of this host's starts.
+// witnesses returns the hosts to notify of this host's starts.
 func (w *WitnessController) witnesses() []PeerState {
 	view := w.board.View()
-	if choice := w.chosen.Load(); choice != nil && choice.view == view {
-		return choice.witnesses
+	if cached := w.cached.Load(); cached != nil && cached.view == view {
+		return cached.witnesses
 	}
-	choice := &witnessChoice{view: view, witnesses: chooseWitnesses(view, w.options.Name, w.options.FailureDomain)}
-	w.chosen.Store(choice)
-	return choice.witnesses
+	selected := &witnessesOfView{view: view, witnesses: selectWitnesses(view, w.options.Name, w.options.FailureDomain)}
+	w.cached.Store(selected)
+	return selected.witnesses
 }
 
-// chooseWitnesses returns a host of the failure domain and one elsewhere, or two of either if the other has none. Keepers, which
-// are large enough and known to all other keepers, go first, and each host has an order of its own among them.
-func chooseWitnesses(view *View, name, domain string) []PeerState {
-	var local, elsewhere firstHosts
-	for other := range view.Hosts {
-		state := view.Hosts[other]
-		if other == name || !state.Alive || state.Leaving || !state.HeartbeatPeer || !state.WitnessesStarts {
-			continue
-		}
-		ranked := rankedHost{name: other, isKeeper: state.IsKeeper(), rank: xxhash.Sum64String(name + "/" + other)}
-		if state.FailureDomain == domain {
-			local.add(ranked)
-		} else {
-			elsewhere.add(ranked)
-		}
-	}
-	chosen := slices.Concat(local, elsewhere)
-	if len(local) > 0 && len(elsewhere) > 0 {
-		chosen = []rankedHost{local[0], elsewhere[0]}
+// selectWitnesses returns a host of the failure domain and one elsewhere, or two of either if there is none of the other.
+func selectWitnesses(view *View, name, domain string) []PeerState {
+	local := firstWitness(view, name, func(_, of string) bool { return of == domain })
+	elsewhere := firstWitness(view, name, func(_, of string) bool { return of != domain })
+	if local == "" {
+		local = firstWitness(view, name, func(other, _ string) bool { return other != elsewhere })
+	} else if elsewhere == "" {
+		elsewhere = firstWitness(view, name, func(other, _ string) bool { return other != local })
 	}
-	witnesses := make([]PeerState, 0, len(chosen))
-	for _, host := range chosen {
-		witnesses = append(witnesses, view.Hosts[host.name])
+	witnesses := make([]PeerState, 0, maxWitnesses)
+	for _, witness := range []string{local, elsewhere} {
+		if state, ok := view.Hosts[witness]; ok {
+			witnesses = append(witnesses, state)
+		}
 	}
 	return witnesses
 }
 
-// rankedHost is a host that may become a witness.
-type rankedHost struct {
-	name     string
-	isKeeper bool
-	rank     uint64
-}
-
-// firstHosts are the first maxWitnesses of the hosts that were added, in their order.
-type firstHosts []rankedHost
-
-func (f *firstHosts) add(host rankedHost) {
-	at, _ := slices.BinarySearchFunc(*f, host, func(a, b rankedHost) int {
-		return cmp.Or(boolToInt(b.isKeeper)-boolToInt(a.isKeeper), cmp.Compare(a.rank, b.rank))
-	})
-	if at < maxWitnesses {
-		*f = slices.Insert(*f, at, host)
-		*f = (*f)[:min(len(*f), maxWitnesses)]
+// firstWitness returns the first host that may be a witness for the named one and is accepted by its name and failure domain, or
+// "". Keepers precede others, since they are large and exchange heartbeats with all keepers; rendezvous hashing distributes the
+// witnesses among them.
+func firstWitness(view *View, name string, accepts func(other, domain string) bool) string {
+	first, firstIsKeeper, firstScore := "", false, uint64(0)
+	for other := range view.Hosts {
+		state := view.Hosts[other]
+		if other == name || !state.Alive || state.Leaving || !state.HeartbeatPeer || !state.WitnessesStarts || !accepts(other, state.FailureDomain) {
+			continue
+		}
+		score := xxhash.Sum64String(other + "\x00" + name)
+		if order := cmp.Or(boolToInt(state.IsKeeper())-boolToInt(firstIsKeeper), cmp.Compare(score, firstScore)); first == "" || order > 0 {
+			first, firstIsKeeper, firstScore = other, state.IsKeeper(), score
+		}
 	}
+	return first
 }
--- a/entry/pkg/cellhost/witness_test.go
+++ b/entry/pkg/cellhost/witness_test.go
@@ -2,31 +2,39 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"net"
 	"strconv"
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
 	"chervilusher.dev/entry/pkg/blackboard"
 	"chervilusher.dev/entry/pkg/cell"
+	"chervilusher.dev/entry/pkg/common"
 	"chervilusher.dev/entry/pkg/peer"
 )
 
-// heldNotices notes starts of which other hosts are told, and the notices are written once the test says so.
-type heldNotices struct {
-	noted   chan []cell.SentStart
-	written chan struct{}
-}
+// noNotices is a notifier without witnesses.
+type noNotices struct{}
+
+// Notify implements StartNotifier.
+func (noNotices) Notify([]cell.LateStart) {}
 
-func newHeldNotices() *heldNotices {
-	return &heldNotices{noted: make(chan []cell.SentStart, 1), written: make(chan struct{})}
+// blockedNotices is a notifier whose notices are written once the test closes the channel.
+type blockedNotices struct {
+	notified chan []cell.LateStart
+	written  chan struct{}
 }
 
 // Notify implements StartNotifier.
-func (n *heldNotices) Notify(starts []cell.SentStart) <-chan struct{} {
-	n.noted <- starts
-	return n.written
+func (n *blockedNotices) Notify(starts []cell.LateStart) {
+	n.notified <- starts
+	<-n.written
 }
 
 // startOne has the keeper start one task.
@@ -39,30 +47,48 @@
 	f.keeper.apply(func(now time.Time) cell.Effects { return f.keeper.cell.Submit(job, now) })
 }
 
-// TestStartIsSentOnceOthersWereToldOfIt guards against a start of which nobody knows when its keeper is lost right after it.
-func TestStartIsSentOnceOthersWereToldOfIt(t *testing.T) {
+// TestStartIsSentOnceItsNoticesAreWritten guards against a start that is on no other host's record when its keeper fails right
+// after it.
+func TestStartIsSentOnceItsNoticesAreWritten(t *testing.T) {
 	f := newKeeperFixture(t)
-	notices := newHeldNotices()
-	f.keeper.SetWitnesses(notices)
+	notices := &blockedNotices{notified: make(chan []cell.LateStart, 1), written: make(chan struct{})}
+	f.keeper.notifier = notices
 	sent := f.clock.Now().UnixNano()
 	f.startOne(t)
-	require.Equal(t, []cell.SentStart{{Task: "j.0", Worker: "w", Number: 1, Sent: sent}}, <-notices.noted)
+	require.Equal(t, []cell.LateStart{{Task: "j.0", Worker: "w", Number: 1, Sent: sent, Known: maxCallDelay}}, <-notices.notified)
 	time.Sleep(20 * time.Millisecond)
 	require.Empty(t, f.worker.started())
 	close(notices.written)
 	require.Eventually(t, func() bool { return len(f.worker.started()) == 1 }, 5*time.Second, time.Millisecond)
 }
 
-// TestStartWaitsForItsNoticesOnlyBriefly guards against starts that are held up by a host which cannot be reached.
+// handshakes has a client begin each connection with a handshake.
+type handshakes struct{}
+
+// Client implements peer.TLSSource.
+func (handshakes) Client() *tls.Config {
+	return &tls.Config{ServerName: "b", MinVersion: tls.VersionTLS13}
+}
+
+// TestStartWaitsForItsNoticesOnlyBriefly guards against starts that wait for a host which cannot be reached.
 func TestStartWaitsForItsNoticesOnlyBriefly(t *testing.T) {
-	f := newKeeperFixture(t)
-	notices := newHeldNotices()
-	f.keeper.SetWitnesses(notices)
-	f.startOne(t)
-	<-notices.noted
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0") // no handshake is answered
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, listener.Close()) })
+	f := newWitnessFixture(t, listener.Addr().String(), peer.NewClient(handshakes{}))
+	notified := make(chan struct{})
+	go func() {
+		f.witness.Notify(f.starts)
+		close(notified)
+	}()
 	require.NoError(t, f.clock.BlockUntilContext(t.Context(), 1))
-	f.clock.Advance(noticeDelay)
-	require.Eventually(t, func() bool { return len(f.worker.started()) == 1 }, 5*time.Second, time.Millisecond)
+	select {
+	case <-notified:
+		require.FailNow(t, "the notice cannot be written")
+	default:
+	}
+	f.clock.Advance(noticeTimeout)
+	<-notified
 }
 
 // TestWitnessesSurviveTheLossOfAFailureDomain guards against starts that only hosts know of which are lost with their keeper.
@@ -77,7 +103,7 @@
 		view.Hosts[name] = state
 	}
 	names := func() (names []string) {
-		for _, witness := range chooseWitnesses(view, "self", north) {
+		for _, witness := range selectWitnesses(view, "self", north) {
 			names = append(names, witness.Name)
 		}
 		return names
@@ -104,46 +130,60 @@
 	delete(view.Hosts, "north")
 	delete(view.Hosts, "also-north")
 	delete(view.Hosts, "north-keeper")
-	require.Equal(t, []string{"south-keeper", "south"}, names(), "there is nobody else in the failure domain")
+	require.ElementsMatch(t, []string{"south-keeper", "south"}, names(), "there is nobody else in the failure domain")
 }
 
-// TestWitnessTellsOthersOfStartsOfALostHost guards against starts without an answer that are lost with their keeper, also if the
-// notice is read after the loss was seen.
-func TestWitnessTellsOthersOfStartsOfALostHost(t *testing.T) {
+// TestWitnessReportsStartsOfAFailedHost guards against unsettled starts that nobody reports once their keeper has failed, also if
+// the notice is read after that.
+func TestWitnessReportsStartsOfAFailedHost(t *testing.T) {
 	c, members := newMembers(t, blackboard.Member{Name: "b", FailureDomain: north, Size: 1})
 	members.SetObservers(c.keeper, c.keeper)
-	server := peer.NewServer()
-	NewWitnessController(c.common, c.options, c.board, peer.NewClient(nil), server, c.keeper)
-	address := serveHeartbeats(t, server)
 	notify := func(task string) {
-		client := peer.NewClient(nil)
-		sender := &WitnessController{common: c.common, options: Options{Name: "b", SuspectTimeout: 20 * time.Second}, client: client}
-		notice := &peer.StartsNotice{Host: "b", Incarnation: "1", Starts: []cell.SentStart{{Task: task, Worker: "w", Number: 1, Sent: 7}}}
-		written := make(chan struct{})
-		sender.send(&PeerState{Member: blackboard.Member{Address: address}}, notice, func() { close(written) })
-		<-written
-		require.NoError(t, client.Close())
+		notice := &peer.StartsNotice{Host: "b", Incarnation: "1", Starts: []cell.LateStart{{Task: task, Worker: "w", Number: 1, Sent: 7, Known: time.Minute}}}
+		_, err := c.keeper.serveNotice(t.Context(), notice)
+		require.NoError(t, err)
 	}
 	members.handleHeartbeat(heartbeatOf(c, "b", "1"))
 	notify("answered")
 	c.clock.Advance(viewInterval)
 	heartbeat := heartbeatOf(c, "b", "1")
-	heartbeat.AnswersKnownUntil = 7
+	heartbeat.StartsReportedUntil = 7
 	members.handleHeartbeat(heartbeat)
 	require.True(t, c.board.View().Hosts["b"].WitnessesStarts)
 	notify("j.0")
 	require.Empty(t, members.ownHeartbeat("c").LateStarts)
 	members.handleHeartbeat(heartbeatOf(c, "b", "2"))
-	told := members.ownHeartbeat("c").LateStarts
-	require.Len(t, told, 1)
-	require.Equal(t, "j.0", told[0].Task)
+	reports := members.ownHeartbeat("c").LateStarts
+	require.Len(t, reports, 1)
+	require.Equal(t, "j.0", reports[0].Task)
 	notify("j.1")
 	require.Len(t, members.ownHeartbeat("c").LateStarts, 2, "of an earlier process")
 }
 
-// TestNoticesOfStartsAreWrittenToAllWitnesses guards against a start that waits for the answers of its notices.
-func TestNoticesOfStartsAreWrittenToAllWitnesses(t *testing.T) {
-	c, _ := newMembers(t, blackboard.Member{Name: "b", FailureDomain: north, Size: 1})
+// witnessFixture is a witness controller with one witness.
+type witnessFixture struct {
+	witness *WitnessController
+	clock   *clockwork.FakeClock
+	starts  []cell.LateStart
+}
+
+func newWitnessFixture(t *testing.T, address string, client *peer.Client) *witnessFixture {
+	t.Helper()
+	clock := clockwork.NewFakeClock()
+	c := &common.Common{Log: &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}, Clock: clock, Incarnation: "1"}
+	t.Cleanup(func() { require.NoError(t, client.Close()) })
+	board := NewBoard()
+	member := blackboard.Member{Name: "b", Address: address, FailureDomain: north, Alive: true}
+	board.view.Store(&View{Hosts: map[string]PeerState{"b": {Member: member, HeartbeatPeer: true, WitnessesStarts: true}}})
+	return &witnessFixture{
+		witness: NewWitnessController(c, Options{Name: "a", FailureDomain: north, SuspectTimeout: 20 * time.Second}, board, client),
+		clock:   clock,
+		starts:  []cell.LateStart{{Task: "j.0", Worker: "w", Number: 1, Sent: 7, Known: time.Minute}},
+	}
+}
+
+// TestStartsDoNotWaitForTheAnswersOfTheirNotices guards against starts that take a round trip to another host longer.
+func TestStartsDoNotWaitForTheAnswersOfTheirNotices(t *testing.T) {
 	read, answer := make(chan *peer.StartsNotice, 1), make(chan struct{})
 	server := peer.NewServer()
 	peer.Handle(server, peer.MethodStarts, func(_ context.Context, notice *peer.StartsNotice) (*peer.StartsNoticed, error) {
@@ -151,21 +191,16 @@
 		<-answer
 		return &peer.StartsNoticed{}, nil
 	})
-	client := peer.NewClient(nil)
-	t.Cleanup(func() { require.NoError(t, client.Close()) })
-	witness := NewWitnessController(c.common, Options{Name: "a", FailureDomain: north, SuspectTimeout: 20 * time.Second}, c.board, client, peer.NewServer(), c.keeper)
-	starts := []cell.SentStart{{Task: "j.0", Worker: "w", Number: 1, Sent: 7}}
-	c.board.view.Store(&View{})
-	<-witness.Notify(starts) // there is no witness
-	member := blackboard.Member{Name: "b", Address: serveHeartbeats(t, server), FailureDomain: north, Alive: true}
-	c.board.view.Store(&View{Hosts: map[string]PeerState{"b": {Member: member, HeartbeatPeer: true, WitnessesStarts: true}}})
-	<-witness.Notify(starts)
-	require.Equal(t, &peer.StartsNotice{Host: "a", Incarnation: c.common.Incarnation, Starts: starts}, <-read)
+	f := newWitnessFixture(t, serveHeartbeats(t, server), peer.NewClient(nil))
+	f.witness.Notify(f.starts)
+	require.Equal(t, &peer.StartsNotice{Host: "a", Incarnation: "1", Starts: f.starts}, <-read)
 	close(answer)
+	f.witness.board.view.Store(&View{})
+	f.witness.Notify(f.starts) // there is no witness
 }
 
-// BenchmarkChooseWitnesses reports the cost of a choice, one of which is made for each view in which tasks start.
-func BenchmarkChooseWitnesses(b *testing.B) {
+// BenchmarkSelectWitnesses reports the cost of a selection, one of which is made for each view in which tasks start.
+func BenchmarkSelectWitnesses(b *testing.B) {
 	for _, hosts := range []int{30, 300} {
 		b.Run(strconv.Itoa(hosts), func(b *testing.B) {
 			fleet := newFleet(hosts)
@@ -174,7 +209,7 @@
 				fleet.view.Hosts[name] = state
 			}
 			for b.Loop() {
-				require.Len(b, chooseWitnesses(fleet.view, "host005", fleetDomain(0)), maxWitnesses)
+				require.Len(b, selectWitnesses(fleet.view, "host005", fleetDomain(0)), maxWitnesses)
 			}
 		})
 	}
--- a/entry/pkg/cellhost/worker_loop_test.go
+++ b/entry/pkg/cellhost/worker_loop_test.go
@@ -104,7 +104,7 @@
 	c := &common.Common{Log: &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}, Clock: clock, Incarnation: "life"}
 	options := Options{Name: "a", FailureDomain: north, MaxLease: time.Second, ResubmitDelay: DefaultResubmitDelay, HeartbeatInterval: DefaultHeartbeatInterval, SuspectTimeout: DefaultSuspectTimeout}
 	worker := &scriptedWorker{holds: make(chan heldCall)}
-	keeper := NewKeeperController(c, options, NewBoard(), &fixedShedder{}, worker, peer.NewServer())
+	keeper := NewKeeperController(c, options, NewBoard(), &fixedShedder{}, worker, noNotices{}, peer.NewServer())
 	state := &cell.Worker{ID: "w", Group: "desk", Capacity: cell.Resources{Cores: 16_000, Memory: 1 << 20}}
 	loop := newWorkerLoop(keeper, state, 1000)
 	t.Cleanup(loop.cancel)
--- a/entry/pkg/peer/cell.go
+++ b/entry/pkg/peer/cell.go
@@ -62,9 +62,9 @@
 	Crashes []cell.CrashCount `json:"x,omitempty"`
 	// LateStarts are tasks that a crashed worker of the sender may start in its next life, news or all as for Crashes.
 	LateStarts []cell.LateStart `json:"s,omitempty"`
-	// AnswersKnownUntil is the time on Clock up to which LateStarts has told which starts of the sender have no answer; zero from
-	// earlier versions, which cannot be told of starts either.
-	AnswersKnownUntil int64 `json:"u,omitempty"`
+	// StartsReportedUntil is the time on Clock up to which LateStarts names all unsettled starts of the sender; zero from earlier
+	// versions, which cannot be witnesses either.
+	StartsReportedUntil int64 `json:"u,omitempty"`
 	// ShedFraction is the part of jobs, from 0 to 1, that the sender has to shed to finish the others in time.
 	ShedFraction float64 `json:"g,omitempty"`
 	// Excesses lists the queues of which more is offered to the sender than it can start in time.
@@ -143,11 +143,11 @@
 	Cancelled []string `json:"c,omitempty"`
 }
 
-// StartsNotice tells a host of starts that the sender is about to send.
+// StartsNotice notifies a witness of starts that the sender is about to send.
 type StartsNotice struct {
 	Host        string           `json:"h"`
 	Incarnation string           `json:"i"`
-	Starts      []cell.SentStart `json:"s"`
+	Starts      []cell.LateStart `json:"s"`
 }
 
 // StartsNoticed confirms a notice.
--- a/entry/pkg/peer/client.go
+++ b/entry/pkg/peer/client.go
@@ -87,33 +87,27 @@
 	return &response, nil
 }
 
-// Send sends the request to the host at address and returns once it was written to the connection; the returned function waits
-// for the response. After an error of either the call may have taken effect.
+// Send sends the request to the host at address and returns once it is written to the connection; the returned function waits for
+// the response. After an error of either the call may have taken effect.
 func Send[Request, Response any](ctx context.Context, client *Client, address, method string, request *Request) (receive func() (*Response, error), err error) {
 	conn := client.pool.Get(ctx, address, client.dial)
+	defer func() { _ = conn.Close() }()
 	stream, err := conn.NewStream(ctx, method, encoding{})
 	if err != nil {
-		_ = conn.Close()
 		return nil, errors.Wrapf(err, "call %s at %s", method, address)
 	}
-	end := func() {
-		_ = stream.Close()
-		_ = conn.Close()
-	}
 	if err := stream.MsgSend(request, encoding{}); err != nil {
-		end()
+		_ = stream.Close()
 		return nil, errors.Wrapf(err, "call %s at %s", method, address)
 	}
 	return func() (*Response, error) {
-		defer end()
+		defer func() { _ = stream.Close() }()
 		var response Response
-		if err := stream.CloseSend(); err != nil {
-			return nil, errors.Wrapf(err, "call %s at %s", method, address)
-		}
-		if err := stream.MsgRecv(&response, encoding{}); err != nil {
-			return nil, errors.Wrapf(err, "call %s at %s", method, address)
+		err := stream.CloseSend()
+		if err == nil {
+			err = stream.MsgRecv(&response, encoding{})
 		}
-		return &response, nil
+		return &response, errors.Wrapf(err, "call %s at %s", method, address)
 	}, nil
 }
 
--- a/entry/pkg/peer/size_bench_test.go
+++ b/entry/pkg/peer/size_bench_test.go
@@ -74,7 +74,7 @@
 		notice := &StartsNotice{Host: "front-gt-central-a-1", Incarnation: "0123456789abcdef0123456789abcdef"}
 		for i := range starts {
 			task := "9b1b15dd0a4c05fc.0.0." + strconv.Itoa(i)
-			notice.Starts = append(notice.Starts, cell.SentStart{Task: task, Worker: "i-f0a53f9664", Number: 1, Sent: time.Now().UnixNano()})
+			notice.Starts = append(notice.Starts, cell.LateStart{Task: task, Worker: "i-f0a53f9664", Number: 1, Sent: time.Now().UnixNano(), Known: 13 * time.Second})
 		}
 		b.Run(strconv.Itoa(starts), func(b *testing.B) { measureSize(b, notice) })
 	}
