--- a/entry/pkg/cell/keepers_test.go
+++ b/entry/pkg/cell/keepers_test.go
@@ -67,7 +67,7 @@
 	calls     simCalls
 
 	heartbeats    time.Duration // between two of them; zero for one in each step
-	sendsToOwners bool          // homes send jobs only to keepers that believe that they own a cell
+	onlyToKeepers bool          // homes send jobs only to keepers that believe that they own a cell
 	silentSince   map[*simKeeper]time.Time
 }
 
@@ -95,7 +95,7 @@
 	k := &simKeeper{harness: newHarness(d.t), name: fmt.Sprintf("keeper-%d", len(d.keepers)), cellIndex: index, failedHomes: map[string]time.Time{}}
 	k.now = d.now
 	k.workers = d.workers
-	k.tell = func(starts []LateStart) { d.tell(k, starts) }
+	k.notify = func(starts []LateStart) { d.notify(k, starts) }
 	d.keepers = append(d.keepers, k)
 	return k
 }
@@ -166,7 +166,7 @@
 			}
 		}
 		d.exchangeLateStarts()
-		d.detectLosses()
+		d.detectFailures()
 		d.reportCalls()
 		d.serveCallers()
 		d.checkEnds()
@@ -287,7 +287,7 @@
 func (d *simDomain) send(q *request) {
 	var reachable []*simKeeper
 	for _, k := range d.keepers {
-		if d.isReached(k) && (k.isKeeper || !d.sendsToOwners) {
+		if d.isReached(k) && (k.isKeeper || !d.onlyToKeepers) {
 			reachable = append(reachable, k)
 		}
 	}
--- a/entry/pkg/cell/lives_test.go
+++ b/entry/pkg/cell/lives_test.go
@@ -43,7 +43,7 @@
 
 func playLives(t *rapid.T, keepersFail bool) {
 	d := &simLives{simDomain: newSimDomain(t), odds: rapid.IntRange(10, 60).Draw(t, "odds"), claimAt: map[*simKeeper]time.Time{}}
-	d.heartbeats, d.sendsToOwners = heartbeatInterval, rapid.Bool().Draw(t, "jobs go to owners only")
+	d.heartbeats, d.onlyToKeepers = heartbeatInterval, rapid.Bool().Draw(t, "jobs are sent to keepers only")
 	for _, k := range d.keepers {
 		d.prepare(k)
 		if !k.isKeeper {
@@ -54,7 +54,7 @@
 	for range rapid.IntRange(5, 40).Draw(t, "steps") {
 		switch rapid.IntRange(0, 6).Draw(t, "step") {
 		case 0, 1:
-			d.crash(d.workers[d.someLateWorker()])
+			d.crash(d.workers[d.someAffectedWorker()])
 		case 2, 3:
 			if keepersFail {
 				d.loseKeeper()
@@ -88,8 +88,8 @@
 	}
 }
 
-// someLateWorker returns a worker that may carry out a late start, half of the time if there is one.
-func (d *simLives) someLateWorker() string {
+// someAffectedWorker returns a worker that may carry out a late start, half of the time if there is one.
+func (d *simLives) someAffectedWorker() string {
 	var ids []string
 	for _, k := range d.keepers {
 		for i := range k.late {
@@ -169,7 +169,7 @@
 	return false
 }
 
-// startListener starts a host that is told of all late starts which the others know.
+// startListener starts a host that receives the reports of all late starts on record.
 func (d *simLives) startListener(index int) *simKeeper {
 	listener := d.addKeeper(index)
 	d.prepare(listener)
--- a/entry/pkg/cell/sim_test.go
+++ b/entry/pkg/cell/sim_test.go
@@ -20,7 +20,7 @@
 	seesAll bool                 // workers stay away for long enough after a crash that a keeper sees it
 	calls   []simStartCall       // starts whose answer was lost and whose calls go on
 	timeout time.Duration        // after which the call of a start without an answer ends
-	tell    func([]LateStart)    // tells other keepers of starts before they are sent
+	notify  func([]LateStart)    // notifies other keepers of starts before they are sent
 	jobs    int
 	started map[*Job]bool // jobs of which a task has run
 	script  func(task string, run int) (hangs, fails, lost bool)
@@ -217,8 +217,8 @@
 			require.False(h.t, h.started[answered.Job], "job %s was refused, but one of its tasks has run", id)
 		}
 	}
-	if h.tell != nil && len(effects.Starts) > 0 {
-		h.tell(Notices(effects.Starts, callDelay))
+	if h.notify != nil && len(effects.Starts) > 0 {
+		h.notify(Notices(effects.Starts, callDelay))
 	}
 	for _, start := range effects.Starts {
 		h.start(start)
--- a/entry/pkg/cell/sim_witness_test.go
+++ b/entry/pkg/cell/sim_witness_test.go
@@ -6,16 +6,16 @@
 	return Sender{Host: k.name}
 }
 
-// tell tells a host of the keeper's failure domain of starts, and one elsewhere.
-func (d *simDomain) tell(from *simKeeper, starts []LateStart) {
+// notify notifies a host of the keeper's failure domain of starts, and one elsewhere.
+func (d *simDomain) notify(from *simKeeper, starts []LateStart) {
 	if !d.isReached(from) {
 		return
 	}
-	told := map[bool]bool{}
+	notified := map[bool]bool{}
 	for _, to := range d.keepers {
-		if isLocal := to.cellIndex == from.cellIndex; to != from && d.isReached(to) && !told[isLocal] {
+		if isLocal := to.cellIndex == from.cellIndex; to != from && d.isReached(to) && !notified[isLocal] {
 			to.cell.WitnessStarts(from.sender(), starts, d.now)
-			told[isLocal] = true
+			notified[isLocal] = true
 		}
 	}
 }
@@ -34,8 +34,8 @@
 	return records
 }
 
-// detectLosses has each keeper notice those of which nothing was heard for failAfter.
-func (d *simDomain) detectLosses() {
+// detectFailures has each keeper suspect those without a heartbeat for failAfter.
+func (d *simDomain) detectFailures() {
 	for _, k := range slices.Clone(d.keepers) {
 		if d.isReached(k) {
 			delete(d.silentSince, k)
@@ -57,7 +57,7 @@
 	}
 }
 
-// exchangeLateStarts tells the keepers that reach each other of the late starts at each other's workers, as heartbeats do.
+// exchangeLateStarts has keepers that reach each other merge the reports in each other's heartbeats.
 func (d *simDomain) exchangeLateStarts() {
 	if d.heartbeats > 0 && d.now.UnixMilli()%d.heartbeats.Milliseconds() >= step.Milliseconds() {
 		return
@@ -66,14 +66,14 @@
 		if !d.isReached(from) {
 			continue
 		}
-		starts, known := from.cell.RecentLateStarts(d.now), from.cell.StartsReportedUntil()
+		starts, until := from.cell.RecentLateStarts(d.now), from.cell.StartsReportedUntil()
 		for _, to := range d.keepers {
 			if to == from || !d.isReached(to) {
 				continue
 			}
 			effects := to.cell.MergeLateStarts(starts, d.now)
 			to.applyEffects(&effects)
-			to.cell.HandleStartsReported(from.sender(), known)
+			to.cell.HandleStartsReported(from.sender(), until)
 		}
 	}
 }
--- a/entry/pkg/cell/unsettled.go
+++ b/entry/pkg/cell/unsettled.go
@@ -282,13 +282,13 @@
 		turn := int(now.UnixNano()/int64(reportTurn)) % pages
 		changed = slices.Concat(changed[:half], older[turn*half:min((turn+1)*half, len(older))])
 	}
-	return c.lateStarts(changed, now)
+	return c.reports(changed, now)
 }
 
-func (c *Cell) lateStarts(starts []*unsettledStart, now time.Time) []LateStart {
+func (c *Cell) reports(starts []*unsettledStart, now time.Time) []LateStart {
 	reports := make([]LateStart, 0, len(starts))
 	for _, start := range starts {
-		reports = append(reports, c.lateStart(start, now))
+		reports = append(reports, c.report(start, now))
 	}
 	return reports
 }
@@ -320,16 +320,16 @@
 		}
 		return b.until.Compare(a.until)
 	})
-	return c.lateStarts(known[:min(len(known), maxCrashNews)], now)
+	return c.reports(known[:min(len(known), maxCrashNews)], now)
 }
 
-func (c *Cell) lateStart(s *unsettledStart, now time.Time) LateStart {
-	told := LateStart{Task: s.task, Worker: s.worker, Number: s.number, Sent: s.sent, Known: max(0, s.until.Sub(now))}
-	told.Indirect = !s.own && !c.decidesFor(s.worker)
+func (c *Cell) report(s *unsettledStart, now time.Time) LateStart {
+	report := LateStart{Task: s.task, Worker: s.worker, Number: s.number, Sent: s.sent, Known: max(0, s.until.Sub(now))}
+	report.Indirect = !s.own && !c.decidesFor(s.worker)
 	if s.blocks {
-		told.Remaining = told.Known
+		report.Remaining = report.Known
 	}
-	return told
+	return report
 }
 
 // MergeLateStarts takes over what another host tells. A job whose task runs here meanwhile and must not is given up.
@@ -348,13 +348,13 @@
 
 // mergeLateStart returns the task that is blocked from now on. The keeper that holds the worker knows best whether it is gone, and
 // the one that has sent the start whether it is settled.
-func (c *Cell) mergeLateStart(told *LateStart, now time.Time) (task string, blocks bool) {
-	key, valid := told.key()
+func (c *Cell) mergeLateStart(report *LateStart, now time.Time) (task string, blocks bool) {
+	key, valid := report.key()
 	if !valid {
 		return "", false
 	}
 	start := c.unsettled.byKey[key]
-	remaining := min(max(told.Known, told.Remaining), c.limits.CallDelay)
+	remaining := min(max(report.Known, report.Remaining), c.limits.CallDelay)
 	if remaining <= 0 {
 		if start != nil && !start.own {
 			c.unsettled.remove(start)
@@ -368,23 +368,23 @@
 		start = &unsettledStart{unsettledKey: key, until: now.Add(remaining)}
 		c.unsettled.add(start)
 	}
-	blocks = told.Remaining > 0
+	blocks = report.Remaining > 0
 	switch {
-	case c.decidesFor(told.Worker):
-		blocks = c.workers[told.Worker].gone
-	case told.Indirect:
+	case c.decidesFor(report.Worker):
+		blocks = c.workers[report.Worker].gone
+	case report.Indirect:
 		blocks = blocks || start.blocks // an older state must not override that of the worker's keeper
 	}
 	if !c.unsettled.setBlocks(start, blocks) {
-		return told.Task, false
+		return report.Task, false
 	}
-	if blocks != (told.Remaining > 0) {
+	if blocks != (report.Remaining > 0) {
 		c.unsettled.announce(start, now) // no other host can decide this
 	}
-	return told.Task, blocks
+	return report.Task, blocks
 }
 
-// decidesFor reports whether this keeper is the one that decides whether the worker is gone.
+// decidesFor reports whether this keeper decides if the worker has crashed.
 func (c *Cell) decidesFor(id string) bool {
 	worker := c.workers[id]
 	return worker != nil && (worker.held || worker.gone)
--- a/entry/pkg/cell/witness.go
+++ b/entry/pkg/cell/witness.go
@@ -47,8 +47,8 @@
 	c.unsettled.setWitnessed(sender, slices.DeleteFunc(starts, func(start *unsettledStart) bool { return start.sent <= until }))
 }
 
-// HandleKeeperFailure takes the witnessed starts of a failed host for unsettled, except those of the given incarnation unless it
-// is empty, and returns their number.
+// HandleKeeperFailure records the witnessed starts of a failed host as unsettled, except those of the given incarnation unless
+// it is empty, and returns their number.
 func (c *Cell) HandleKeeperFailure(host, exceptIncarnation string, now time.Time) (Effects, int) {
 	var starts []*unsettledStart
 	for sender, witnessed := range c.unsettled.witnessed {
@@ -58,7 +58,7 @@
 		}
 	}
 	starts = slices.DeleteFunc(starts, func(start *unsettledStart) bool { return c.unsettled.byKey[start.unsettledKey] != nil })
-	effects := c.MergeLateStarts(c.lateStarts(starts, now), now)
+	effects := c.MergeLateStarts(c.reports(starts, now), now)
 	for _, start := range starts {
 		if merged := c.unsettled.byKey[start.unsettledKey]; merged != nil {
 			c.unsettled.announce(merged, now)
--- a/entry/pkg/cell/witness_test.go
+++ b/entry/pkg/cell/witness_test.go
@@ -11,7 +11,7 @@
 // lostSender is a keeper that is lost in these tests.
 var lostSender = Sender{Host: "lost", Incarnation: "1"}
 
-// witness has the keeper told of a start of the first job's task that the lost keeper is about to send to the first worker.
+// witness has the keeper notified of a start of the first job's task at the first worker, which lostSender is about to send.
 func (h *harness) witness() {
 	h.cell.WitnessStarts(lostSender, []LateStart{{Task: "j0001.0", Worker: "w00", Number: 1, Sent: h.now.UnixNano(), Known: callDelay}}, h.now)
 }
@@ -22,15 +22,15 @@
 	return unsettled
 }
 
-// hear has the keeper hear what the other one tells in its heartbeats.
-func (h *harness) hear(other *harness) {
+// merge has the keeper merge the reports in the heartbeats of the other one.
+func (h *harness) merge(other *harness) {
 	effects := h.cell.MergeLateStarts(other.cell.RecentLateStarts(other.now), h.now)
 	h.applyEffects(&effects)
 }
 
-// TestLateStartOfAKeeperThatIsLostAtOnceBlocksItsTask guards against a start that its keeper sends just before it is lost and that
-// the worker carries out in a next life, beside the task's run elsewhere. The worker crashes twice before.
-func TestLateStartOfAKeeperThatIsLostAtOnceBlocksItsTask(t *testing.T) {
+// TestStartOfAKeeperThatFailsAtOnceBlocksItsTask guards against a start that its keeper sends just before it fails and that the
+// worker carries out after a restart, beside the task's run elsewhere. The worker crashes twice before.
+func TestStartOfAKeeperThatFailsAtOnceBlocksItsTask(t *testing.T) {
 	next, third := newHarness(t), newHarness(t)
 	next.addWorkers(1, 16, 1)
 	next.pass(200 * time.Millisecond)
@@ -41,20 +41,20 @@
 	next.pass(failAfter)
 	require.Equal(t, 1, next.loseSender())
 	third.pass(failAfter)
-	third.hear(next)
+	third.merge(next)
 	for range 2 {
 		again := third.jobNamed("j0001", 1, 5, 20*time.Second, veryLong, veryLong)
 		third.submit(again)
 		third.pass(time.Second) // the worker rejects the numbers that it has stopped
 		require.Equal(t, 1, third.runningCount(), "the worker is not known to be gone")
 		next.crashWorker("w00")
-		third.hear(next)
+		third.merge(next)
 		require.Equal(t, "abandoned", third.outcome(again))
 		third.pass(200 * time.Millisecond)
 		require.Zero(t, third.runningCount(), "the worker's next life may carry the start out")
 		next.workers["w00"].down = false
 		next.pass(400 * time.Millisecond)
-		third.hear(next)
+		third.merge(next)
 		delete(third.answers, "j0001")
 	}
 	require.True(t, third.cell.MayStartTaskLate("j0001.0", third.now), "nobody may say that it has not run")
@@ -62,9 +62,9 @@
 	require.False(t, third.cell.MayStartTaskLate("j0001.0", third.now))
 }
 
-// TestStartsWhoseAnswersAreKnownOutliveNoLoss guards against tasks that are blocked for starts which were answered, or of which the
-// keeper has told itself.
-func TestStartsWhoseAnswersAreKnownOutliveNoLoss(t *testing.T) {
+// TestReportedStartsAreNotTakenForUnsettled guards against tasks that are blocked for starts which were answered, or which the
+// keeper has reported itself.
+func TestReportedStartsAreNotTakenForUnsettled(t *testing.T) {
 	h := newHarness(t)
 	h.addWorkers(1, 16, 1)
 	h.witness()
@@ -78,14 +78,14 @@
 	h.witness()
 	_, unsettled := h.cell.HandleKeeperFailure(lostSender.Host, lostSender.Incarnation, h.now)
 	require.Zero(t, unsettled, "the process goes on")
-	told := LateStart{Task: "j0001.0", Worker: "w00", Number: 1, Sent: h.now.UnixNano(), Known: callDelay}
-	h.cell.MergeLateStarts([]LateStart{told}, h.now)
+	report := LateStart{Task: "j0001.0", Worker: "w00", Number: 1, Sent: h.now.UnixNano(), Known: callDelay}
+	h.cell.MergeLateStarts([]LateStart{report}, h.now)
 	require.Zero(t, h.loseSender())
 	require.Len(t, h.cell.unsettled.byKey, 1)
 }
 
-// TestAnswersAreKnownOnceOthersAreTold guards against a time that is told before the starts without an answer up to it.
-func TestAnswersAreKnownOnceOthersAreTold(t *testing.T) {
+// TestReportedTimeFollowsTheReports guards against a reported time that is ahead of the unsettled starts in the reports.
+func TestReportedTimeFollowsTheReports(t *testing.T) {
 	h := newHarness(t)
 	h.addWorkers(1, 16, 1)
 	require.Zero(t, h.cell.StartsReportedUntil())
@@ -94,20 +94,19 @@
 	for range 20 {
 		h.now = h.now.Add(step)
 		h.cell.Tick(h.now)
-		isKnown := h.cell.StartsReportedUntil() >= run.sentAt.UnixNano()
-		require.Equal(t, isKnown, len(h.cell.RecentLateStarts(h.now)) == 1)
+		isCovered := h.cell.StartsReportedUntil() >= run.sentAt.UnixNano()
+		require.Equal(t, isCovered, len(h.cell.RecentLateStarts(h.now)) == 1)
 	}
 	require.GreaterOrEqual(t, h.cell.StartsReportedUntil(), run.sentAt.UnixNano())
 }
 
-// TestAnswersAreNotKnownWhileNotAllFitIntoAHeartbeat guards against a host that drops a start of which it was not told yet that it
-// has no answer.
-func TestAnswersAreNotKnownWhileNotAllFitIntoAHeartbeat(t *testing.T) {
+// TestReportedTimeWaitsWhileNotAllFitIntoAHeartbeat guards against a witness that drops a start before it was reported as unsettled.
+func TestReportedTimeWaitsWhileNotAllFitIntoAHeartbeat(t *testing.T) {
 	h := newHarness(t)
 	h.cell.Tick(h.now)
 	before := h.cell.StartsReportedUntil()
 	require.Equal(t, h.now.Add(-answerDelay).UnixNano()-1, before)
-	told := map[string]bool{}
+	seen := map[string]bool{}
 	const count = 5 * maxCrashNews
 	for i := range count {
 		h.cell.WitnessStarts(lostSender, []LateStart{{Task: fmt.Sprint(i), Worker: "w00", Number: 1, Known: callDelay}}, h.now)
@@ -119,24 +118,24 @@
 		starts := h.cell.RecentLateStarts(h.now)
 		require.LessOrEqual(t, len(starts), maxCrashNews)
 		for i := range starts {
-			told[starts[i].Task] = true
+			seen[starts[i].Task] = true
 		}
 	}
-	require.Len(t, told, count, "they take turns")
+	require.Len(t, seen, count, "they take turns")
 	h.now = h.now.Add(reportWindow)
 	h.cell.Tick(h.now)
 	require.Greater(t, h.cell.StartsReportedUntil(), before)
 }
 
-// TestKeeperOfAGoneWorkerTellsOthersOfAStartThatItHearsOf guards against a task that runs elsewhere since its worker's keeper alone
-// knows that the worker has crashed, and it heard of the start only later.
-func TestKeeperOfAGoneWorkerTellsOthersOfAStartThatItHearsOf(t *testing.T) {
+// TestKeeperOfACrashedWorkerReportsThatALaterReportBlocks guards against a task that runs elsewhere since only its worker's keeper
+// has seen the crash, and received the report of the start after it.
+func TestKeeperOfACrashedWorkerReportsThatALaterReportBlocks(t *testing.T) {
 	for name, learn := range map[string]func(h *harness){
 		"witnessed": func(h *harness) {
 			h.witness()
 			h.loseSender()
 		},
-		"told": func(h *harness) {
+		"reported": func(h *harness) {
 			h.cell.MergeLateStarts([]LateStart{{Task: "j0001.0", Worker: "w00", Number: 1, Known: callDelay}}, h.now)
 		},
 	} {
@@ -145,9 +144,9 @@
 		h.pass(200 * time.Millisecond)
 		h.crashWorker("w00")
 		learn(h)
-		told := h.cell.RecentLateStarts(h.now)
-		require.Len(t, told, 1, name)
-		require.Positive(t, told[0].Remaining, name)
+		reports := h.cell.RecentLateStarts(h.now)
+		require.Len(t, reports, 1, name)
+		require.Positive(t, reports[0].Remaining, name)
 	}
 }
 
@@ -178,16 +177,16 @@
 	witness.witness()
 	witness.loseSender()
 	keeper.addWorkers(1, 16, 1)
-	keeper.hear(witness)
-	third.hear(witness)
-	stale := witness.cell.RecentLateStarts(witness.now)
+	keeper.merge(witness)
+	third.merge(witness)
+	earlier := witness.cell.RecentLateStarts(witness.now)
 	keeper.crashWorker("w00")
-	third.hear(keeper)
+	third.merge(keeper)
 	require.Contains(t, third.cell.unsettled.blocking, "j0001.0")
-	third.cell.MergeLateStarts(stale, third.now)
+	third.cell.MergeLateStarts(earlier, third.now)
 	require.Contains(t, third.cell.unsettled.blocking, "j0001.0", "only the worker's keeper sees that its next life rejects the start")
 	keeper.workers["w00"].down = false
 	keeper.pass(400 * time.Millisecond)
-	third.hear(keeper)
+	third.merge(keeper)
 	require.Empty(t, third.cell.unsettled.blocking)
 }
--- a/entry/pkg/cellhost/keeper.go
+++ b/entry/pkg/cellhost/keeper.go
@@ -166,7 +166,7 @@
 	k.apply(func(now time.Time) cell.Effects { return k.cell.SetEvacuated(domains, now) })
 }
 
-// HostFailed cancels the jobs of a home host that is suspected or has restarted, and takes its witnessed starts for unsettled.
+// HostFailed cancels the jobs of a home host that is suspected or has restarted, and records its witnessed starts as unsettled.
 func (k *KeeperController) HostFailed(name, incarnation string) {
 	k.apply(func(now time.Time) cell.Effects { return k.cell.HandleHomeFailure(name, incarnation, now) })
 	k.handleKeeperFailure(name, incarnation)
--- a/entry/pkg/cellhost/keeper_witness.go
+++ b/entry/pkg/cellhost/keeper_witness.go
@@ -51,7 +51,7 @@
 	return &peer.StartsNoticed{}, nil
 }
 
-// handleKeeperFailure takes the witnessed starts of a failed host, other than its present process, for unsettled.
+// handleKeeperFailure records the witnessed starts of a failed host, other than its present process, as unsettled.
 func (k *KeeperController) handleKeeperFailure(host, exceptIncarnation string) {
 	unsettled := 0
 	k.apply(func(now time.Time) (effects cell.Effects) {
--- a/entry/pkg/cellhost/witness.go
+++ b/entry/pkg/cellhost/witness.go
@@ -26,8 +26,8 @@
 	// maxWitnesses is the number of witnesses of a start: one in the keeper's failure domain, which it reaches during a partition
 	// of that domain, and one elsewhere, which survives the loss of the domain.
 	maxWitnesses = 2
-	// noticeTimeout bounds how long a start waits until the notices of it are written, which takes longer only for a connection
-	// that has to be opened first or has filled up.
+	// noticeTimeout bounds the wait of a start for its notices to be written; only a connection that has to be opened first or has filled
+	// up needs more.
 	noticeTimeout = 5 * time.Millisecond
 )
 
